--- /dev/null
+++ b/examples/demo/chats.rs
@@ -0,0 +1,108 @@
+//! Chats that return, and the unrepeatable calls that some of them make.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::Method;
+use rand::{Rng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+
+use crate::{
+    report::{Fate, World},
+    support::{
+        caller::{Caller, KEY, Outcome, chat_body},
+        engine::expected,
+        fleet::{MODEL, SERVICE},
+    },
+};
+
+/// Turns after which a chat begins anew.
+const TURNS: usize = 8;
+
+/// How often a call that did not run is sent again.
+const AGAIN: u32 = 6;
+
+/// Lives one chat after another until the time is over.
+pub async fn run(world: Arc<World>, n: usize, mut rng: Pcg64, until: Instant) {
+    let key = if n % 2 == 0 { KEY } else { "key-of-puente" };
+    let caller = Caller::new(key);
+    for life in 0.. {
+        let mut messages = vec![(
+            "system",
+            "You help bidders and families with care and in plain words. ".repeat(4),
+        )];
+        for turn in 0..TURNS {
+            if Instant::now() >= until {
+                return;
+            }
+            let pause = rng.random_range(50..400);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let detail = format!("chat {n} life {life} turn {turn}: ");
+            messages.push((
+                "user",
+                detail + &"what of the gearbox? ".repeat(rng.random_range(3..20)),
+            ));
+            let length = rng.random_range(8..40);
+            let body = chat_body(MODEL, &messages, length, rng.random_bool(0.7));
+            let outcome = chat(&world, &caller, &mut rng, &body).await;
+            let right = expected(7, &body).concat();
+            world.note_chat(&outcome, &right, turn > 0);
+            messages.push(("assistant", right));
+            if rng.random_bool(0.15) {
+                confirm(&world, &caller, &mut rng, &format!("bid-{n}-{life}-{turn}")).await;
+            }
+        }
+    }
+}
+
+async fn chat(
+    world: &World,
+    caller: &Caller,
+    rng: &mut Pcg64,
+    body: &serde_json::Value,
+) -> Outcome {
+    let Some(at) = pick(world, rng).await else {
+        return Outcome::default();
+    };
+    let began = Instant::now();
+    let outcome = caller.chat(at, body).await;
+    world.note_time(began.elapsed());
+    outcome
+}
+
+/// Sends a bid confirmation until it ran or its fate is known to be unknown.
+async fn confirm(world: &World, caller: &Caller, rng: &mut Pcg64, key: &str) {
+    let path = format!("/services/{SERVICE}/confirm");
+    let mut fate = Fate::default();
+    for _ in 0..AGAIN {
+        let Some(at) = pick(world, rng).await else {
+            continue;
+        };
+        let headers = [("idempotency-key", key)];
+        let outcome = caller
+            .call(at, Method::POST, &path, &headers, "one harvester")
+            .await;
+        fate.add(&outcome);
+        match outcome {
+            Outcome {
+                status: 200,
+                cut: false,
+                ..
+            } => break,
+            Outcome {
+                code: 5003 | 5004, ..
+            } => break,
+            _ => tokio::time::sleep(Duration::from_millis(rng.random_range(50..300))).await,
+        }
+    }
+    world.note_confirm(key, fate);
+}
+
+/// A ready router's address, as the balancer would choose it.
+async fn pick(world: &World, rng: &mut Pcg64) -> Option<SocketAddr> {
+    let ready = world.ready.lock().expect("list").clone();
+    ready.choose(rng).copied()
+}
--- /dev/null
+++ b/examples/demo/faults.rs
@@ -0,0 +1,211 @@
+//! What goes wrong while the chats run.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use rand_pcg::Pcg64;
+
+use crate::{
+    report::World,
+    support::{
+        engine::{Engine, Fault},
+        platform::PlatformFault,
+    },
+};
+
+/// How much goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    None,
+    Some,
+    Many,
+}
+
+impl std::str::FromStr for Kind {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s {
+            "none" => Ok(Self::None),
+            "some" => Ok(Self::Some),
+            "many" => Ok(Self::Many),
+            _ => Err(format!("expected none, some or many, got {s:?}")),
+        }
+    }
+}
+
+/// Breaks things until the time is over, then mends what can be mended.
+pub async fn run(world: Arc<World>, kind: Kind, mut rng: Pcg64, until: Instant) {
+    let pause = match kind {
+        Kind::None => return,
+        Kind::Some => 3_000,
+        Kind::Many => 700,
+    };
+    loop {
+        let wait = rng.random_range(pause / 2..pause * 2);
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+        if Instant::now() >= until {
+            break;
+        }
+        one(&world, &mut rng).await;
+    }
+    world
+        .fleet
+        .lock()
+        .await
+        .platform
+        .set_fault(PlatformFault::default());
+}
+
+async fn one(world: &Arc<World>, rng: &mut Pcg64) {
+    let n = rng.random_range(0..9);
+    let i = rng.random_range(0..64);
+    match n {
+        0 => kill_router(world, i).await,
+        1 => stop_router(world, i).await,
+        2 => replace_engine(world, i).await,
+        3 => leave_and_return(world, i).await,
+        4 => {
+            let down = PlatformFault {
+                down: true,
+                lose_answers: 0,
+            };
+            platform_for(
+                world,
+                "store_down",
+                down,
+                Duration::from_millis(rng.random_range(500..3_000)),
+            );
+        }
+        5 => {
+            let lost = PlatformFault {
+                down: false,
+                lose_answers: rng.random_range(1..8),
+            };
+            platform_for(world, "answers_lost", lost, Duration::from_secs(2));
+        }
+        6 => engine_for(world, i, "engine_refuses", Fault::Refuse).await,
+        7 => engine_for(world, i, "engine_dies_early", Fault::DieBefore).await,
+        _ => engine_for(world, i, "engine_dies_late", Fault::DieAfter(3)).await,
+    }
+}
+
+async fn kill_router(world: &Arc<World>, i: usize) {
+    world.note_fault("router_killed");
+    let mut fleet = world.fleet.lock().await;
+    let i = i % fleet.routers.len();
+    world.forget(fleet.callers_at(i));
+    drop(fleet.routers[i].take());
+    let router = fleet.start_router(i).await;
+    fleet.routers[i] = Some(router);
+    fleet.list_vms();
+}
+
+async fn stop_router(world: &Arc<World>, i: usize) {
+    world.note_fault("router_stopped");
+    let mut fleet = world.fleet.lock().await;
+    let i = i % fleet.routers.len();
+    world.forget(fleet.callers_at(i));
+    let Some(old) = fleet.routers[i].take() else {
+        return;
+    };
+    let router = fleet.start_router(i).await;
+    fleet.routers[i] = Some(router);
+    fleet.list_vms();
+    drop(fleet);
+    let report = old.stop().await;
+    world.note_stop(report.cut_off);
+}
+
+async fn replace_engine(world: &Arc<World>, i: usize) {
+    world.note_fault("engine_replaced");
+    let mut fleet = world.fleet.lock().await;
+    let i = i % fleet.engines.len();
+    let cfg = fleet.plan.engine.clone();
+    let engine = Engine::start("127.0.0.1:0", cfg).await;
+    let old = std::mem::replace(&mut fleet.engines[i], engine);
+    world.keep_executed(&old);
+    drop(old);
+    let edit = fleet.engine_edit(i, "serve");
+    drop(fleet);
+    change(world, "an engine was replaced", edit).await;
+}
+
+/// Lets an engine leave, sees that it gets no new work, and takes it back.
+async fn leave_and_return(world: &Arc<World>, i: usize) {
+    world.note_fault("engine_left");
+    let fleet = world.fleet.lock().await;
+    let i = i % fleet.engines.len();
+    let (leave, serve) = (fleet.engine_edit(i, "leave"), fleet.engine_edit(i, "serve"));
+    let state = fleet.engines[i].state.clone();
+    drop(fleet);
+    if !change(world, "an engine leaves", leave).await {
+        return;
+    }
+    let world = Arc::clone(world);
+    tokio::spawn(async move {
+        // "A few seconds" is what a leaving target may still get work in.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let before = state.lock().expect("engine").executed.len();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let after = state.lock().expect("engine").executed.len();
+        world.note_left(after.saturating_sub(before) as u64);
+        change(&world, "an engine returns", serve).await;
+    });
+}
+
+async fn change(world: &World, reason: &str, edit: serde_json::Value) -> bool {
+    let at = {
+        let fleet = world.fleet.lock().await;
+        fleet.live().next().map(|r| r.addresses().operators)
+    };
+    let Some(at) = at else { return false };
+    for _ in 0..20 {
+        let (status, _) = crate::support::fleet::change_at(at, reason, vec![edit.clone()]).await;
+        if status == 200 {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    world.note_fault("change_not_accepted");
+    false
+}
+
+fn platform_for(world: &Arc<World>, name: &'static str, fault: PlatformFault, time: Duration) {
+    world.note_fault(name);
+    let world = Arc::clone(world);
+    tokio::spawn(async move {
+        world.fleet.lock().await.platform.set_fault(fault);
+        tokio::time::sleep(time).await;
+        world
+            .fleet
+            .lock()
+            .await
+            .platform
+            .set_fault(PlatformFault::default());
+    });
+}
+
+async fn engine_for(world: &Arc<World>, i: usize, name: &'static str, fault: Fault) {
+    world.note_fault(name);
+    let fleet = world.fleet.lock().await;
+    let i = i % fleet.engines.len();
+    fleet.engines[i].set_fault(fault);
+    let service = (!fleet.services.is_empty()).then(|| i % fleet.services.len());
+    if let Some(s) = service {
+        fleet.services[s].set_fault(fault);
+    }
+    drop(fleet);
+    let world = Arc::clone(world);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let fleet = world.fleet.lock().await;
+        fleet.engines[i].set_fault(Fault::None);
+        if let Some(s) = service {
+            fleet.services[s].set_fault(Fault::None);
+        }
+    });
+}
--- /dev/null
+++ b/examples/demo/main.rs
@@ -0,0 +1,134 @@
+//! A whole small fleet in one process, with returning chats, unrepeatable calls and faults.
+//!
+//! `cargo run --release --locked --example demo`
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+mod chats;
+mod faults;
+mod report;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use support::{
+    caller::{KEY, TOKEN},
+    engine::EngineConfig,
+    fleet::{Fleet, MODEL, Plan},
+};
+use tokio::sync::Mutex;
+
+mod flags {
+    xflags::xflags! {
+        /// Runs a whole small fleet on loopback and shows how it did.
+        cmd demo {
+            /// Routers [4].
+            optional --routers n: usize
+            /// Model engines [6].
+            optional --engines n: usize
+            /// Runners of a plain service [2].
+            optional --services n: usize
+            /// Chats that come and return [300].
+            optional --chats n: usize
+            /// What random choices follow from [1].
+            optional --seed n: u64
+            /// none, some or many.
+            optional --faults kind: String
+            /// How long chats keep returning, at the least [5; 30 with faults].
+            optional --seconds n: u64
+            /// Ends with one line of JSON.
+            optional --json
+            /// Keeps the fleet up until SIGTERM and prints its addresses as JSON.
+            optional --serve
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    let flags = flags::Demo::from_env_or_exit();
+    let fleet = Fleet::start(plan(&flags)).await;
+    match flags.serve {
+        true => serve(fleet).await,
+        false => run(fleet, &flags).await,
+    }
+}
+
+fn plan(flags: &flags::Demo) -> Plan {
+    Plan {
+        routers: flags.routers.unwrap_or(4),
+        engines: flags.engines.unwrap_or(6),
+        services: flags.services.unwrap_or(2),
+        halls: 3,
+        engine: EngineConfig {
+            seed: 7,
+            cache_tokens: 200_000,
+            token_time: Duration::from_millis(2),
+            prefill_time: Duration::from_micros(20),
+        },
+        settings: Vec::new(),
+    }
+}
+
+/// Keeps the fleet up until it is told to end.
+async fn serve(mut fleet: Fleet) {
+    let callers: Vec<_> = fleet
+        .live()
+        .map(|r| r.addresses().callers.to_string())
+        .collect();
+    let operators: Vec<_> = fleet
+        .live()
+        .map(|r| r.addresses().operators.to_string())
+        .collect();
+    println!(
+        "{}",
+        serde_json::json!({"callers": callers, "key": KEY, "operators": operators,
+            "token": TOKEN, "model": MODEL, "service": support::fleet::SERVICE})
+    );
+    let mut term =
+        tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).expect("signal");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    for router in fleet.routers.iter_mut().filter_map(Option::take) {
+        router.stop().await;
+    }
+}
+
+async fn run(fleet: Fleet, flags: &flags::Demo) {
+    let faults = flags.faults.as_deref().unwrap_or("none").to_owned();
+    let kind = faults.parse().unwrap_or_else(|e: String| {
+        eprintln!("demo: --faults: {e}");
+        std::process::exit(2);
+    });
+    let usual = if kind == faults::Kind::None { 5 } else { 30 };
+    let seconds = flags.seconds.unwrap_or(usual);
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let seed = flags.seed.unwrap_or(1);
+    let world = Arc::new(report::World::new(Mutex::new(fleet)));
+    let mut tasks = tokio::task::JoinSet::new();
+    let mut rng = Pcg64::seed_from_u64(seed);
+    for i in 0..flags.chats.unwrap_or(300) {
+        let rng = Pcg64::seed_from_u64(rng.random());
+        tasks.spawn(chats::run(Arc::clone(&world), i, rng, until));
+    }
+    let watcher = tokio::spawn(report::watch(Arc::clone(&world)));
+    let breaker = tokio::spawn(faults::run(Arc::clone(&world), kind, rng, until));
+    while tasks.join_next().await.is_some() {}
+    breaker.await.expect("faults end");
+    watcher.abort();
+    let report = report::finish(&world).await;
+    eprintln!("{}", report.table());
+    if flags.json {
+        println!("{}", serde_json::to_string(&report).expect("report"));
+    }
+    if !report.promises_held() {
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/examples/standin.rs
@@ -0,0 +1,73 @@
+//! Runs one stand-in as a process: an engine, a plain service, or the platform.
+//!
+//! `cargo run --release --locked --example standin -- engine --listen 127.0.0.1:0`
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    engine::{Engine, EngineConfig},
+    platform::Platform,
+    service::Service,
+};
+
+mod flags {
+    xflags::xflags! {
+        /// Runs one stand-in and prints its address as a line of JSON.
+        cmd standin {
+            /// Where to listen.
+            optional --listen listen: String
+            /// A model engine.
+            cmd engine {
+                /// What its answers follow from.
+                optional --seed seed: u64
+                /// Prompt tokens that its cache holds.
+                optional --cache-tokens tokens: usize
+                /// Time for a token, in microseconds.
+                optional --token-us us: u64
+                /// Time for an uncached prompt token, in microseconds.
+                optional --prefill-us us: u64
+            }
+            /// A plain service.
+            cmd service {}
+            /// The platform's key-value service and VM list; POST /vms sets the list.
+            cmd platform {}
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    let flags = flags::Standin::from_env_or_exit();
+    let listen = flags.listen.as_deref().unwrap_or("127.0.0.1:0");
+    match flags.subcommand {
+        flags::StandinCmd::Engine(e) => {
+            let usual = EngineConfig::default();
+            let cfg = EngineConfig {
+                seed: e.seed.unwrap_or(usual.seed),
+                cache_tokens: e.cache_tokens.unwrap_or(usual.cache_tokens),
+                token_time: Duration::from_micros(e.token_us.unwrap_or(0)),
+                prefill_time: Duration::from_micros(e.prefill_us.unwrap_or(0)),
+            };
+            let engine = Engine::start(listen, cfg).await;
+            announce(engine.server.address);
+            std::future::pending::<()>().await;
+        }
+        flags::StandinCmd::Service(_) => {
+            let service = Service::start(listen).await;
+            announce(service.server.address);
+            std::future::pending::<()>().await;
+        }
+        flags::StandinCmd::Platform(_) => {
+            let platform = Platform::start(listen).await;
+            announce(platform.server.address);
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+fn announce(address: std::net::SocketAddr) {
+    println!("{}", serde_json::json!({ "address": address.to_string() }));
+}
--- /dev/null
+++ b/src/bin/scaleford/api.rs
@@ -0,0 +1,69 @@
+//! One call to a router's operators' address.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde_json::Value;
+
+/// A router's operators' address with the token to show.
+pub(crate) struct Api {
+    address: String,
+    token: String,
+}
+
+/// What came back.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl Api {
+    /// From flags or the environment.
+    pub(crate) fn from_flags(operator: Option<&str>, token: Option<&str>) -> Result<Self, String> {
+        let or_env = |flag: Option<&str>, variable: &str| {
+            let given = flag
+                .map(str::to_owned)
+                .or_else(|| std::env::var(variable).ok());
+            given.ok_or_else(|| format!("{variable} is not set, nor its flag"))
+        };
+        Ok(Self {
+            address: or_env(operator, "SCALEFORD_OPERATOR")?,
+            token: or_env(token, "SCALEFORD_TOKEN")?,
+        })
+    }
+
+    /// Asks.
+    pub(crate) fn get(&self, path: &str) -> Result<Answer, String> {
+        self.call(Method::GET, path, String::new())
+    }
+
+    /// Tells.
+    pub(crate) fn post(&self, path: &str, body: String) -> Result<Answer, String> {
+        self.call(Method::POST, path, body)
+    }
+
+    fn call(&self, method: Method, path: &str, body: String) -> Result<Answer, String> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("authorization", format!("Bearer {}", self.token))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| e.to_string())?;
+        runtime.block_on(async {
+            let client = Client::builder(TokioExecutor::new()).build_http();
+            let res = client
+                .request(req)
+                .await
+                .map_err(|e| format!("{}: {e}", self.address))?;
+            let status = res.status().as_u16();
+            let body = res.into_body().collect().await.map_err(|e| e.to_string())?;
+            let body = serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
+            Ok(Answer { status, body })
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/scaleford/main.rs
@@ -0,0 +1,69 @@
+//! The operators' command.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong use, 3 nothing found, 4 not known yet.
+
+mod api;
+mod flags;
+mod show;
+
+use std::{io::Read, process::ExitCode};
+
+use flags::{IntentCmd, ScalefordCmd};
+use scaleford::ResultCode;
+
+/// Exit code of a command that was used wrongly.
+const WRONG_USE: u8 = 2;
+
+fn main() -> ExitCode {
+    match flags::Scaleford::from_env() {
+        Ok(flags) => run(&flags),
+        Err(e) => e.exit(),
+    }
+}
+
+fn run(flags: &flags::Scaleford) -> ExitCode {
+    match call(flags) {
+        Ok(answer) => show::answer(flags, &answer),
+        Err(text) => {
+            eprintln!("scaleford: {text}");
+            ExitCode::from(WRONG_USE)
+        }
+    }
+}
+
+fn call(flags: &flags::Scaleford) -> Result<api::Answer, String> {
+    let api = api::Api::from_flags(flags.operator.as_deref(), flags.token.as_deref())?;
+    match &flags.subcommand {
+        ScalefordCmd::Status(_) => api.get("/v1/status"),
+        ScalefordCmd::Explain(e) => api.get(&format!("/v1/explain/{}", e.request)),
+        ScalefordCmd::Intent(i) => match &i.subcommand {
+            IntentCmd::Plan(p) => api.post("/v1/intents/plan", read(&p.file)?),
+            IntentCmd::Confirm(c) => api.post("/v1/intents/confirm", read(&c.plan)?),
+            IntentCmd::List(_) => api.get("/v1/changes"),
+            IntentCmd::Show(s) => api.get(&format!("/v1/changes/{}", s.change)),
+        },
+        ScalefordCmd::Config(_) => api.get("/v1/config"),
+    }
+}
+
+fn read(file: &str) -> Result<String, String> {
+    let fault = |e: std::io::Error| format!("{file}: {e}");
+    match file {
+        "-" => {
+            let mut text = String::new();
+            std::io::stdin().read_to_string(&mut text).map_err(fault)?;
+            Ok(text)
+        }
+        path => std::fs::read_to_string(path).map_err(fault),
+    }
+}
+
+/// The exit code that goes with an answer.
+fn exit_code(status: u16, code: Option<ResultCode>) -> ExitCode {
+    match (status, code) {
+        (_, Some(ResultCode::NotFound)) => ExitCode::from(3),
+        (_, Some(ResultCode::ChangeUnknown)) => ExitCode::from(4),
+        (200..=299, _) => ExitCode::SUCCESS,
+        _ => ExitCode::from(1),
+    }
+}
--- /dev/null
+++ b/src/bin/scaleford/show.rs
@@ -0,0 +1,150 @@
+//! Answers for people, or as they came.
+
+use std::process::ExitCode;
+
+use scaleford::ResultCode;
+use serde_json::Value;
+
+use crate::{
+    api::Answer,
+    exit_code,
+    flags::{IntentCmd, Scaleford, ScalefordCmd},
+};
+
+/// Prints an answer and says how to exit.
+pub(crate) fn answer(flags: &Scaleford, answer: &Answer) -> ExitCode {
+    let error = answer.body.get("error");
+    let code = error
+        .and_then(|e| e["number"].as_i64())
+        .and_then(ResultCode::from_number);
+    match error {
+        _ if flags.json => println!("{}", answer.body),
+        Some(e) => eprintln!(
+            "error {} {}: {}",
+            e["number"],
+            text(&e["code"]),
+            text(&e["message"])
+        ),
+        None => match &flags.subcommand {
+            ScalefordCmd::Status(_) => status(&answer.body),
+            ScalefordCmd::Explain(_) => explain(&answer.body),
+            ScalefordCmd::Intent(i) => match &i.subcommand {
+                // A plan is printed as it is, so that it can be piped into confirm.
+                IntentCmd::Plan(_) => plan(&answer.body),
+                IntentCmd::Confirm(_) => {
+                    println!(
+                        "{} accepted as revision {}",
+                        text(&answer.body["id"]),
+                        answer.body["revision"]
+                    );
+                }
+                IntentCmd::List(_) => list(&answer.body),
+                IntentCmd::Show(_) => pretty(&answer.body),
+            },
+            ScalefordCmd::Config(_) => pretty(&answer.body),
+        },
+    }
+    exit_code(answer.status, code)
+}
+
+fn status(s: &Value) {
+    println!(
+        "{} in {}/{}: {}",
+        text(&s["vm"]),
+        text(&s["region"]),
+        text(&s["data_hall"]),
+        text(&s["state"])
+    );
+    println!("configuration  revision {}", s["revision"]);
+    println!(
+        "requests       {} in progress, {} answered, {} refused",
+        s["in_progress"], s["answered"], s["refused"]
+    );
+    println!(
+        "control        {} bytes, {} store calls",
+        s["control_bytes"], s["store_calls"]
+    );
+    println!(
+        "\n{:<24} {:<12} {:<10} {:>8}",
+        "ROUTER", "HALL", "STATE", "REVISION"
+    );
+    for r in rows(&s["routers"]) {
+        let state = match r["suspected"].as_bool() {
+            Some(true) => "suspected",
+            _ => text(&r["state"]),
+        };
+        println!(
+            "{:<24} {:<12} {:<10} {:>8}",
+            text(&r["vm"]),
+            text(&r["data_hall"]),
+            state,
+            r["revision"]
+        );
+    }
+    println!(
+        "\n{:<24} {:<28} {:>8} {:>6} {:>7} {:>7}",
+        "TARGET", "POOL", "TOKENS", "LOAD", "RUNNING", "WAITING"
+    );
+    for h in rows(&s["homes"]) {
+        let doubt = if h["in_doubt"] == true {
+            " in doubt"
+        } else {
+            ""
+        };
+        let load = h["load"].as_f64().unwrap_or(0.0);
+        println!(
+            "{:<24} {:<28} {:>8} {load:>6.2} {:>7} {:>7}{doubt}",
+            text(&h["target"]),
+            text(&h["pool"]),
+            h["tokens"],
+            h["running"],
+            h["waiting"]
+        );
+    }
+}
+
+fn explain(e: &Value) {
+    for d in rows(&e["decisions"]) {
+        println!(
+            "{} {:<16} {}",
+            d["at_ms"],
+            text(&d["vm"]),
+            text(&d["sentence"])
+        );
+    }
+}
+
+fn plan(p: &Value) {
+    for effect in rows(&p["effects"]) {
+        eprintln!("will: {}", text(effect));
+    }
+    for warning in rows(&p["warnings"]) {
+        eprintln!("warning: {}", text(warning));
+    }
+    eprintln!("confirm with: scaleford intent confirm FILE, FILE being this plan");
+    println!("{p}");
+}
+
+fn list(l: &Value) {
+    for c in rows(&l["changes"]) {
+        println!(
+            "{:>8} {} {} {}",
+            c["revision"],
+            text(&c["id"]),
+            text(&c["author"]),
+            text(&c["reason"])
+        );
+    }
+}
+
+fn pretty(v: &Value) {
+    println!("{v:#}");
+}
+
+fn rows(v: &Value) -> &[Value] {
+    v.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn text(v: &Value) -> &str {
+    v.as_str().unwrap_or_default()
+}
--- /dev/null
+++ b/src/home.rs
@@ -0,0 +1,367 @@
+//! Admission at the home router of one target: the exact account of its work in progress,
+//! the bound, and the queue.
+//!
+//! A request is admitted while the target's tokens stay within the admission factor times the
+//! pool's mean (Mirrokni, Thorup, Zadimoghaddam 2018, "consistent hashing with bounded loads"),
+//! and within the target's own capacity. Where requests are few and large against the mean, no
+//! placement stays inside the factor; so a target that is below the mean may always take one
+//! more, and an idle one may always run one.
+//! Two routers may both believe for some seconds that they are home. Each then counts what it
+//! admitted since the target's last report twice, once for the other, so that both together
+//! stay inside the bound.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    conversation::ConversationTable,
+    ids::{ConversationKey, TargetId},
+    load::{Load, PoolView},
+    result_code::ResultCode,
+    units::{Instant, LoadBound, Priority, Tokens, Weight},
+};
+
+/// How long a router that became home counts with another that has not noticed.
+pub const DOUBT: Duration = Duration::from_secs(4);
+
+/// How long a target takes from its first request to its full share.
+pub const RAMP: Duration = Duration::from_secs(10);
+
+/// A waiting request gains one step of priority in this time, so that none starves.
+pub const AGEING: Duration = Duration::from_secs(5);
+
+/// How many requests wait at one target before the least urgent is refused.
+pub const QUEUE_LIMIT: usize = 256;
+
+/// A request's place in a home's account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request that asks to run at a target.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Its place in the account.
+    pub ticket: Ticket,
+    /// The tokens that it will hold.
+    pub cost: Tokens,
+    /// How urgent it is.
+    pub priority: Priority,
+    /// When it is of no use any more.
+    pub deadline: Instant,
+    /// The chat it belongs to.
+    pub conversation: ConversationKey,
+    /// Whether this target is the chat's first choice, whose home knows where the chat went.
+    pub anchor: bool,
+    /// Whether it may wait here.
+    pub may_queue: bool,
+}
+
+/// The answer to an offer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs now.
+    Admitted,
+    /// It waits; a [`Wake`] will say what became of it.
+    Queued,
+    /// It does not run here.
+    Declined {
+        /// Why.
+        code: ResultCode,
+        /// Where the chat's cached work lies, if known.
+        redirect: Option<TargetId>,
+    },
+}
+
+/// What became of a request that waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wake {
+    /// It runs now.
+    Admitted(Ticket),
+    /// It does not run: its deadline passed, or more urgent ones filled the queue.
+    Refused(Ticket, ResultCode),
+}
+
+/// What a target says of its own load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetReport {
+    /// Tokens in progress, whoever sent them.
+    pub tokens: Tokens,
+    /// How old the figure is at the least.
+    pub lag: Duration,
+}
+
+/// The account of one target.
+#[derive(Debug)]
+pub struct Home {
+    weight: Weight,
+    capacity: Option<Tokens>,
+    bound: LoadBound,
+    running: HashMap<Ticket, (Instant, Tokens)>,
+    own: Tokens,
+    foreign: Tokens,
+    reported: bool,
+    report_covers: Instant,
+    doubt_until: Instant,
+    first_work: Option<Instant>,
+    waiting: BTreeMap<(Instant, Ticket), Offer>,
+    conversations: ConversationTable,
+}
+
+impl Home {
+    /// The account of a target that this router is home of from `now` on.
+    ///
+    /// `in_doubt` says that another router may believe the same.
+    pub fn new(now: Instant, weight: Weight, bound: LoadBound, in_doubt: bool) -> Self {
+        Self {
+            weight,
+            capacity: None,
+            bound,
+            running: HashMap::new(),
+            own: Tokens(0),
+            foreign: Tokens(0),
+            reported: !in_doubt,
+            report_covers: now,
+            doubt_until: if in_doubt { now + DOUBT } else { now },
+            first_work: (!in_doubt).then_some(Instant::default()),
+            waiting: BTreeMap::new(),
+            conversations: ConversationTable::default(),
+        }
+    }
+
+    /// Takes the target's figures from a configuration.
+    pub fn set_target(&mut self, weight: Weight, capacity: Option<Tokens>) {
+        self.weight = weight;
+        self.capacity = capacity;
+    }
+
+    /// Says that another router may believe that it is home, from `now` on.
+    pub fn on_doubt(&mut self, now: Instant) {
+        self.doubt_until = now + DOUBT;
+    }
+
+    /// Whether another router may believe that it is home.
+    pub fn in_doubt(&self, now: Instant) -> bool {
+        now < self.doubt_until
+    }
+
+    /// The capacity of the target beside the others.
+    pub fn weight(&self) -> Weight {
+        self.weight
+    }
+
+    /// The tokens at the target: those admitted here, and others' that it reported.
+    pub fn tokens(&self) -> Tokens {
+        self.own + self.foreign
+    }
+
+    /// The load with what another router may have admitted that believes itself home: as much
+    /// as this one since the target's last report.
+    pub fn load(&self, now: Instant) -> Load {
+        let since_report = self
+            .running
+            .values()
+            .filter(|(at, _)| *at > self.report_covers);
+        let doubtful = match self.in_doubt(now) {
+            true => since_report.map(|(_, cost)| *cost).sum(),
+            false => Tokens(0),
+        };
+        Load {
+            tokens: self.tokens(),
+            doubtful,
+        }
+    }
+
+    /// The requests admitted here that have not ended.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// The requests that wait here.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Where the conversations went whose first choice this target is.
+    pub fn conversations(&mut self) -> &mut ConversationTable {
+        &mut self.conversations
+    }
+
+    /// Decides on a request.
+    pub fn on_offer(&mut self, now: Instant, offer: Offer, pool: PoolView) -> Verdict {
+        let elsewhere = match offer.anchor {
+            true => self.conversations.find(offer.conversation).cloned(),
+            false => None,
+        };
+        match elsewhere {
+            Some(target) => Verdict::Declined {
+                code: ResultCode::OverBound,
+                redirect: Some(target),
+            },
+            None if self.waiting.is_empty() && self.has_room(now, offer.cost, pool) => {
+                self.admit(now, offer.ticket, offer.cost);
+                Verdict::Admitted
+            }
+            None if offer.may_queue && self.make_place(&offer) => {
+                self.waiting.insert((now, offer.ticket), offer);
+                Verdict::Queued
+            }
+            None => Verdict::Declined {
+                code: match offer.may_queue {
+                    true => ResultCode::Overloaded,
+                    false => ResultCode::OverBound,
+                },
+                redirect: None,
+            },
+        }
+    }
+
+    /// A request ended, was cancelled, or gave up waiting.
+    pub fn on_finish(&mut self, now: Instant, ticket: Ticket, pool: PoolView) -> Vec<Wake> {
+        self.waiting.retain(|(_, t), _| *t != ticket);
+        if let Some((_, cost)) = self.running.remove(&ticket) {
+            self.own = self.own.less(cost);
+        }
+        self.on_tick(now, pool)
+    }
+
+    /// Takes the target's own figure; what is not ours in it is others' work.
+    pub fn on_report(&mut self, now: Instant, report: TargetReport) {
+        let covers = Instant(now.0.saturating_sub(report.lag));
+        if covers < self.report_covers {
+            return;
+        }
+        let ours_then: Tokens = self
+            .running
+            .values()
+            .filter(|(at, _)| *at <= covers)
+            .map(|(_, cost)| *cost)
+            .sum();
+        self.foreign = report.tokens.less(ours_then);
+        self.report_covers = covers;
+        self.reported = true;
+    }
+
+    /// The target does not tell its load; what was admitted here is all that can be known.
+    pub fn on_no_report(&mut self) {
+        self.reported = true;
+    }
+
+    /// Admits what has room and refuses what is too late.
+    pub fn on_tick(&mut self, now: Instant, pool: PoolView) -> Vec<Wake> {
+        let mut wakes = self.refuse_late(now);
+        while let Some(key) = self.next_waiting(now) {
+            let cost = self.waiting[&key].cost;
+            if !self.has_room(now, cost, pool_after(pool, &wakes, cost)) {
+                break;
+            }
+            self.waiting.remove(&key);
+            self.admit(now, key.1, cost);
+            wakes.push(Wake::Admitted(key.1));
+        }
+        wakes
+    }
+
+    /// Refuses all that waits, because the target leaves or this router is home no more.
+    pub fn refuse_waiting(&mut self, code: ResultCode) -> Vec<Wake> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting
+            .into_keys()
+            .map(|(_, t)| Wake::Refused(t, code))
+            .collect()
+    }
+
+    fn has_room(&self, now: Instant, cost: Tokens, pool: PoolView) -> bool {
+        let Load { tokens, doubtful } = self.load(now);
+        let load = tokens + doubtful;
+        let after = load + cost;
+        let mean = match self.in_doubt(now) {
+            true => pool.doubtful_mean_with(self.weight, cost),
+            false => pool.mean_with(self.weight, cost),
+        };
+        let mean = mean * self.ramp(now);
+        match self.capacity {
+            _ if load.0 == 0 && self.running.is_empty() => true,
+            _ if !self.reported && self.in_doubt(now) => false,
+            Some(c) if after > c => false,
+            _ if (load.0 as f64) < mean => true,
+            _ => after.0 as f64 <= mean * self.bound.admission_factor(),
+        }
+    }
+
+    /// The part of its share that a target gets that has begun to work lately.
+    fn ramp(&self, now: Instant) -> f64 {
+        match self.first_work {
+            None => 0.5,
+            Some(at) => (0.5 + now.since(at).as_secs_f64() / RAMP.as_secs_f64()).min(1.0),
+        }
+    }
+
+    fn admit(&mut self, now: Instant, ticket: Ticket, cost: Tokens) {
+        self.first_work.get_or_insert(now);
+        self.own += cost;
+        self.running.insert(ticket, (now, cost));
+    }
+
+    /// Makes a place in the queue, by turning a less urgent request out where it is full.
+    fn make_place(&mut self, offer: &Offer) -> bool {
+        let last = self.waiting.values().map(|o| o.priority).max();
+        match last {
+            _ if self.waiting.len() < QUEUE_LIMIT => true,
+            Some(p) if p > offer.priority => self.turn_out(p),
+            _ => false,
+        }
+    }
+
+    /// Lets the youngest request of a priority end at the next tick.
+    fn turn_out(&mut self, priority: Priority) -> bool {
+        let youngest = self
+            .waiting
+            .iter_mut()
+            .rev()
+            .find(|(_, o)| o.priority == priority);
+        if let Some((_, o)) = youngest {
+            o.deadline = Instant::default();
+        }
+        true
+    }
+
+    fn refuse_late(&mut self, now: Instant) -> Vec<Wake> {
+        let late: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, o)| o.deadline <= now)
+            .map(|(k, o)| (*k, o.deadline))
+            .collect();
+        late.into_iter()
+            .map(|(key, deadline)| {
+                self.waiting.remove(&key);
+                match deadline {
+                    d if d == Instant::default() => Wake::Refused(key.1, ResultCode::Overloaded),
+                    _ => Wake::Refused(key.1, ResultCode::QueueTimeout),
+                }
+            })
+            .collect()
+    }
+
+    fn next_waiting(&self, now: Instant) -> Option<(Instant, Ticket)> {
+        let step = |since: Instant| (now.since(since).as_millis() / AGEING.as_millis()) as i32;
+        let urgency = |(since, o): (Instant, &Offer)| o.priority.rank() - step(since);
+        self.waiting
+            .iter()
+            .min_by_key(|((since, t), o)| (urgency((*since, o)), *since, *t))
+            .map(|(k, _)| *k)
+    }
+}
+
+/// The pool's view does not hold what this very tick admitted; the cost stands in for each.
+fn pool_after(pool: PoolView, wakes: &[Wake], cost: Tokens) -> PoolView {
+    let admitted = wakes
+        .iter()
+        .filter(|w| matches!(w, Wake::Admitted(_)))
+        .count() as u64;
+    let mut pool = pool;
+    pool.load.tokens += Tokens(cost.0 * admitted);
+    pool
+}
--- /dev/null
+++ b/src/homes.rs
@@ -0,0 +1,378 @@
+//! The targets that one router is home of, and the pools' loads it knows.
+//!
+//! Each pool's targets are spread over [`SLOTS`] slots; the router that keeps a slot is home
+//! of its targets. So a pool has at most that many homes, however many targets it has, and its
+//! homes can tell each other their sums directly.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    config::{FleetConfig, Serves, Target, TargetIntent},
+    home::{Home, Offer, TargetReport, Ticket, Verdict, Wake},
+    ids::{ConversationKey, TargetId, VmId},
+    load::{ASK_EVERY, Load, PoolLoad, PoolView},
+    placement::keeper,
+    result_code::ResultCode,
+    units::{Instant, LoadBound, Tokens},
+};
+
+/// How many homes a pool has at the most.
+pub const SLOTS: u64 = 16;
+
+/// How long a router after its start takes others for homes of the same targets.
+pub const STARTING: Duration = Duration::from_secs(2);
+
+/// The router that is home of a target, as seen by one that knows these live routers.
+pub fn home_of<'a>(
+    target: &TargetId,
+    pool: &Serves,
+    live: impl Iterator<Item = &'a VmId>,
+) -> Option<&'a VmId> {
+    let slot = xxh3_64(target.as_str().as_bytes()) % SLOTS;
+    keeper(&format!("{pool}/{slot}"), live)
+}
+
+/// One target, as shown to operators.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct HomeStatus {
+    /// The target.
+    pub target: TargetId,
+    /// Its pool.
+    pub pool: String,
+    /// Tokens in progress.
+    pub tokens: u64,
+    /// Tokens in progress relative to the pool's mean.
+    pub load: f64,
+    /// Requests in progress that were admitted here.
+    pub running: usize,
+    /// Requests that wait here.
+    pub waiting: usize,
+    /// Whether another router may believe that it is home.
+    pub in_doubt: bool,
+}
+
+/// What became of a request that waited at a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetWake {
+    /// The target.
+    pub target: TargetId,
+    /// What became of it.
+    pub wake: Wake,
+}
+
+/// What a home reports of one pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSum {
+    /// The pool's number.
+    pub pool: u64,
+    /// What is in progress at its targets that the home keeps.
+    pub load: Load,
+}
+
+#[derive(Debug)]
+struct Kept {
+    home: Home,
+    pool: Serves,
+    is_home: bool,
+}
+
+/// All targets that this router is home of, or still has work at.
+#[derive(Debug)]
+pub struct Homes {
+    vm: VmId,
+    bound: LoadBound,
+    kept: BTreeMap<TargetId, Kept>,
+    pools: HashMap<Serves, PoolLoad>,
+    weights: HashMap<Serves, u32>,
+    reporters: HashMap<Serves, HashSet<VmId>>,
+    started: Option<Instant>,
+    asked: Option<Instant>,
+}
+
+impl Homes {
+    /// The homes of a router that has just started.
+    pub fn new(vm: VmId, bound: LoadBound) -> Self {
+        Self {
+            vm,
+            bound,
+            kept: BTreeMap::new(),
+            pools: HashMap::new(),
+            weights: HashMap::new(),
+            reporters: HashMap::new(),
+            started: None,
+            asked: None,
+        }
+    }
+
+    /// Takes the configuration and the live routers (this one among them) that are seen now.
+    pub fn on_view(&mut self, now: Instant, cfg: &FleetConfig, live: &[VmId]) -> Vec<TargetWake> {
+        let alone = self.started.is_none() && live.len() == 1;
+        self.started.get_or_insert(now);
+        self.weights.clear();
+        self.reporters.clear();
+        for (id, target) in &cfg.targets {
+            let home = home_of(id, &target.serves, live.iter());
+            self.take_target(now, id, target, home, alone);
+        }
+        let wakes = self.leave_lost(cfg, live);
+        self.drop_idle();
+        wakes
+    }
+
+    /// Decides on a request for a target.
+    pub fn on_offer(&mut self, now: Instant, target: &TargetId, offer: Offer) -> Verdict {
+        let pool = self.view_of(now, target);
+        match self.kept.get_mut(target) {
+            Some(k) if k.is_home => k.home.on_offer(now, offer, pool),
+            _ => Verdict::Declined {
+                code: ResultCode::NotHome,
+                redirect: None,
+            },
+        }
+    }
+
+    /// A request at a target ended.
+    pub fn on_finish(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        ticket: Ticket,
+    ) -> Vec<TargetWake> {
+        let pool = self.view_of(now, target);
+        match self.kept.get_mut(target) {
+            Some(k) => name_target(target, k.home.on_finish(now, ticket, pool)),
+            None => Vec::new(),
+        }
+    }
+
+    /// Takes what a target says of its own load; `None` if it answers but does not tell.
+    pub fn on_report(&mut self, now: Instant, target: &TargetId, report: Option<TargetReport>) {
+        match (self.kept.get_mut(target), report) {
+            (Some(k), Some(report)) => k.home.on_report(now, report),
+            (Some(k), None) => k.home.on_no_report(),
+            (None, _) => {}
+        }
+    }
+
+    /// Takes another home's sum for a pool.
+    pub fn on_load(&mut self, now: Instant, from: VmId, pool: u64, load: Load) {
+        let known = self.weights.keys().find(|p| pool_number(p) == pool);
+        if let Some(p) = known.cloned() {
+            self.pools.entry(p).or_default().on_report(now, from, load);
+        }
+    }
+
+    /// Whether to report at once and ask the others to: something waits, and the last time is
+    /// long enough ago.
+    pub fn take_ask(&mut self, now: Instant) -> bool {
+        let waits = self.kept.values().any(|k| k.home.waiting() > 0);
+        let due = self.asked.is_none_or(|at| now.since(at) >= ASK_EVERY);
+        if waits && due {
+            self.asked = Some(now);
+        }
+        waits && due
+    }
+
+    /// Remembers where a conversation went whose first choice this router keeps.
+    pub fn on_placed(&mut self, first: &TargetId, key: ConversationKey, target: TargetId) {
+        if let Some(k) = self.kept.get_mut(first) {
+            k.home.conversations().on_placed(key, target);
+        }
+    }
+
+    /// Admits what has room by now and refuses what is too late, at all targets.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<TargetWake> {
+        let targets: Vec<_> = self
+            .kept
+            .iter()
+            .filter(|(_, k)| k.home.waiting() > 0)
+            .map(|(t, _)| t.clone())
+            .collect();
+        let mut wakes = Vec::new();
+        for target in targets {
+            let pool = self.view_of(now, &target);
+            if let Some(k) = self.kept.get_mut(&target) {
+                wakes.extend(name_target(&target, k.home.on_tick(now, pool)));
+            }
+        }
+        wakes
+    }
+
+    /// The sums to report now, with the routers that they go to.
+    pub fn reports(&mut self, now: Instant) -> Vec<(VmId, Vec<PoolSum>)> {
+        let mut sums: HashMap<&Serves, Load> = HashMap::new();
+        for k in self.kept.values() {
+            let sum = sums.entry(&k.pool).or_default();
+            *sum = *sum + k.home.load(now);
+        }
+        let mut out: BTreeMap<VmId, Vec<PoolSum>> = BTreeMap::new();
+        for (pool, load) in sums {
+            let others = self.reporters.get(pool).into_iter().flatten();
+            let sum = PoolSum {
+                pool: pool_number(pool),
+                load,
+            };
+            for vm in others.filter(|vm| **vm != self.vm) {
+                out.entry(vm.clone()).or_default().push(sum);
+            }
+        }
+        for (pool, load) in &mut self.pools {
+            let homes = self.reporters.get(pool);
+            load.retain(now, |vm| homes.is_some_and(|h| h.contains(vm)));
+        }
+        out.into_iter().collect()
+    }
+
+    /// The targets as shown to operators.
+    pub fn status(&self, now: Instant) -> Vec<HomeStatus> {
+        self.kept
+            .iter()
+            .map(|(target, k)| {
+                let mean = self
+                    .view(now, &k.pool)
+                    .mean_with(k.home.weight(), Tokens(0));
+                HomeStatus {
+                    target: target.clone(),
+                    pool: k.pool.to_string(),
+                    tokens: k.home.tokens().0,
+                    load: if mean > 0.0 {
+                        k.home.tokens().0 as f64 / mean
+                    } else {
+                        0.0
+                    },
+                    running: k.home.running(),
+                    waiting: k.home.waiting(),
+                    in_doubt: k.home.in_doubt(now),
+                }
+            })
+            .collect()
+    }
+
+    /// The targets that this router is home of, or only those of them that are in doubt.
+    pub fn targets(&self, now: Instant, in_doubt: bool) -> impl Iterator<Item = &TargetId> {
+        let wanted = move |k: &Kept| k.is_home && (!in_doubt || k.home.in_doubt(now));
+        self.kept
+            .iter()
+            .filter(move |(_, k)| wanted(k))
+            .map(|(t, _)| t)
+    }
+
+    /// Requests in progress over all targets.
+    pub fn running(&self) -> usize {
+        self.kept.values().map(|k| k.home.running()).sum()
+    }
+
+    /// Conversations that are remembered off their first choice.
+    pub fn conversations(&mut self) -> usize {
+        self.kept
+            .values_mut()
+            .map(|k| k.home.conversations().len())
+            .sum()
+    }
+
+    fn take_target(
+        &mut self,
+        now: Instant,
+        id: &TargetId,
+        target: &Target,
+        home: Option<&VmId>,
+        alone: bool,
+    ) {
+        let pool = &target.serves;
+        if target.intent == TargetIntent::Serve {
+            *self.weights.entry(pool.clone()).or_default() += target.weight.get();
+        }
+        if let Some(vm) = home {
+            let homes = self.reporters.entry(pool.clone()).or_default();
+            homes.insert(vm.clone());
+        }
+        let serves = target.intent == TargetIntent::Serve;
+        let is_home = serves && home == Some(&self.vm);
+        if is_home && !self.kept.contains_key(id) {
+            let home = Home::new(now, target.weight, self.bound, !alone);
+            let pool = pool.clone();
+            let is_home = false;
+            self.kept.insert(
+                id.clone(),
+                Kept {
+                    home,
+                    pool,
+                    is_home,
+                },
+            );
+        }
+        if let Some(k) = self.kept.get_mut(id) {
+            if is_home && !k.is_home && !alone {
+                k.home.on_doubt(now);
+            }
+            k.is_home = is_home;
+            k.home.set_target(target.weight, target.capacity_tokens);
+        }
+    }
+
+    /// Refuses what waits at targets that are kept elsewhere, leave or are gone.
+    fn leave_lost(&mut self, cfg: &FleetConfig, live: &[VmId]) -> Vec<TargetWake> {
+        let mut wakes = Vec::new();
+        for (id, k) in &mut self.kept {
+            k.is_home &= cfg.targets.contains_key(id) && !live.is_empty();
+            if !k.is_home {
+                wakes.extend(name_target(id, k.home.refuse_waiting(ResultCode::NotHome)));
+            }
+            let serves = |t: &TargetId| {
+                let target = cfg.targets.get(t);
+                target.is_some_and(|t| t.intent == TargetIntent::Serve)
+            };
+            let table = k.home.conversations();
+            let left: HashSet<_> = table
+                .iter()
+                .map(|(_, t)| t)
+                .filter(|t| !serves(t))
+                .cloned()
+                .collect();
+            left.iter().for_each(|t| table.forget_target(t));
+        }
+        wakes
+    }
+
+    fn drop_idle(&mut self) {
+        self.kept.retain(|_, k| k.is_home || k.home.running() > 0);
+    }
+
+    fn view_of(&self, now: Instant, target: &TargetId) -> PoolView {
+        match self.kept.get(target) {
+            Some(k) => self.view(now, &k.pool),
+            None => PoolView::default(),
+        }
+    }
+
+    fn view(&self, now: Instant, pool: &Serves) -> PoolView {
+        let same = self.kept.values().filter(|k| k.pool == *pool);
+        let own: Load = same.map(|k| k.home.load(now)).sum();
+        let others = self
+            .pools
+            .get(pool)
+            .map_or_else(Load::default, |p| p.others(now));
+        PoolView {
+            load: own + others,
+            weight: self.weights.get(pool).copied().unwrap_or(0),
+        }
+    }
+}
+
+/// A pool's number on the wire.
+pub fn pool_number(pool: &Serves) -> u64 {
+    xxh3_64(pool.to_string().as_bytes())
+}
+
+fn name_target(target: &TargetId, wakes: Vec<Wake>) -> Vec<TargetWake> {
+    let name = |wake| TargetWake {
+        target: target.clone(),
+        wake,
+    };
+    wakes.into_iter().map(name).collect()
+}
--- /dev/null
+++ b/src/intent.rs
@@ -0,0 +1,206 @@
+//! Intents of operators: from a statement to a plan, from a confirmed plan to a change.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{Change, ConfigLog, Digest, Edit, FleetConfig, TargetIntent, Update},
+    ids::{ChangeId, Revision},
+    result_code::ResultCode,
+};
+
+/// Edits that one intent may have.
+pub const EDIT_LIMIT: usize = 2_000;
+
+/// What an operator wants.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Intent {
+    /// Why.
+    pub reason: String,
+    /// What is to change, in order.
+    pub edits: Vec<Edit>,
+}
+
+/// What confirming an intent would do. It holds all that is needed, so that any router can
+/// take the confirmation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The id that the change will have.
+    pub id: ChangeId,
+    /// The configuration that the plan was made on.
+    pub base: Revision,
+    /// The digest of that configuration's history.
+    pub base_digest: Digest,
+    /// The operator.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// What is to change.
+    pub edits: Vec<Edit>,
+    /// The same, a sentence each.
+    pub effects: Vec<String>,
+    /// What an operator might not have meant.
+    pub warnings: Vec<String>,
+}
+
+/// Why an intent is not carried out.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{code}: {detail}")]
+pub struct IntentError {
+    /// The code to tell.
+    pub code: ResultCode,
+    /// What is wrong, with the path to the field or the change that came between.
+    pub detail: String,
+}
+
+impl IntentError {
+    /// An error with this code.
+    pub fn new(code: ResultCode, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Reads an intent strictly; an error names the place in the text.
+pub fn read(text: &[u8]) -> Result<Intent, IntentError> {
+    let bad = |e: serde_json::Error| IntentError::new(ResultCode::BadIntent, e.to_string());
+    let intent: Intent = serde_json::from_slice(text).map_err(bad)?;
+    match intent.edits.len() {
+        1..=EDIT_LIMIT => Ok(intent),
+        n => Err(IntentError::new(
+            ResultCode::BadIntent,
+            format!("edits: {n} of them"),
+        )),
+    }
+}
+
+/// Works out what an intent would do; `nonce` tells apart two plans of the same words.
+pub fn plan(
+    log: &ConfigLog,
+    author: &str,
+    intent: Intent,
+    nonce: u64,
+) -> Result<Plan, IntentError> {
+    let after = apply(log.config(), &intent.edits)?;
+    let mut plan = Plan {
+        id: "unset".parse().map_err(|_| internal())?,
+        base: log.revision(),
+        base_digest: log.digest(),
+        author: author.to_owned(),
+        reason: intent.reason,
+        effects: intent
+            .edits
+            .iter()
+            .map(|e| effect(log.config(), e))
+            .collect(),
+        warnings: warnings(log.config(), &after),
+        edits: intent.edits,
+    };
+    plan.id = id_of(&plan, nonce)?;
+    Ok(plan)
+}
+
+/// The change that a plan makes on the configuration in force now.
+///
+/// What came between is no hindrance as long as it touched other things.
+pub fn change(log: &ConfigLog, plan: &Plan) -> Result<Change, IntentError> {
+    let between = match log.update_since(plan.base, plan.base_digest) {
+        Update::Current => Vec::new(),
+        Update::Changes(changes) => changes,
+        Update::Whole(_) => {
+            let detail = "the plan was made on a configuration that is too old";
+            return Err(IntentError::new(ResultCode::PlanOutdated, detail));
+        }
+    };
+    let mine: Vec<String> = plan.edits.iter().map(Edit::subject).collect();
+    let clash = between.iter().find_map(|c| {
+        let subject = c
+            .edits
+            .iter()
+            .map(Edit::subject)
+            .find(|s| mine.contains(s))?;
+        Some(format!(
+            "{} by {} changed {subject}: {}",
+            c.id, c.author, c.reason
+        ))
+    });
+    if let Some(detail) = clash {
+        return Err(IntentError::new(ResultCode::PlanOutdated, detail));
+    }
+    apply(log.config(), &plan.edits)?;
+    Ok(Change {
+        revision: Revision(log.revision().0 + 1),
+        id: plan.id.clone(),
+        author: plan.author.clone(),
+        reason: plan.reason.clone(),
+        previous: log.digest(),
+        edits: plan.edits.clone(),
+    })
+}
+
+fn apply(config: &FleetConfig, edits: &[Edit]) -> Result<FleetConfig, IntentError> {
+    let mut after = config.clone();
+    edits.iter().for_each(|e| after.apply(e));
+    match after.fault() {
+        None => Ok(after),
+        Some(fault) => Err(IntentError::new(ResultCode::BadIntent, fault)),
+    }
+}
+
+fn id_of(plan: &Plan, nonce: u64) -> Result<ChangeId, IntentError> {
+    let mut h = blake3::Hasher::new();
+    h.update(&nonce.to_le_bytes());
+    h.update(&serde_json::to_vec(plan).map_err(|_| internal())?);
+    let id = format!("chg-{}", &h.finalize().to_hex()[..16]);
+    id.parse().map_err(|_| internal())
+}
+
+fn internal() -> IntentError {
+    IntentError::new(ResultCode::Internal, "an id could not be made")
+}
+
+fn effect(config: &FleetConfig, edit: &Edit) -> String {
+    let subject = edit.subject();
+    let verb = |known: bool| if known { "changes" } else { "is added" };
+    match edit {
+        Edit::PutAccount { id, .. } => {
+            format!("{subject} {}", verb(config.accounts.contains_key(id)))
+        }
+        Edit::PutModel { id, .. } => format!("{subject} {}", verb(config.models.contains_key(id))),
+        Edit::PutService { id, .. } => {
+            format!("{subject} {}", verb(config.services.contains_key(id)))
+        }
+        Edit::PutTarget { id, target } if target.intent == TargetIntent::Leave => {
+            let _ = id;
+            format!(
+                "{subject} leaves {}: no new work, its chats move",
+                target.serves
+            )
+        }
+        Edit::PutTarget { id, target } => {
+            let verb = verb(config.targets.contains_key(id));
+            format!("{subject} {verb}, serving {}", target.serves)
+        }
+        _ => format!("{subject} is removed"),
+    }
+}
+
+fn warnings(before: &FleetConfig, after: &FleetConfig) -> Vec<String> {
+    let pools = before.targets.values().map(|t| &t.serves);
+    let mut pools: Vec<_> = pools.collect();
+    pools.sort();
+    pools.dedup();
+    let mut warnings = Vec::new();
+    for pool in pools {
+        let (was, is) = (before.serving(pool).count(), after.serving(pool).count());
+        match is {
+            0 if was > 0 => warnings.push(format!("nothing serves {pool} any more")),
+            n if n * 2 < was => warnings.push(format!("{pool} falls from {was} targets to {n}")),
+            _ => {}
+        }
+    }
+    warnings
+}
--- /dev/null
+++ b/src/operator/confirm.rs
@@ -0,0 +1,148 @@
+//! Confirming a plan: one compare-and-swap decides, and a lost answer is settled by reading.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use serde::Serialize;
+use slog::{info, warn};
+
+use crate::{
+    config::{Change, ChangeOutcome},
+    config_feed::{SNAPSHOT_KEY, change_key, read_store, take_change},
+    ids::{ChangeId, Revision},
+    intent::{self, IntentError, Plan},
+    platform::Swap,
+    result_code::ResultCode,
+    router::Shared,
+};
+
+/// How often a confirmation that loses the race for a place tries the next one.
+const TRIES: u32 = 16;
+
+/// How long to wait before an unsettled write is looked at again.
+const SETTLE_WAIT: Duration = Duration::from_millis(200);
+
+/// How often an unsettled write is looked at before the operator is told "unknown".
+const SETTLE_TRIES: u32 = 10;
+
+/// A whole configuration is stored after so many changes.
+const SNAPSHOT_EVERY: u64 = 128;
+
+/// Changes before a stored snapshot that are still kept one by one.
+const KEEP_CHANGES: u64 = 256;
+
+/// What an operator is told of an accepted change.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Accepted {
+    id: ChangeId,
+    revision: Revision,
+}
+
+/// What became of one write.
+enum Written {
+    Accepted(Change),
+    Lost,
+    Unknown,
+}
+
+/// Makes a plan's change the next accepted one, exactly once.
+pub(super) async fn confirm(cx: &Arc<Shared>, plan: &Plan) -> Result<Accepted, IntentError> {
+    for _ in 0..TRIES {
+        if let Some(accepted) = accepted_before(cx, &plan.id) {
+            return Ok(accepted);
+        }
+        let change = intent::change(&cx.config.lock(), plan)?;
+        match write(cx, change).await? {
+            Written::Accepted(change) => return Ok(accept(cx, change)),
+            // Somebody else's change has the place: take it and try the next one.
+            Written::Lost => {
+                let _ = read_store(cx).await;
+            }
+            Written::Unknown => {
+                let detail = format!("not known yet: scaleford intent show {}", plan.id);
+                return Err(IntentError::new(ResultCode::ChangeUnknown, detail));
+            }
+        }
+    }
+    let detail = "too many other changes at once; confirm again";
+    Err(IntentError::new(ResultCode::PlanOutdated, detail))
+}
+
+fn accepted_before(cx: &Shared, id: &ChangeId) -> Option<Accepted> {
+    let config = cx.config.lock();
+    let known = config.recent().find(|c| c.id == *id)?;
+    Some(Accepted {
+        id: id.clone(),
+        revision: known.revision,
+    })
+}
+
+async fn write(cx: &Arc<Shared>, change: Change) -> Result<Written, IntentError> {
+    let fault = |e: serde_json::Error| IntentError::new(ResultCode::Internal, e.to_string());
+    let value = serde_json::to_string(&change).map_err(fault)?;
+    let key = change_key(change.revision);
+    for n in 0..SETTLE_TRIES {
+        if n > 0 {
+            tokio::time::sleep(SETTLE_WAIT).await;
+        }
+        cx.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+        match cx.store.swap(&key, None, &value).await {
+            Ok(Swap::Done(_)) => return Ok(Written::Accepted(change)),
+            Ok(Swap::Conflict) => match whose(cx, &key, &change).await {
+                Some(true) => return Ok(Written::Accepted(change)),
+                Some(false) => return Ok(Written::Lost),
+                None => {}
+            },
+            Err(e) => {
+                warn!(cx.telemetry.log, "write without an answer"; "key" => &key, "error" => %e);
+            }
+        }
+    }
+    Ok(Written::Unknown)
+}
+
+/// Whether the change at a key is this one; `None` where the store does not answer.
+async fn whose(cx: &Shared, key: &str, change: &Change) -> Option<bool> {
+    cx.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+    let entry = cx.store.get(key).await.ok()??;
+    let found: Change = serde_json::from_str(&entry.value).ok()?;
+    Some(found.id == change.id)
+}
+
+fn accept(cx: &Arc<Shared>, change: Change) -> Accepted {
+    let accepted = Accepted {
+        id: change.id.clone(),
+        revision: change.revision,
+    };
+    info!(cx.telemetry.log, "change accepted"; "id" => %change.id, "revision" => change.revision.0,
+        "author" => &change.author, "reason" => &change.reason);
+    let revision = change.revision.0;
+    if take_change(cx, change) == ChangeOutcome::Applied && revision.is_multiple_of(SNAPSHOT_EVERY)
+    {
+        let cx = Arc::clone(cx);
+        tokio::spawn(async move {
+            if let Err(e) = store_snapshot(&cx).await {
+                warn!(cx.telemetry.log, "snapshot not stored"; "error" => %e);
+            }
+        });
+    }
+    accepted
+}
+
+/// Stores the whole configuration and removes changes that it makes needless.
+async fn store_snapshot(cx: &Arc<Shared>) -> crate::Result<()> {
+    let snapshot = cx.config.lock().snapshot();
+    let value = serde_json::to_string(&snapshot);
+    let value = value.map_err(|e| crate::Error::Platform(e.to_string()))?;
+    let known = cx.store.get(SNAPSHOT_KEY).await?;
+    cx.store
+        .swap(SNAPSHOT_KEY, known.map(|e| e.revision), &value)
+        .await?;
+    let last = snapshot.revision.0.saturating_sub(KEEP_CHANGES);
+    for n in last.saturating_sub(SNAPSHOT_EVERY) + 1..=last {
+        cx.store.remove(&change_key(Revision(n))).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,118 @@
+//! The operators' side: status, explain, plans and confirmations over HTTP and JSON.
+
+mod confirm;
+mod view;
+
+use std::sync::Arc;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, Response, body::Incoming, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+
+use crate::{
+    intent::{self, IntentError, Plan},
+    reply::{self, Body},
+    result_code::ResultCode,
+    router::Shared,
+};
+
+/// The largest body that an operator may send.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// Accepts operators until the router ends.
+pub(crate) async fn serve(listener: TcpListener, cx: Arc<Shared>) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            continue;
+        };
+        let service_cx = Arc::clone(&cx);
+        let service = service_fn(move |req| {
+            let cx = Arc::clone(&service_cx);
+            async move { Ok::<_, std::convert::Infallible>(on_request(&cx, req).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(cx.cfg.header_timeout_ms.duration())
+            .serve_connection(TokioIo::new(socket), service);
+        tokio::spawn(async move {
+            // An operator that leaves asks again.
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn on_request(cx: &Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let Some(author) = operator(cx, &req) else {
+        return reply::error(ResultCode::WrongToken, "no such operator's token", None);
+    };
+    let path = req.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (req.method().clone(), &parts[..]) {
+        (Method::GET, ["v1", "status"]) => reply::json(200, &view::status(cx)),
+        (Method::GET, ["v1", "explain", id]) => view::explain(cx, id).await,
+        (Method::GET, ["v1", "config"]) => reply::json(200, &cx.config.lock().snapshot()),
+        (Method::GET, ["v1", "changes"]) => view::changes(cx),
+        (Method::GET, ["v1", "changes", id]) => view::change(cx, id),
+        (Method::POST, ["v1", "intents", "plan"]) => match body(req).await {
+            Ok(text) => plan(cx, &author, &text),
+            Err(e) => intent_error(&e),
+        },
+        (Method::POST, ["v1", "intents", "confirm"]) => match body(req).await {
+            Ok(text) => confirm_plan(cx, &author, &text).await,
+            Err(e) => intent_error(&e),
+        },
+        _ => reply::error(ResultCode::UnknownPath, "no such path", None),
+    }
+}
+
+/// The name of the operator whose token a request shows; every token is compared.
+fn operator(cx: &Shared, req: &Request<Incoming>) -> Option<String> {
+    let header = req.headers().get(hyper::header::AUTHORIZATION)?;
+    let shown = header.to_str().ok()?.strip_prefix("Bearer ")?;
+    let holds = |t: &&crate::settings::OperatorToken| {
+        bool::from(t.token.reveal().as_bytes().ct_eq(shown.as_bytes()))
+    };
+    let tokens = &cx.cfg.operator_tokens.0;
+    tokens.iter().find(holds).map(|t| t.name.clone())
+}
+
+async fn body(req: Request<Incoming>) -> Result<Vec<u8>, IntentError> {
+    let bad = || IntentError::new(ResultCode::BodyTooLarge, "the body was not taken");
+    let body = Limited::new(req.into_body(), BODY_LIMIT).collect().await;
+    Ok(body.map_err(|_| bad())?.to_bytes().to_vec())
+}
+
+fn plan(cx: &Shared, author: &str, text: &[u8]) -> Response<Body> {
+    let planned = intent::read(text).and_then(|i| {
+        let log = cx.config.lock();
+        intent::plan(&log, author, i, rand::random())
+    });
+    match planned {
+        Ok(plan) => reply::json(200, &plan),
+        Err(e) => intent_error(&e),
+    }
+}
+
+async fn confirm_plan(cx: &Arc<Shared>, author: &str, text: &[u8]) -> Response<Body> {
+    let bad = |e: serde_json::Error| IntentError::new(ResultCode::BadIntent, e.to_string());
+    let plan = serde_json::from_slice::<Plan>(text).map_err(bad);
+    let plan = plan.map(|p| Plan {
+        author: author.to_owned(),
+        ..p
+    });
+    let confirmed = match plan {
+        Ok(plan) => confirm::confirm(cx, &plan).await,
+        Err(e) => Err(e),
+    };
+    match confirmed {
+        Ok(accepted) => reply::json(200, &accepted),
+        Err(e) => intent_error(&e),
+    }
+}
+
+fn intent_error(e: &IntentError) -> Response<Body> {
+    reply::error(e.code, &e.detail, None)
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,385 @@
+//! The daemon's settings: flags and environment variables, resolved once and checked at start.
+
+use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
+
+use crate::{
+    Error, Result, ResultCode,
+    ids::{DataHall, Region, VmId},
+    units::{ByteCount, LoadBound},
+};
+
+/// Another router, as named by settings or by the platform's VM list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmInfo {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its region.
+    pub region: Region,
+    /// Its data hall.
+    pub data_hall: DataHall,
+    /// Where its peers reach it, over TCP and UDP.
+    pub address: SocketAddr,
+}
+
+impl FromStr for VmInfo {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let fields: Vec<&str> = s.split('/').collect();
+        let [vm, region, hall, address] = fields[..] else {
+            return Err("expected VM/REGION/HALL/IP:PORT".to_owned());
+        };
+        Ok(Self {
+            vm: vm.parse().map_err(|e| format!("{e}"))?,
+            region: region.parse().map_err(|e| format!("{e}"))?,
+            data_hall: hall.parse().map_err(|e| format!("{e}"))?,
+            address: address.parse().map_err(|e| format!("{e}"))?,
+        })
+    }
+}
+
+impl fmt::Display for VmInfo {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            vm,
+            region,
+            data_hall,
+            address,
+        } = self;
+        write!(f, "{vm}/{region}/{data_hall}/{address}")
+    }
+}
+
+/// A value that must not be shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// The value itself.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for Secret {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s.len() {
+            8.. => Ok(Self(s.to_owned())),
+            _ => Err("expected 8 characters or more".to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("***")
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(***)")
+    }
+}
+
+/// An operator's name and token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorToken {
+    /// The name that changes are recorded under.
+    pub name: String,
+    /// The token.
+    pub token: Secret,
+}
+
+impl FromStr for OperatorToken {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s.split_once(':') {
+            Some((name, token)) if !name.is_empty() => Ok(Self {
+                name: name.to_owned(),
+                token: token.parse()?,
+            }),
+            _ => Err("expected NAME:TOKEN".to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for OperatorToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.name, self.token)
+    }
+}
+
+/// A fault of one setting, with all that is needed to mend it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The flag.
+    pub flag: String,
+    /// The environment variable.
+    pub variable: String,
+    /// The value as it was given, if any; a secret one is masked.
+    pub seen: Option<String>,
+    /// What is expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            flag,
+            variable,
+            expected,
+            ..
+        } = self;
+        let seen = match &self.seen {
+            Some(v) => format!("{v:?}"),
+            None => "nothing".to_owned(),
+        };
+        let code = ResultCode::BadSettings;
+        write!(
+            f,
+            "error {code}: {flag} ({variable}): got {seen}, expected {expected}"
+        )
+    }
+}
+
+/// A list of values, separated by commas.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct List<T>(pub Vec<T>);
+
+impl<T: FromStr<Err: fmt::Display>> FromStr for List<T> {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let items = s.split(',').filter(|i| !i.is_empty());
+        let parse = |i: &str| i.parse().map_err(|e| format!("{i}: {e}"));
+        items.map(parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+impl<T: fmt::Display> fmt::Display for List<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let items: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        f.write_str(&items.join(","))
+    }
+}
+
+/// A time in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The time as a duration.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s.parse() {
+            Ok(ms @ 0..=86_400_000) => Ok(Self(ms)),
+            _ => Err("expected milliseconds, at most a day".to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// One setting as it was read: where from, what it says.
+pub trait Source {
+    /// The value of the setting with this flag name, a flag going before a variable.
+    fn value(&self, name: &str) -> Option<String>;
+}
+
+macro_rules! settings {
+    ($($(#[$doc:meta])* $field:ident: $type:ty = $default:expr, $secret:literal, $expected:literal;)*) => {
+        /// Everything that a router is told from outside; resolved once, passed by reference.
+        #[derive(Debug, Clone)]
+        pub struct Settings {
+            $($(#[$doc])* pub $field: $type,)*
+        }
+
+        impl Settings {
+            /// The names of all settings, as flags without their dashes.
+            pub const NAMES: &'static [&'static str] = &[$(stringify!($field)),*];
+
+            /// Reads and checks all settings, and reports every fault at once.
+            pub fn resolve(source: &dyn Source) -> Result<Self> {
+                let mut faults = Vec::new();
+                $(let $field: Option<$type> = take(
+                    source, stringify!($field), $default, $secret, $expected, &mut faults,
+                );)*
+                match ($($field,)*) {
+                    ($(Some($field),)*) => Ok(Self { $($field,)* }),
+                    _ => Err(Error::Settings(faults)),
+                }
+            }
+
+            /// The settings in force, one a line, secrets masked.
+            pub fn lines(&self) -> Vec<String> {
+                vec![$(format!("{}={}", flag_name(stringify!($field)), self.$field)),*]
+            }
+        }
+    };
+}
+
+settings! {
+    /// The name of this VM.
+    vm: VmId = None, false, "the name of this VM";
+    /// The region that this VM stands in.
+    region: Region = Some("region-1"), false, "a region's name";
+    /// The data hall that this VM stands in.
+    data_hall: DataHall = Some("hall-1"), false, "a data hall's name";
+    /// Where callers connect.
+    listen: SocketAddr = None, false, "IP:PORT";
+    /// Where peers connect, over TCP and UDP.
+    peer_listen: SocketAddr = None, false, "IP:PORT";
+    /// Where operators connect.
+    operator_listen: SocketAddr = None, false, "IP:PORT";
+    /// Whether to listen beyond loopback without TLS.
+    allow_plain: bool = Some("false"), false, "true or false";
+    /// The platform's service.
+    platform: SocketAddr = None, false, "IP:PORT";
+    /// The other routers; where empty, the platform's VM list names them.
+    peers: List<VmInfo> = Some(""), false, "VM/REGION/HALL/IP:PORT, separated by commas";
+    /// The tokens that operators show, each with the operator's name.
+    operator_tokens: List<OperatorToken> = None, true, "NAME:TOKEN, separated by commas, TOKEN of 8 characters or more";
+    /// How far above its pool's mean a target may be loaded.
+    load_bound: LoadBound = Some("1.25"), false, "a factor from 1.01 to 10";
+    /// The largest body that a caller may send.
+    body_limit: ByteCount = Some("4m"), false, "bytes, with k or m behind";
+    /// The largest head of a request that a caller may send.
+    header_limit: ByteCount = Some("64k"), false, "bytes from 8192, with k or m behind";
+    /// How long a caller may take to send its head.
+    header_timeout_ms: Millis = Some("10000"), false, "milliseconds";
+    /// How long a caller may take to send its body.
+    body_timeout_ms: Millis = Some("30000"), false, "milliseconds";
+    /// How long a target may be silent while it answers.
+    idle_timeout_ms: Millis = Some("60000"), false, "milliseconds";
+    /// How long a chat may take.
+    request_timeout_ms: Millis = Some("300000"), false, "milliseconds";
+    /// How many requests this router takes at once.
+    concurrency_limit: usize = Some("20000"), false, "a whole number";
+    /// How long a planned stop waits for the balancer to turn away.
+    drain_wait_ms: Millis = Some("5000"), false, "milliseconds";
+    /// How long a planned stop waits for requests in progress.
+    drain_limit_ms: Millis = Some("600000"), false, "milliseconds";
+    /// Where StatsD listens; nothing is sent where empty.
+    statsd: List<SocketAddr> = Some(""), false, "IP:PORT or nothing";
+    /// The OTLP endpoint for spans; none are sent where empty.
+    otlp: OtlpEndpoint = Some(""), false, "http://IP:PORT/v1/traces or nothing";
+    /// The lowest level that is logged.
+    log_level: LogLevel = Some("info"), false, "trace, debug, info, warning, error or critical";
+}
+
+/// An OTLP endpoint, or none.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OtlpEndpoint(pub Option<String>);
+
+impl FromStr for OtlpEndpoint {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        match s {
+            "" => Ok(Self(None)),
+            _ if s.starts_with("http://") => Ok(Self(Some(s.to_owned()))),
+            _ => Err("expected http://".to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for OtlpEndpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.as_deref().unwrap_or_default())
+    }
+}
+
+/// The lowest level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogLevel(pub slog::Level);
+
+impl FromStr for LogLevel {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        s.parse().map(Self).map_err(|()| "no such level".to_owned())
+    }
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0.as_str().to_lowercase())
+    }
+}
+
+/// The flag of a setting.
+pub fn flag_name(name: &str) -> String {
+    format!("--{}", name.replace('_', "-"))
+}
+
+/// The environment variable of a setting.
+pub fn variable_name(name: &str) -> String {
+    format!("SCALEFORD_{}", name.to_uppercase())
+}
+
+impl Settings {
+    /// Checks what no single setting shows.
+    pub fn check(self) -> Result<Self> {
+        let listens = [
+            ("listen", self.listen),
+            ("peer_listen", self.peer_listen),
+            ("operator_listen", self.operator_listen),
+        ];
+        let open = |a: &SocketAddr| !a.ip().is_loopback() && !self.allow_plain;
+        let mut faults: Vec<Fault> = listens
+            .iter()
+            .filter(|(_, a)| open(a))
+            .map(|(name, a)| fault(name, Some(a.to_string()), "loopback, or --allow-plain true"))
+            .collect();
+        if self.header_limit.0 < 8192 {
+            let seen = Some(self.header_limit.to_string());
+            faults.push(fault("header_limit", seen, "8192 bytes or more"));
+        }
+        match faults.is_empty() {
+            true => Ok(self),
+            false => Err(Error::Settings(faults)),
+        }
+    }
+}
+
+fn fault(name: &str, seen: Option<String>, expected: &str) -> Fault {
+    Fault {
+        flag: flag_name(name),
+        variable: variable_name(name),
+        seen,
+        expected: expected.to_owned(),
+    }
+}
+
+fn take<T: FromStr>(
+    source: &dyn Source,
+    name: &str,
+    default: Option<&str>,
+    secret: bool,
+    expected: &str,
+    faults: &mut Vec<Fault>,
+) -> Option<T> {
+    let given = source.value(name);
+    let text = given.as_deref().or(default);
+    let parsed = text.and_then(|t| t.parse().ok());
+    if parsed.is_none() {
+        let seen = given.map(|v| if secret { "***".to_owned() } else { v });
+        faults.push(fault(name, seen, expected));
+    }
+    parsed
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,234 @@
+//! Sizes, rates and weights.
+
+use std::{
+    fmt,
+    ops::{Add, AddAssign},
+    str::FromStr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::IdError;
+
+/// A monotonic instant, as time since the process (or the replay) began.
+///
+/// Decision types take it as an argument so that they never read a clock.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(pub Duration);
+
+impl Instant {
+    /// An instant from whole milliseconds.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+
+    /// The time that passed since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, d: Duration) -> Self {
+        Self(self.0.saturating_add(d))
+    }
+}
+
+/// Model tokens that an engine has yet to read, write or hold for a request.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// What is left after taking `other` away; never below zero.
+    pub fn less(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl std::iter::Sum for Tokens {
+    fn sum<I: Iterator<Item = Self>>(all: I) -> Self {
+        all.fold(Self::default(), Add::add)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The capacity of a target relative to the others of its pool; 100 is the usual one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "u32", into = "u32")]
+pub struct Weight(u32);
+
+impl Weight {
+    /// The weight of a target that is like the others.
+    pub const USUAL: Self = Self(100);
+
+    /// The weight as a number.
+    pub fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl Default for Weight {
+    fn default() -> Self {
+        Self::USUAL
+    }
+}
+
+impl TryFrom<u32> for Weight {
+    type Error = IdError;
+
+    fn try_from(n: u32) -> Result<Self, IdError> {
+        match n {
+            1..=100_000 => Ok(Self(n)),
+            _ => Err(IdError {
+                expected: "a weight of 1 to 100000",
+                got: n.to_string(),
+            }),
+        }
+    }
+}
+
+impl From<Weight> for u32 {
+    fn from(w: Weight) -> u32 {
+        w.0
+    }
+}
+
+/// How far above the weighted mean of its pool an engine may be loaded, as a factor above 1.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct LoadBound(f64);
+
+impl LoadBound {
+    /// The bound as a factor.
+    pub fn factor(self) -> f64 {
+        self.0
+    }
+
+    /// The factor that admission uses: part of the way to the bound, so that what the mean
+    /// loses after an admission does not carry the engine above the promise.
+    pub fn admission_factor(self) -> f64 {
+        1.0 + (self.0 - 1.0) * 0.8
+    }
+}
+
+impl Default for LoadBound {
+    fn default() -> Self {
+        Self(1.25)
+    }
+}
+
+impl FromStr for LoadBound {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        match s.parse::<f64>() {
+            Ok(f) if (1.01..=10.0).contains(&f) => Ok(Self(f)),
+            _ => Err(IdError {
+                expected: "a factor from 1.01 to 10",
+                got: s.to_owned(),
+            }),
+        }
+    }
+}
+
+impl fmt::Display for LoadBound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A size in bytes; reads `512`, `64k`, `10m`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteCount(pub usize);
+
+impl FromStr for ByteCount {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        let fault = || IdError {
+            expected: "a number of bytes, with k or m behind it where wanted",
+            got: s.to_owned(),
+        };
+        let (digits, unit) = match s.as_bytes().last() {
+            Some(b'k') => (&s[..s.len() - 1], 1 << 10),
+            Some(b'm') => (&s[..s.len() - 1], 1 << 20),
+            _ => (s, 1),
+        };
+        let n: usize = digits.parse().map_err(|_| fault())?;
+        n.checked_mul(unit).map(Self).ok_or_else(fault)
+    }
+}
+
+impl fmt::Display for ByteCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// How urgent a request is; the most urgent first.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Bid confirmations and hammer notices.
+    Urgent,
+    /// Questions of someone who waits.
+    #[default]
+    Live,
+    /// Essays and reports that are waited for calmly.
+    Patient,
+}
+
+impl Priority {
+    /// All priorities, the most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Live, Self::Patient];
+
+    /// The priority's number on the wire, 0 for the most urgent.
+    pub fn rank(self) -> i32 {
+        self as i32
+    }
+
+    /// The priority with this number; an unknown one is the least urgent.
+    pub fn from_rank(n: i32) -> Self {
+        match n {
+            0 => Self::Urgent,
+            1 => Self::Live,
+            _ => Self::Patient,
+        }
+    }
+}
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Urgent => "urgent",
+            Self::Live => "live",
+            Self::Patient => "patient",
+        })
+    }
+}
