A request that may have run once is never told not run after a repeat

Ruled out: the engine's count, the refusal header. Change: the type of a request carries whether an earlier attempt may have run; the way along the targets is a decision type of its own, with passes that wait for views to recover.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     config::{FleetConfig, Serves, TargetIntent},
-    homes::home_of,
+    homes::HomeMap,
     ids::{ConversationKey, Region, TargetId, VmId},
     placement::{Candidate, rank},
     settings::VmInfo,
@@ -32,6 +32,8 @@
     homes: HashMap<TargetId, HomePlace>,
     /// The routers that take work.
     pub live: Vec<VmId>,
+    /// The home of each target.
+    pub map: HomeMap,
 }
 
 impl Directory {
@@ -42,10 +44,10 @@
         me: &VmInfo,
         info: impl Fn(&VmId) -> Option<VmInfo>,
     ) -> Self {
+        let map = HomeMap::new(&config, &live);
         let mut homes = HashMap::new();
         for (id, target) in &config.targets {
-            let home = home_of(id, &target.serves, live.iter());
-            let place = match home {
+            let place = match map.home(id, &target.serves) {
                 Some(vm) if *vm == me.vm => Some(HomePlace::Here),
                 Some(vm) => info(vm).map(HomePlace::At),
                 None => None,
@@ -58,6 +60,7 @@
             pools,
             homes,
             live,
+            map,
         }
     }
 
--- a/src/entry/walk.rs
+++ b/src/entry/walk.rs
@@ -1,6 +1,6 @@
 //! One request's way along its ranked targets, until one answers or none may be tried.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use slog::debug;
@@ -15,19 +15,20 @@
     ids::{ClientAccountId, ConversationKey, RequestId, ServiceName, TargetId, VmId},
     peer::{Admission, Control, ControlReply, OpenError},
     placement::keeper,
-    request::{NotRun, Placed, Received, Refusal, Repeatable, Request},
+    request::{NotRun, Placed, Received, Refusal, Repeatable, Request, Sent},
     result_code::ResultCode,
     router::Shared,
     target::{Answer, Call},
     telemetry::HopSpan,
     units::{Priority, Tokens},
+    walk::{Step, WALK, Walk},
 };
 
-/// How many targets are tried before the request waits at its first choice.
-const WALK: usize = 8;
+/// How often the targets are gone through anew, for views and targets to recover meanwhile.
+const PASSES: u32 = 4;
 
-/// How often a repeatable request is sent anew after an attempt that may have run.
-const REPEATS: u32 = 1;
+/// The wait before the second pass; each further one is three times as long.
+const PASS_WAIT: Duration = Duration::from_millis(100);
 
 /// When a caller should come back whose request did not run.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -67,20 +68,29 @@
     }
 }
 
-/// How the walk ended: what was proved not to have run can be given back.
+/// How a request ended: what was proved not to have run can be given back.
 enum Walked {
     Answer(Answer),
     NotRun(NotRun),
     Unknown(ResultCode, String),
 }
 
+/// How going along the targets ended, with what may have run before in the type.
+enum Passed<R> {
+    Answer(Answer),
+    /// No target took it.
+    Untaken(Request<Received, R>, ResultCode),
+    /// A target may have run it.
+    Unknown(Request<Sent, R>, TargetId, ResultCode, String),
+}
+
 /// What one attempt came to.
-enum Tried {
+enum Tried<R> {
     Answer(Answer),
     /// It did not run there; the chat's cached work may lie at the named target.
-    Declined(Request<Received>, ResultCode, Option<TargetId>),
+    Declined(Request<Received, R>, ResultCode, Option<TargetId>),
     /// It may have run.
-    Unknown(Request<crate::request::Sent>, ResultCode, String),
+    Unknown(Request<Sent, R>, ResultCode, String),
 }
 
 /// The key under which an account's unrepeatable call to a service is claimed.
@@ -152,99 +162,99 @@
     }
 }
 
+/// Goes along the targets, and once more if the call may be repeated and may have run.
 async fn walk(
     cx: &Arc<Shared>,
     caller: &Caller,
     job: &Job,
     span: &HopSpan,
-    mut request: Request<Received>,
+    request: Request<Received>,
 ) -> Walked {
-    let ranked = cx.directory().rank(&job.pool, job.conversation, WALK);
-    let mut plan: VecDeque<Step> = ranked.iter().enumerate().map(Step::of_rank).collect();
-    plan.extend(ranked.first().map(|t| Step::wait_at(t.clone())));
-    let mut tried = Vec::new();
-    let mut repeats = 0;
-    let mut last = ResultCode::NoTarget;
-    while let Some(step) = plan.pop_front() {
-        if tried.contains(&step.target) && !step.may_queue {
-            continue;
+    let (sent, lost_at, code, detail) = match passes(cx, caller, job, span, request, None).await {
+        Passed::Answer(answer) => return Walked::Answer(answer),
+        Passed::Untaken(request, code) => {
+            return Walked::NotRun(request.not_run(code, "no target took the request"));
         }
-        tried.push(step.target.clone());
+        Passed::Unknown(sent, target, code, detail) => (sent, target, code, detail),
+    };
+    let Some(proof) = Repeatable::check(job.claim.is_some()) else {
+        return Walked::Unknown(code, detail);
+    };
+    cx.telemetry.count("entry.repeated");
+    let again = sent.repeat(proof);
+    match passes(cx, caller, job, span, again, Some(&lost_at)).await {
+        Passed::Answer(answer) => Walked::Answer(answer),
+        Passed::Untaken(..) => Walked::Unknown(code, detail),
+        Passed::Unknown(_, _, code, detail) => Walked::Unknown(code, detail),
+    }
+}
+
+/// Goes along the targets some times, with pauses in which the fleet may recover.
+async fn passes<R>(
+    cx: &Arc<Shared>,
+    caller: &Caller,
+    job: &Job,
+    span: &HopSpan,
+    mut request: Request<Received, R>,
+    avoid: Option<&TargetId>,
+) -> Passed<R> {
+    let mut pause = PASS_WAIT;
+    for _ in 1..PASSES {
+        match pass(cx, caller, job, span, request, avoid).await {
+            Passed::Untaken(again, code) if may_recover(code) => request = again,
+            ended => return ended,
+        }
+        if request.deadline() <= cx.now() + pause {
+            break;
+        }
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+        pause *= 3;
+    }
+    pass(cx, caller, job, span, request, avoid).await
+}
+
+/// Goes along the targets once, and waits at one at last.
+async fn pass<R>(
+    cx: &Arc<Shared>,
+    caller: &Caller,
+    job: &Job,
+    span: &HopSpan,
+    mut request: Request<Received, R>,
+    avoid: Option<&TargetId>,
+) -> Passed<R> {
+    let mut ranked = cx.directory().rank(&job.pool, job.conversation, WALK);
+    if ranked.len() > 1 {
+        ranked.retain(|t| Some(t) != avoid);
+    }
+    let mut walk = Walk::new(ranked);
+    let mut last = ResultCode::NoTarget;
+    while let Some(step) = walk.next_step() {
         match attempt(cx, caller, job, span, request.place(), &step).await {
             Tried::Answer(answer) => {
-                note_placed(cx, job, &ranked, &step);
-                return Walked::Answer(answer);
+                note_placed(cx, job, walk.note_for_first(&step), &step);
+                return Passed::Answer(answer);
             }
             Tried::Declined(again, code, redirect) => {
                 request = again;
                 last = code;
-                if is_final(code) {
-                    break;
-                }
-                let redirect = redirect.filter(|t| !tried.contains(t));
-                if let Some(target) = redirect {
-                    plan.push_front(Step::redirect(target));
-                }
+                walk.on_declined(&step, code, redirect);
             }
             Tried::Unknown(sent, code, detail) => {
-                let may = Repeatable::check(job.claim.is_some()).filter(|_| repeats < REPEATS);
-                let Some(proof) = may else {
-                    return Walked::Unknown(code, detail);
-                };
-                repeats += 1;
-                cx.telemetry.count("entry.repeated");
-                request = sent.repeat(proof);
+                return Passed::Unknown(sent, step.target, code, detail);
             }
         }
-        if request.deadline() <= cx.now() {
-            last = ResultCode::QueueTimeout;
-            break;
-        }
     }
-    Walked::NotRun(request.not_run(last, "no target took the request"))
-}
-
-/// A target to try, and how.
-struct Step {
-    target: TargetId,
-    place: usize,
-    may_queue: bool,
+    Passed::Untaken(request, last)
 }
 
-impl Step {
-    fn of_rank((i, target): (usize, &TargetId)) -> Self {
-        Self {
-            target: target.clone(),
-            place: i + 1,
-            may_queue: false,
-        }
-    }
-
-    fn redirect(target: TargetId) -> Self {
-        Self {
-            target,
-            place: 0,
-            may_queue: false,
-        }
-    }
-
-    fn wait_at(target: TargetId) -> Self {
-        Self {
-            target,
-            place: 1,
-            may_queue: true,
-        }
-    }
-}
-
-async fn attempt(
+async fn attempt<R>(
     cx: &Arc<Shared>,
     caller: &Caller,
     job: &Job,
     span: &HopSpan,
-    request: Request<Placed>,
+    request: Request<Placed, R>,
     step: &Step,
-) -> Tried {
+) -> Tried<R> {
     let directory = cx.directory();
     let Some(home) = directory.home(&step.target) else {
         return Tried::Declined(request.declined(), ResultCode::NoTarget, None);
@@ -265,7 +275,7 @@
     let call = make_call(cx, caller, job, span, &request, &step.target);
     let admission = Admission {
         conversation: job.conversation,
-        anchor: step.place == 1 && !step.may_queue,
+        anchor: step.is_anchor(),
         may_queue: step.may_queue,
     };
     let answer = match home {
@@ -297,12 +307,12 @@
     }
 }
 
-fn make_call(
+fn make_call<R>(
     cx: &Shared,
     caller: &Caller,
     job: &Job,
     span: &HopSpan,
-    request: &Request<Placed>,
+    request: &Request<Placed, R>,
     target: &TargetId,
 ) -> Call {
     let mut headers = caller.headers.clone();
@@ -333,19 +343,17 @@
     );
 }
 
-/// Whether no other target should be asked after this code.
-fn is_final(code: ResultCode) -> bool {
-    matches!(code, ResultCode::QueueTimeout | ResultCode::Overloaded)
+/// Whether targets that did not take a request for this reason may do so a moment later.
+fn may_recover(code: ResultCode) -> bool {
+    use ResultCode::{NoTarget, NotHome, OverBound, TargetRefused};
+    matches!(code, NotHome | NoTarget | TargetRefused | OverBound)
 }
 
 /// Tells the home of the first choice where a chat went that it did not take.
-fn note_placed(cx: &Arc<Shared>, job: &Job, ranked: &[TargetId], step: &Step) {
-    let Some(first) = ranked.first().filter(|t| **t != step.target) else {
+fn note_placed(cx: &Arc<Shared>, job: &Job, first: Option<&TargetId>, step: &Step) {
+    let Some(first) = first.filter(|_| matches!(job.pool, Serves::Model(_))) else {
         return;
     };
-    if step.place == 0 || matches!(job.pool, Serves::Service(_)) {
-        return;
-    }
     let (first, target, key) = (first.clone(), step.target.clone(), job.conversation);
     match cx.directory().home(&first).cloned() {
         Some(HomePlace::Here) => cx.homes.on_placed(&first, key, target),
--- a/src/home_service.rs
+++ b/src/home_service.rs
@@ -52,10 +52,8 @@
     }
 
     pub(crate) fn on_view(&self, now: Instant, directory: &Directory) {
-        let wakes = self
-            .homes
-            .lock()
-            .on_view(now, &directory.config, &directory.live);
+        let Directory { config, live, map, .. } = directory;
+        let wakes = self.homes.lock().on_view(now, config, live, map);
         wake(&self.waiters, wakes);
     }
 
--- a/src/homes.rs
+++ b/src/homes.rs
@@ -4,10 +4,7 @@
 //! of its targets. So a pool has at most that many homes, however many targets it has, and its
 //! homes can tell each other their sums directly.
 
-use std::{
-    collections::{BTreeMap, HashMap, HashSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,17 +21,31 @@
 /// How many homes a pool has at the most.
 pub const SLOTS: u64 = 16;
 
-/// How long a router after its start takes others for homes of the same targets.
-pub const STARTING: Duration = Duration::from_secs(2);
-
-/// The router that is home of a target, as seen by one that knows these live routers.
-pub fn home_of<'a>(
-    target: &TargetId,
-    pool: &Serves,
-    live: impl Iterator<Item = &'a VmId>,
-) -> Option<&'a VmId> {
-    let slot = xxh3_64(target.as_str().as_bytes()) % SLOTS;
-    keeper(&format!("{pool}/{slot}"), live)
+/// The home of each target, as seen by a router that knows these live routers.
+#[derive(Debug, Clone, Default)]
+pub struct HomeMap {
+    slots: HashMap<Serves, Vec<VmId>>,
+}
+
+impl HomeMap {
+    /// Finds the keeper of every slot of every pool.
+    pub fn new(cfg: &FleetConfig, live: &[VmId]) -> Self {
+        let mut slots: HashMap<Serves, Vec<VmId>> = HashMap::new();
+        for target in cfg.targets.values() {
+            let pool = &target.serves;
+            if !slots.contains_key(pool) {
+                let keeper = |slot| keeper(&format!("{pool}/{slot}"), live.iter()).cloned();
+                slots.insert(pool.clone(), (0..SLOTS).filter_map(keeper).collect());
+            }
+        }
+        Self { slots }
+    }
+
+    /// The home of a target; `None` if no router lives.
+    pub fn home(&self, target: &TargetId, pool: &Serves) -> Option<&VmId> {
+        let slot = xxh3_64(target.as_str().as_bytes()) % SLOTS;
+        self.slots.get(pool)?.get(slot as usize)
+    }
 }
 
 /// One target, as shown to operators.
@@ -110,13 +121,19 @@
     }
 
     /// Takes the configuration and the live routers (this one among them) that are seen now.
-    pub fn on_view(&mut self, now: Instant, cfg: &FleetConfig, live: &[VmId]) -> Vec<TargetWake> {
+    pub fn on_view(
+        &mut self,
+        now: Instant,
+        cfg: &FleetConfig,
+        live: &[VmId],
+        map: &HomeMap,
+    ) -> Vec<TargetWake> {
         let alone = self.started.is_none() && live.len() == 1;
         self.started.get_or_insert(now);
         self.weights.clear();
         self.reporters.clear();
         for (id, target) in &cfg.targets {
-            let home = home_of(id, &target.serves, live.iter());
+            let home = map.home(id, &target.serves);
             self.take_target(now, id, target, home, alone);
         }
         let wakes = self.leave_lost(cfg, live);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod target;
 pub mod telemetry;
 pub mod units;
+pub mod walk;
 
 pub use error::{Error, Result};
 pub use result_code::ResultCode;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -17,7 +17,7 @@
 mod wire;
 
 pub use datagram::{Message, decode_datagram, encode_datagram};
-pub use pool::{Admission, Control, ControlReply, OpenError, PeerPool};
+pub use pool::{Admission, Control, ControlReply, OpenError, PeerPool, placed_size};
 pub use server::{PeerService, serve};
 
 /// Turns bytes off the network into a frame, for tests of the decoder.
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -16,7 +16,7 @@
 use tokio::{sync::mpsc::UnboundedReceiver, time::timeout};
 
 use super::{
-    WINDOW,
+    WINDOW, codec,
     link::{Greeting, Link},
     wire,
 };
@@ -180,11 +180,7 @@
         first: &TargetId,
         target: &TargetId,
     ) {
-        let frame = wire::Frame::Placed(wire::Placed {
-            conversation: conversation.0 as i64,
-            first: first.to_string(),
-            target: target.to_string(),
-        });
+        let frame = placed_frame(conversation, first, target);
         self.count(&frame);
         if let Ok(link) = self.link(home).await {
             link.try_send(frame);
@@ -192,7 +188,7 @@
     }
 
     fn count(&self, frame: &wire::Frame) {
-        let size = super::codec::encode(frame).map_or(0, |b| b.len());
+        let size = codec::encode(frame).map_or(0, |b| b.len());
         self.control_bytes.fetch_add(size as u64, Ordering::Relaxed);
     }
 
@@ -295,6 +291,19 @@
     }
 }
 
+fn placed_frame(key: ConversationKey, first: &TargetId, target: &TargetId) -> wire::Frame {
+    wire::Frame::Placed(wire::Placed {
+        conversation: key.0 as i64,
+        first: first.to_string(),
+        target: target.to_string(),
+    })
+}
+
+/// The bytes of the frame that tells a first choice's home where a chat went.
+pub fn placed_size(key: ConversationKey, first: &TargetId, target: &TargetId) -> usize {
+    codec::encode(&placed_frame(key, first, target)).map_or(0, |b| b.len())
+}
+
 fn open_frame(stream: i64, call: Call, admission: Admission) -> wire::Frame {
     wire::Frame::Open(wire::Open {
         stream,
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,7 +1,8 @@
 //! A request's life in types: "not run" can be said only while nothing was sent.
 //!
 //! `Request<Received> -> Request<Placed> -> Request<Sent>`; only the first two can be turned
-//! into a [`NotRun`], and a sent one only by a target's own refusal.
+//! into a [`NotRun`], and a sent one only by a target's own refusal. A request that is repeated
+//! after an attempt that may have run carries that in its type and can never be "not run" again.
 
 use std::marker::PhantomData;
 
@@ -23,7 +24,15 @@
 #[derive(Debug)]
 pub struct Sent;
 
-/// A state in which nothing was sent to a target.
+/// No attempt has run.
+#[derive(Debug)]
+pub struct Never;
+
+/// An earlier attempt may have run.
+#[derive(Debug)]
+pub struct Perhaps;
+
+/// A state in which this attempt was not sent to a target.
 pub trait Unsent: sealed::Sealed {}
 impl Unsent for Received {}
 impl Unsent for Placed {}
@@ -36,11 +45,11 @@
 
 /// A request in one state of its life.
 #[derive(Debug)]
-pub struct Request<State> {
+pub struct Request<State, Ran = Never> {
     id: RequestId,
     attempts: u32,
     deadline: Instant,
-    state: PhantomData<State>,
+    state: PhantomData<(State, Ran)>,
 }
 
 /// Proof that a request did not run, with the code to tell.
@@ -84,36 +93,44 @@
 impl Request<Received> {
     /// A request that was read and checked.
     pub fn new(id: RequestId, deadline: Instant) -> Self {
-        Self::in_state(id, 0, deadline)
+        Self {
+            id,
+            attempts: 0,
+            deadline,
+            state: PhantomData,
+        }
     }
+}
 
+impl<R> Request<Received, R> {
     /// Begins an attempt at a target that was chosen.
-    pub fn place(self) -> Request<Placed> {
-        Request::in_state(self.id, self.attempts + 1, self.deadline)
+    pub fn place(mut self) -> Request<Placed, R> {
+        self.attempts += 1;
+        self.into_state()
     }
 }
 
-impl Request<Placed> {
+impl<R> Request<Placed, R> {
     /// The target did not take it; another may be chosen.
-    pub fn declined(self) -> Request<Received> {
-        Request::in_state(self.id, self.attempts, self.deadline)
+    pub fn declined(self) -> Request<Received, R> {
+        self.into_state()
     }
 
     /// From here on the target may have got it.
-    pub fn send(self) -> Request<Sent> {
-        Request::in_state(self.id, self.attempts, self.deadline)
+    pub fn send(self) -> Request<Sent, R> {
+        self.into_state()
     }
 }
 
-impl Request<Sent> {
-    /// The target or its home said that it did not run.
-    pub fn refused(self, _: &Refusal) -> Request<Received> {
-        Request::in_state(self.id, self.attempts, self.deadline)
+impl<R> Request<Sent, R> {
+    /// The target or its home said that this attempt did not run.
+    pub fn refused(self, _: &Refusal) -> Request<Received, R> {
+        self.into_state()
     }
 
     /// Repeats a request whose call may be repeated and whose answer has not begun.
-    pub fn repeat(self, _: Repeatable) -> Request<Received> {
-        Request::in_state(self.id, self.attempts, self.deadline)
+    pub fn repeat(self, _: Repeatable) -> Request<Received, Perhaps> {
+        self.into_state()
     }
 }
 
@@ -128,14 +145,14 @@
     }
 }
 
-impl<S: Unsent> Request<S> {
+impl<S: Unsent> Request<S, Never> {
     /// Ends the request before anything was sent.
     ///
-    /// A code that does not stand for "did not run" is replaced by `Internal`.
+    /// A code that does not stand for "did not run" is replaced by `NoTarget`.
     pub fn not_run(self, code: ResultCode, detail: impl Into<String>) -> NotRun {
         let code = match code.ran() {
             Ran::No => code,
-            _ => ResultCode::Internal,
+            _ => ResultCode::NoTarget,
         };
         NotRun {
             code,
@@ -144,12 +161,12 @@
     }
 }
 
-impl<S> Request<S> {
-    fn in_state(id: RequestId, attempts: u32, deadline: Instant) -> Self {
-        Self {
-            id,
-            attempts,
-            deadline,
+impl<S, R> Request<S, R> {
+    fn into_state<T, Q>(self) -> Request<T, Q> {
+        Request {
+            id: self.id,
+            attempts: self.attempts,
+            deadline: self.deadline,
             state: PhantomData,
         }
     }
