--- a/examples/replay/engine.rs
+++ b/examples/replay/engine.rs
@@ -23,13 +23,28 @@
 
 impl Engine {
     pub fn new(capacity: u64) -> Self {
-        Self { serving: true, tokens: 0, running: 0, cache: LruCache::unbounded(), held: 0, capacity }
+        Self {
+            serving: true,
+            tokens: 0,
+            running: 0,
+            cache: LruCache::unbounded(),
+            held: 0,
+            capacity,
+        }
     }
 
     /// Prompt tokens that need no computing.
     pub fn cached(&self, r: &Request) -> u64 {
-        let chat = self.cache.peek(&Prefix::Chat(r.conversation)).copied().unwrap_or(0);
-        let shared = self.cache.peek(&Prefix::Shared(r.account)).copied().unwrap_or(0);
+        let chat = self
+            .cache
+            .peek(&Prefix::Chat(r.conversation))
+            .copied()
+            .unwrap_or(0);
+        let shared = self
+            .cache
+            .peek(&Prefix::Shared(r.account))
+            .copied()
+            .unwrap_or(0);
         chat.min(r.reusable).max(shared.min(r.shared))
     }
 
@@ -55,7 +70,9 @@
         self.held += tokens;
         self.held -= self.cache.put(prefix, tokens).unwrap_or(0);
         while self.held > self.capacity {
-            let Some((_, tokens)) = self.cache.pop_lru() else { return };
+            let Some((_, tokens)) = self.cache.pop_lru() else {
+                return;
+            };
             self.held -= tokens;
         }
     }
--- a/examples/replay/main.rs
+++ b/examples/replay/main.rs
@@ -39,6 +39,8 @@
                 optional --replace n: f64
                 /// The first account surges in the middle third.
                 optional --surge
+                /// The part of requests that go to one chat [0].
+                optional --hot part: f64
                 /// [1]
                 optional --seed s: u64
                 /// Where the trace goes.
@@ -91,6 +93,7 @@
         churn: g.churn.unwrap_or(0.0),
         replace: g.replace.unwrap_or(0.0),
         surge: g.surge,
+        hot: g.hot.unwrap_or(0.0),
         seed: g.seed.unwrap_or(1),
     };
     let file = File::create(&g.out).map_err(|e| format!("{}: {e}", g.out))?;
@@ -119,12 +122,17 @@
         bound: r.bound.unwrap_or(1.25),
     };
     let figures = world::World::new(&setup, &lines)?.run(&lines);
-    let seconds = lines.last().map_or(1.0, |l| l.t_ms() as f64 / 1000.0).max(1.0);
+    let seconds = world::measured_seconds(&lines);
     let Some(Line::Fleet { engines, .. }) = lines.first() else {
         return Err("line 1: expected the fleet".to_owned());
     };
     let report = figures.report(
-        &setup.policy.to_string(), setup.routers, *engines, seconds, setup.bound, r.timing,
+        &setup.policy.to_string(),
+        setup.routers,
+        *engines,
+        seconds,
+        setup.bound,
+        r.timing,
     );
     let text = match r.json {
         true => serde_json::to_string(&report),
--- a/examples/replay/plot.rs
+++ b/examples/replay/plot.rs
@@ -23,11 +23,17 @@
         .build_cartesian_2d(0.0..end, 0.0..top)?;
     chart.configure_mesh().x_desc("seconds").draw()?;
     let skew = series.iter().map(|s| (s.0, s.1));
-    chart.draw_series(LineSeries::new(skew, &RED))?.label("max/mean");
+    chart
+        .draw_series(LineSeries::new(skew, &RED))?
+        .label("max/mean");
     let reuse = series.iter().map(|s| (s.0, s.2));
-    chart.draw_series(LineSeries::new(reuse, &BLUE))?.label("reuse");
+    chart
+        .draw_series(LineSeries::new(reuse, &BLUE))?
+        .label("reuse");
     let limit = [(0.0, bound), (end, bound)];
-    chart.draw_series(LineSeries::new(limit, &BLACK))?.label("bound");
+    chart
+        .draw_series(LineSeries::new(limit, &BLACK))?
+        .label("bound");
     chart.configure_series_labels().border_style(BLACK).draw()?;
     root.present()?;
     Ok(())
--- a/examples/replay/policy.rs
+++ b/examples/replay/policy.rs
@@ -75,16 +75,22 @@
             Policy::Rank | Policy::Home => ranked.first().copied(),
             Policy::Direct => {
                 let limit = self.limit(&ranked);
-                let fits = ranked.iter().find(|e| (load(e) + self.cost) as f64 <= limit);
-                fits.or_else(|| ranked.iter().min_by_key(|e| load(e))).copied()
+                let fits = ranked
+                    .iter()
+                    .find(|e| (load(e) + self.cost) as f64 <= limit);
+                fits.or_else(|| ranked.iter().min_by_key(|e| load(e)))
+                    .copied()
             }
             Policy::LeastLoad => ranked.iter().min_by_key(|e| load(e)).copied(),
             Policy::TwoChoices => ranked.iter().take(2).min_by_key(|e| load(e)).copied(),
             Policy::Oracle => {
                 let limit = self.limit(&ranked);
-                let fits = ranked.iter().filter(|e| (load(e) + self.cost) as f64 <= limit);
+                let fits = ranked
+                    .iter()
+                    .filter(|e| (load(e) + self.cost) as f64 <= limit);
                 let best = fits.max_by_key(|e| (engines[**e].cached(r), u64::MAX - load(e)));
-                best.or_else(|| ranked.iter().min_by_key(|e| load(e))).copied()
+                best.or_else(|| ranked.iter().min_by_key(|e| load(e)))
+                    .copied()
             }
         }
     }
--- a/examples/replay/world.rs
+++ b/examples/replay/world.rs
@@ -12,9 +12,9 @@
     config::{FleetConfig, Serves, Target, TargetIntent},
     home::{Offer, TargetReport, Ticket, Verdict, Wake},
     homes::{HomeMap, Homes, PoolSum, TargetWake},
-    ids::{ConversationKey, TargetId, VmId},
+    ids::{ConversationKey, PrefixKey, TargetId, VmId},
     peer::{Message, encode_datagram, placed_size},
-    placement::{Candidate, rank},
+    placement::{Candidate, prefix_targets, rank},
     result_code::ResultCode,
     units::{Instant, LoadBound, Tokens, Weight},
     walk::{Step, WALK, Walk},
@@ -30,9 +30,13 @@
 /// Tokens that an answer is expected to have; its true length is known only at its end.
 const EXPECTED_ANSWER: u64 = 230;
 
+/// The time in which caches fill and nothing is measured.
+const WARM_UP_MS: u64 = 20_000;
+
 const SAMPLE_MS: u64 = 100;
 const REPORT_MS: u64 = 1_000;
 const TARGETS_MS: u64 = 2_000;
+const DOUBTED_MS: u64 = 200;
 const QUEUE_MS: u64 = 50;
 const DEADLINE: Duration = Duration::from_secs(60);
 
@@ -50,20 +54,30 @@
 
 type Id = usize;
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Line(usize),
     /// A request's next step reaches its home.
+    Walk(Id),
     Offer(Id, usize),
     /// A home's answer reaches the entry router.
-    Declined(Id, u16, Option<TargetId>),
+    Declined(Id, u16, Vec<TargetId>),
     Start(Id, usize),
     Finish(Id),
-    Load { to: usize, from: usize, ask: bool, sums: Vec<(u64, u64, u64)> },
-    Placed { to: usize, first: TargetId, key: u64, target: TargetId },
+    Load {
+        to: usize,
+        from: usize,
+        ask: bool,
+        sums: Vec<PoolSum>,
+    },
+    Placed {
+        to: usize,
+        first: TargetId,
+        key: u64,
+        target: TargetId,
+    },
     View(usize),
     Reports,
-    Targets,
+    Targets(bool),
     Queues,
     Sample,
 }
@@ -75,6 +89,8 @@
     map: HomeMap,
     candidates: Vec<Candidate>,
     engine_of: Vec<usize>,
+    /// The first choices of each account's chats.
+    by_prefix: HashMap<u64, Vec<Candidate>>,
     /// Reported loads and own sends, for policies without homes.
     known: Vec<u64>,
     born: u64,
@@ -95,8 +111,10 @@
     setup: &'a Setup,
     now: u64,
     seq: u64,
-    queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
     engines: Vec<Engine>,
+    accounts: u64,
     token_us: u64,
     prefill_us: u64,
     cfg: FleetConfig,
@@ -113,20 +131,36 @@
 
 impl<'a> World<'a> {
     pub fn new(setup: &'a Setup, lines: &[Line]) -> Result<Self, String> {
-        let Some(Line::Fleet { engines, cache_tokens, token_us, prefill_us }) = lines.first() else {
+        let Some(Line::Fleet {
+            engines,
+            accounts,
+            cache_tokens,
+            token_us,
+            prefill_us,
+        }) = lines.first()
+        else {
             return Err("line 1: expected the fleet".to_owned());
         };
-        let names: Vec<TargetId> = (0..*engines).map(|i| name(&format!("engine-{i}"))).collect();
+        let names: Vec<TargetId> = (0..*engines)
+            .map(|i| name(&format!("engine-{i}")))
+            .collect();
         let mut world = Self {
             setup,
             now: 0,
             seq: 0,
             queue: BinaryHeap::new(),
+            events: HashMap::new(),
             engines: (0..*engines).map(|_| Engine::new(*cache_tokens)).collect(),
+            accounts: *accounts,
             token_us: *token_us,
             prefill_us: *prefill_us,
             cfg: FleetConfig::default(),
-            index: names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect(),
+            index: names
+                .iter()
+                .cloned()
+                .enumerate()
+                .map(|(i, n)| (n, i))
+                .collect(),
             names,
             routers: Vec::new(),
             of_vm: HashMap::new(),
@@ -134,7 +168,7 @@
             last_at: HashMap::new(),
             figures: Figures::default(),
             rng: Pcg64::seed_from_u64(setup.seed),
-            end: lines.last().map_or(0, Line::t_ms),
+            end: last_request(lines),
         };
         world.write_config();
         for i in 0..setup.routers {
@@ -150,12 +184,23 @@
         for (i, line) in lines.iter().enumerate().skip(1) {
             self.at(line.t_ms(), Event::Line(i));
         }
-        for event in [Event::Reports, Event::Targets, Event::Queues, Event::Sample] {
+        for event in [
+            Event::Reports,
+            Event::Targets(false),
+            Event::Targets(true),
+            Event::Queues,
+            Event::Sample,
+        ] {
             self.at(0, event);
         }
-        while let Some(Reverse((t, _, event))) = self.queue.pop() {
+        while let Some(Reverse((t, seq))) = self.queue.pop() {
+            if self.now < WARM_UP_MS && t >= WARM_UP_MS {
+                self.figures = Figures::default();
+            }
             self.now = t;
-            self.on_event(event, lines);
+            if let Some(event) = self.events.remove(&seq) {
+                self.on_event(event, lines);
+            }
         }
         self.figures
     }
@@ -163,6 +208,7 @@
     fn on_event(&mut self, event: Event, lines: &[Line]) {
         match event {
             Event::Line(i) => self.on_line(&lines[i]),
+            Event::Walk(id) => self.next_step(id),
             Event::Offer(id, home) => self.on_offer(id, home),
             Event::Declined(id, code, redirect) => {
                 let code = ResultCode::from_number(code.into()).unwrap_or(ResultCode::NoTarget);
@@ -174,23 +220,37 @@
             }
             Event::Start(id, engine) => self.on_start(id, engine),
             Event::Finish(id) => self.on_finish(id),
-            Event::Load { to, from, ask, sums } => self.on_load(to, from, ask, &sums),
-            Event::Placed { to, first, key, target } => {
-                self.routers[to].homes.on_placed(&first, ConversationKey(key), target);
+            Event::Load {
+                to,
+                from,
+                ask,
+                sums,
+            } => self.on_load(to, from, ask, &sums),
+            Event::Placed {
+                to,
+                first,
+                key,
+                target,
+            } => {
+                self.routers[to]
+                    .homes
+                    .on_placed(&first, ConversationKey(key), target);
             }
             Event::View(i) => self.see(i),
             Event::Reports => {
                 self.report_all();
                 self.again(REPORT_MS, Event::Reports);
             }
-            Event::Targets => {
-                self.ask_targets();
-                self.again(TARGETS_MS, Event::Targets);
+            Event::Targets(doubted) => {
+                self.ask_targets(doubted);
+                let every = if doubted { DOUBTED_MS } else { TARGETS_MS };
+                self.again(every, Event::Targets(doubted));
             }
             Event::Queues => {
                 self.tick_queues();
                 self.again(QUEUE_MS, Event::Queues);
             }
+            Event::Sample if self.now > self.end => {}
             Event::Sample => {
                 let serving = self.engines.iter().filter(|e| e.serving);
                 let loads: Vec<_> = serving.map(|e| (e.tokens, e.running)).collect();
@@ -228,10 +288,7 @@
         match self.setup.policy {
             Policy::Home => {
                 let began = std::time::Instant::now();
-                let router = &self.routers[entry];
-                let best = rank(&router.candidates, key(&request), WALK);
-                let names = best.into_iter().map(|i| router.candidates[i].target.clone());
-                self.jobs[id].walk = Walk::new(names.collect());
+                self.begin_walk(id);
                 self.decided(began);
                 self.next_step(id);
             }
@@ -267,18 +324,31 @@
     }
 
     fn next_step(&mut self, id: Id) {
-        let Some(step) = self.jobs[id].walk.next_step() else { return self.refuse(id) };
+        let Some(step) = self.jobs[id].walk.next_step() else {
+            return self.again_or_refuse(id);
+        };
         let entry = &self.routers[self.jobs[id].entry];
-        let home = entry.map.home(&step.target, &pool()).and_then(|vm| self.of_vm.get(vm)).copied();
+        let home = entry
+            .map
+            .home(&step.target, &pool())
+            .and_then(|vm| self.of_vm.get(vm))
+            .copied();
         self.jobs[id].step = Some(step);
         match home {
             Some(home) => {
                 self.figures.asked_homes += 1;
-                let lag = if home == self.jobs[id].entry { 0 } else { self.setup.lag_ms };
+                let lag = if home == self.jobs[id].entry {
+                    0
+                } else {
+                    self.setup.lag_ms
+                };
                 self.later(lag, Event::Offer(id, home));
             }
             // The connection is refused at once.
-            None => self.later(1, Event::Declined(id, ResultCode::NoTarget.number(), None)),
+            None => self.later(
+                1,
+                Event::Declined(id, ResultCode::NoTarget.number(), Vec::new()),
+            ),
         }
     }
 
@@ -292,7 +362,7 @@
             deadline: Instant::from_millis(job.arrived) + DEADLINE,
             conversation: key(&job.request),
             anchor: step.is_anchor(),
-            may_queue: step.may_queue,
+            wait: step.wait,
         };
         let now = self.time();
         let began = std::time::Instant::now();
@@ -307,27 +377,49 @@
                 self.ask_loads(home);
             }
             Verdict::Declined { code, redirect } => {
-                self.later(self.setup.lag_ms, Event::Declined(id, code.number(), redirect));
+                self.later(
+                    self.setup.lag_ms,
+                    Event::Declined(id, code.number(), redirect),
+                );
             }
         }
     }
 
     fn admitted(&mut self, id: Id, step: &Step) {
         let engine = self.index[&step.target];
-        self.figures.wait(self.jobs[id].request.priority, self.now - self.jobs[id].arrived);
+        self.figures.wait(
+            self.jobs[id].request.priority,
+            self.now - self.jobs[id].arrived,
+        );
         self.note_placed(id, step);
         self.on_start(id, engine);
     }
 
     fn note_placed(&mut self, id: Id, step: &Step) {
         let job = &self.jobs[id];
-        let Some(first) = job.walk.note_for_first(step).cloned() else { return };
+        let Some(first) = job.walk.note_for_first(step).cloned() else {
+            return;
+        };
         let entry = &self.routers[job.entry];
-        let home = entry.map.home(&first, &pool()).and_then(|vm| self.of_vm.get(vm)).copied();
+        let home = entry
+            .map
+            .home(&first, &pool())
+            .and_then(|vm| self.of_vm.get(vm))
+            .copied();
         let (key, target) = (key(&job.request), step.target.clone());
+        let entry_no = job.entry;
         if let Some(to) = home {
-            self.figures.control_bytes += placed_size(key, &first, &target) as u64 + TCP_HEADERS;
-            self.later(self.setup.lag_ms, Event::Placed { to, first, key: key.0, target });
+            let size = placed_size(key, &first, &target) as u64 + TCP_HEADERS;
+            self.figures.sent(entry_no, size);
+            self.later(
+                self.setup.lag_ms,
+                Event::Placed {
+                    to,
+                    first,
+                    key: key.0,
+                    target,
+                },
+            );
         }
     }
 
@@ -337,7 +429,8 @@
             return self.gone(id);
         }
         if self.setup.policy != Policy::Home {
-            self.figures.wait(request.priority, self.now - self.jobs[id].arrived);
+            self.figures
+                .wait(request.priority, self.now - self.jobs[id].arrived);
         }
         let cached = self.engines[engine].cached(&request);
         self.figures.reusable += request.reusable;
@@ -368,13 +461,16 @@
 
     /// Takes a request out of its home's account.
     fn release(&mut self, id: Id) {
-        let (Some((home, born)), Some(step)) = (self.jobs[id].home, self.jobs[id].step.clone()) else {
+        let (Some((home, born)), Some(step)) = (self.jobs[id].home, self.jobs[id].step.clone())
+        else {
             return;
         };
         if self.routers[home].born == born {
             let now = self.time();
             let ticket = Ticket(id as u64);
-            let wakes = self.routers[home].homes.on_finish(now, &step.target, ticket);
+            let wakes = self.routers[home]
+                .homes
+                .on_finish(now, &step.target, ticket);
             self.wake(wakes);
         }
     }
@@ -384,12 +480,41 @@
         self.release(id);
         match self.setup.policy {
             Policy::Home => {
-                self.later(self.setup.lag_ms, Event::Declined(id, ResultCode::NoTarget.number(), None));
+                self.later(
+                    self.setup.lag_ms,
+                    Event::Declined(id, ResultCode::NoTarget.number(), Vec::new()),
+                );
             }
             _ => self.refuse(id),
         }
     }
 
+    /// Goes along the targets anew, as the daemon does, for as long as its patience lasts.
+    fn again_or_refuse(&mut self, id: Id) {
+        let job = &self.jobs[id];
+        let patience = [4_000, 6_000, 30_000][job.request.priority.rank() as usize];
+        if self.now > job.arrived + patience {
+            return self.refuse(id);
+        }
+        self.begin_walk(id);
+        let pause = self.rng.random_range(50..500);
+        self.later(pause, Event::Walk(id));
+    }
+
+    fn begin_walk(&mut self, id: Id) {
+        let request = self.jobs[id].request;
+        let share = 1.0 / self.accounts.max(1) as f64;
+        let router = &mut self.routers[self.jobs[id].entry];
+        let all = &router.candidates;
+        let near = router.by_prefix.entry(request.account).or_insert_with(|| {
+            let near = prefix_targets(all, PrefixKey(prefix(&request)), share);
+            near.into_iter().map(|i| all[i].clone()).collect()
+        });
+        let best = rank(near, key(&request), WALK);
+        let names = best.into_iter().map(|i| near[i].target.clone());
+        self.jobs[id].walk = Walk::new(names.collect());
+    }
+
     fn refuse(&mut self, id: Id) {
         self.jobs[id].done = true;
         self.figures.refused += 1;
@@ -405,7 +530,10 @@
                     }
                 }
                 Wake::Refused(t, code) => {
-                    self.later(self.setup.lag_ms, Event::Declined(t.0 as usize, code.number(), None));
+                    self.later(
+                        self.setup.lag_ms,
+                        Event::Declined(t.0 as usize, code.number(), Vec::new()),
+                    );
                 }
             }
         }
@@ -436,11 +564,21 @@
                 for router in &mut self.routers {
                     router.known.clone_from(&loads);
                 }
-                let report = PoolSum { pool: 0, load: scaleford::load::Load::default() };
+                let report = PoolSum {
+                    pool: 0,
+                    load: scaleford::load::Load::default(),
+                    least: None,
+                };
                 let from = self.routers[0].vm.clone();
-                let message = Message::Load { from, pools: vec![report], ask: false };
+                let message = Message::Load {
+                    from,
+                    pools: vec![report],
+                    ask: false,
+                };
                 let size = encode_datagram(&message).map_or(0, |b| b.len()) as u64 + UDP_HEADERS;
-                self.figures.control_bytes += size * (loads.len() * self.routers.len()) as u64;
+                for i in 0..self.routers.len() {
+                    self.figures.sent(i, size * loads.len() as u64);
+                }
             }
         }
     }
@@ -449,23 +587,39 @@
         let now = self.time();
         let from = self.routers[i].vm.clone();
         for (vm, pools) in self.routers[i].homes.reports(now) {
-            let Some(to) = self.of_vm.get(&vm).copied().filter(|to| only.is_none_or(|o| o == *to)) else {
+            let Some(to) = self
+                .of_vm
+                .get(&vm)
+                .copied()
+                .filter(|to| only.is_none_or(|o| o == *to))
+            else {
                 continue;
             };
-            let sums = pools.iter().map(|p| (p.pool, p.load.tokens.0, p.load.doubtful.0)).collect();
-            let message = Message::Load { from: from.clone(), pools, ask };
+            let sums = pools.clone();
+            let message = Message::Load {
+                from: from.clone(),
+                pools,
+                ask,
+            };
             let size = encode_datagram(&message).map_or(0, |b| b.len()) as u64;
-            self.figures.control_bytes += size + UDP_HEADERS;
-            self.later(self.setup.lag_ms, Event::Load { to, from: i, ask, sums });
+            self.figures.sent(i, size + UDP_HEADERS);
+            self.later(
+                self.setup.lag_ms,
+                Event::Load {
+                    to,
+                    from: i,
+                    ask,
+                    sums,
+                },
+            );
         }
     }
 
-    fn on_load(&mut self, to: usize, from: usize, ask: bool, sums: &[(u64, u64, u64)]) {
+    fn on_load(&mut self, to: usize, from: usize, ask: bool, sums: &[PoolSum]) {
         let now = self.time();
         let vm = self.routers[from].vm.clone();
-        for (pool, tokens, doubtful) in sums {
-            let load = scaleford::load::Load { tokens: Tokens(*tokens), doubtful: Tokens(*doubtful) };
-            self.routers[to].homes.on_load(now, vm.clone(), *pool, load);
+        for sum in sums {
+            self.routers[to].homes.on_load(now, vm.clone(), sum.clone());
         }
         let wakes = self.routers[to].homes.on_tick(now);
         self.wake(wakes);
@@ -474,13 +628,20 @@
         }
     }
 
-    fn ask_targets(&mut self) {
+    fn ask_targets(&mut self, doubted: bool) {
         let now = self.time();
         for i in 0..self.routers.len() {
-            let targets: Vec<_> = self.routers[i].homes.targets(now, false).cloned().collect();
+            let targets: Vec<_> = self.routers[i]
+                .homes
+                .targets(now, doubted)
+                .cloned()
+                .collect();
             for target in targets {
                 let tokens = Tokens(self.engines[self.index[&target]].tokens);
-                let report = TargetReport { tokens, lag: Duration::ZERO };
+                let report = TargetReport {
+                    tokens,
+                    lag: Duration::ZERO,
+                };
                 self.routers[i].homes.on_report(now, &target, Some(report));
             }
         }
@@ -519,7 +680,12 @@
 
     fn boot(&mut self, i: usize, born: u64) {
         let vm: VmId = name(&format!("vm-{i}-{born}"));
-        let bound = self.setup.bound.to_string().parse::<LoadBound>().unwrap_or_default();
+        let bound = self
+            .setup
+            .bound
+            .to_string()
+            .parse::<LoadBound>()
+            .unwrap_or_default();
         self.of_vm.insert(vm.clone(), i);
         let router = Router {
             homes: Homes::new(vm.clone(), bound),
@@ -528,6 +694,7 @@
             map: HomeMap::default(),
             candidates: Vec::new(),
             engine_of: Vec::new(),
+            by_prefix: HashMap::new(),
             known: vec![0; self.engines.len()],
             born,
         };
@@ -544,9 +711,20 @@
         let map = HomeMap::new(&self.cfg, &live);
         let now = self.time();
         let router = &mut self.routers[i];
-        let serving = self.cfg.targets.iter().filter(|(_, t)| t.intent == TargetIntent::Serve);
-        router.candidates = serving.map(|(id, _)| Candidate::new(id.clone(), Weight::USUAL)).collect();
-        router.engine_of = router.candidates.iter().map(|c| self.index[&c.target]).collect();
+        let serving = self
+            .cfg
+            .targets
+            .iter()
+            .filter(|(_, t)| t.intent == TargetIntent::Serve);
+        router.candidates = serving
+            .map(|(id, _)| Candidate::new(id.clone(), Weight::USUAL))
+            .collect();
+        router.by_prefix.clear();
+        router.engine_of = router
+            .candidates
+            .iter()
+            .map(|c| self.index[&c.target])
+            .collect();
         let wakes = match self.setup.policy {
             Policy::Home => router.homes.on_view(now, &self.cfg, &live, &map),
             _ => Vec::new(),
@@ -585,7 +763,8 @@
 
     fn at(&mut self, t: u64, event: Event) {
         self.seq += 1;
-        self.queue.push(Reverse((t, self.seq, event)));
+        self.queue.push(Reverse((t, self.seq)));
+        self.events.insert(self.seq, event);
     }
 
     fn later(&mut self, ms: u64, event: Event) {
@@ -600,10 +779,25 @@
     }
 }
 
+/// When the last request comes in; what drains afterwards says nothing.
+fn last_request(lines: &[Line]) -> u64 {
+    let requests = lines.iter().filter(|l| matches!(l, Line::Request(_)));
+    requests.last().map_or(0, Line::t_ms)
+}
+
+/// The time that is measured: all but the warm-up.
+pub fn measured_seconds(lines: &[Line]) -> f64 {
+    (last_request(lines).saturating_sub(WARM_UP_MS) as f64 / 1000.0).max(1.0)
+}
+
 fn key(r: &Request) -> ConversationKey {
     ConversationKey(r.conversation.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+fn prefix(r: &Request) -> u64 {
+    (r.account + 1).wrapping_mul(0xd134_2543_de82_ef95)
+}
+
 fn cost(r: &Request) -> u64 {
     r.prompt + EXPECTED_ANSWER
 }
--- a/src/chat.rs
+++ b/src/chat.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     config::{FleetConfig, Serves},
-    ids::{ClientAccountId, ConversationKey, ModelName},
+    directory::Place,
+    ids::{ClientAccountId, ConversationKey, ModelName, PrefixKey},
     result_code::ResultCode,
     target::Header,
     units::{Priority, Tokens},
@@ -27,7 +28,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Chat {
     pub(crate) pool: Serves,
-    pub(crate) conversation: ConversationKey,
+    pub(crate) place: Place,
     pub(crate) cost: Tokens,
 }
 
@@ -80,7 +81,11 @@
         .unwrap_or(usual);
     let prompt = body.len() as u64 / CHARS_PER_TOKEN;
     Ok(Chat {
-        conversation: conversation(account, headers, &chat),
+        place: Place {
+            account: account.clone(),
+            prefix: prefix(account, &chat),
+            conversation: conversation(account, headers, &chat),
+        },
         pool: Serves::Model(model),
         cost: Tokens((prompt + answer).max(1)),
     })
@@ -97,6 +102,16 @@
     asked.map_or(account, |p| p.max(account))
 }
 
+/// The messages before the user's first one, which chats of an account share.
+fn prefix(account: &ClientAccountId, chat: &WireChat) -> PrefixKey {
+    let mut hash = Xxh3::new();
+    hash.update(account.as_str().as_bytes());
+    for m in chat.messages.iter().take_while(|m| m.role != "user") {
+        hash.update(m.content.to_string().as_bytes());
+    }
+    PrefixKey(hash.digest())
+}
+
 /// An explicit name, or else the messages up to the first one of the user, which stay the same
 /// when the chat returns.
 fn conversation(account: &ClientAccountId, headers: &[Header], chat: &WireChat) -> ConversationKey {
--- a/src/conversation.rs
+++ b/src/conversation.rs
@@ -1,4 +1,4 @@
-//! The conversations that were placed off their first choice, kept at that choice's home.
+//! Where conversations went that their first choice did not take, kept at that choice's home.
 
 use std::num::NonZeroUsize;
 
@@ -8,63 +8,80 @@
 
 /// Conversations that one home remembers; beyond it the one used longest ago is forgotten,
 /// and goes back to its first choice.
-pub const CAPACITY: usize = 16_384;
+pub const CAPACITY: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
 
-/// Where the conversations went that their first choice did not take.
+/// Targets that one conversation is remembered at. One that many callers share at once needs
+/// several; its prefix is warm on these and on no more.
+pub const PLACES: usize = 24;
+
+/// How many places a caller is told at once.
+const TOLD: usize = 3;
+
+/// A conversation at this many places or fewer is taken to move from one to the next; at more
+/// it is shared, and its requests take turns.
+pub const SHARED_ABOVE: usize = 2;
+
+/// The places of conversations that are not only at their first choice.
 #[derive(Debug)]
 pub struct ConversationTable {
-    placed: LruCache<ConversationKey, TargetId>,
+    places: LruCache<ConversationKey, Vec<TargetId>>,
 }
 
 impl Default for ConversationTable {
     fn default() -> Self {
-        Self::with_capacity(CAPACITY)
+        Self {
+            places: LruCache::new(CAPACITY),
+        }
     }
 }
 
 impl ConversationTable {
-    /// A table that keeps at most `n` conversations (at least one).
-    pub fn with_capacity(n: usize) -> Self {
-        Self {
-            placed: LruCache::new(NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN)),
-        }
+    /// Remembers that a conversation was placed at a target just now.
+    pub fn on_placed(&mut self, key: ConversationKey, target: TargetId) {
+        let places = self.places.get_or_insert_mut(key, Vec::new);
+        places.retain(|t| *t != target);
+        places.insert(0, target);
+        places.truncate(PLACES);
     }
 
-    /// Remembers where a conversation's cached work lies.
-    pub fn on_placed(&mut self, key: ConversationKey, target: TargetId) {
-        self.placed.put(key, target);
+    /// The places to try next, best first; the last placed one, unless the conversation is
+    /// shared.
+    pub fn find(&mut self, key: ConversationKey) -> Vec<TargetId> {
+        match self.places.get_mut(&key) {
+            None => Vec::new(),
+            Some(places) => {
+                if places.len() > SHARED_ABOVE {
+                    places.rotate_left(1);
+                }
+                places.iter().take(TOLD).cloned().collect()
+            }
+        }
     }
 
-    /// Where the conversation's cached work lies, if not at its first choice.
-    pub fn find(&mut self, key: ConversationKey) -> Option<&TargetId> {
-        self.placed.get(&key)
+    /// Whether the conversation has been placed elsewhere.
+    pub fn contains(&self, key: ConversationKey) -> bool {
+        self.places.contains(&key)
     }
 
-    /// Forgets the conversations of a target that lost its cache or left.
+    /// Forgets the places at a target that lost its cache or left.
     pub fn forget_target(&mut self, target: &TargetId) {
-        let gone: Vec<_> = self
-            .placed
-            .iter()
-            .filter(|(_, t)| *t == target)
-            .map(|(k, _)| *k)
-            .collect();
-        for key in gone {
-            self.placed.pop(&key);
+        for (_, places) in &mut self.places {
+            places.retain(|t| t != target);
         }
     }
 
     /// All entries, the one used last first.
-    pub fn iter(&self) -> impl Iterator<Item = (&ConversationKey, &TargetId)> {
-        self.placed.iter()
+    pub fn iter(&self) -> impl Iterator<Item = (&ConversationKey, &Vec<TargetId>)> {
+        self.places.iter()
     }
 
     /// How many conversations are remembered.
     pub fn len(&self) -> usize {
-        self.placed.len()
+        self.places.len()
     }
 
     /// Whether none is.
     pub fn is_empty(&self) -> bool {
-        self.placed.is_empty()
+        self.places.is_empty()
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,10 +21,10 @@
 use crate::{
     chat,
     config::{ClientAccount, Serves, Service},
-    directory::Directory,
+    directory::{Directory, Place},
     explain::Decision,
-    ids::{ClientAccountId, ConversationKey, RequestId, ServiceName},
-    limits_service::Place,
+    ids::{ClientAccountId, ConversationKey, PrefixKey, RequestId, ServiceName},
+    limits_service::AccountPlace,
     reply::{self, Body},
     result_code::ResultCode,
     router::Shared,
@@ -170,7 +170,7 @@
     }
 }
 
-type Guards = (InProgress, Place);
+type Guards = (InProgress, AccountPlace);
 
 async fn on_chat(
     cx: &Arc<Shared>,
@@ -194,7 +194,7 @@
     };
     let job = Job {
         pool: chat.pool,
-        conversation: chat.conversation,
+        place: chat.place,
         cost: chat.cost,
         priority: chat::priority(caller.account.priority, &caller.headers),
         timeout: cx.cfg.request_timeout_ms.duration(),
@@ -248,7 +248,11 @@
     let job = Job {
         pool: Serves::Service(name),
         // Calls of a service share nothing, so each is spread by itself.
-        conversation: ConversationKey(caller.id.0 as u64),
+        place: Place {
+            account: caller.account_id.clone(),
+            prefix: PrefixKey(0),
+            conversation: ConversationKey(caller.id.0 as u64),
+        },
         cost: Tokens(1),
         priority: service_priority(caller.account.priority, once),
         timeout,
--- a/src/entry/walk.rs
+++ b/src/entry/walk.rs
@@ -9,10 +9,10 @@
 use crate::{
     claims::{ClaimKey, ClaimKind, ClaimStep, ClaimVerdict},
     config::Serves,
-    directory::HomePlace,
+    directory::{HomePlace, Place},
     explain::Decision,
     home_service,
-    ids::{ClientAccountId, ConversationKey, RequestId, ServiceName, TargetId, VmId},
+    ids::{ClientAccountId, RequestId, ServiceName, TargetId, VmId},
     peer::{Admission, Control, ControlReply, OpenError},
     placement::keeper,
     request::{NotRun, Placed, Received, Refusal, Repeatable, Request, Sent},
@@ -24,11 +24,19 @@
     walk::{Step, WALK, Walk},
 };
 
-/// How often the targets are gone through anew, for views and targets to recover meanwhile.
-const PASSES: u32 = 4;
+/// How long the targets are gone through anew for a request, by priority; beyond it the caller
+/// is told when to come back.
+const PATIENCE: [Duration; 3] = [
+    Duration::from_secs(4),
+    Duration::from_secs(6),
+    Duration::from_secs(30),
+];
 
-/// The wait before the second pass; each further one is three times as long.
-const PASS_WAIT: Duration = Duration::from_millis(100);
+/// The wait before the second pass; each further one is twice as long, up to a second.
+const PASS_WAIT: Duration = Duration::from_millis(50);
+
+/// The longest wait between passes.
+const PASS_WAIT_LIMIT: Duration = Duration::from_secs(1);
 
 /// When a caller should come back whose request did not run.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -39,7 +47,7 @@
 /// What is to be done for a caller.
 pub(super) struct Job {
     pub(super) pool: Serves,
-    pub(super) conversation: ConversationKey,
+    pub(super) place: Place,
     pub(super) cost: Tokens,
     pub(super) priority: Priority,
     pub(super) timeout: Duration,
@@ -88,7 +96,7 @@
 enum Tried<R> {
     Answer(Answer),
     /// It did not run there; the chat's cached work may lie at the named target.
-    Declined(Request<Received, R>, ResultCode, Option<TargetId>),
+    Declined(Request<Received, R>, ResultCode, Vec<TargetId>),
     /// It may have run.
     Unknown(Request<Sent, R>, ResultCode, String),
 }
@@ -198,19 +206,19 @@
     mut request: Request<Received, R>,
     avoid: Option<&TargetId>,
 ) -> Passed<R> {
+    let patience = PATIENCE[job.priority.rank() as usize];
+    let until = request.deadline().min(cx.now() + patience);
     let mut pause = PASS_WAIT;
-    for _ in 1..PASSES {
+    loop {
         match pass(cx, caller, job, span, request, avoid).await {
-            Passed::Untaken(again, code) if may_recover(code) => request = again,
+            Passed::Untaken(again, code) if may_recover(code) && cx.now() + pause < until => {
+                request = again;
+            }
             ended => return ended,
         }
-        if request.deadline() <= cx.now() + pause {
-            break;
-        }
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
-        pause *= 3;
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        pause = (pause * 2).min(PASS_WAIT_LIMIT);
     }
-    pass(cx, caller, job, span, request, avoid).await
 }
 
 /// Goes along the targets once, and waits at one at last.
@@ -222,7 +230,7 @@
     mut request: Request<Received, R>,
     avoid: Option<&TargetId>,
 ) -> Passed<R> {
-    let mut ranked = cx.directory().rank(&job.pool, job.conversation, WALK);
+    let mut ranked = cx.directory().rank(&job.pool, &job.place, WALK);
     if ranked.len() > 1 {
         ranked.retain(|t| Some(t) != avoid);
     }
@@ -257,7 +265,7 @@
 ) -> Tried<R> {
     let directory = cx.directory();
     let Some(home) = directory.home(&step.target) else {
-        return Tried::Declined(request.declined(), ResultCode::NoTarget, None);
+        return Tried::Declined(request.declined(), ResultCode::NoTarget, Vec::new());
     };
     let home_vm = match home {
         HomePlace::Here => cx.me.vm.clone(),
@@ -274,9 +282,9 @@
     );
     let call = make_call(cx, caller, job, span, &request, &step.target);
     let admission = Admission {
-        conversation: job.conversation,
+        conversation: job.place.conversation,
         anchor: step.is_anchor(),
-        may_queue: step.may_queue,
+        wait: step.wait,
     };
     let answer = match home {
         HomePlace::Here => home_service::serve_call(cx, call, admission).await,
@@ -286,7 +294,7 @@
         Ok(answer) => Tried::Answer(answer),
         Err(OpenError::Unreachable(detail)) => {
             note_declined(cx, caller.id, &step.target, ResultCode::NoTarget, detail);
-            Tried::Declined(request.declined(), ResultCode::NoTarget, None)
+            Tried::Declined(request.declined(), ResultCode::NoTarget, Vec::new())
         }
         Err(OpenError::Lost(detail)) => {
             Tried::Unknown(request.send(), ResultCode::OutcomeUnknown, detail)
@@ -354,7 +362,7 @@
     let Some(first) = first.filter(|_| matches!(job.pool, Serves::Model(_))) else {
         return;
     };
-    let (first, target, key) = (first.clone(), step.target.clone(), job.conversation);
+    let (first, target, key) = (first.clone(), step.target.clone(), job.place.conversation);
     match cx.directory().home(&first).cloned() {
         Some(HomePlace::Here) => cx.homes.on_placed(&first, key, target),
         Some(HomePlace::At(info)) => {
--- a/src/home.rs
+++ b/src/home.rs
@@ -12,26 +12,47 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    num::NonZeroUsize,
     time::Duration,
 };
 
+use lru::LruCache;
+
 use crate::{
     conversation::ConversationTable,
     ids::{ConversationKey, TargetId},
     load::{Load, PoolView},
     result_code::ResultCode,
     units::{Instant, LoadBound, Priority, Tokens, Weight},
+    walk::Wait,
 };
 
 /// How long a router that became home counts with another that has not noticed.
 pub const DOUBT: Duration = Duration::from_secs(4);
 
-/// How long a target takes from its first request to its full share.
+/// How long a target takes from its joining to its full share.
 pub const RAMP: Duration = Duration::from_secs(10);
 
+/// Conversations that a home remembers to have run at its target, as a guess at its cache.
+pub const REMEMBERED: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+
 /// A waiting request gains one step of priority in this time, so that none starves.
 pub const AGEING: Duration = Duration::from_secs(5);
 
+/// How long a returning chat waits where its cached work is before it goes elsewhere, by
+/// priority; about the time that computing its prompt anew would take.
+const PATIENCE: [Duration; 3] = [
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+    Duration::from_millis(1_500),
+];
+
+/// How long a request waits at one target before it looks for room elsewhere again.
+const WAIT_HERE: Duration = Duration::from_secs(1);
+
+/// How many returning chats wait so at one target.
+const PATIENT: usize = 8;
+
 /// How many requests wait at one target before the least urgent is refused.
 pub const QUEUE_LIMIT: usize = 256;
 
@@ -54,8 +75,8 @@
     pub conversation: ConversationKey,
     /// Whether this target is the chat's first choice, whose home knows where the chat went.
     pub anchor: bool,
-    /// Whether it may wait here.
-    pub may_queue: bool,
+    /// What it may wait for here.
+    pub wait: Wait,
 }
 
 /// The answer to an offer.
@@ -69,8 +90,8 @@
     Declined {
         /// Why.
         code: ResultCode,
-        /// Where the chat's cached work lies, if known.
-        redirect: Option<TargetId>,
+        /// Where to try next: where the chat's cached work lies, or where there is room.
+        redirect: Vec<TargetId>,
     },
 }
 
@@ -92,6 +113,14 @@
     pub lag: Duration,
 }
 
+/// A request that waits, until when, and what it is told then.
+#[derive(Debug, Clone)]
+struct Waiting {
+    offer: Offer,
+    until: Instant,
+    code: ResultCode,
+}
+
 /// The account of one target.
 #[derive(Debug)]
 pub struct Home {
@@ -104,9 +133,10 @@
     reported: bool,
     report_covers: Instant,
     doubt_until: Instant,
-    first_work: Option<Instant>,
-    waiting: BTreeMap<(Instant, Ticket), Offer>,
+    joined: Option<Instant>,
+    waiting: BTreeMap<(Instant, Ticket), Waiting>,
     conversations: ConversationTable,
+    served: LruCache<ConversationKey, ()>,
 }
 
 impl Home {
@@ -124,9 +154,10 @@
             reported: !in_doubt,
             report_covers: now,
             doubt_until: if in_doubt { now + DOUBT } else { now },
-            first_work: (!in_doubt).then_some(Instant::default()),
+            joined: None,
             waiting: BTreeMap::new(),
             conversations: ConversationTable::default(),
+            served: LruCache::new(REMEMBERED),
         }
     }
 
@@ -136,6 +167,11 @@
         self.capacity = capacity;
     }
 
+    /// Says that the target has just joined, so that it gets its share little by little.
+    pub fn on_joined(&mut self, now: Instant) {
+        self.joined = Some(now);
+    }
+
     /// Says that another router may believe that it is home, from `now` on.
     pub fn on_doubt(&mut self, now: Instant) {
         self.doubt_until = now + DOUBT;
@@ -183,6 +219,11 @@
         self.waiting.len()
     }
 
+    /// Whether something waits that found no room anywhere.
+    pub fn lacks_room(&self) -> bool {
+        self.waiting.values().any(|w| w.offer.wait == Wait::ForRoom)
+    }
+
     /// Where the conversations went whose first choice this target is.
     pub fn conversations(&mut self) -> &mut ConversationTable {
         &mut self.conversations
@@ -190,33 +231,41 @@
 
     /// Decides on a request.
     pub fn on_offer(&mut self, now: Instant, offer: Offer, pool: PoolView) -> Verdict {
-        let elsewhere = match offer.anchor {
-            true => self.conversations.find(offer.conversation).cloned(),
-            false => None,
-        };
-        match elsewhere {
-            Some(target) => Verdict::Declined {
-                code: ResultCode::OverBound,
-                redirect: Some(target),
-            },
-            None if self.waiting.is_empty() && self.has_room(now, offer.cost, pool) => {
-                self.admit(now, offer.ticket, offer.cost);
+        match offer.wait {
+            _ if self.would_admit(now, &offer, pool) => {
+                self.admit(now, &offer);
                 Verdict::Admitted
             }
-            None if offer.may_queue && self.make_place(&offer) => {
-                self.waiting.insert((now, offer.ticket), offer);
+            Wait::ForRoom if self.make_place(&offer) => {
+                let here = now + WAIT_HERE;
+                let (until, code) = match offer.deadline <= here {
+                    true => (offer.deadline, ResultCode::QueueTimeout),
+                    false => (here, ResultCode::OverBound),
+                };
+                self.wait(now, offer, until, code);
                 Verdict::Queued
             }
-            None => Verdict::Declined {
-                code: match offer.may_queue {
-                    true => ResultCode::Overloaded,
-                    false => ResultCode::OverBound,
+            Wait::ForCache if self.is_worth_a_wait(&offer) => {
+                let patience = PATIENCE[offer.priority.rank() as usize];
+                let until = offer.deadline.min(now + patience);
+                self.wait(now, offer, until, ResultCode::OverBound);
+                Verdict::Queued
+            }
+            wait => Verdict::Declined {
+                code: match wait {
+                    Wait::ForRoom => ResultCode::Overloaded,
+                    _ => ResultCode::OverBound,
                 },
-                redirect: None,
+                redirect: Vec::new(),
             },
         }
     }
 
+    /// Whether an offer would run at once.
+    pub fn would_admit(&self, now: Instant, offer: &Offer, pool: PoolView) -> bool {
+        self.waiting.is_empty() && self.has_room(now, offer, pool)
+    }
+
     /// A request ended, was cancelled, or gave up waiting.
     pub fn on_finish(&mut self, now: Instant, ticket: Ticket, pool: PoolView) -> Vec<Wake> {
         self.waiting.retain(|(_, t), _| *t != ticket);
@@ -252,12 +301,12 @@
     pub fn on_tick(&mut self, now: Instant, pool: PoolView) -> Vec<Wake> {
         let mut wakes = self.refuse_late(now);
         while let Some(key) = self.next_waiting(now) {
-            let cost = self.waiting[&key].cost;
-            if !self.has_room(now, cost, pool_after(pool, &wakes, cost)) {
+            let offer = self.waiting[&key].offer.clone();
+            if !self.has_room(now, &offer, pool_after(pool, &wakes, offer.cost)) {
                 break;
             }
             self.waiting.remove(&key);
-            self.admit(now, key.1, cost);
+            self.admit(now, &offer);
             wakes.push(Wake::Admitted(key.1));
         }
         wakes
@@ -272,7 +321,8 @@
             .collect()
     }
 
-    fn has_room(&self, now: Instant, cost: Tokens, pool: PoolView) -> bool {
+    fn has_room(&self, now: Instant, offer: &Offer, pool: PoolView) -> bool {
+        let cost = offer.cost;
         let Load { tokens, doubtful } = self.load(now);
         let load = tokens + doubtful;
         let after = load + cost;
@@ -285,28 +335,47 @@
             _ if load.0 == 0 && self.running.is_empty() => true,
             _ if !self.reported && self.in_doubt(now) => false,
             Some(c) if after > c => false,
-            _ if (load.0 as f64) < mean => true,
-            _ => after.0 as f64 <= mean * self.bound.admission_factor(),
+            _ if (load.0 as f64) < mean && offer.wait == Wait::ForRoom => true,
+            _ => after.0 as f64 <= mean * self.admission_factor(offer),
+        }
+    }
+
+    /// A returning chat may use the room up to the bound, since its cached work is here; any
+    /// other leaves that room to those.
+    fn admission_factor(&self, offer: &Offer) -> f64 {
+        match self.served.contains(&offer.conversation) || offer.wait == Wait::ForRoom {
+            true => self.bound.returning_factor(),
+            false => self.bound.other_factor(),
         }
     }
 
-    /// The part of its share that a target gets that has begun to work lately.
+    /// The part of its share that a target gets that has joined lately.
     fn ramp(&self, now: Instant) -> f64 {
-        match self.first_work {
-            None => 0.5,
+        match self.joined {
+            None => 1.0,
             Some(at) => (0.5 + now.since(at).as_secs_f64() / RAMP.as_secs_f64()).min(1.0),
         }
     }
 
-    fn admit(&mut self, now: Instant, ticket: Ticket, cost: Tokens) {
-        self.first_work.get_or_insert(now);
-        self.own += cost;
-        self.running.insert(ticket, (now, cost));
+    fn admit(&mut self, now: Instant, offer: &Offer) {
+        self.own += offer.cost;
+        self.running.insert(offer.ticket, (now, offer.cost));
+        self.served.put(offer.conversation, ());
+    }
+
+    fn wait(&mut self, now: Instant, offer: Offer, until: Instant, code: ResultCode) {
+        let key = (now, offer.ticket);
+        self.waiting.insert(key, Waiting { offer, until, code });
+    }
+
+    fn is_worth_a_wait(&self, offer: &Offer) -> bool {
+        let returning = self.served.contains(&offer.conversation);
+        returning && self.waiting.len() < PATIENT
     }
 
     /// Makes a place in the queue, by turning a less urgent request out where it is full.
     fn make_place(&mut self, offer: &Offer) -> bool {
-        let last = self.waiting.values().map(|o| o.priority).max();
+        let last = self.waiting.values().map(|w| w.offer.priority).max();
         match last {
             _ if self.waiting.len() < QUEUE_LIMIT => true,
             Some(p) if p > offer.priority => self.turn_out(p),
@@ -316,41 +385,25 @@
 
     /// Lets the youngest request of a priority end at the next tick.
     fn turn_out(&mut self, priority: Priority) -> bool {
-        let youngest = self
-            .waiting
-            .iter_mut()
-            .rev()
-            .find(|(_, o)| o.priority == priority);
-        if let Some((_, o)) = youngest {
-            o.deadline = Instant::default();
+        let mut youngest = self.waiting.values_mut().rev();
+        if let Some(w) = youngest.find(|w| w.offer.priority == priority) {
+            w.until = Instant::default();
+            w.code = ResultCode::Overloaded;
         }
         true
     }
 
     fn refuse_late(&mut self, now: Instant) -> Vec<Wake> {
-        let late: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(_, o)| o.deadline <= now)
-            .map(|(k, o)| (*k, o.deadline))
-            .collect();
-        late.into_iter()
-            .map(|(key, deadline)| {
-                self.waiting.remove(&key);
-                match deadline {
-                    d if d == Instant::default() => Wake::Refused(key.1, ResultCode::Overloaded),
-                    _ => Wake::Refused(key.1, ResultCode::QueueTimeout),
-                }
-            })
-            .collect()
+        let late = self.waiting.extract_if(.., |_, w| w.until <= now);
+        late.map(|((_, t), w)| Wake::Refused(t, w.code)).collect()
     }
 
     fn next_waiting(&self, now: Instant) -> Option<(Instant, Ticket)> {
         let step = |since: Instant| (now.since(since).as_millis() / AGEING.as_millis()) as i32;
-        let urgency = |(since, o): (Instant, &Offer)| o.priority.rank() - step(since);
+        let urgency = |since, w: &Waiting| w.offer.priority.rank() - step(since);
         self.waiting
             .iter()
-            .min_by_key(|((since, t), o)| (urgency((*since, o)), *since, *t))
+            .min_by_key(|((since, t), w)| (urgency(*since, w), *since, *t))
             .map(|(k, _)| *k)
     }
 }
--- a/src/home_service.rs
+++ b/src/home_service.rs
@@ -52,7 +52,9 @@
     }
 
     pub(crate) fn on_view(&self, now: Instant, directory: &Directory) {
-        let Directory { config, live, map, .. } = directory;
+        let Directory {
+            config, live, map, ..
+        } = directory;
         let wakes = self.homes.lock().on_view(now, config, live, map);
         wake(&self.waiters, wakes);
     }
@@ -65,7 +67,7 @@
     pub(crate) fn on_load(&self, now: Instant, from: &VmId, pools: &[PoolSum]) {
         let mut homes = self.homes.lock();
         for sum in pools {
-            homes.on_load(now, from.clone(), sum.pool, sum.load);
+            homes.on_load(now, from.clone(), sum.clone());
         }
         let wakes = homes.on_tick(now);
         drop(homes);
@@ -122,7 +124,7 @@
             deadline: began + call.remaining,
             conversation: admission.conversation,
             anchor: admission.anchor,
-            may_queue: admission.may_queue,
+            wait: admission.wait,
         };
         let guard = self.guard(cx, call.target.clone(), ticket);
         let (tx, rx) = oneshot::channel();
@@ -134,7 +136,7 @@
                 self.on_tick(began);
                 cx.ask_loads();
                 let outcome = rx.await.unwrap_or(Err(ResultCode::NotHome));
-                outcome.map_err(|code| refused(code, None))?;
+                outcome.map_err(|code| refused(code, Vec::new()))?;
             }
             Verdict::Declined { code, redirect } => return Err(refused(code, redirect)),
         }
@@ -199,7 +201,7 @@
     // The configuration may have changed while the call waited.
     let Some(address) = cx.directory().address(&call.target) else {
         let not_run = request.not_run(ResultCode::NotHome, "the target is leaving");
-        return Err(refused(not_run.code(), None));
+        return Err(refused(not_run.code(), Vec::new()));
     };
     call.remaining = deadline.since(cx.now());
     let target_span = cx
@@ -227,7 +229,7 @@
             if let Some(refusal) = Refusal::from_answer(answer.status, says) {
                 let received = request.refused(&refusal);
                 let not_run = received.not_run(ResultCode::TargetRefused, "the target refused");
-                return Err(refused(not_run.code(), None));
+                return Err(refused(not_run.code(), Vec::new()));
             }
             spans[1].note("status", i64::from(answer.status));
             cx.record(
@@ -245,7 +247,7 @@
             Err(OpenError::Refused {
                 code: not_run.code(),
                 retry_after: RETRY_AFTER,
-                redirect: None,
+                redirect: Vec::new(),
                 detail: not_run.detail().to_owned(),
             })
         }
@@ -254,7 +256,7 @@
             Err(OpenError::Refused {
                 code,
                 retry_after: Duration::ZERO,
-                redirect: None,
+                redirect: Vec::new(),
                 detail,
             })
         }
@@ -279,7 +281,7 @@
     }
 }
 
-fn refused(code: ResultCode, redirect: Option<TargetId>) -> OpenError {
+fn refused(code: ResultCode, redirect: Vec<TargetId>) -> OpenError {
     OpenError::Refused {
         code,
         retry_after: RETRY_AFTER,
--- a/src/homes.rs
+++ b/src/homes.rs
@@ -12,10 +12,11 @@
     config::{FleetConfig, Serves, Target, TargetIntent},
     home::{Home, Offer, TargetReport, Ticket, Verdict, Wake},
     ids::{ConversationKey, TargetId, VmId},
-    load::{ASK_EVERY, Load, PoolLoad, PoolView},
+    load::{ASK_EVERY, Least, Load, PoolLoad, PoolView},
     placement::keeper,
     result_code::ResultCode,
-    units::{Instant, LoadBound, Tokens},
+    units::{Instant, LoadBound, Tokens, Weight},
+    walk::Wait,
 };
 
 /// How many homes a pool has at the most.
@@ -77,12 +78,14 @@
 }
 
 /// What a home reports of one pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoolSum {
     /// The pool's number.
     pub pool: u64,
     /// What is in progress at its targets that the home keeps.
     pub load: Load,
+    /// The least loaded of them.
+    pub least: Option<Least>,
 }
 
 #[derive(Debug)]
@@ -101,7 +104,8 @@
     pools: HashMap<Serves, PoolLoad>,
     weights: HashMap<Serves, u32>,
     reporters: HashMap<Serves, HashSet<VmId>>,
-    started: Option<Instant>,
+    started: bool,
+    known: HashSet<TargetId>,
     asked: Option<Instant>,
 }
 
@@ -115,7 +119,8 @@
             pools: HashMap::new(),
             weights: HashMap::new(),
             reporters: HashMap::new(),
-            started: None,
+            started: false,
+            known: HashSet::new(),
             asked: None,
         }
     }
@@ -128,13 +133,21 @@
         live: &[VmId],
         map: &HomeMap,
     ) -> Vec<TargetWake> {
-        let alone = self.started.is_none() && live.len() == 1;
-        self.started.get_or_insert(now);
+        let first = !std::mem::replace(&mut self.started, true);
+        let alone = first && live.len() == 1;
         self.weights.clear();
         self.reporters.clear();
         for (id, target) in &cfg.targets {
             let home = map.home(id, &target.serves);
             self.take_target(now, id, target, home, alone);
+            let serves = target.intent == TargetIntent::Serve;
+            let joined = match serves {
+                true => self.known.insert(id.clone()),
+                false => !self.known.remove(id),
+            };
+            if let Some(k) = self.kept.get_mut(id).filter(|_| serves && joined && !first) {
+                k.home.on_joined(now);
+            }
         }
         let wakes = self.leave_lost(cfg, live);
         self.drop_idle();
@@ -143,16 +156,127 @@
 
     /// Decides on a request for a target.
     pub fn on_offer(&mut self, now: Instant, target: &TargetId, offer: Offer) -> Verdict {
+        let Some(kept) = self.kept.get_mut(target).filter(|k| k.is_home) else {
+            return declined(ResultCode::NotHome, Vec::new());
+        };
+        let known = match (offer.anchor, offer.wait) {
+            (true, Wait::Never | Wait::ForCache) => {
+                kept.home.conversations().find(offer.conversation)
+            }
+            _ => Vec::new(),
+        };
+        match offer.anchor {
+            false => self.offer_here(now, target, offer),
+            true if known.is_empty() => self.offer_first(now, target, offer),
+            true => self.offer_known(now, target, offer, known),
+        }
+    }
+
+    /// Offers a request to a target itself.
+    fn offer_here(&mut self, now: Instant, target: &TargetId, offer: Offer) -> Verdict {
         let pool = self.view_of(now, target);
         match self.kept.get_mut(target) {
-            Some(k) if k.is_home => k.home.on_offer(now, offer, pool),
-            _ => Verdict::Declined {
-                code: ResultCode::NotHome,
-                redirect: None,
-            },
+            Some(k) => k.home.on_offer(now, offer, pool),
+            None => declined(ResultCode::NotHome, Vec::new()),
+        }
+    }
+
+    /// Offers a request to its first choice, and finds room elsewhere where there is none.
+    fn offer_first(&mut self, now: Instant, target: &TargetId, offer: Offer) -> Verdict {
+        let pool = self.view_of(now, target);
+        let (key, cost) = (offer.conversation, offer.cost);
+        let waits = offer.wait == Wait::ForRoom;
+        let fits = |k: &Kept| k.home.would_admit(now, &offer, pool);
+        // What would wait for room here is sent to where there is room already.
+        if !waits || self.kept.get(target).is_some_and(fits) {
+            let verdict = self.offer_here(now, target, offer.clone());
+            if !matches!(
+                verdict,
+                Verdict::Declined {
+                    code: ResultCode::OverBound,
+                    ..
+                }
+            ) {
+                return verdict;
+            }
+        }
+        match self.find_room(now, target, key, cost) {
+            Some(room) if room != *target => declined(ResultCode::OverBound, vec![room]),
+            _ if waits => self.offer_here(now, target, offer),
+            _ => declined(ResultCode::OverBound, Vec::new()),
+        }
+    }
+
+    /// Sends a request to where its chat has been, which may be here.
+    fn offer_known(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        offer: Offer,
+        known: Vec<TargetId>,
+    ) -> Verdict {
+        let (here, others): (Vec<_>, Vec<_>) = known.iter().cloned().partition(|t| t == target);
+        let is_best = known.first() == Some(target);
+        let wait = if others.is_empty() {
+            offer.wait
+        } else {
+            Wait::Never
+        };
+        let verdict = match is_best || (!here.is_empty() && others.is_empty()) {
+            true => self.offer_here(now, target, Offer { wait, ..offer }),
+            false => return declined(ResultCode::OverBound, others),
+        };
+        match verdict {
+            Verdict::Declined { code, .. } => declined(code, others),
+            other => other,
         }
     }
 
+    /// Finds a lightly loaded target of the same pool for a chat that its first choice does not
+    /// take, and remembers that the chat is there.
+    fn find_room(
+        &mut self,
+        now: Instant,
+        first: &TargetId,
+        key: ConversationKey,
+        cost: Tokens,
+    ) -> Option<TargetId> {
+        let pool = self.kept.get(first)?.pool.clone();
+        // What this router knows exactly goes before what the others reported a while ago.
+        let room = match self.own_room(now, &pool, cost) {
+            Some(least) => least.target,
+            None => self.pools.entry(pool).or_default().find_room(key, cost)?,
+        };
+        if let Some(k) = self.kept.get_mut(first) {
+            k.home.conversations().on_placed(key, room.clone());
+        }
+        Some(room)
+    }
+
+    /// The least loaded target of a pool that this router is home of, if below the mean.
+    fn own_room(&self, now: Instant, pool: &Serves, cost: Tokens) -> Option<Least> {
+        let mean = self.view(now, pool).mean_with(Weight::USUAL, cost);
+        let least = self.least(now, pool)?;
+        ((least.tokens.0 as f64) < mean).then_some(least)
+    }
+
+    /// The least loaded target of a pool that this router is home of.
+    fn least(&self, now: Instant, pool: &Serves) -> Option<Least> {
+        let same = self
+            .kept
+            .iter()
+            .filter(|(_, k)| k.is_home && k.pool == *pool);
+        let least = same.map(|(target, k)| {
+            let Load { tokens, doubtful } = k.home.load(now);
+            let scaled = (tokens + doubtful).0 * 100 / u64::from(k.home.weight().get());
+            Least {
+                target: target.clone(),
+                tokens: Tokens(scaled),
+            }
+        });
+        least.min_by_key(|l| l.tokens)
+    }
+
     /// A request at a target ended.
     pub fn on_finish(
         &mut self,
@@ -177,17 +301,22 @@
     }
 
     /// Takes another home's sum for a pool.
-    pub fn on_load(&mut self, now: Instant, from: VmId, pool: u64, load: Load) {
-        let known = self.weights.keys().find(|p| pool_number(p) == pool);
+    pub fn on_load(&mut self, now: Instant, from: VmId, sum: PoolSum) {
+        let known = self.weights.keys().find(|p| pool_number(p) == sum.pool);
         if let Some(p) = known.cloned() {
-            self.pools.entry(p).or_default().on_report(now, from, load);
+            let known = self.pools.entry(p).or_default();
+            known.on_report(now, from, sum.load, sum.least);
         }
     }
 
     /// Whether to report at once and ask the others to: something waits, and the last time is
     /// long enough ago.
     pub fn take_ask(&mut self, now: Instant) -> bool {
-        let waits = self.kept.values().any(|k| k.home.waiting() > 0);
+        let lacking = self.kept.values().filter(|k| k.home.lacks_room());
+        let pools: HashSet<Serves> = lacking.map(|k| k.pool.clone()).collect();
+        let waits = pools
+            .iter()
+            .any(|p| self.own_room(now, p, Tokens(0)).is_none());
         let due = self.asked.is_none_or(|at| now.since(at) >= ASK_EVERY);
         if waits && due {
             self.asked = Some(now);
@@ -223,7 +352,7 @@
     /// The sums to report now, with the routers that they go to.
     pub fn reports(&mut self, now: Instant) -> Vec<(VmId, Vec<PoolSum>)> {
         let mut sums: HashMap<&Serves, Load> = HashMap::new();
-        for k in self.kept.values() {
+        for k in self.kept.values().filter(|k| k.is_home) {
             let sum = sums.entry(&k.pool).or_default();
             *sum = *sum + k.home.load(now);
         }
@@ -233,9 +362,10 @@
             let sum = PoolSum {
                 pool: pool_number(pool),
                 load,
+                least: self.least(now, pool),
             };
             for vm in others.filter(|vm| **vm != self.vm) {
-                out.entry(vm.clone()).or_default().push(sum);
+                out.entry(vm.clone()).or_default().push(sum.clone());
             }
         }
         for (pool, load) in &mut self.pools {
@@ -347,7 +477,7 @@
             let table = k.home.conversations();
             let left: HashSet<_> = table
                 .iter()
-                .map(|(_, t)| t)
+                .flat_map(|(_, t)| t)
                 .filter(|t| !serves(t))
                 .cloned()
                 .collect();
@@ -368,7 +498,7 @@
     }
 
     fn view(&self, now: Instant, pool: &Serves) -> PoolView {
-        let same = self.kept.values().filter(|k| k.pool == *pool);
+        let same = self.kept.values().filter(|k| k.is_home && k.pool == *pool);
         let own: Load = same.map(|k| k.home.load(now)).sum();
         let others = self
             .pools
@@ -386,6 +516,10 @@
     xxh3_64(pool.to_string().as_bytes())
 }
 
+fn declined(code: ResultCode, redirect: Vec<TargetId>) -> Verdict {
+    Verdict::Declined { code, redirect }
+}
+
 fn name_target(target: &TargetId, wakes: Vec<Wake>) -> Vec<TargetWake> {
     let name = |wake| TargetWake {
         target: target.clone(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -146,6 +146,11 @@
     ConversationKey
 );
 
+number_id!(
+    /// The long prompt that a chat begins with and shares with others, as a hash.
+    PrefixKey
+);
+
 impl ConversationKey {
     /// The key of a chat that names itself, kept apart between accounts.
     pub fn named(account: &ClientAccountId, name: &str) -> Self {
--- a/src/limits_service.rs
+++ b/src/limits_service.rs
@@ -23,12 +23,12 @@
 }
 
 /// Gives a place in an account's concurrency back when dropped.
-pub(crate) struct Place {
+pub(crate) struct AccountPlace {
     cx: Arc<Shared>,
     account: ClientAccountId,
 }
 
-impl Drop for Place {
+impl Drop for AccountPlace {
     fn drop(&mut self) {
         let mut limiters = self.cx.limits.limiters.lock();
         if let Some(l) = limiters.get_mut(&self.account) {
@@ -44,7 +44,7 @@
         cx: &Arc<Shared>,
         id: &ClientAccountId,
         account: &ClientAccount,
-    ) -> Result<Place, Duration> {
+    ) -> Result<AccountPlace, Duration> {
         let now = cx.now();
         let routers = cx.directory().live.len();
         let mut limiters = self.limiters.lock();
@@ -52,7 +52,7 @@
             .entry(id.clone())
             .or_insert_with(|| Limiter::new(now));
         limiter.admit(now, limits_of(account), routers)?;
-        Ok(Place {
+        Ok(AccountPlace {
             cx: Arc::clone(cx),
             account: id.clone(),
         })
--- a/src/load.rs
+++ b/src/load.rs
@@ -2,22 +2,24 @@
 //!
 //! The homes of a pool tell one another the tokens in progress at their targets: once a second,
 //! and at once where a request waits for want of room, since then the mean they know may be
-//! older than a rise of the load. Between two reports a peer's sum that fell last is taken to
-//! fall on as fast, so that the mean errs low: a low mean makes a request wait a moment, a high
-//! one would carry an engine above the bound.
+//! older than a rise of the load.
 
 use std::{collections::HashMap, ops::Add, time::Duration};
 
 use crate::{
-    ids::VmId,
+    ids::{ConversationKey, TargetId, VmId},
     units::{Instant, Tokens, Weight},
 };
 
 /// How often the homes of a pool report to one another.
 pub const REPORT_EVERY: Duration = Duration::from_secs(1);
 
+/// A report that is older than this begins to count for less: its sender may be gone, and the
+/// load that it sent with it.
+pub const REPORT_FADES: Duration = Duration::from_millis(1_200);
+
 /// A report that is older than this counts as no load at all.
-pub const REPORT_EXPIRES: Duration = Duration::from_secs(5);
+pub const REPORT_EXPIRES: Duration = Duration::from_millis(2_400);
 
 /// The shortest time between two reports that are asked for.
 pub const ASK_EVERY: Duration = Duration::from_millis(50);
@@ -48,11 +50,20 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+/// The least loaded target that a home keeps of a pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Least {
+    /// The target.
+    pub target: TargetId,
+    /// Its tokens in progress, scaled to the usual capacity.
+    pub tokens: Tokens,
+}
+
+#[derive(Debug, Clone)]
 struct Report {
     at: Instant,
     load: Load,
-    fall_per_s: f64,
+    least: Option<Least>,
 }
 
 /// What the other homes of a pool last reported.
@@ -92,19 +103,10 @@
 
 impl PoolLoad {
     /// Takes a report of another home.
-    pub fn on_report(&mut self, now: Instant, from: VmId, load: Load) {
-        let fall_per_s = match self.others.get(&from) {
-            Some(last) => fall(last, now, load.tokens),
-            None => 0.0,
-        };
-        self.others.insert(
-            from,
-            Report {
-                at: now,
-                load,
-                fall_per_s,
-            },
-        );
+    pub fn on_report(&mut self, now: Instant, from: VmId, load: Load, least: Option<Least>) {
+        let at = now;
+        let report = Report { at, load, least };
+        self.others.insert(from, report);
     }
 
     /// Forgets homes that are not among the pool's any more, and reports that expired.
@@ -113,26 +115,37 @@
             .retain(|vm, r| live(vm) && now.since(r.at) < REPORT_EXPIRES);
     }
 
+    /// The lighter of two of the other homes' least loaded targets, so that homes that know the
+    /// same do not all choose the same; counts the cost on it until the next report.
+    pub fn find_room(&mut self, key: ConversationKey, cost: Tokens) -> Option<TargetId> {
+        let others = self.others.values_mut().filter_map(|r| r.least.as_mut());
+        let mut light: Vec<&mut Least> = others.collect();
+        light.sort_by(|a, b| a.target.cmp(&b.target));
+        let n = light.len() as u64;
+        let (one, two) = (key.0.checked_rem(n)?, (key.0 >> 32).checked_rem(n)?);
+        let lighter = match light[one as usize].tokens <= light[two as usize].tokens {
+            true => one,
+            false => two,
+        };
+        let chosen = light.get_mut(lighter as usize)?;
+        chosen.tokens += cost;
+        Some(chosen.target.clone())
+    }
+
     /// What the other homes are taken to have in progress.
     pub fn others(&self, now: Instant) -> Load {
         self.others.values().map(|r| remaining(now, r)).sum()
     }
 }
 
-fn fall(last: &Report, now: Instant, tokens: Tokens) -> f64 {
-    let seconds = now.since(last.at).as_secs_f64().max(0.01);
-    last.load.tokens.less(tokens).0 as f64 / seconds
-}
-
 fn remaining(now: Instant, report: &Report) -> Load {
-    match now.since(report.at) {
-        age if age >= REPORT_EXPIRES => Load::default(),
-        age => {
-            let fallen = report.fall_per_s * age.as_secs_f64();
-            Load {
-                tokens: report.load.tokens.less(Tokens(fallen as u64)),
-                doubtful: report.load.doubtful,
-            }
-        }
+    let age = now.since(report.at);
+    let left = REPORT_EXPIRES.saturating_sub(age).as_secs_f64();
+    let whole = (REPORT_EXPIRES - REPORT_FADES).as_secs_f64();
+    let part = (left / whole).min(1.0);
+    let scale = |t: Tokens| Tokens((t.0 as f64 * part) as u64);
+    Load {
+        tokens: scale(report.load.tokens),
+        doubtful: scale(report.load.doubtful),
     }
 }
--- a/src/peer/datagram.rs
+++ b/src/peer/datagram.rs
@@ -6,7 +6,7 @@
     homes::PoolSum,
     ids::{ClientAccountId, Incarnation, Revision, VmId},
     limits::{Demand, Grant},
-    load::Load,
+    load::{Least, Load},
     membership::{Beat, MemberState, News},
     units::Tokens,
 };
@@ -215,6 +215,8 @@
         pool: sum.pool as i64,
         tokens: sum.load.tokens.0 as i64,
         doubtful: sum.load.doubtful.0 as i64,
+        least: sum.least.as_ref().map(|l| l.target.to_string()),
+        least_tokens: sum.least.as_ref().map(|l| l.tokens.0 as i64),
     }
 }
 
@@ -225,6 +227,10 @@
             tokens: Tokens(p.tokens.max(0) as u64),
             doubtful: Tokens(p.doubtful.max(0) as u64),
         },
+        least: p.least.and_then(|t| t.parse().ok()).map(|target| Least {
+            target,
+            tokens: Tokens(p.least_tokens.unwrap_or(0).max(0) as u64),
+        }),
     }
 }
 
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -28,6 +28,7 @@
     ids::{ConversationKey, Incarnation, RequestId, Revision, TargetId, VmId},
     result_code::ResultCode,
     target::{Answer, Call, Header},
+    walk::Wait,
 };
 
 /// How long a control call may take.
@@ -48,7 +49,7 @@
         /// When to come back.
         retry_after: Duration,
         /// Where the chat's cached work lies, if the home knows.
-        redirect: Option<TargetId>,
+        redirect: Vec<TargetId>,
         /// What happened, in a sentence.
         detail: String,
     },
@@ -58,10 +59,10 @@
 
 impl OpenError {
     /// The code, the pause, the better target and the detail, as they travel.
-    pub(super) fn into_parts(self) -> (ResultCode, Duration, Option<TargetId>, String) {
+    pub(super) fn into_parts(self) -> (ResultCode, Duration, Vec<TargetId>, String) {
         match self {
-            Self::Unreachable(d) => (ResultCode::NoTarget, Duration::ZERO, None, d),
-            Self::Lost(d) => (ResultCode::OutcomeUnknown, Duration::ZERO, None, d),
+            Self::Unreachable(d) => (ResultCode::NoTarget, Duration::ZERO, Vec::new(), d),
+            Self::Lost(d) => (ResultCode::OutcomeUnknown, Duration::ZERO, Vec::new(), d),
             Self::Refused {
                 code,
                 retry_after,
@@ -79,8 +80,8 @@
     pub conversation: ConversationKey,
     /// Whether the target is the chat's first choice.
     pub anchor: bool,
-    /// Whether it may wait.
-    pub may_queue: bool,
+    /// What it may wait for.
+    pub wait: Wait,
 }
 
 /// What one router asks of another besides calls.
@@ -318,7 +319,7 @@
         priority: call.priority.rank(),
         cost_tokens: call.cost.0 as i64,
         conversation: admission.conversation.0 as i64,
-        may_queue: admission.may_queue,
+        wait: admission.wait.number(),
         anchor: admission.anchor,
     })
 }
@@ -378,7 +379,11 @@
     OpenError::Refused {
         code: code.unwrap_or(ResultCode::OutcomeUnknown),
         retry_after: Duration::from_millis(refuse.retry_after_ms.max(0) as u64),
-        redirect: refuse.redirect.and_then(|t| t.parse().ok()),
+        redirect: refuse
+            .redirect
+            .iter()
+            .filter_map(|t| t.parse().ok())
+            .collect(),
         detail: refuse.detail,
     }
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -28,6 +28,7 @@
     ids::{AttemptId, ConversationKey, Incarnation, Revision, TargetId, VmId},
     target::{Answer, Call},
     units::{Priority, Tokens},
+    walk::Wait,
 };
 
 /// How long a peer that connects may take to greet.
@@ -240,7 +241,7 @@
             stream: self.id,
             code: code.number().into(),
             retry_after_ms: retry_after.as_millis() as i64,
-            redirect: redirect.map(|t| t.to_string()),
+            redirect: redirect.iter().map(ToString::to_string).collect(),
             detail,
         };
         self.out.send(wire::Frame::Refuse(refuse)).await.ok()
@@ -364,7 +365,7 @@
     let admission = Admission {
         conversation: ConversationKey(open.conversation as u64),
         anchor: open.anchor,
-        may_queue: open.may_queue,
+        wait: Wait::from_number(open.wait),
     };
     Ok((call, admission))
 }
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -191,12 +191,12 @@
   pub priority: i32,
   pub cost_tokens: i64,
   pub conversation: i64,
-  pub may_queue: bool,
+  pub wait: i8,
   pub anchor: bool,
 }
 
 impl Open {
-  pub fn new(stream: i64, request: String, attempt: i32, target: String, method: String, path: String, headers: Vec<WireHeader>, body: Vec<u8>, remaining_ms: i64, priority: i32, cost_tokens: i64, conversation: i64, may_queue: bool, anchor: bool) -> Open {
+  pub fn new(stream: i64, request: String, attempt: i32, target: String, method: String, path: String, headers: Vec<WireHeader>, body: Vec<u8>, remaining_ms: i64, priority: i32, cost_tokens: i64, conversation: i64, wait: i8, anchor: bool) -> Open {
     Open {
       stream,
       request,
@@ -210,7 +210,7 @@
       priority,
       cost_tokens,
       conversation,
-      may_queue,
+      wait,
       anchor,
     }
   }
@@ -231,7 +231,7 @@
     let mut f_10: Option<i32> = None;
     let mut f_11: Option<i64> = None;
     let mut f_12: Option<i64> = None;
-    let mut f_13: Option<bool> = None;
+    let mut f_13: Option<i8> = None;
     let mut f_14: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
@@ -295,7 +295,7 @@
           f_12 = Some(val);
         },
         13 => {
-          let val = i_prot.read_bool()?;
+          let val = i_prot.read_i8()?;
           f_13 = Some(val);
         },
         14 => {
@@ -321,7 +321,7 @@
     verify_required_field_exists("Open.priority", &f_10)?;
     verify_required_field_exists("Open.cost_tokens", &f_11)?;
     verify_required_field_exists("Open.conversation", &f_12)?;
-    verify_required_field_exists("Open.may_queue", &f_13)?;
+    verify_required_field_exists("Open.wait", &f_13)?;
     verify_required_field_exists("Open.anchor", &f_14)?;
     let ret = Open {
       stream: f_1.expect("auto-generated code should have checked for presence of required fields"),
@@ -336,7 +336,7 @@
       priority: f_10.expect("auto-generated code should have checked for presence of required fields"),
       cost_tokens: f_11.expect("auto-generated code should have checked for presence of required fields"),
       conversation: f_12.expect("auto-generated code should have checked for presence of required fields"),
-      may_queue: f_13.expect("auto-generated code should have checked for presence of required fields"),
+      wait: f_13.expect("auto-generated code should have checked for presence of required fields"),
       anchor: f_14.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
@@ -384,8 +384,8 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("conversation", TType::I64, 12))?;
     o_prot.write_i64(self.conversation)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("may_queue", TType::Bool, 13))?;
-    o_prot.write_bool(self.may_queue)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("wait", TType::I08, 13))?;
+    o_prot.write_i8(self.wait)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("anchor", TType::Bool, 14))?;
     o_prot.write_bool(self.anchor)?;
@@ -710,17 +710,17 @@
   pub stream: i64,
   pub code: i32,
   pub retry_after_ms: i64,
-  pub redirect: Option<String>,
+  pub redirect: Vec<String>,
   pub detail: String,
 }
 
 impl Refuse {
-  pub fn new<F4>(stream: i64, code: i32, retry_after_ms: i64, redirect: F4, detail: String) -> Refuse where F4: Into<Option<String>> {
+  pub fn new(stream: i64, code: i32, retry_after_ms: i64, redirect: Vec<String>, detail: String) -> Refuse {
     Refuse {
       stream,
       code,
       retry_after_ms,
-      redirect: redirect.into(),
+      redirect,
       detail,
     }
   }
@@ -732,7 +732,7 @@
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<i32> = None;
     let mut f_3: Option<i64> = None;
-    let mut f_4: Option<String> = None;
+    let mut f_4: Option<Vec<String>> = None;
     let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
@@ -754,7 +754,13 @@
           f_3 = Some(val);
         },
         4 => {
-          let val = i_prot.read_string()?;
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_2 = i_prot.read_string()?;
+            val.push(list_elem_2);
+          }
+          i_prot.read_list_end()?;
           f_4 = Some(val);
         },
         5 => {
@@ -771,12 +777,13 @@
     verify_required_field_exists("Refuse.stream", &f_1)?;
     verify_required_field_exists("Refuse.code", &f_2)?;
     verify_required_field_exists("Refuse.retry_after_ms", &f_3)?;
+    verify_required_field_exists("Refuse.redirect", &f_4)?;
     verify_required_field_exists("Refuse.detail", &f_5)?;
     let ret = Refuse {
       stream: f_1.expect("auto-generated code should have checked for presence of required fields"),
       code: f_2.expect("auto-generated code should have checked for presence of required fields"),
       retry_after_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
-      redirect: f_4,
+      redirect: f_4.expect("auto-generated code should have checked for presence of required fields"),
       detail: f_5.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
@@ -793,11 +800,13 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("retry_after_ms", TType::I64, 3))?;
     o_prot.write_i64(self.retry_after_ms)?;
     o_prot.write_field_end()?;
-    if let Some(ref fld_var) = self.redirect {
-      o_prot.write_field_begin(&TFieldIdentifier::new("redirect", TType::String, 4))?;
-      o_prot.write_string(fld_var)?;
-      o_prot.write_field_end()?
+    o_prot.write_field_begin(&TFieldIdentifier::new("redirect", TType::List, 4))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.redirect.len() as i32))?;
+    for e in &self.redirect {
+      o_prot.write_string(e)?;
     }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("detail", TType::String, 5))?;
     o_prot.write_string(&self.detail)?;
     o_prot.write_field_end()?;
@@ -1049,8 +1058,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_bytes()?;
-            val.push(list_elem_2);
+            let list_elem_3 = i_prot.read_bytes()?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1891,8 +1900,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<MemberNews> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = MemberNews::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_3);
+            let list_elem_4 = MemberNews::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_6 = Some(val);
@@ -2107,14 +2116,18 @@
   pub pool: i64,
   pub tokens: i64,
   pub doubtful: i64,
+  pub least: Option<String>,
+  pub least_tokens: Option<i64>,
 }
 
 impl PoolLoad {
-  pub fn new(pool: i64, tokens: i64, doubtful: i64) -> PoolLoad {
+  pub fn new<F4, F5>(pool: i64, tokens: i64, doubtful: i64, least: F4, least_tokens: F5) -> PoolLoad where F4: Into<Option<String>>, F5: Into<Option<i64>> {
     PoolLoad {
       pool,
       tokens,
       doubtful,
+      least: least.into(),
+      least_tokens: least_tokens.into(),
     }
   }
 }
@@ -2125,6 +2138,8 @@
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<i64> = None;
+    let mut f_4: Option<String> = None;
+    let mut f_5: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2144,6 +2159,14 @@
           let val = i_prot.read_i64()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_string()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2158,6 +2181,8 @@
       pool: f_1.expect("auto-generated code should have checked for presence of required fields"),
       tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
       doubtful: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      least: f_4,
+      least_tokens: f_5,
     };
     Ok(ret)
   }
@@ -2173,6 +2198,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("doubtful", TType::I64, 3))?;
     o_prot.write_i64(self.doubtful)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.least {
+      o_prot.write_field_begin(&TFieldIdentifier::new("least", TType::String, 4))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.least_tokens {
+      o_prot.write_field_begin(&TFieldIdentifier::new("least_tokens", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2220,8 +2255,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<PoolLoad> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_4 = PoolLoad::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_4);
+            let list_elem_5 = PoolLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_5);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    ids::{ConversationKey, TargetId, VmId},
+    ids::{ConversationKey, PrefixKey, TargetId, VmId},
     units::Weight,
 };
 
@@ -55,6 +55,22 @@
     scored.into_iter().map(|(_, i)| i).collect()
 }
 
+/// How many times its share of the targets a shared prefix is spread over.
+const SPREAD: f64 = 10.0;
+
+/// The fewest targets that a shared prefix is spread over.
+const SPREAD_LEAST: usize = 48;
+
+/// The candidates that chats with a shared prefix have as first choices, as indices.
+///
+/// Chats that begin with the same long prompt need it cached on as many targets as their share
+/// of the traffic takes, and on no more. `share` is that part, from 0 to 1.
+pub fn prefix_targets(candidates: &[Candidate], prefix: PrefixKey, share: f64) -> Vec<usize> {
+    let wanted = (candidates.len() as f64 * share * SPREAD).ceil() as usize;
+    let n = wanted.max(SPREAD_LEAST);
+    rank(candidates, ConversationKey(prefix.0), n)
+}
+
 /// The router among `vms` that keeps `thing`; `None` only if there is none.
 pub fn keeper<'a>(thing: &str, vms: impl Iterator<Item = &'a VmId>) -> Option<&'a VmId> {
     let key = xxh3_64(thing.as_bytes());
--- a/src/units.rs
+++ b/src/units.rs
@@ -128,10 +128,15 @@
         self.0
     }
 
-    /// The factor that admission uses: part of the way to the bound, so that what the mean
-    /// loses after an admission does not carry the engine above the promise.
-    pub fn admission_factor(self) -> f64 {
-        1.0 + (self.0 - 1.0) * 0.8
+    /// The factor up to which a chat is admitted whose cached work is at the target: short of the
+    /// bound, so that what the mean loses afterwards does not carry the engine above it.
+    pub fn returning_factor(self) -> f64 {
+        1.0 + (self.0 - 1.0) * 0.7
+    }
+
+    /// The factor up to which anything else is admitted.
+    pub fn other_factor(self) -> f64 {
+        1.0 + (self.0 - 1.0) * 0.05
     }
 }
 
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -15,7 +15,7 @@
   4: required string target; 5: required string method; 6: required string path;
   7: required list<WireHeader> headers; 8: required binary body;
   9: required i64 remaining_ms; 10: required i32 priority; 11: required i64 cost_tokens;
-  12: required i64 conversation; 13: required bool may_queue; 14: required bool anchor
+  12: required i64 conversation; 13: required i8 wait; 14: required bool anchor
 }
 /* Tells the home of a conversation's first choice where the conversation went. */
 struct Placed { 1: required i64 conversation; 2: required string first; 3: required string target }
@@ -23,7 +23,7 @@
 struct Data { 1: required i64 stream; 2: required binary bytes }
 struct End { 1: required i64 stream; 2: required i32 code }
 /* The request was not admitted, or ended before an answer's head. */
-struct Refuse { 1: required i64 stream; 2: required i32 code; 3: required i64 retry_after_ms; 4: optional string redirect; 5: required string detail }
+struct Refuse { 1: required i64 stream; 2: required i32 code; 3: required i64 retry_after_ms; 4: required list<string> redirect; 5: required string detail }
 struct Cancel { 1: required i64 stream }
 struct Credit { 1: required i64 stream; 2: required i32 bytes }
 
@@ -53,7 +53,7 @@
 struct ProbeAsk { 1: required string vm; 2: required string subject }
 struct ProbeAnswer { 1: required string vm; 2: required string subject; 3: required i64 incarnation }
 /* One home's sum over its targets of one pool. */
-struct PoolLoad { 1: required i64 pool; 2: required i64 tokens; 3: required i64 doubtful }
+struct PoolLoad { 1: required i64 pool; 2: required i64 tokens; 3: required i64 doubtful; 4: optional string least; 5: optional i64 least_tokens }
 /* With `ask`, the receiver reports back at once. */
 struct LoadReport { 1: required string vm; 2: required list<PoolLoad> pools; 3: required bool ask }
 /* Demand for and grants of an account's rate, in thousandths of a request a second. */
