A target that fails at once no longer draws requests

Ruled out: repeats (each went to another engine, but later requests came back). Change: a breaker per target at its home; bytes of claims are counted apart from control.

--- a/examples/demo/chats.rs
+++ b/examples/demo/chats.rs
@@ -27,7 +27,11 @@
 
 /// Lives one chat after another until the time is over.
 pub async fn run(world: Arc<World>, n: usize, mut rng: Pcg64, until: Instant) {
-    let key = if n % 2 == 0 { KEY } else { "key-of-puente" };
+    let key = if n.is_multiple_of(2) {
+        KEY
+    } else {
+        "key-of-puente"
+    };
     let caller = Caller::new(key);
     for life in 0.. {
         let mut messages = vec![(
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -33,7 +33,7 @@
             optional --engines n: usize
             /// Runners of a plain service [2].
             optional --services n: usize
-            /// Chats that come and return [300].
+            /// Chats that come and return [400].
             optional --chats n: usize
             /// What random choices follow from [1].
             optional --seed n: u64
@@ -68,7 +68,7 @@
         engine: EngineConfig {
             seed: 7,
             cache_tokens: 200_000,
-            token_time: Duration::from_millis(2),
+            token_time: Duration::from_millis(10),
             prefill_time: Duration::from_micros(20),
         },
         settings: Vec::new(),
@@ -114,7 +114,7 @@
     let world = Arc::new(report::World::new(Mutex::new(fleet)));
     let mut tasks = tokio::task::JoinSet::new();
     let mut rng = Pcg64::seed_from_u64(seed);
-    for i in 0..flags.chats.unwrap_or(300) {
+    for i in 0..flags.chats.unwrap_or(400) {
         let rng = Pcg64::seed_from_u64(rng.random());
         tasks.spawn(chats::run(Arc::clone(&world), i, rng, until));
     }
--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -86,6 +86,7 @@
     samples_above_bound: f64,
     reuse: f64,
     control_bytes_per_router_s: f64,
+    claim_bytes_per_call: f64,
     answer_ms: Times,
     hop_spans: u64,
     faults: BTreeMap<&'static str, u64>,
@@ -253,6 +254,7 @@
         }
     }
     let control: u64 = fleet.live().map(|r| r.control_bytes()).sum();
+    let claims: u64 = fleet.live().map(|r| r.claim_bytes()).sum();
     let hop_spans = fleet.live().map(|r| r.hop_spans()).sum();
     let (store_reads, store_writes) = fleet.platform.calls();
     let counts = world.counts();
@@ -285,6 +287,7 @@
         samples_above_bound: counts.samples_above as f64 / counts.samples.max(1) as f64,
         reuse: counts.cached_tokens as f64 / counts.prompt_tokens.max(1) as f64,
         control_bytes_per_router_s: control as f64 / seconds / fleet.live().count().max(1) as f64,
+        claim_bytes_per_call: claims as f64 / counts.confirms.len().max(1) as f64,
         answer_ms: Times {
             p50: time(0.5),
             p95: time(0.95),
--- a/examples/replay/world.rs
+++ b/examples/replay/world.rs
@@ -782,7 +782,7 @@
 /// When the last request comes in; what drains afterwards says nothing.
 fn last_request(lines: &[Line]) -> u64 {
     let requests = lines.iter().filter(|l| matches!(l, Line::Request(_)));
-    requests.last().map_or(0, Line::t_ms)
+    requests.map(Line::t_ms).max().unwrap_or(0)
 }
 
 /// The time that is measured: all but the warm-up.
--- a/src/home.rs
+++ b/src/home.rs
@@ -19,6 +19,7 @@
 use lru::LruCache;
 
 use crate::{
+    breaker::Breaker,
     conversation::ConversationTable,
     ids::{ConversationKey, TargetId},
     load::{Load, PoolView},
@@ -137,6 +138,7 @@
     waiting: BTreeMap<(Instant, Ticket), Waiting>,
     conversations: ConversationTable,
     served: LruCache<ConversationKey, ()>,
+    breaker: Breaker,
 }
 
 impl Home {
@@ -158,6 +160,7 @@
             waiting: BTreeMap::new(),
             conversations: ConversationTable::default(),
             served: LruCache::new(REMEMBERED),
+            breaker: Breaker::default(),
         }
     }
 
@@ -219,6 +222,16 @@
         self.waiting.len()
     }
 
+    /// What became of requests that were sent to the target.
+    pub fn breaker(&mut self) -> &mut Breaker {
+        &mut self.breaker
+    }
+
+    /// Whether the target fails and gets nothing now.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.breaker.is_open(now)
+    }
+
     /// Whether something waits that found no room anywhere.
     pub fn lacks_room(&self) -> bool {
         self.waiting.values().any(|w| w.offer.wait == Wait::ForRoom)
@@ -232,6 +245,10 @@
     /// Decides on a request.
     pub fn on_offer(&mut self, now: Instant, offer: Offer, pool: PoolView) -> Verdict {
         match offer.wait {
+            _ if self.breaker.is_open(now) => Verdict::Declined {
+                code: ResultCode::NoTarget,
+                redirect: Vec::new(),
+            },
             _ if self.would_admit(now, &offer, pool) => {
                 self.admit(now, &offer);
                 Verdict::Admitted
@@ -300,6 +317,9 @@
     /// Admits what has room and refuses what is too late.
     pub fn on_tick(&mut self, now: Instant, pool: PoolView) -> Vec<Wake> {
         let mut wakes = self.refuse_late(now);
+        if self.breaker.is_open(now) {
+            wakes.extend(self.refuse_waiting(ResultCode::NoTarget));
+        }
         while let Some(key) = self.next_waiting(now) {
             let offer = self.waiting[&key].offer.clone();
             if !self.has_room(now, &offer, pool_after(pool, &wakes, offer.cost)) {
@@ -359,6 +379,7 @@
 
     fn admit(&mut self, now: Instant, offer: &Offer) {
         self.own += offer.cost;
+        self.breaker.on_send();
         self.running.insert(offer.ticket, (now, offer.cost));
         self.served.put(offer.conversation, ());
     }
--- a/src/home_service.rs
+++ b/src/home_service.rs
@@ -17,7 +17,7 @@
     directory::Directory,
     explain::Decision,
     home::{Offer, TargetReport, Ticket, Verdict, Wake},
-    homes::{HomeStatus, Homes, PoolSum, TargetWake},
+    homes::{HomeStatus, Homes, Outcome, PoolSum, TargetWake},
     ids::{ConversationKey, TargetId, VmId},
     peer::{Admission, OpenError},
     request::{Placed, Refusal, Request},
@@ -162,6 +162,7 @@
             clock: cx.clock(),
             target,
             ticket,
+            noted: false,
         }
     }
 }
@@ -174,18 +175,38 @@
     clock: tokio::time::Instant,
     target: TargetId,
     ticket: Ticket,
+    noted: bool,
 }
 
 impl Drop for TicketGuard {
     fn drop(&mut self) {
         self.waiters.lock().remove(&self.ticket);
         let now = Instant(self.clock.elapsed());
-        let wakes = self.homes.lock().on_finish(now, &self.target, self.ticket);
+        let wakes = {
+            let mut homes = self.homes.lock();
+            if !self.noted {
+                homes.on_outcome(now, &self.target, Outcome::Abandoned);
+            }
+            homes.on_finish(now, &self.target, self.ticket)
+        };
         self.relayed.fetch_sub(1, Ordering::Relaxed);
         wake(&self.waiters, wakes);
     }
 }
 
+impl TicketGuard {
+    /// Notes how the request went, as soon as that is known.
+    fn note(&mut self, answer: &Result<Answer, SendError>) {
+        let outcome = match answer {
+            Ok(_) => Outcome::Answered,
+            Err(_) => Outcome::Failed,
+        };
+        let now = Instant(self.clock.elapsed());
+        self.homes.lock().on_outcome(now, &self.target, outcome);
+        self.noted = true;
+    }
+}
+
 /// Admits a call at this router, sends it, and hands the answer back as it comes.
 pub(crate) async fn serve_call(
     cx: &Shared,
@@ -216,12 +237,13 @@
     request: Request<Placed>,
     address: std::net::SocketAddr,
     call: Call,
-    guard: TicketGuard,
+    mut guard: TicketGuard,
     spans: [HopSpan; 2],
 ) -> Result<Answer, OpenError> {
     let target = call.target.clone();
     let id = request.id();
     let answer = cx.targets.send(address, call).await;
+    guard.note(&answer);
     match answer {
         Ok(answer) => {
             let says = answer.headers.iter().any(|h| h.name == Refusal::HEADER);
--- a/src/homes.rs
+++ b/src/homes.rs
@@ -66,6 +66,19 @@
     pub waiting: usize,
     /// Whether another router may believe that it is home.
     pub in_doubt: bool,
+    /// Whether it fails and gets nothing now.
+    pub circuit_open: bool,
+}
+
+/// How a request went that was sent to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer began.
+    Answered,
+    /// The target was not reached, or ended without an answer.
+    Failed,
+    /// The caller left before that was known.
+    Abandoned,
 }
 
 /// What became of a request that waited at a target.
@@ -265,7 +278,7 @@
         let same = self
             .kept
             .iter()
-            .filter(|(_, k)| k.is_home && k.pool == *pool);
+            .filter(|(_, k)| k.is_home && k.pool == *pool && !k.home.is_open(now));
         let least = same.map(|(target, k)| {
             let Load { tokens, doubtful } = k.home.load(now);
             let scaled = (tokens + doubtful).0 * 100 / u64::from(k.home.weight().get());
@@ -291,6 +304,18 @@
         }
     }
 
+    /// Takes how a request went that was sent to a target.
+    pub fn on_outcome(&mut self, now: Instant, target: &TargetId, outcome: Outcome) {
+        if let Some(k) = self.kept.get_mut(target) {
+            let breaker = k.home.breaker();
+            match outcome {
+                Outcome::Answered => breaker.on_success(),
+                Outcome::Failed => breaker.on_failure(now),
+                Outcome::Abandoned => breaker.on_abandon(),
+            }
+        }
+    }
+
     /// Takes what a target says of its own load; `None` if it answers but does not tell.
     pub fn on_report(&mut self, now: Instant, target: &TargetId, report: Option<TargetReport>) {
         match (self.kept.get_mut(target), report) {
@@ -395,6 +420,7 @@
                     running: k.home.running(),
                     waiting: k.home.waiting(),
                     in_doubt: k.home.in_doubt(now),
+                    circuit_open: k.home.is_open(now),
                 }
             })
             .collect()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
     clippy::module_name_repetitions
 )]
 
+pub mod breaker;
 mod chat;
 mod claim_keeper;
 pub mod claims;
--- a/src/load.rs
+++ b/src/load.rs
@@ -141,7 +141,7 @@
 fn remaining(now: Instant, report: &Report) -> Load {
     let age = now.since(report.at);
     let left = REPORT_EXPIRES.saturating_sub(age).as_secs_f64();
-    let whole = (REPORT_EXPIRES - REPORT_FADES).as_secs_f64();
+    let whole = REPORT_EXPIRES.saturating_sub(REPORT_FADES).as_secs_f64();
     let part = (left / whole).min(1.0);
     let scale = |t: Tokens| Tokens((t.0 as f64 * part) as u64);
     Load {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -57,6 +57,27 @@
     }
 }
 
+/// Bytes of frames that belong to no single request, and of claims.
+#[derive(Debug, Default)]
+pub(super) struct PeerBytes {
+    pub(super) control: AtomicU64,
+    pub(super) claims: AtomicU64,
+}
+
+impl PeerBytes {
+    pub(super) fn count(&self, frame: &wire::Frame, size: usize) {
+        let counter = match frame {
+            wire::Frame::ClaimAsk(_) | wire::Frame::ClaimAnswer(_) => &self.claims,
+            wire::Frame::ConfigPull(_)
+            | wire::Frame::ConfigChanges(_)
+            | wire::Frame::ConfigSnapshot(_)
+            | wire::Frame::Placed(_) => &self.control,
+            _ => return,
+        };
+        counter.fetch_add(size as u64, Ordering::Relaxed);
+    }
+}
+
 /// The dialling side of a connection.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -64,7 +85,7 @@
     streams: Mutex<HashMap<i64, UnboundedSender<wire::Frame>>>,
     next: AtomicI64,
     open: AtomicBool,
-    control_bytes: Arc<AtomicU64>,
+    bytes: Arc<PeerBytes>,
 }
 
 impl Link {
@@ -73,7 +94,7 @@
         address: std::net::SocketAddr,
         greeting: &Greeting,
         body_limit: usize,
-        control_bytes: Arc<AtomicU64>,
+        bytes: Arc<PeerBytes>,
     ) -> Result<Arc<Self>> {
         let hello = async {
             let socket = TcpStream::connect(address).await?;
@@ -95,7 +116,7 @@
             streams: Mutex::default(),
             next: AtomicI64::new(1),
             open: AtomicBool::new(true),
-            control_bytes,
+            bytes,
         });
         tokio::spawn(write_frames(rx, sink));
         let reader = Arc::clone(&link);
@@ -147,9 +168,7 @@
 
     fn dispatch(&self, frame: wire::Frame, size: usize) {
         let Some(id) = stream_of(&frame) else { return };
-        if !matches!(frame, wire::Frame::Data(_) | wire::Frame::Head(_)) {
-            self.control_bytes.fetch_add(size as u64, Ordering::Relaxed);
-        }
+        self.bytes.count(&frame, size);
         let streams = self.streams.lock();
         if let Some(tx) = streams.get(&id) {
             // A stream whose receiver left takes nothing more.
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -17,7 +14,7 @@
 
 use super::{
     WINDOW, codec,
-    link::{Greeting, Link},
+    link::{Greeting, Link, PeerBytes},
     wire,
 };
 use crate::{
@@ -112,7 +109,7 @@
     greeting: Greeting,
     body_limit: usize,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
-    control_bytes: Arc<AtomicU64>,
+    bytes: Arc<PeerBytes>,
 }
 
 impl PeerPool {
@@ -122,13 +119,19 @@
             greeting: Greeting { vm, incarnation },
             body_limit,
             links: Mutex::default(),
-            control_bytes: Arc::default(),
+            bytes: Arc::default(),
         }
     }
 
     /// Bytes of control frames sent and received on dialled connections.
     pub fn control_bytes(&self) -> u64 {
-        self.control_bytes.load(Ordering::Relaxed)
+        self.bytes.control.load(Ordering::Relaxed)
+    }
+
+    /// Bytes of claims sent and received on dialled connections; they come with unrepeatable
+    /// calls alone.
+    pub fn claim_bytes(&self) -> u64 {
+        self.bytes.claims.load(Ordering::Relaxed)
     }
 
     /// Sends a call to a target's home and waits for its answer's head.
@@ -190,7 +193,7 @@
 
     fn count(&self, frame: &wire::Frame) {
         let size = codec::encode(frame).map_or(0, |b| b.len());
-        self.control_bytes.fetch_add(size as u64, Ordering::Relaxed);
+        self.bytes.count(frame, size);
     }
 
     async fn link(&self, address: SocketAddr) -> Result<Arc<Link>> {
@@ -198,7 +201,7 @@
         match known {
             Some(link) if link.is_open() => Ok(link),
             _ => {
-                let bytes = Arc::clone(&self.control_bytes);
+                let bytes = Arc::clone(&self.bytes);
                 let link = Link::dial(address, &self.greeting, self.body_limit, bytes).await?;
                 self.links.lock().insert(address, Arc::clone(&link));
                 Ok(link)
--- a/src/router.rs
+++ b/src/router.rs
@@ -278,6 +278,11 @@
         self.cx.control_bytes()
     }
 
+    /// Bytes of claims of unrepeatable calls so far.
+    pub fn claim_bytes(&self) -> u64 {
+        self.cx.peers.claim_bytes()
+    }
+
     /// Spans of hops so far.
     pub fn hop_spans(&self) -> u64 {
         self.cx.telemetry.hop_spans()
