--- a/src/claims.rs
+++ b/src/claims.rs
@@ -272,6 +272,11 @@
         }
     }
 
+    /// The chunk that is appended to, or that was sealed last.
+    pub fn last(&self) -> &Chunk {
+        &self.last
+    }
+
     /// The number of the chunk that is appended to, or that was sealed last.
     pub fn number(&self) -> u64 {
         self.number
@@ -315,7 +320,8 @@
         (Claim, None) if remembered >= SHARD_LIMIT => ClaimVerdict::NotRecorded,
         (Claim, None) => ClaimVerdict::Recorded,
         (Claim, Some(s)) if s.kind == Release => ClaimVerdict::Recorded,
-        (Done | Release, Some(s)) if s.request == step.request => ClaimVerdict::Recorded,
+        (Done, Some(s)) if s.request == step.request => ClaimVerdict::Recorded,
+        (Release, Some(s)) if s.request == step.request && s.kind != Done => ClaimVerdict::Recorded,
         (Claim, Some(s)) if s.request == step.request && s.kind == Claim => ClaimVerdict::Recorded,
         (_, Some(s)) if s.kind == Done && s.outcome == 0 => ClaimVerdict::Unknown,
         (_, Some(s)) if s.kind == Done => ClaimVerdict::Ran(s.outcome),
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,296 @@
+//! The real daemon as processes: killed, frozen, stopped, and with bad settings.
+
+mod support;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Output, Stdio},
+    time::Duration,
+};
+
+use insta::assert_snapshot;
+use serde_json::Value;
+use support::{
+    caller::{Caller, TOKEN, chat_body},
+    engine::{Engine, EngineConfig, expected},
+    fleet::{MODEL, change_at, status},
+    platform::Platform,
+};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_scalefordd");
+const COMMAND: &str = env!("CARGO_BIN_EXE_scaleford");
+
+struct Daemon {
+    child: Child,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An address that was free a moment ago.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+impl Daemon {
+    fn start(i: usize, platform: SocketAddr) -> Self {
+        let (callers, peers, operators) = (free(), free(), free());
+        let child = Command::new(DAEMON)
+            .args([
+                "--vm",
+                &format!("vm-{i}"),
+                "--data-hall",
+                &format!("hall-{i}"),
+            ])
+            .args([
+                "--listen",
+                &callers.to_string(),
+                "--peer-listen",
+                &peers.to_string(),
+            ])
+            .args(["--operator-listen", &operators.to_string()])
+            .args(["--platform", &platform.to_string(), "--drain-wait-ms", "0"])
+            .env("SCALEFORD_OPERATOR_TOKENS", format!("night-watch:{TOKEN}"))
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            callers,
+            peers,
+            operators,
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args([name, &pid])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    fn info(&self, i: usize) -> String {
+        format!("vm-{i}/region-1/hall-{i}/{}", self.peers)
+    }
+}
+
+struct Processes {
+    platform: Platform,
+    engines: Vec<Engine>,
+    daemons: Vec<Daemon>,
+}
+
+async fn start() -> Processes {
+    let platform = Platform::start("127.0.0.1:0").await;
+    let mut engines = Vec::new();
+    for _ in 0..2 {
+        engines.push(Engine::start("127.0.0.1:0", EngineConfig::default()).await);
+    }
+    let daemons: Vec<_> = (0..3)
+        .map(|i| Daemon::start(i, platform.server.address))
+        .collect();
+    platform.set_vms(daemons.iter().enumerate().map(|(i, d)| d.info(i)).collect());
+    let key = String::from(scaleford::config::KeyHash::of(support::caller::KEY));
+    let mut edits = vec![
+        serde_json::json!({"put_account": {"id": "green-hammer", "account": {
+            "key_hashes": [key], "requests_per_s": 100_000, "concurrency": 100_000}}}),
+        serde_json::json!({"put_model": {"id": MODEL, "model": {}}}),
+    ];
+    for (i, engine) in engines.iter().enumerate() {
+        edits.push(
+            serde_json::json!({"put_target": {"id": format!("engine-{i}"), "target": {
+            "address": engine.server.address.to_string(), "region": "region-1",
+            "data_hall": "hall-0", "serves": {"model": MODEL}}}}),
+        );
+    }
+    until(async || {
+        change_at(daemons[0].operators, "first", edits.clone())
+            .await
+            .0
+            == 200
+    })
+    .await;
+    let processes = Processes {
+        platform,
+        engines,
+        daemons,
+    };
+    for d in &processes.daemons {
+        until(async || {
+            let seen = status(d.operators).await;
+            seen["state"] == "serving" && seen["revision"].as_u64() > Some(0)
+        })
+        .await;
+    }
+    processes
+}
+
+async fn until<F: AsyncFnMut() -> bool>(mut holds: F) {
+    while !holds().await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn is_answered(at: SocketAddr, text: &str) -> bool {
+    let body = chat_body(MODEL, &[("user", text.to_owned())], 12, true);
+    let outcome = Caller::default().chat(at, &body).await;
+    let whole = outcome.finished && !outcome.cut;
+    assert!(
+        !whole || outcome.text == expected(7, &body).concat(),
+        "{outcome:?}"
+    );
+    whole
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_go_on_when_a_process_is_killed_frozen_or_stopped() {
+    let mut fleet = start().await;
+    for (i, d) in fleet.daemons.iter().enumerate() {
+        until(async || is_answered(d.callers, &format!("through {i}")).await).await;
+    }
+    // Frozen: the others take its homes, and it is taken back when it wakes.
+    fleet.daemons[2].signal("-STOP");
+    let at = fleet.daemons[0].callers;
+    let sees = async |state: &str| {
+        let seen = status(fleet.daemons[0].operators).await;
+        let routers = seen["routers"].as_array().cloned().unwrap_or_default();
+        routers
+            .iter()
+            .any(|r| r["vm"] == "vm-2" && r["state"] == state)
+    };
+    until(async || sees("dead").await).await;
+    for i in 0..10 {
+        assert!(is_answered(at, &format!("frozen {i}")).await);
+    }
+    fleet.daemons[2].signal("-CONT");
+    until(async || sees("alive").await).await;
+    // Stopped as planned, with an answer in progress through it.
+    fleet.engines.iter().for_each(|e| e.set_gate(false));
+    let stopping = fleet.daemons[1].callers;
+    let chat = tokio::spawn(async move { is_answered(stopping, "while it stops").await });
+    let running = |e: &Engine| e.state.lock().unwrap().running;
+    until(async || fleet.engines.iter().map(running).sum::<u32>() == 1).await;
+    fleet.daemons[1].signal("-TERM");
+    fleet.engines.iter().for_each(|e| e.set_gate(true));
+    assert!(chat.await.unwrap());
+    assert!(fleet.daemons[1].child.wait().unwrap().success());
+    // Killed: the last one that is left answers.
+    fleet.daemons[2].signal("-KILL");
+    until(async || is_answered(at, "killed").await).await;
+    assert_eq!(
+        fleet.platform.calls().1,
+        1,
+        "one change was written, and nothing else"
+    );
+}
+
+fn run(program: &str, args: &[&str]) -> Output {
+    Command::new(program)
+        .args(args)
+        .env_clear()
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn every_fault_of_the_settings_is_told_at_once() {
+    let args = [
+        "--listen",
+        "nowhere",
+        "--load-bound",
+        "0.5",
+        "--operator-tokens",
+        "a:short",
+    ];
+    let out = run(DAEMON, &args);
+    assert_eq!(out.status.code(), Some(2));
+    assert_snapshot!(String::from_utf8_lossy(&out.stderr));
+}
+
+#[test]
+fn settings_are_shown_with_their_secrets_masked() {
+    let args = [
+        "--check-settings",
+        "--vm",
+        "vm-1",
+        "--listen",
+        "127.0.0.1:1",
+        "--peer-listen",
+        "127.0.0.1:2",
+        "--operator-listen",
+        "127.0.0.1:3",
+        "--platform",
+        "127.0.0.1:4",
+        "--operator-tokens",
+        "night-watch:very-secret-token",
+    ];
+    let out = run(DAEMON, &args);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success() && !text.contains("very-secret"));
+    assert_snapshot!(text);
+}
+
+#[test]
+fn a_plain_port_beyond_loopback_needs_to_be_asked_for() {
+    let args = [
+        "--check-settings",
+        "--vm",
+        "vm-1",
+        "--listen",
+        "0.0.0.0:1",
+        "--peer-listen",
+        "127.0.0.1:2",
+        "--operator-listen",
+        "127.0.0.1:3",
+        "--platform",
+        "127.0.0.1:4",
+        "--operator-tokens",
+        "night-watch:very-secret-token",
+    ];
+    let out = run(DAEMON, &args);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("--listen (SCALEFORD_LISTEN)"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_command_shows_status_and_exits_as_documented() {
+    let fleet = start().await;
+    let operator = fleet.daemons[0].operators.to_string();
+    let args = [
+        "--operator",
+        &operator,
+        "--token",
+        TOKEN,
+        "--json",
+        "status",
+    ];
+    let out = run(COMMAND, &args);
+    assert!(out.status.success());
+    let shown: Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!(shown["vm"], "vm-0");
+    let unknown = run(
+        COMMAND,
+        &["--operator", &operator, "--token", TOKEN, "explain", "none"],
+    );
+    assert_eq!(unknown.status.code(), Some(3));
+    let wrong = run(
+        COMMAND,
+        &["--operator", &operator, "--token", "wrong-token", "status"],
+    );
+    assert_eq!(wrong.status.code(), Some(1));
+    assert_eq!(run(COMMAND, &["status"]).status.code(), Some(2));
+}
