Pools by number inside a home, and a folder for what homes outgrew

Change: PoolId, Pool and HomeMap in modules of their own; a target whose pool changes is counted in its new one; callers are told overloaded and no_target in place of codes between routers.

--- a/examples/replay/world.rs
+++ b/examples/replay/world.rs
@@ -565,7 +565,7 @@
                     router.known.clone_from(&loads);
                 }
                 let report = PoolSum {
-                    pool: 0,
+                    pool: scaleford::homes::PoolId(0),
                     load: scaleford::load::Load::default(),
                     least: None,
                 };
--- a/src/entry/walk.rs
+++ b/src/entry/walk.rs
@@ -181,7 +181,7 @@
     let (sent, lost_at, code, detail) = match passes(cx, caller, job, span, request, None).await {
         Passed::Answer(answer) => return Walked::Answer(answer),
         Passed::Untaken(request, code) => {
-            return Walked::NotRun(request.not_run(code, "no target took the request"));
+            return Walked::NotRun(request.not_run(told(code), "no target took the request"));
         }
         Passed::Unknown(sent, target, code, detail) => (sent, target, code, detail),
     };
@@ -351,6 +351,15 @@
     );
 }
 
+/// What a caller is told where all targets declined with this code.
+fn told(code: ResultCode) -> ResultCode {
+    match code {
+        ResultCode::OverBound => ResultCode::Overloaded,
+        ResultCode::NotHome => ResultCode::NoTarget,
+        other => other,
+    }
+}
+
 /// Whether targets that did not take a request for this reason may do so a moment later.
 fn may_recover(code: ResultCode) -> bool {
     use ResultCode::{NoTarget, NotHome, OverBound, TargetRefused};
--- a/src/homes.rs
+++ b/src/homes/mod.rs
@@ -4,71 +4,26 @@
 //! of its targets. So a pool has at most that many homes, however many targets it has, and its
 //! homes can tell each other their sums directly.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+mod map;
+mod pool;
+mod status;
 
-use xxhash_rust::xxh3::xxh3_64;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{
-    config::{FleetConfig, Serves, Target, TargetIntent},
+    config::{FleetConfig, Target, TargetIntent},
     home::{Home, Offer, TargetReport, Ticket, Verdict, Wake},
     ids::{ConversationKey, TargetId, VmId},
-    load::{ASK_EVERY, Least, Load, PoolLoad, PoolView},
-    placement::keeper,
+    load::{ASK_EVERY, Least, Load, PoolView},
     result_code::ResultCode,
     units::{Instant, LoadBound, Tokens, Weight},
     walk::Wait,
 };
 
-/// How many homes a pool has at the most.
-pub const SLOTS: u64 = 16;
-
-/// The home of each target, as seen by a router that knows these live routers.
-#[derive(Debug, Clone, Default)]
-pub struct HomeMap {
-    slots: HashMap<Serves, Vec<VmId>>,
-}
-
-impl HomeMap {
-    /// Finds the keeper of every slot of every pool.
-    pub fn new(cfg: &FleetConfig, live: &[VmId]) -> Self {
-        let mut slots: HashMap<Serves, Vec<VmId>> = HashMap::new();
-        for target in cfg.targets.values() {
-            let pool = &target.serves;
-            if !slots.contains_key(pool) {
-                let keeper = |slot| keeper(&format!("{pool}/{slot}"), live.iter()).cloned();
-                slots.insert(pool.clone(), (0..SLOTS).filter_map(keeper).collect());
-            }
-        }
-        Self { slots }
-    }
-
-    /// The home of a target; `None` if no router lives.
-    pub fn home(&self, target: &TargetId, pool: &Serves) -> Option<&VmId> {
-        let slot = xxh3_64(target.as_str().as_bytes()) % SLOTS;
-        self.slots.get(pool)?.get(slot as usize)
-    }
-}
-
-/// One target, as shown to operators.
-#[derive(Debug, Clone, PartialEq, serde::Serialize)]
-pub struct HomeStatus {
-    /// The target.
-    pub target: TargetId,
-    /// Its pool.
-    pub pool: String,
-    /// Tokens in progress.
-    pub tokens: u64,
-    /// Tokens in progress relative to the pool's mean.
-    pub load: f64,
-    /// Requests in progress that were admitted here.
-    pub running: usize,
-    /// Requests that wait here.
-    pub waiting: usize,
-    /// Whether another router may believe that it is home.
-    pub in_doubt: bool,
-    /// Whether it fails and gets nothing now.
-    pub circuit_open: bool,
-}
+pub use map::{HomeMap, SLOTS};
+use pool::Pool;
+pub use pool::{PoolId, PoolSum};
+pub use status::HomeStatus;
 
 /// How a request went that was sent to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,21 +45,11 @@
     pub wake: Wake,
 }
 
-/// What a home reports of one pool.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PoolSum {
-    /// The pool's number.
-    pub pool: u64,
-    /// What is in progress at its targets that the home keeps.
-    pub load: Load,
-    /// The least loaded of them.
-    pub least: Option<Least>,
-}
-
 #[derive(Debug)]
 struct Kept {
     home: Home,
-    pool: Serves,
+    pool: PoolId,
+    pool_name: String,
     is_home: bool,
 }
 
@@ -114,9 +59,7 @@
     vm: VmId,
     bound: LoadBound,
     kept: BTreeMap<TargetId, Kept>,
-    pools: HashMap<Serves, PoolLoad>,
-    weights: HashMap<Serves, u32>,
-    reporters: HashMap<Serves, HashSet<VmId>>,
+    pools: HashMap<PoolId, Pool>,
     started: bool,
     known: HashSet<TargetId>,
     asked: Option<Instant>,
@@ -130,8 +73,6 @@
             bound,
             kept: BTreeMap::new(),
             pools: HashMap::new(),
-            weights: HashMap::new(),
-            reporters: HashMap::new(),
             started: false,
             known: HashSet::new(),
             asked: None,
@@ -148,8 +89,7 @@
     ) -> Vec<TargetWake> {
         let first = !std::mem::replace(&mut self.started, true);
         let alone = first && live.len() == 1;
-        self.weights.clear();
-        self.reporters.clear();
+        self.pools.values_mut().for_each(Pool::begin_view);
         for (id, target) in &cfg.targets {
             let home = map.home(id, &target.serves);
             self.take_target(now, id, target, home, alone);
@@ -164,6 +104,8 @@
         }
         let wakes = self.leave_lost(cfg, live);
         self.drop_idle();
+        self.pools
+            .retain(|_, p| p.weight > 0 || !p.homes.is_empty());
         wakes
     }
 
@@ -254,11 +196,11 @@
         key: ConversationKey,
         cost: Tokens,
     ) -> Option<TargetId> {
-        let pool = self.kept.get(first)?.pool.clone();
+        let pool = self.kept.get(first)?.pool;
         // What this router knows exactly goes before what the others reported a while ago.
-        let room = match self.own_room(now, &pool, cost) {
+        let room = match self.own_room(now, pool, cost) {
             Some(least) => least.target,
-            None => self.pools.entry(pool).or_default().find_room(key, cost)?,
+            None => self.pools.get_mut(&pool)?.load.find_room(key, cost)?,
         };
         if let Some(k) = self.kept.get_mut(first) {
             k.home.conversations().on_placed(key, room.clone());
@@ -267,18 +209,18 @@
     }
 
     /// The least loaded target of a pool that this router is home of, if below the mean.
-    fn own_room(&self, now: Instant, pool: &Serves, cost: Tokens) -> Option<Least> {
+    fn own_room(&self, now: Instant, pool: PoolId, cost: Tokens) -> Option<Least> {
         let mean = self.view(now, pool).mean_with(Weight::USUAL, cost);
         let least = self.least(now, pool)?;
         ((least.tokens.0 as f64) < mean).then_some(least)
     }
 
     /// The least loaded target of a pool that this router is home of.
-    fn least(&self, now: Instant, pool: &Serves) -> Option<Least> {
+    fn least(&self, now: Instant, pool: PoolId) -> Option<Least> {
         let same = self
             .kept
             .iter()
-            .filter(|(_, k)| k.is_home && k.pool == *pool && !k.home.is_open(now));
+            .filter(|(_, k)| k.is_home && k.pool == pool && !k.home.is_open(now));
         let least = same.map(|(target, k)| {
             let Load { tokens, doubtful } = k.home.load(now);
             let scaled = (tokens + doubtful).0 * 100 / u64::from(k.home.weight().get());
@@ -327,10 +269,8 @@
 
     /// Takes another home's sum for a pool.
     pub fn on_load(&mut self, now: Instant, from: VmId, sum: PoolSum) {
-        let known = self.weights.keys().find(|p| pool_number(p) == sum.pool);
-        if let Some(p) = known.cloned() {
-            let known = self.pools.entry(p).or_default();
-            known.on_report(now, from, sum.load, sum.least);
+        if let Some(pool) = self.pools.get_mut(&sum.pool) {
+            pool.load.on_report(now, from, sum.load, sum.least);
         }
     }
 
@@ -338,9 +278,9 @@
     /// long enough ago.
     pub fn take_ask(&mut self, now: Instant) -> bool {
         let lacking = self.kept.values().filter(|k| k.home.lacks_room());
-        let pools: HashSet<Serves> = lacking.map(|k| k.pool.clone()).collect();
+        let pools: HashSet<PoolId> = lacking.map(|k| k.pool).collect();
         let waits = pools
-            .iter()
+            .into_iter()
             .any(|p| self.own_room(now, p, Tokens(0)).is_none());
         let due = self.asked.is_none_or(|at| now.since(at) >= ASK_EVERY);
         if waits && due {
@@ -376,26 +316,22 @@
 
     /// The sums to report now, with the routers that they go to.
     pub fn reports(&mut self, now: Instant) -> Vec<(VmId, Vec<PoolSum>)> {
-        let mut sums: HashMap<&Serves, Load> = HashMap::new();
+        let mut sums: BTreeMap<PoolId, Load> = BTreeMap::new();
         for k in self.kept.values().filter(|k| k.is_home) {
-            let sum = sums.entry(&k.pool).or_default();
+            let sum = sums.entry(k.pool).or_default();
             *sum = *sum + k.home.load(now);
         }
         let mut out: BTreeMap<VmId, Vec<PoolSum>> = BTreeMap::new();
         for (pool, load) in sums {
-            let others = self.reporters.get(pool).into_iter().flatten();
-            let sum = PoolSum {
-                pool: pool_number(pool),
-                load,
-                least: self.least(now, pool),
-            };
-            for vm in others.filter(|vm| **vm != self.vm) {
+            let least = self.least(now, pool);
+            let sum = PoolSum { pool, load, least };
+            let homes = self.pools.get(&pool).into_iter().flat_map(|p| &p.homes);
+            for vm in homes.filter(|vm| **vm != self.vm) {
                 out.entry(vm.clone()).or_default().push(sum.clone());
             }
         }
-        for (pool, load) in &mut self.pools {
-            let homes = self.reporters.get(pool);
-            load.retain(now, |vm| homes.is_some_and(|h| h.contains(vm)));
+        for Pool { load, homes, .. } in self.pools.values_mut() {
+            load.retain(now, |vm| homes.contains(vm));
         }
         out.into_iter().collect()
     }
@@ -405,12 +341,10 @@
         self.kept
             .iter()
             .map(|(target, k)| {
-                let mean = self
-                    .view(now, &k.pool)
-                    .mean_with(k.home.weight(), Tokens(0));
+                let mean = self.view(now, k.pool).mean_with(k.home.weight(), Tokens(0));
                 HomeStatus {
                     target: target.clone(),
-                    pool: k.pool.to_string(),
+                    pool: k.pool_name.clone(),
                     tokens: k.home.tokens().0,
                     load: if mean > 0.0 {
                         k.home.tokens().0 as f64 / mean
@@ -456,34 +390,27 @@
         home: Option<&VmId>,
         alone: bool,
     ) {
-        let pool = &target.serves;
-        if target.intent == TargetIntent::Serve {
-            *self.weights.entry(pool.clone()).or_default() += target.weight.get();
-        }
-        if let Some(vm) = home {
-            let homes = self.reporters.entry(pool.clone()).or_default();
-            homes.insert(vm.clone());
-        }
+        let pool = PoolId::of(&target.serves);
         let serves = target.intent == TargetIntent::Serve;
+        let known = self.pools.entry(pool).or_default();
+        known.weight += if serves { target.weight.get() } else { 0 };
+        known.homes.extend(home.cloned());
         let is_home = serves && home == Some(&self.vm);
         if is_home && !self.kept.contains_key(id) {
-            let home = Home::new(now, target.weight, self.bound, !alone);
-            let pool = pool.clone();
-            let is_home = false;
-            self.kept.insert(
-                id.clone(),
-                Kept {
-                    home,
-                    pool,
-                    is_home,
-                },
-            );
+            let kept = Kept {
+                home: Home::new(now, target.weight, self.bound, !alone),
+                pool,
+                pool_name: target.serves.to_string(),
+                is_home: false,
+            };
+            self.kept.insert(id.clone(), kept);
         }
         if let Some(k) = self.kept.get_mut(id) {
             if is_home && !k.is_home && !alone {
                 k.home.on_doubt(now);
             }
             k.is_home = is_home;
+            k.pool = pool;
             k.home.set_target(target.weight, target.capacity_tokens);
         }
     }
@@ -518,30 +445,24 @@
 
     fn view_of(&self, now: Instant, target: &TargetId) -> PoolView {
         match self.kept.get(target) {
-            Some(k) => self.view(now, &k.pool),
+            Some(k) => self.view(now, k.pool),
             None => PoolView::default(),
         }
     }
 
-    fn view(&self, now: Instant, pool: &Serves) -> PoolView {
-        let same = self.kept.values().filter(|k| k.is_home && k.pool == *pool);
+    fn view(&self, now: Instant, pool: PoolId) -> PoolView {
+        let same = self.kept.values().filter(|k| k.is_home && k.pool == pool);
         let own: Load = same.map(|k| k.home.load(now)).sum();
-        let others = self
-            .pools
-            .get(pool)
-            .map_or_else(Load::default, |p| p.others(now));
-        PoolView {
-            load: own + others,
-            weight: self.weights.get(pool).copied().unwrap_or(0),
+        match self.pools.get(&pool) {
+            Some(p) => PoolView {
+                load: own + p.load.others(now),
+                weight: p.weight,
+            },
+            None => PoolView::default(),
         }
     }
 }
 
-/// A pool's number on the wire.
-pub fn pool_number(pool: &Serves) -> u64 {
-    xxh3_64(pool.to_string().as_bytes())
-}
-
 fn declined(code: ResultCode, redirect: Vec<TargetId>) -> Verdict {
     Verdict::Declined { code, redirect }
 }
--- a/src/peer/datagram.rs
+++ b/src/peer/datagram.rs
@@ -3,7 +3,7 @@
 use super::{codec, wire};
 use crate::{
     Error, Result,
-    homes::PoolSum,
+    homes::{PoolId, PoolSum},
     ids::{ClientAccountId, Incarnation, Revision, VmId},
     limits::{Demand, Grant},
     load::{Least, Load},
@@ -212,7 +212,7 @@
 
 fn pool_to_wire(sum: PoolSum) -> wire::PoolLoad {
     wire::PoolLoad {
-        pool: sum.pool as i64,
+        pool: sum.pool.0 as i64,
         tokens: sum.load.tokens.0 as i64,
         doubtful: sum.load.doubtful.0 as i64,
         least: sum.least.as_ref().map(|l| l.target.to_string()),
@@ -222,7 +222,7 @@
 
 fn pool_from_wire(p: wire::PoolLoad) -> PoolSum {
     PoolSum {
-        pool: p.pool as u64,
+        pool: PoolId(p.pool as u64),
         load: Load {
             tokens: Tokens(p.tokens.max(0) as u64),
             doubtful: Tokens(p.doubtful.max(0) as u64),
