--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -25,12 +25,17 @@
     settings::VmInfo,
     units::{Instant, Priority, Weight},
 };
-use support::{caller::TOKEN, fleet::status, platform::Platform};
+use support::{
+    caller::TOKEN,
+    fleet::{change_at, status},
+    platform::Platform,
+};
 
 const ROUTERS: usize = 380;
 const TARGETS: usize = 1_200;
 const ACCOUNTS: usize = 470;
 const MODELS: usize = 11;
+const CHANGES: usize = 20;
 
 #[tokio::main]
 async fn main() {
@@ -229,6 +234,35 @@
         rss / n as i64,
         (reads - calls.0) as f64 / seconds,
     );
+    spread(&all).await;
+}
+
+/// The time from a change's acceptance until it is in force at every daemon.
+async fn spread(all: &[Daemon]) {
+    let mut times = Vec::new();
+    for i in 0..CHANGES {
+        let edit = serde_json::json!({"put_model": {"id": format!("model-{i}"), "model": {}}});
+        let (code, accepted) = change_at(all[i % all.len()].operators, "spread", vec![edit]).await;
+        assert_eq!(code, 200, "{accepted}");
+        let began = Clock::now();
+        let in_force = async |d: &Daemon| {
+            status(d.operators).await["revision"].as_u64() >= accepted["revision"].as_u64()
+        };
+        for d in all {
+            while !in_force(d).await {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        times.push(began.elapsed().as_millis());
+    }
+    times.sort_unstable();
+    println!(
+        "daemons: {} changes in force at all {}: median {} ms, longest {} ms",
+        CHANGES,
+        all.len(),
+        times[CHANGES / 2],
+        times[CHANGES - 1],
+    );
 }
 
 async fn control(all: &[Daemon]) -> f64 {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: HTTP in, one fitting answer out.
 
 mod body;
+mod once;
 mod walk;
 
 use std::{
@@ -234,7 +235,7 @@
     let key = caller.headers.iter().find(|h| h.name == IDEMPOTENCY_HEADER);
     let claim = match (once, key) {
         (false, _) => None,
-        (true, Some(h)) => Some(walk::claim_key(&caller.account_id, &name, &h.value)),
+        (true, Some(h)) => Some(once::claim_key(&caller.account_id, &name, &h.value)),
         (true, None) => {
             let text = "this call must not be repeated: send an Idempotency-Key";
             return refuse(cx, caller.id, ResultCode::MissingIdempotencyKey, text, None);
--- a/src/entry/walk.rs
+++ b/src/entry/walk.rs
@@ -5,16 +5,15 @@
 use bytes::Bytes;
 use slog::debug;
 
-use super::Caller;
+use super::{Caller, once};
 use crate::{
-    claims::{ClaimKey, ClaimKind, ClaimStep, ClaimVerdict},
+    claims::{ClaimKey, ClaimKind, ClaimStep},
     config::Serves,
     directory::{HomePlace, Place},
     explain::Decision,
     home_service,
-    ids::{ClientAccountId, RequestId, ServiceName, TargetId, VmId},
-    peer::{Admission, Control, ControlReply, OpenError},
-    placement::keeper,
+    ids::{RequestId, TargetId},
+    peer::{Admission, OpenError},
     request::{NotRun, Placed, Received, Refusal, Repeatable, Request, Sent},
     result_code::ResultCode,
     router::Shared,
@@ -39,10 +38,7 @@
 const PASS_WAIT_LIMIT: Duration = Duration::from_secs(1);
 
 /// When a caller should come back whose request did not run.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// How often and how slowly a claim is given back while the store does not answer.
-const RELEASE_TRIES: u32 = 8;
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What is to be done for a caller.
 pub(super) struct Job {
@@ -101,11 +97,6 @@
     Unknown(Request<Sent, R>, ResultCode, String),
 }
 
-/// The key under which an account's unrepeatable call to a service is claimed.
-pub(super) fn claim_key(account: &ClientAccountId, service: &ServiceName, key: &[u8]) -> ClaimKey {
-    ClaimKey::new(account, service.as_str(), &String::from_utf8_lossy(key))
-}
-
 /// Finds the one answer to a request.
 pub(super) async fn run(
     cx: &Arc<Shared>,
@@ -131,13 +122,13 @@
         kind: ClaimKind::Claim,
         outcome: 0,
     };
-    let verdict = take_step(cx, step).await;
+    let verdict = once::take_step(cx, step).await;
     if let Some(code) = verdict.refusal() {
-        return Err(refuse_claim(cx, step, verdict, code));
+        return Err(once::refuse(cx, step, verdict, code));
     }
     match walk(cx, caller, job, span, request).await {
         Walked::Answer(answer) => {
-            spawn_step(
+            once::spawn_step(
                 cx,
                 ClaimStep {
                     kind: ClaimKind::Done,
@@ -149,11 +140,11 @@
         }
         Walked::NotRun(not_run) => {
             // The caller may come back at once, so the claim is given back first.
-            release(cx, step, &not_run).await;
+            once::release(cx, step, &not_run).await;
             Err(not_run.into())
         }
         Walked::Unknown(code, detail) => {
-            spawn_step(
+            once::spawn_step(
                 cx,
                 ClaimStep {
                     kind: ClaimKind::Done,
@@ -383,73 +374,3 @@
         None => {}
     }
 }
-
-fn refuse_claim(
-    cx: &Arc<Shared>,
-    step: ClaimStep,
-    verdict: ClaimVerdict,
-    code: ResultCode,
-) -> Ending {
-    let detail = match verdict {
-        ClaimVerdict::Ran(status) => format!("the call ran before, with status {status}"),
-        ClaimVerdict::Running => "the call is still running".to_owned(),
-        ClaimVerdict::Unknown => "the call was sent before; nobody knows how it ended".to_owned(),
-        _ => "the claim could not be kept, so the call was not sent".to_owned(),
-    };
-    if verdict == ClaimVerdict::NotRecorded {
-        // The write may have taken effect all the same; nothing was sent, so it is taken back.
-        spawn_step(
-            cx,
-            ClaimStep {
-                kind: ClaimKind::Release,
-                ..step
-            },
-        );
-    }
-    Ending {
-        code,
-        detail,
-        retry_after: Some(RETRY_AFTER),
-    }
-}
-
-/// Gives a claim back; only something that did not run can be.
-async fn release(cx: &Arc<Shared>, step: ClaimStep, _proof: &NotRun) {
-    let step = ClaimStep {
-        kind: ClaimKind::Release,
-        ..step
-    };
-    if take_step(cx, step).await == ClaimVerdict::NotRecorded {
-        spawn_step(cx, step);
-    }
-}
-
-/// Records a step in the background, again and again for a while where the store is down.
-fn spawn_step(cx: &Arc<Shared>, step: ClaimStep) {
-    let cx = Arc::clone(cx);
-    tokio::spawn(async move {
-        for n in 0..RELEASE_TRIES {
-            if take_step(&cx, step).await != ClaimVerdict::NotRecorded {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(250 << n)).await;
-        }
-    });
-}
-
-/// Asks the keeper of a claim's shard; where it is not reached, this router writes itself.
-async fn take_step(cx: &Arc<Shared>, step: ClaimStep) -> ClaimVerdict {
-    let shard = format!("claims/{}", step.key.shard());
-    let directory = cx.directory();
-    let vm: Option<&VmId> = keeper(&shard, directory.live.iter());
-    let info = vm.and_then(|vm| cx.membership.lock().info(vm).cloned());
-    match info {
-        Some(info) if info.vm != cx.me.vm => {
-            match cx.peers.control(info.address, Control::Claim(step)).await {
-                Ok(ControlReply::Claim(verdict)) => verdict,
-                _ => cx.claims.step(step).await,
-            }
-        }
-        _ => cx.claims.step(step).await,
-    }
-}
