A call whose deadline passed while its home was paused is not sent

Cause: found by reading: a home that wakes after a pause computed no time left, and a time limit of zero still polls the send once. Change: no time left is told as not run, before anything is sent.

--- a/src/home_service.rs
+++ b/src/home_service.rs
@@ -225,6 +225,10 @@
         return Err(refused(not_run.code(), Vec::new()));
     };
     call.remaining = deadline.since(cx.now());
+    if call.remaining.is_zero() {
+        let not_run = request.not_run(ResultCode::QueueTimeout, "the deadline passed");
+        return Err(refused(not_run.code(), Vec::new()));
+    }
     let target_span = cx
         .telemetry
         .hop("target", call.attempt.request, &call.headers);
