The demo's usual size fits its engines

Cause: 400 chats on six stand-in engines queued for seconds (p50 3,154 ms in a fresh clone). Change: 200 chats, 5 ms a token, 15 s.

--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -33,13 +33,13 @@
             optional --engines n: usize
             /// Runners of a plain service [2].
             optional --services n: usize
-            /// Chats that come and return [400].
+            /// Chats that come and return [200].
             optional --chats n: usize
             /// What random choices follow from [1].
             optional --seed n: u64
             /// none, some or many.
             optional --faults kind: String
-            /// How long chats keep returning, at the least [5; 30 with faults].
+            /// How long chats keep returning, at the least [15; 30 with faults].
             optional --seconds n: u64
             /// Ends with one line of JSON.
             optional --json
@@ -68,7 +68,7 @@
         engine: EngineConfig {
             seed: 7,
             cache_tokens: 200_000,
-            token_time: Duration::from_millis(10),
+            token_time: Duration::from_millis(5),
             prefill_time: Duration::from_micros(20),
         },
         settings: Vec::new(),
@@ -107,14 +107,14 @@
         eprintln!("demo: --faults: {e}");
         std::process::exit(2);
     });
-    let usual = if kind == faults::Kind::None { 5 } else { 30 };
+    let usual = if kind == faults::Kind::None { 15 } else { 30 };
     let seconds = flags.seconds.unwrap_or(usual);
     let until = Instant::now() + Duration::from_secs(seconds);
     let seed = flags.seed.unwrap_or(1);
     let world = Arc::new(report::World::new(Mutex::new(fleet)));
     let mut tasks = tokio::task::JoinSet::new();
     let mut rng = Pcg64::seed_from_u64(seed);
-    for i in 0..flags.chats.unwrap_or(400) {
+    for i in 0..flags.chats.unwrap_or(200) {
         let rng = Pcg64::seed_from_u64(rng.random());
         tasks.spawn(chats::run(Arc::clone(&world), i, rng, until));
     }
