Homes report ahead of time when their load moved, and leave more margin below the bound

Cause: with answers shorter than a report's second the demo had 23% of samples above 1.25; and the replay was not the same twice where routers are replaced. Conclusion: kept, since the bound is a promise and reuse a measure; the demo's cold start and fast answers still break it.

--- a/examples/replay/world.rs
+++ b/examples/replay/world.rs
@@ -545,6 +545,9 @@
             let wakes = self.routers[i].homes.on_tick(now);
             self.wake(wakes);
             self.ask_loads(i);
+            if self.routers[i].homes.take_shift(now) {
+                self.report(i, false, None);
+            }
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -113,6 +113,9 @@
             _ = queue.tick() => {
                 cx.homes.on_tick(cx.now());
                 cx.ask_loads();
+                if cx.homes.take_shift(cx.now()) {
+                    report_loads(&cx, false);
+                }
             }
         }
     }
--- a/src/home_service.rs
+++ b/src/home_service.rs
@@ -74,6 +74,10 @@
         wake(&self.waiters, wakes);
     }
 
+    pub(crate) fn take_shift(&self, now: Instant) -> bool {
+        self.homes.lock().take_shift(now)
+    }
+
     pub(crate) fn take_ask(&self, now: Instant) -> bool {
         self.homes.lock().take_ask(now)
     }
--- a/src/homes/mod.rs
+++ b/src/homes/mod.rs
@@ -14,7 +14,7 @@
     config::{FleetConfig, Target, TargetIntent},
     home::{Home, Offer, TargetReport, Ticket, Verdict, Wake},
     ids::{ConversationKey, TargetId, VmId},
-    load::{ASK_EVERY, Least, Load, PoolView},
+    load::{ASK_EVERY, Least, Load, PoolView, SHIFT, SHIFT_EVERY},
     result_code::ResultCode,
     units::{Instant, LoadBound, Tokens, Weight},
     walk::Wait,
@@ -63,6 +63,7 @@
     started: bool,
     known: HashSet<TargetId>,
     asked: Option<Instant>,
+    reported: (Instant, Tokens),
 }
 
 impl Homes {
@@ -76,6 +77,7 @@
             started: false,
             known: HashSet::new(),
             asked: None,
+            reported: (Instant::default(), Tokens(0)),
         }
     }
 
@@ -289,6 +291,23 @@
         waits && due
     }
 
+    /// Whether this home's load moved so far since its last report that it should report now.
+    pub fn take_shift(&mut self, now: Instant) -> bool {
+        let (at, last) = self.reported;
+        let sum = self.own_tokens();
+        let moved = sum.0.abs_diff(last.0) as f64;
+        let shifted = moved > last.0.max(sum.0) as f64 * SHIFT && now.since(at) >= SHIFT_EVERY;
+        if shifted {
+            self.reported = (now, sum);
+        }
+        shifted
+    }
+
+    fn own_tokens(&self) -> Tokens {
+        let own = self.kept.values().filter(|k| k.is_home);
+        own.map(|k| k.home.tokens()).sum()
+    }
+
     /// Remembers where a conversation went whose first choice this router keeps.
     pub fn on_placed(&mut self, first: &TargetId, key: ConversationKey, target: TargetId) {
         if let Some(k) = self.kept.get_mut(first) {
@@ -316,6 +335,7 @@
 
     /// The sums to report now, with the routers that they go to.
     pub fn reports(&mut self, now: Instant) -> Vec<(VmId, Vec<PoolSum>)> {
+        self.reported = (now, self.own_tokens());
         let mut sums: BTreeMap<PoolId, Load> = BTreeMap::new();
         for k in self.kept.values().filter(|k| k.is_home) {
             let sum = sums.entry(k.pool).or_default();
--- a/src/load.rs
+++ b/src/load.rs
@@ -21,6 +21,12 @@
 /// A report that is older than this counts as no load at all.
 pub const REPORT_EXPIRES: Duration = Duration::from_millis(2_400);
 
+/// The part by which a home's load moves before it reports ahead of time.
+pub const SHIFT: f64 = 0.2;
+
+/// The shortest time between a report and one ahead of time.
+pub const SHIFT_EVERY: Duration = Duration::from_millis(150);
+
 /// The shortest time between two reports that are asked for.
 pub const ASK_EVERY: Duration = Duration::from_millis(50);
 
@@ -120,7 +126,8 @@
     pub fn find_room(&mut self, key: ConversationKey, cost: Tokens) -> Option<TargetId> {
         let others = self.others.values_mut().filter_map(|r| r.least.as_mut());
         let mut light: Vec<&mut Least> = others.collect();
-        light.sort_by(|a, b| a.target.cmp(&b.target));
+        // Two homes may name one target; the order must not depend on who is asked first.
+        light.sort_by(|a, b| (&a.target, a.tokens).cmp(&(&b.target, b.tokens)));
         let n = light.len() as u64;
         let (one, two) = (key.0.checked_rem(n)?, (key.0 >> 32).checked_rem(n)?);
         let lighter = match light[one as usize].tokens <= light[two as usize].tokens {
--- a/src/units.rs
+++ b/src/units.rs
@@ -131,7 +131,7 @@
     /// The factor up to which a chat is admitted whose cached work is at the target: short of the
     /// bound, so that what the mean loses afterwards does not carry the engine above it.
     pub fn returning_factor(self) -> f64 {
-        1.0 + (self.0 - 1.0) * 0.7
+        1.0 + (self.0 - 1.0) * 0.55
     }
 
     /// The factor up to which anything else is admitted.
