Daemons in tests listen on port 0 and tell where

Change: the line logged at the start names all addresses; the test reads them there. Measured: tests/processes.rs 5 passed.

--- a/src/router.rs
+++ b/src/router.rs
@@ -199,7 +199,7 @@
         tasks.spawn(config_feed::follow_store(Arc::clone(&cx)));
         tasks.spawn(operator::serve(operators, Arc::clone(&cx)));
         let callers = tokio::spawn(entry::serve(callers, Arc::clone(&cx), stopped));
-        info!(cx.telemetry.log, "started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
+        info!(cx.telemetry.log, "started"; "callers" => %addresses.callers, "peers" => %addresses.peers, "operators" => %addresses.operators);
         Ok(Router {
             cx,
             addresses,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use std::{
-    net::{SocketAddr, TcpListener},
-    process::{Child, Command, Output, Stdio},
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, ChildStderr, Command, Output, Stdio},
     time::Duration,
 };
 
@@ -34,36 +35,37 @@
     }
 }
 
-/// An address that was free a moment ago.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// The addresses in the line that a daemon logs when it has started.
+fn started(stderr: ChildStderr) -> Value {
+    let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+    let line = lines
+        .find(|l| l.contains("\"started\""))
+        .expect("the daemon starts");
+    // The rest is read so that the daemon never waits for its log.
+    std::thread::spawn(move || lines.for_each(drop));
+    serde_json::from_str(&line).unwrap()
 }
 
 impl Daemon {
     fn start(i: usize, platform: SocketAddr) -> Self {
-        let (callers, peers, operators) = (free(), free(), free());
-        let child = Command::new(DAEMON)
+        let any = "127.0.0.1:0";
+        let mut child = Command::new(DAEMON)
             .args([
                 "--vm",
                 &format!("vm-{i}"),
                 "--data-hall",
                 &format!("hall-{i}"),
             ])
-            .args([
-                "--listen",
-                &callers.to_string(),
-                "--peer-listen",
-                &peers.to_string(),
-            ])
-            .args(["--operator-listen", &operators.to_string()])
+            .args(["--listen", any, "--peer-listen", any])
+            .args(["--operator-listen", any])
             .args(["--platform", &platform.to_string(), "--drain-wait-ms", "0"])
             .env("SCALEFORD_OPERATOR_TOKENS", format!("night-watch:{TOKEN}"))
-            .stderr(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        let line = started(child.stderr.take().unwrap());
+        let at = |name: &str| line[name].as_str().unwrap().parse().unwrap();
+        let (callers, peers, operators) = (at("callers"), at("peers"), at("operators"));
         Self {
             child,
             callers,
