--- /dev/null
+++ b/src/config/freshness.rs
@@ -0,0 +1,70 @@
+//! How old may what this router knows of the configuration be?
+//!
+//! A proof is a moment of this router's steady clock at which the store is known to have held
+//! the revision that is applied here. It is taken from when a call was *sent*, never from when
+//! its answer was read: an answer may have waited in a socket while the process was paused.
+
+use std::time::Duration;
+
+use crate::units::{Instant, StoreRevision};
+
+/// The part of the revocation bound for which a proof is relied on. A watch may hear nothing for
+/// a second while the store's history is dropped, which the rest has to cover.
+const TRUSTED_PART: f64 = 0.65;
+
+/// What a peer says of its own knowledge, in answer to a datagram of ours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Vouch {
+    /// When we sent the datagram that the peer had seen, by our clock.
+    pub echo: Instant,
+    /// How old the peer's proof was when it answered.
+    pub age: Duration,
+    /// The revision that the peer applies.
+    pub revision: StoreRevision,
+}
+
+/// The youngest proof of the applied configuration.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    proven_at: Option<Instant>,
+    revision: StoreRevision,
+}
+
+impl Freshness {
+    /// A configuration was applied that the store held when a call sent at `sent` reached it.
+    pub fn on_applied(&mut self, sent: Instant, revision: StoreRevision) {
+        self.revision = revision;
+        self.proven_at = self.proven_at.max(Some(sent));
+    }
+
+    /// The store answered a consistent call sent at `sent`: nothing newer than `revision` exists.
+    pub fn on_confirmed(&mut self, sent: Instant, revision: StoreRevision) {
+        if revision == self.revision {
+            self.proven_at = self.proven_at.max(Some(sent));
+        }
+    }
+
+    /// A peer vouches; only for the very revision that is applied here.
+    pub fn on_vouch(&mut self, vouch: Vouch) {
+        let proof = Instant(vouch.echo.0.saturating_sub(vouch.age));
+        if vouch.revision == self.revision {
+            self.proven_at = self.proven_at.max(Some(proof));
+        }
+    }
+
+    /// The age of the youngest proof; `None` before the first.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.proven_at.map(|at| now.since(at))
+    }
+
+    /// The revision that is applied.
+    pub fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Whether a key that this configuration holds may still be relied on.
+    pub fn may_use_keys(&self, now: Instant, revoke_bound: Duration) -> bool {
+        self.age(now)
+            .is_some_and(|age| age < revoke_bound.mul_f64(TRUSTED_PART))
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,8 +5,10 @@
 //! names the digest of the configuration before it, so a router can tell a change that
 //! follows its own history from one that belongs to a store set back to an older state.
 
+pub mod freshness;
 mod log;
 mod model;
+pub mod serving;
 
 pub use log::{Change, ChangeOutcome, ConfigLog, Digest, RING, Snapshot, Update};
 pub use model::{
--- /dev/null
+++ b/src/config/serving.rs
@@ -0,0 +1,221 @@
+//! What is served, as routes by host and path: the form in which an operator's whole
+//! configuration arrives at once and replaces the one before.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use crate::{
+    ids::{ClientAccountId, ServiceName},
+    units::{Rank, StoreRevision},
+};
+
+/// Whether a call may be sent again, and how its answer comes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CallKind {
+    /// Runs at most once.
+    #[default]
+    Unsafe,
+    /// May run more than once.
+    Safe,
+    /// Answers with events; without `resumable` it runs at most once.
+    Stream {
+        /// Whether another target may go on after the last event that was delivered.
+        resumable: bool,
+    },
+}
+
+impl CallKind {
+    /// Whether the call may be sent again after it may have run.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Safe | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a series of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// One route of a host.
+#[derive(Debug, Clone)]
+pub struct Route {
+    /// The operator's name for it, for logs.
+    pub name: String,
+    /// The host it belongs to, in lower case.
+    pub host: String,
+    /// What the path begins with; starts and ends with a slash.
+    pub path_prefix: String,
+    /// Whether and how its calls repeat.
+    pub kind: CallKind,
+    /// The longest that a call may be held.
+    pub timeout: Duration,
+    /// The time to the answer, or to its first event, that earns full credit.
+    pub goal: Duration,
+    /// The longest pause between two events that is still in time.
+    pub gap_goal: Option<Duration>,
+    /// The most targets that one call may be sent to.
+    pub max_attempts: u32,
+    /// How urgent its calls are, unless the account says otherwise.
+    pub rank: Rank,
+    /// Whether calls need no key.
+    pub public: bool,
+    /// The services that share its calls, by weight.
+    pub split: Vec<(ServiceName, u32)>,
+}
+
+impl Route {
+    /// The service for a call, by a hash of the call; the same for each repeat of it.
+    pub fn service_for(&self, hash: u64) -> Option<&ServiceName> {
+        let total: u64 = self.split.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut left = hash.checked_rem(total)?;
+        for (service, weight) in &self.split {
+            match u64::from(*weight) {
+                w if left < w => return Some(service),
+                w => left -= w,
+            }
+        }
+        None
+    }
+}
+
+/// What a service's targets have in common.
+#[derive(Debug, Clone)]
+pub struct ServiceSpec {
+    /// The connections that one target accepts from all callers together.
+    pub max_conns: u32,
+    /// Facts of a model engine, where the service is one.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What is known of a service's model engines.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineSpec {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that the memory holds, running requests and cached prompts together.
+    pub memory_tokens: u64,
+}
+
+/// Bounds on what callers may send.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLimits {
+    /// The largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// The largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// How long a head may take to arrive.
+    pub header_time: Duration,
+    /// How long a kept connection may rest.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    /// What holds until the first configuration: enough for any usual request.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A client account as a key finds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyHolder {
+    /// The account.
+    pub account: ClientAccountId,
+    /// The account's own rank, which goes before the route's.
+    pub rank: Option<Rank>,
+}
+
+/// A whole configuration, ready for look-ups.
+#[derive(Debug, Default)]
+pub struct ServingConfig {
+    /// The write of the store that made it.
+    pub revision: StoreRevision,
+    /// The operator's own version number.
+    pub version: u64,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+    /// Whether calls need keys at all.
+    pub keyed: bool,
+    hosts: HashMap<String, Vec<Rc<Route>>>,
+    services: HashMap<ServiceName, ServiceSpec>,
+    keys: HashMap<blake3::Hash, KeyHolder>,
+}
+
+/// Why a call is not allowed, by the configuration alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denied {
+    /// No route fits host and path.
+    NoRoute,
+    /// No key was sent, or none that an account holds.
+    WrongKey,
+}
+
+impl ServingConfig {
+    /// A configuration of these parts.
+    pub fn new(revision: StoreRevision, version: u64, limits: CallerLimits) -> Self {
+        Self {
+            revision,
+            version,
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a route; the longest fitting prefix is found first.
+    pub fn add_route(&mut self, route: Route) {
+        let routes = self.hosts.entry(route.host.clone()).or_default();
+        routes.push(Rc::new(route));
+        routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+    }
+
+    /// Adds a service.
+    pub fn add_service(&mut self, name: ServiceName, spec: ServiceSpec) {
+        self.services.insert(name, spec);
+    }
+
+    /// Adds a key of an account; only its hash is kept.
+    pub fn add_key(&mut self, key: &str, holder: KeyHolder) {
+        self.keys.insert(blake3::hash(key.as_bytes()), holder);
+    }
+
+    /// The route for a host and path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
+        routes.iter().find(|r| path.starts_with(&r.path_prefix))
+    }
+
+    /// A service's facts.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Who holds a key.
+    pub fn holder(&self, key: &str) -> Option<&KeyHolder> {
+        self.keys.get(&blake3::hash(key.as_bytes()))
+    }
+
+    /// Route and account of a call, or why it is not allowed.
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<(Rc<Route>, Option<KeyHolder>), Denied> {
+        let route = self.route(host, path).ok_or(Denied::NoRoute)?;
+        let holder = key.and_then(|k| self.holder(k)).cloned();
+        match holder {
+            None if self.keyed && !route.public => Err(Denied::WrongKey),
+            holder => Ok((Rc::clone(route), holder)),
+        }
+    }
+
+    /// Routes in all, for logs.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/src/edge/attempt.rs
@@ -0,0 +1,314 @@
+//! One attempt of a call: a target, a connection, the head of its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    body::Incoming,
+    http::{request, response},
+};
+use slog::info;
+
+use super::{
+    conn::{Conn, NoConn, REST_UNREPEATABLE},
+    gateway::Gateway,
+};
+use crate::config::serving::KeyHolder;
+use crate::{
+    config::serving::Route,
+    dialect::{AnswerFacts, CallFacts, Handover},
+    dispatcher::{Plan, Ticket},
+    health::Outcome,
+    placement::choice::NoChoice,
+    retry::{Attempts, Fate},
+    units::{Instant, Rank},
+};
+
+/// The longest that a connection may have rested for a call that may be sent again.
+const REST_REPEATABLE: Duration = Duration::from_secs(60);
+
+/// A caller's call, whole, with all that its attempts need.
+pub(crate) struct Call {
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) facts: CallFacts,
+    pub(crate) route: Rc<Route>,
+    pub(crate) holder: Option<KeyHolder>,
+    pub(crate) plan: Plan,
+    pub(crate) conn_limit: usize,
+    pub(crate) received: Instant,
+    /// When an answer is of no use any more, or the operator wants the call ended.
+    pub(crate) hold_until: Instant,
+    pub(crate) attempts: Attempts,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl Call {
+    /// The caller's id of the call, for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or("-")
+    }
+
+    fn rank(&self) -> Option<Rank> {
+        let own = self.holder.as_ref().and_then(|h| h.rank);
+        (!self.plan.prompt.is_empty()).then(|| own.unwrap_or(self.route.rank))
+    }
+}
+
+/// A place at a target that is given back when it ends, however it ends.
+pub(crate) struct Place {
+    cx: Rc<Gateway>,
+    ticket: Ticket,
+    id: String,
+    began: Instant,
+    ended: bool,
+}
+
+impl Place {
+    /// The attempt ended in a way that tells the target's health.
+    pub(crate) fn end(mut self, outcome: Outcome, why: &'static str) {
+        self.finish(Some(outcome), why);
+    }
+
+    /// The first event came.
+    pub(crate) fn on_first_event(&mut self) {
+        let mut dispatcher = self.cx.dispatcher.borrow_mut();
+        dispatcher.on_first_event(&mut self.ticket);
+    }
+
+    /// The target's name.
+    pub(crate) fn target(&self) -> &crate::ids::TargetId {
+        &self.ticket.target.id
+    }
+
+    fn finish(&mut self, outcome: Option<Outcome>, why: &'static str) {
+        self.ended = true;
+        let now = self.cx.now();
+        let standing = {
+            let mut dispatcher = self.cx.dispatcher.borrow_mut();
+            dispatcher.on_end(now, &self.ticket, outcome)
+        };
+        let (log, target) = (&self.cx.log, &self.ticket.target.id);
+        self.cx.metrics.on_attempt(why);
+        info!(log, "attempt"; "id" => &self.id, "target" => %target, "outcome" => why,
+            "took_ms" => now.since(self.began).as_millis() as u64,
+            "calls_there" => self.ticket.calls, "tokens_missing" => self.ticket.missing.0,
+            "standing" => ?self.ticket.standing);
+        if let Some(standing) = standing {
+            info!(log, "standing"; "target" => %target, "standing" => ?standing, "id" => &self.id, "why" => why);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(None, "abandoned");
+        }
+    }
+}
+
+/// An answer that has begun: its head is sound, its body is yet to come.
+pub(crate) struct Begun {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) facts: AnswerFacts,
+    pub(crate) conn: Conn,
+    pub(crate) place: Place,
+}
+
+/// An attempt that brought no answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Failed {
+    /// Whether the target ran the call.
+    pub(crate) fate: Fate,
+    /// Why, for logs and metrics.
+    pub(crate) why: &'static str,
+    /// Nothing was sent, and no other target is left to try.
+    pub(crate) nowhere: bool,
+}
+
+impl Failed {
+    fn nowhere(why: &'static str) -> Self {
+        Self {
+            fate: Fate::NotRun,
+            why,
+            nowhere: true,
+        }
+    }
+
+    fn not_run(why: &'static str) -> Self {
+        Self {
+            fate: Fate::NotRun,
+            why,
+            nowhere: false,
+        }
+    }
+
+    fn may_have_run(why: &'static str) -> Self {
+        Self {
+            fate: Fate::MayHaveRun,
+            why,
+            nowhere: false,
+        }
+    }
+}
+
+/// Makes one attempt: waits at most `patience` for the head of the answer.
+pub(crate) async fn attempt(
+    cx: &Rc<Gateway>,
+    call: &mut Call,
+    patience: Duration,
+) -> Result<Begun, Failed> {
+    let (place, conn) = connect(cx, call).await?;
+    let failed_fate = send(cx, call, place, conn, patience).await;
+    if let Err(failed) = &failed_fate {
+        call.attempts.on_fate(failed.fate);
+    }
+    failed_fate
+}
+
+/// A place at a target and a connection there; targets that can't be reached are passed over.
+async fn connect(cx: &Rc<Gateway>, call: &mut Call) -> Result<(Place, Conn), Failed> {
+    loop {
+        let now = cx.now();
+        if now >= call.hold_until {
+            return Err(Failed::nowhere("no time left"));
+        }
+        let chosen = cx.dispatcher.borrow_mut().choose(now, &call.plan);
+        let ticket = chosen.map_err(|no| match no {
+            NoChoice::NoTarget => Failed::nowhere("no target left"),
+            NoChoice::AllFull => Failed::nowhere("all targets full"),
+        })?;
+        let target = Rc::clone(&ticket.target);
+        call.plan.tried.push(target.id.clone());
+        let place = Place {
+            cx: Rc::clone(cx),
+            ticket,
+            id: call.id().to_owned(),
+            began: now,
+            ended: false,
+        };
+        let longest = match call.route.kind.is_repeatable() {
+            true => REST_REPEATABLE,
+            false => REST_UNREPEATABLE,
+        };
+        if let Some(conn) = cx.conns.take(now, &target.id, longest) {
+            return Ok((place, conn));
+        }
+        let opened = cx.conns.open(&target.id, target.address, call.conn_limit);
+        match opened.await {
+            Ok(conn) => {
+                cx.metrics.connections_opened.inc();
+                return Ok((place, conn));
+            }
+            Err(NoConn::AtLimit) => place.end(Outcome::Full, "connections at limit"),
+            Err(NoConn::Unreachable) => place.end(Outcome::Broken, "unreachable"),
+        }
+    }
+}
+
+async fn send(
+    cx: &Rc<Gateway>,
+    call: &mut Call,
+    place: Place,
+    mut conn: Conn,
+    patience: Duration,
+) -> Result<Begun, Failed> {
+    let now = cx.now();
+    let req = request(cx, call, now, place.target());
+    let until = (now + patience).min(call.hold_until);
+    call.attempts.on_sent();
+    let sent = conn.sender.try_send_request(req);
+    let answer = tokio::time::timeout_at(cx.tokio_time(until), sent).await;
+    let res = match answer {
+        Ok(Ok(res)) => res,
+        Ok(Err(mut e)) => {
+            // A request that comes back was never written.
+            let unsent = e.take_message().is_some();
+            let why = if unsent {
+                "connection closed before"
+            } else {
+                "connection broke"
+            };
+            place.end(Outcome::Broken, why);
+            return Err(match unsent {
+                true => Failed::not_run(why),
+                false => Failed::may_have_run(why),
+            });
+        }
+        Err(_) if until >= call.hold_until => {
+            place.end(Outcome::Broken, "time is up");
+            return Err(Failed::may_have_run("time is up"));
+        }
+        Err(_) => {
+            place.end(Outcome::Broken, "silent");
+            return Err(Failed::may_have_run("silent"));
+        }
+    };
+    let (head, body) = res.into_parts();
+    let facts = cx.dialect.read_answer(head.status, &head.headers);
+    if let Some(load) = facts.load {
+        let mut dispatcher = cx.dispatcher.borrow_mut();
+        dispatcher.load.on_told(cx.now(), place.target(), load);
+    }
+    let begun = Begun {
+        head,
+        body,
+        facts,
+        conn,
+        place,
+    };
+    judge(call, begun)
+}
+
+/// Whether the head is that of an answer to this very call.
+fn judge(call: &Call, begun: Begun) -> Result<Begun, Failed> {
+    let facts = &begun.facts;
+    let status = begun.head.status;
+    let other = facts.id.is_some() && facts.id != call.facts.id;
+    match () {
+        () if other => {
+            begun.place.end(Outcome::Broken, "answer to another call");
+            Err(Failed::may_have_run("answer to another call"))
+        }
+        () if facts.misdirected => {
+            begun.place.end(Outcome::Broken, "another target there");
+            Err(Failed::not_run("another target there"))
+        }
+        () if facts.not_run => {
+            begun.place.end(Outcome::Full, "refused");
+            Err(Failed::not_run("refused"))
+        }
+        () if status.is_success() && (!facts.sealed || facts.encoded) => {
+            begun.place.end(Outcome::Broken, "not the target's answer");
+            Err(Failed::may_have_run("not the target's answer"))
+        }
+        () => Ok(begun),
+    }
+}
+
+fn request(
+    cx: &Gateway,
+    call: &Call,
+    now: Instant,
+    target: &crate::ids::TargetId,
+) -> Request<Full<Bytes>> {
+    let handover = Handover {
+        target,
+        time_left: call.hold_until.since(now),
+        account: call.holder.as_ref().map(|h| &h.account),
+        last_event: call.last_event,
+        rank: call.rank(),
+    };
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.head.method.clone();
+    *req.uri_mut() = call.head.uri.clone();
+    let mut headers = call.head.headers.clone();
+    cx.dialect.write_handover(&mut headers, &handover);
+    *req.headers_mut() = headers;
+    req
+}
--- /dev/null
+++ b/src/edge/gateway.rs
@@ -0,0 +1,222 @@
+//! What the parts of a gateway share, and the controller that starts them.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use slog::{Logger, info};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::spawn_local,
+};
+
+use super::{
+    GatewayConfig, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, stop,
+    stop::StopSignals,
+};
+use crate::{
+    Error, Result,
+    config::{freshness::Freshness, serving::ServingConfig},
+    dialect::Dialect,
+    dispatcher::Dispatcher,
+    ids::Incarnation,
+    log::LogFlusher,
+    membership::peers::Peers,
+    store::MetaStore,
+    units::Instant,
+};
+
+/// Where a planned stop has come to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// No stop was asked for.
+    #[default]
+    Serving,
+    /// Not ready any more; calls are still taken, and connections closed after each.
+    Leaving,
+    /// New calls are refused as not run.
+    Refusing,
+}
+
+/// What an adapter brings along.
+pub struct GatewayParts {
+    /// The checked settings.
+    pub cfg: GatewayConfig,
+    /// How callers and targets are spoken to.
+    pub dialect: Rc<dyn Dialect>,
+    /// The platform's store.
+    pub store: Rc<dyn MetaStore>,
+    /// Where lines are logged.
+    pub log: Logger,
+    /// Writes them out.
+    pub flusher: LogFlusher,
+}
+
+/// One gateway.
+pub struct Gateway {
+    pub(crate) cfg: GatewayConfig,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) store: Rc<dyn MetaStore>,
+    pub(crate) log: Logger,
+    pub(crate) flusher: LogFlusher,
+    pub(crate) metrics: Metrics,
+    pub(crate) conns: Rc<ConnPool>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) phase: Cell<Phase>,
+    pub(crate) in_progress: Cell<usize>,
+    pub(crate) recent_calls: Cell<u32>,
+    serving: RefCell<Rc<ServingConfig>>,
+    epoch: tokio::time::Instant,
+    life: Incarnation,
+}
+
+impl Gateway {
+    /// A gateway of these parts, that has not begun yet.
+    pub fn new(parts: GatewayParts) -> Rc<Self> {
+        let GatewayParts {
+            cfg,
+            dialect,
+            store,
+            log,
+            flusher,
+        } = parts;
+        let since_unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        // The time of day only tells lives apart; the random part does so if it stepped back.
+        let wall_ms = since_unix.map_or(0, |d| d.as_millis() as u64);
+        let life = Incarnation(wall_ms);
+        let dispatcher = Dispatcher::new(cfg.data_hall.clone(), cfg.cap_factor, cfg.budget);
+        let peers = Peers::new(cfg.vm.clone(), life, cfg.peers, &cfg.seeds);
+        Rc::new(Self {
+            dispatcher: RefCell::new(dispatcher),
+            peers: RefCell::new(peers),
+            freshness: RefCell::default(),
+            serving: RefCell::default(),
+            conns: Rc::default(),
+            metrics: Metrics::default(),
+            phase: Cell::default(),
+            in_progress: Cell::new(0),
+            recent_calls: Cell::new(0),
+            epoch: tokio::time::Instant::now(),
+            life,
+            cfg,
+            dialect,
+            store,
+            log,
+            flusher,
+        })
+    }
+
+    /// Listens, follows the store and serves until a planned stop is complete.
+    pub async fn run(self: Rc<Self>, signals: StopSignals) -> Result<()> {
+        let callers = listen(self.cfg.callers).await?;
+        let ready = listen(self.cfg.ready).await?;
+        let udp = UdpSocket::bind(self.cfg.peers).await?;
+        info!(self.log, "started";
+            "callers" => %self.cfg.callers, "peers" => %self.cfg.peers, "life" => self.life.0);
+        if let Some(address) = self.cfg.metrics {
+            spawn_local(ingress::serve_metrics(
+                Rc::clone(&self),
+                listen(address).await?,
+            ));
+        }
+        spawn_local(ingress::serve_ready(Rc::clone(&self), ready));
+        spawn_local(follow::follow_store(Rc::clone(&self)));
+        spawn_local(follow::announce(Rc::clone(&self)));
+        let udp = Rc::new(udp);
+        spawn_local(gossip::receive(Rc::clone(&self), Rc::clone(&udp)));
+        spawn_local(gossip::tell(Rc::clone(&self), Rc::clone(&udp)));
+        spawn_local(tick(Rc::clone(&self)));
+        spawn_local(ingress::serve_callers(Rc::clone(&self), callers));
+        stop::wait(&self, signals, &udp).await;
+        Ok(())
+    }
+
+    /// The time since the gateway began.
+    pub(crate) fn now(&self) -> Instant {
+        Instant(self.epoch.elapsed())
+    }
+
+    /// The moment of tokio's clock that [`Self::now`] gives as `at`.
+    pub(crate) fn tokio_time(&self, at: Instant) -> tokio::time::Instant {
+        self.epoch + at.0
+    }
+
+    /// Which life of this VM's router it is.
+    pub(crate) fn life(&self) -> Incarnation {
+        self.life
+    }
+
+    /// The configuration in force; `None` before the first.
+    pub(crate) fn serving(&self) -> Option<Rc<ServingConfig>> {
+        let serving = self.serving.borrow();
+        (serving.revision.0 > 0).then(|| Rc::clone(&serving))
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub(crate) fn apply(&self, config: ServingConfig) -> bool {
+        let mut serving = self.serving.borrow_mut();
+        let newer = config.revision > serving.revision;
+        if newer {
+            *serving = Rc::new(config);
+        }
+        newer
+    }
+
+    /// Whether the balancer may send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let fresh = self.freshness.borrow();
+        self.phase.get() == Phase::Serving
+            && self.serving().is_some()
+            && self.dispatcher.borrow().discovery.is_known()
+            && fresh.may_use_keys(self.now(), self.cfg.revoke_bound)
+    }
+
+    /// How many connections to one target this router may have, of `most` in all.
+    pub(crate) fn conn_share(&self, most: u32) -> usize {
+        let routers = self.peers.borrow().alive(self.now());
+        let share = most as usize * CONN_PART / 100 / routers;
+        share.max(CONN_LEAST)
+    }
+}
+
+/// The part of a target's connections that the fleet uses, in per cent: routers may not know of
+/// one another for a moment.
+const CONN_PART: usize = 80;
+
+/// Connections that a router may always have to a target.
+const CONN_LEAST: usize = 2;
+
+/// How often what is too old is dropped, and gathered lines are written out.
+const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+
+async fn tick(cx: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = cx.now();
+        let gone = cx.dispatcher.borrow_mut().on_tick(now);
+        for target in gone {
+            cx.conns.forget(&target);
+            info!(cx.log, "target"; "target" => %target, "verdict" => "gone", "why" => "still missing after the store's return");
+        }
+        cx.peers.borrow_mut().on_tick(now);
+        cx.conns.on_tick(now);
+        let alive = cx.peers.borrow().alive(now);
+        cx.metrics.peers_alive.set(alive as i64);
+        let age = cx.freshness.borrow().age(now);
+        cx.metrics
+            .config_age_ms
+            .set(age.map_or(-1, |a| a.as_millis() as i64));
+        cx.metrics.in_progress.set(cx.in_progress.get() as i64);
+        cx.flusher.flush();
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
--- /dev/null
+++ b/src/edge/metrics.rs
@@ -0,0 +1,138 @@
+//! Counters and histograms of one gateway, in the text form that scrapers read.
+
+use std::{fmt::Write, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of the histograms' buckets, in seconds: from a plain call's usual time to the
+/// longest deadline.
+const BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+/// The label of a call's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CodeLabel {
+    code: &'static str,
+}
+
+/// The label of an attempt's end, or of a reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// All figures.
+pub(crate) struct Metrics {
+    registry: Registry,
+    calls: Family<CodeLabel, Counter>,
+    attempts: Family<ReasonLabel, Counter>,
+    store_calls: Family<ReasonLabel, Counter>,
+    call_time: Histogram,
+    first_event_time: Histogram,
+    pub(crate) connections_opened: Counter,
+    pub(crate) datagrams_sent: Counter,
+    pub(crate) datagram_bytes: Counter,
+    pub(crate) prompt_tokens_missing: Counter,
+    pub(crate) in_progress: Gauge,
+    pub(crate) peers_alive: Gauge,
+    pub(crate) config_age_ms: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut all = Self {
+            registry: Registry::with_prefix("scaleford"),
+            calls: Family::default(),
+            attempts: Family::default(),
+            store_calls: Family::default(),
+            call_time: Histogram::new(BUCKETS),
+            first_event_time: Histogram::new(BUCKETS),
+            connections_opened: Counter::default(),
+            datagrams_sent: Counter::default(),
+            datagram_bytes: Counter::default(),
+            prompt_tokens_missing: Counter::default(),
+            in_progress: Gauge::default(),
+            peers_alive: Gauge::default(),
+            config_age_ms: Gauge::default(),
+        };
+        all.register();
+        all
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("calls", "Calls by how they ended", self.calls.clone());
+        r.register(
+            "attempts",
+            "Attempts by how they ended",
+            self.attempts.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        r.register(
+            "call_seconds",
+            "Time to the end of a call",
+            self.call_time.clone(),
+        );
+        let first = self.first_event_time.clone();
+        r.register(
+            "first_event_seconds",
+            "Time to a stream's first event",
+            first,
+        );
+        let opened = self.connections_opened.clone();
+        r.register("connections_opened", "Connections to targets", opened);
+        r.register(
+            "datagrams_sent",
+            "Datagrams to peers",
+            self.datagrams_sent.clone(),
+        );
+        r.register("datagram_bytes", "Their bytes", self.datagram_bytes.clone());
+        let missing = self.prompt_tokens_missing.clone();
+        r.register(
+            "prompt_tokens_missing",
+            "Prompt tokens sent unread",
+            missing,
+        );
+        r.register("in_progress", "Calls in progress", self.in_progress.clone());
+        r.register("peers_alive", "Routers that live", self.peers_alive.clone());
+        let age = self.config_age_ms.clone();
+        r.register("config_age_ms", "Age of the configuration's proof", age);
+    }
+
+    pub(crate) fn on_call(&self, code: &'static str, took: Duration) {
+        self.calls.get_or_create(&CodeLabel { code }).inc();
+        self.call_time.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn on_first_event(&self, took: Duration) {
+        self.first_event_time.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn on_attempt(&self, reason: &'static str) {
+        self.attempts.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    pub(crate) fn on_store_call(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.store_calls.get_or_create(&label).inc();
+    }
+
+    /// All figures as text.
+    pub(crate) fn text(&self) -> String {
+        let mut out = String::new();
+        if let Err(e) = encode(&mut out, &self.registry) {
+            // Writing into a string does not fail; if it did, the reader is told.
+            let _ = writeln!(out, "# encoding failed: {e}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,55 @@
+//! The gateway: callers' HTTP in, targets' HTTP out, sent directly.
+//!
+//! Everything runs on one thread. Decisions are synchronous types (`dispatcher`, `freshness`,
+//! `peers`); the modules here do the input and output around them.
+
+mod attempt;
+mod body;
+mod call;
+mod conn;
+mod follow;
+mod gateway;
+mod gossip;
+mod ingress;
+mod metrics;
+mod stop;
+mod stream;
+
+use std::{net::SocketAddr, time::Duration};
+
+pub use gateway::{Gateway, GatewayParts};
+pub use stop::StopSignals;
+
+use crate::{
+    ids::{DataHall, VmId},
+    retry::BudgetRule,
+};
+
+/// What a gateway needs to know; resolved and checked by the adapter.
+#[derive(Debug, Clone)]
+pub struct GatewayConfig {
+    /// This VM.
+    pub vm: VmId,
+    /// Where it stands.
+    pub data_hall: DataHall,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this VM is ready.
+    pub ready: SocketAddr,
+    /// Where counters and histograms are read, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Where peers send datagrams.
+    pub peers: SocketAddr,
+    /// Where some other routers may be reached at first.
+    pub seeds: Vec<SocketAddr>,
+    /// The most connections that this VM may have open.
+    pub max_connections: usize,
+    /// How long after its revocation a key may still work.
+    pub revoke_bound: Duration,
+    /// How many times the mean load a target may carry.
+    pub cap_factor: f64,
+    /// The fleet's budget of repeats.
+    pub budget: BudgetRule,
+    /// How long a planned stop may take.
+    pub stop_time: Duration,
+}
--- /dev/null
+++ b/src/edge/stream.rs
@@ -0,0 +1,338 @@
+//! A call whose answer comes as events: passed on as they come, gone on with elsewhere where the
+//! route allows it, each event exactly once.
+
+use std::{rc::Rc, time::Duration};
+
+use hyper::Response;
+
+use super::{
+    attempt::{Begun, Call, Failed, Place, attempt},
+    body::{AnswerBody, BrokeOff, EventSender},
+    call::{Ending, close_if_stopping, give_up, keep, may_repeat, strip_connection_headers},
+    gateway::Gateway,
+};
+use crate::{
+    ResultCode,
+    event_stream::{Event, EventSplitter},
+    health::Outcome,
+    retry::Fate,
+    units::Instant,
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// How many times the goal a stream that may be resumed waits for its first event before another
+/// target is asked: reading the prompt again there costs more than waiting a little.
+const FIRST_PATIENCE: f64 = 1.2;
+
+/// How many times the longest pause that is in time a target may be silent between events before
+/// the stream is gone on with elsewhere.
+const GAP_PATIENCE: f64 = 2.0;
+
+/// The least time that a silent target gets.
+const LEAST_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Events of one target, in order and whole.
+struct Source {
+    body: Incoming,
+    splitter: EventSplitter,
+    conn: super::conn::Conn,
+    place: Place,
+    facts: crate::dialect::AnswerFacts,
+}
+
+/// What comes next from a target.
+enum Next {
+    Event(Event),
+    /// The answer is complete.
+    End,
+    /// It broke off, or was silent for too long.
+    Broken(&'static str),
+}
+
+impl Source {
+    async fn next(&mut self, cx: &Gateway, until: Instant) -> Next {
+        loop {
+            match self.splitter.next_event() {
+                Ok(Some(event)) => return Next::Event(event),
+                Ok(None) => {}
+                Err(_) => return Next::Broken("event too large"),
+            }
+            let frame = self.body.frame();
+            match tokio::time::timeout_at(cx.tokio_time(until), frame).await {
+                Err(_) => return Next::Broken("silent"),
+                Ok(Some(Err(_))) => return Next::Broken("answer broke off"),
+                Ok(Some(Ok(frame))) => match frame.data_ref() {
+                    Some(data) => self.splitter.push(data),
+                    None => continue,
+                },
+                Ok(None) if self.splitter.has_rest() => return Next::Broken("event cut off"),
+                Ok(None) => return Next::End,
+            }
+        }
+    }
+}
+
+/// Serves a call for a stream.
+pub(super) async fn serve(
+    cx: &Rc<Gateway>,
+    mut call: Call,
+    ending: Ending,
+) -> Response<AnswerBody> {
+    loop {
+        let failed = match begin(cx, &mut call).await {
+            Ok(Beginning::Stream(head, source, first)) => {
+                return relay(cx, call, ending, head, source, first);
+            }
+            Ok(Beginning::Whole(head, bytes)) => {
+                let code = if head.status.is_success() {
+                    "ok"
+                } else {
+                    "target_error"
+                };
+                ending.tell(code, head.status.as_u16(), "", call.attempts);
+                let mut res = Response::from_parts(head, AnswerBody::whole(bytes));
+                close_if_stopping(cx, &mut res);
+                return res;
+            }
+            Err(failed) => failed,
+        };
+        if !may_repeat(cx, &call, failed) {
+            return give_up(cx, &ending, &call, failed);
+        }
+    }
+}
+
+/// How a target's answer began.
+enum Beginning {
+    /// With an event; more follow.
+    Stream(hyper::http::response::Parts, Box<Source>, Event),
+    /// It is complete: a failure of the target's own, or a stream without events.
+    Whole(hyper::http::response::Parts, bytes::Bytes),
+}
+
+/// Makes attempts until one brings its first event.
+async fn begin(cx: &Rc<Gateway>, call: &mut Call) -> Result<Beginning, Failed> {
+    let patience = first_patience(cx, call);
+    let until = (cx.now() + patience).min(call.hold_until);
+    let begun = attempt(cx, call, patience).await?;
+    let Begun {
+        mut head,
+        body,
+        facts,
+        conn,
+        place,
+    } = begun;
+    strip_connection_headers(&mut head.headers);
+    if !head.status.is_success() {
+        return whole_failure(cx, call, head, body, place).await;
+    }
+    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    let mut source = Box::new(Source {
+        body,
+        splitter: EventSplitter::default(),
+        conn,
+        place,
+        facts,
+    });
+    match next_new(cx, &mut source, call.last_event, until).await {
+        Next::Event(event) => {
+            source.place.on_first_event();
+            cx.metrics.on_first_event(cx.now().since(call.received));
+            Ok(Beginning::Stream(head, source, event))
+        }
+        Next::End => {
+            let Source {
+                conn, place, facts, ..
+            } = *source;
+            place.end(Outcome::Good, "answered");
+            keep(cx, conn, &facts).await;
+            call.attempts.on_fate(Fate::Ran);
+            Ok(Beginning::Whole(head, bytes::Bytes::new()))
+        }
+        Next::Broken(why) => {
+            source.place.end(Outcome::Broken, why);
+            call.attempts.on_fate(Fate::MayHaveRun);
+            Err(Failed {
+                fate: Fate::MayHaveRun,
+                why,
+                nowhere: false,
+            })
+        }
+    }
+}
+
+/// A target's own failure, read whole; repeated elsewhere where that is allowed.
+async fn whole_failure(
+    cx: &Gateway,
+    call: &mut Call,
+    head: hyper::http::response::Parts,
+    body: Incoming,
+    place: Place,
+) -> Result<Beginning, Failed> {
+    call.attempts.on_fate(Fate::Ran);
+    let until = cx.tokio_time(call.hold_until);
+    let read = tokio::time::timeout_at(until, body.collect()).await;
+    let is_error = head.status.is_server_error();
+    let outcome = if is_error {
+        Outcome::Error
+    } else {
+        Outcome::Good
+    };
+    place.end(outcome, "error");
+    let again = is_error
+        && call
+            .attempts
+            .may_go_on(call.route.kind, call.route.max_attempts);
+    match read {
+        Ok(Ok(bytes)) if !again => Ok(Beginning::Whole(head, bytes.to_bytes())),
+        _ => Err(Failed {
+            fate: Fate::Ran,
+            why: "target's error",
+            nowhere: false,
+        }),
+    }
+}
+
+/// How long the first event is waited for.
+fn first_patience(cx: &Gateway, call: &Call) -> Duration {
+    let left = call.hold_until.since(cx.now());
+    let more = call.attempts.sent() + 1 < call.route.max_attempts;
+    match call.route.kind.is_repeatable() && more {
+        true => call
+            .route
+            .goal
+            .mul_f64(FIRST_PATIENCE)
+            .max(LEAST_PATIENCE)
+            .min(left),
+        false => left,
+    }
+}
+
+fn gap_patience(call: &Call) -> Duration {
+    let more = call.attempts.sent() < call.route.max_attempts;
+    match call.route.gap_goal {
+        Some(gap) if call.route.kind.is_repeatable() && more => {
+            gap.mul_f64(GAP_PATIENCE).max(LEAST_PATIENCE)
+        }
+        _ => call.route.timeout,
+    }
+}
+
+/// The next event that the caller does not have.
+async fn next_new(cx: &Gateway, source: &mut Source, last: Option<u64>, until: Instant) -> Next {
+    loop {
+        match source.next(cx, until).await {
+            Next::Event(event) if event.id.is_some() && event.id <= last => {}
+            next => return next,
+        }
+    }
+}
+
+/// Sends the head, and goes on passing events in a task of its own.
+fn relay(
+    cx: &Rc<Gateway>,
+    call: Call,
+    ending: Ending,
+    head: hyper::http::response::Parts,
+    source: Box<Source>,
+    first: Event,
+) -> Response<AnswerBody> {
+    let (tx, body) = AnswerBody::events();
+    let cx_task = Rc::clone(cx);
+    tokio::task::spawn_local(async move {
+        let gone = tx.clone();
+        tokio::select! {
+            biased;
+            () = gone.closed() => {}
+            () = pass_events(&cx_task, call, &ending, *source, first, tx) => {}
+        }
+    });
+    let mut res = Response::from_parts(head, body);
+    close_if_stopping(cx, &mut res);
+    res
+}
+
+async fn pass_events(
+    cx: &Rc<Gateway>,
+    mut call: Call,
+    ending: &Ending,
+    mut source: Source,
+    first: Event,
+    tx: EventSender,
+) {
+    let mut event = first;
+    loop {
+        call.last_event = event.id.or(call.last_event);
+        if tx.send(Ok(event.bytes)).await.is_err() {
+            return;
+        }
+        let until = (cx.now() + gap_patience(&call)).min(call.hold_until);
+        event = match next_new(cx, &mut source, call.last_event, until).await {
+            Next::Event(event) => event,
+            Next::End => {
+                let Source {
+                    conn, place, facts, ..
+                } = source;
+                place.end(Outcome::Good, "answered");
+                ending.tell("ok", 200, "", call.attempts);
+                drop(tx);
+                keep(cx, conn, &facts).await;
+                return;
+            }
+            Next::Broken(why) => match go_on(cx, &mut call, source, why).await {
+                Ok((next, event)) => {
+                    source = next;
+                    event
+                }
+                Err(failed) => {
+                    let code = ResultCode::Incomplete;
+                    ending.tell(code.name(), 200, failed.why, call.attempts);
+                    // The caller may be gone as well; then nobody needs the end.
+                    let _ = tx.send(Err(BrokeOff)).await;
+                    return;
+                }
+            },
+        };
+    }
+}
+
+/// Goes on at another target after the last event that the caller has.
+async fn go_on(
+    cx: &Rc<Gateway>,
+    call: &mut Call,
+    broken: Source,
+    why: &'static str,
+) -> Result<(Source, Event), Failed> {
+    broken.place.end(Outcome::Broken, why);
+    // The connection is closed before the next attempt, so that the first target stops.
+    drop(broken.conn);
+    call.attempts.on_fate(Fate::MayHaveRun);
+    let mut failed = Failed {
+        fate: Fate::MayHaveRun,
+        why,
+        nowhere: false,
+    };
+    while may_repeat(cx, call, failed) {
+        failed = match begin(cx, call).await {
+            Ok(Beginning::Stream(_, source, event)) if follows(call.last_event, &event) => {
+                return Ok((*source, event));
+            }
+            Ok(_) => Failed {
+                fate: Fate::Ran,
+                why: "does not go on where it broke off",
+                nowhere: true,
+            },
+            Err(failed) => failed,
+        };
+    }
+    Err(failed)
+}
+
+/// Whether an event of another run may come right after the last one.
+fn follows(last: Option<u64>, event: &Event) -> bool {
+    match (last, event.id) {
+        (Some(last), Some(id)) => id > last,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,146 @@
+//! JSON lines on standard output that never hold a call up.
+//!
+//! Lines gather in a buffer; a thread of its own writes them out. When the reader is slow the
+//! buffer fills, further lines are left out, and their number is told as soon as there is room.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        mpsc::{SyncSender, TrySendError, sync_channel},
+    },
+};
+
+use slog::{Drain, Logger, o, warn};
+
+/// Bytes of lines that may wait: some thousand lines, a few seconds of a busy router.
+const BUFFER_LIMIT: usize = 512 << 10;
+
+/// Batches that may wait for the writing thread.
+const BATCHES: usize = 4;
+
+#[derive(Debug, Default)]
+struct Pending {
+    buf: Vec<u8>,
+    left_out: u64,
+}
+
+#[derive(Clone)]
+struct Buffer(Arc<Mutex<Pending>>);
+
+impl Buffer {
+    /// The lines that wait; a thread that panicked while it held them left them whole.
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Write for Buffer {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut pending = self.lock();
+        match pending.buf.len() + line.len() <= BUFFER_LIMIT {
+            true => pending.buf.extend_from_slice(line),
+            false => pending.left_out += 1,
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whole lines only: slog writes one in many pieces.
+struct LineDrain {
+    buffer: Buffer,
+}
+
+impl Drain for LineDrain {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        let mut line = Vec::with_capacity(320);
+        let json = slog_json::Json::new(&mut line)
+            .set_newlines(true)
+            .set_flush(false)
+            .add_key_value(o!(
+                "ts_ms" => slog::FnValue(|_| unix_ms()),
+                "level" => slog::FnValue(|r| r.level().as_short_str()),
+                "msg" => slog::PushFnValue(|r, s| s.emit(r.msg())),
+            ))
+            .build();
+        let logged = json.log(record, values).is_ok();
+        drop(json);
+        let mut buffer = self.buffer.clone();
+        match logged {
+            // Writing into memory does not fail.
+            true => drop(buffer.write(&line)),
+            false => self.buffer.lock().left_out += 1,
+        }
+        Ok(())
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Passes gathered lines on to the writing thread.
+pub struct LogFlusher {
+    buffer: Buffer,
+    batches: SyncSender<Vec<u8>>,
+    log: Logger,
+}
+
+impl LogFlusher {
+    /// Hands the gathered lines over if the thread has room, and tells what was left out.
+    pub fn flush(&self) {
+        let (batch, left_out) = {
+            let mut pending = self.buffer.lock();
+            (
+                std::mem::take(&mut pending.buf),
+                std::mem::take(&mut pending.left_out),
+            )
+        };
+        if left_out > 0 {
+            warn!(self.log, "log lines left out"; "lines" => left_out);
+        }
+        if batch.is_empty() {
+            return;
+        }
+        if let Err(TrySendError::Full(batch)) = self.batches.try_send(batch) {
+            let mut pending = self.buffer.lock();
+            let newer = std::mem::replace(&mut pending.buf, batch);
+            pending.buf.extend_from_slice(&newer);
+        }
+    }
+}
+
+/// A logger that writes JSON lines to `out`, and what has to be called now and then to do so.
+pub fn buffered(mut out: impl Write + Send + 'static) -> (Logger, LogFlusher) {
+    let (batches, waiting) = sync_channel::<Vec<u8>>(BATCHES);
+    std::thread::spawn(move || {
+        for batch in waiting {
+            // A reader that is gone leaves nobody to tell.
+            let _ = out.write_all(&batch);
+            let _ = out.flush();
+        }
+    });
+    let buffer = Buffer(Arc::default());
+    let drain = LineDrain {
+        buffer: buffer.clone(),
+    };
+    let log = Logger::root(drain, o!());
+    let flusher = LogFlusher {
+        buffer,
+        batches,
+        log: log.clone(),
+    };
+    (log, flusher)
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! A view is a hint: nothing that must be exact depends on it.
 
 mod news;
+pub mod peers;
 
 use std::{
     collections::{BTreeMap, HashMap},
--- /dev/null
+++ b/src/placement/choice.rs
@@ -0,0 +1,161 @@
+//! Which target gets a call that is sent directly.
+//!
+//! For a model engine the cost of a target is what it would have to read for the call, what it
+//! still has to read for others, and how many calls share its steps. A prompt that nobody has
+//! read yet goes to the target that rendezvous hashing names among those with room, so that
+//! routers that see the same choose the same without a word.
+
+use crate::{health::Standing, ids::TargetId, units::Tokens};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What one token costs that a target has to read for this call: reading again takes the time of
+/// everything that runs there, and memory.
+const MISSING_WEIGHT: f64 = 3.0;
+
+/// What one token costs that a target still has to read for others: prompts are read in turns, so
+/// this call waits for a part of them only.
+const BACKLOG_WEIGHT: f64 = 0.3;
+
+/// What one running call at a target costs, in tokens: each makes the steps of all others about a
+/// twentieth longer, for some fifty steps of a thousand tokens' reading time in all.
+const CALL_TOKENS: f64 = 250.0;
+
+/// The part of the bound on a target's calls that is used; the rest covers counts of other
+/// routers that are a little old.
+const BOUND_PART: f64 = 0.7;
+
+/// Calls above the bound that are always allowed: a bound on few calls says little.
+const BOUND_SLACK: f64 = 2.5;
+
+/// Calls for each slot of a target above which it is left alone.
+const FULL_FACTOR: u32 = 3;
+
+/// How far above the mean a target's kept prompts may lie for it to be given another, as a factor
+/// and in tokens.
+const KEPT_FACTOR: f64 = 1.25;
+const KEPT_SLACK: f64 = 6_000.0;
+
+/// A target as a call sees it.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// The target.
+    pub target: TargetId,
+    /// What is believed of its health.
+    pub standing: Standing,
+    /// Calls that it has in progress.
+    pub calls: u32,
+    /// Tokens that it has yet to read for them.
+    pub backlog: Tokens,
+    /// Tokens of this call's prompt that it has yet to read.
+    pub missing: Tokens,
+    /// Whether it has read the deepest part of the prompt that others share.
+    pub holds: bool,
+    /// Tokens of prompts that it is taken to keep.
+    pub kept: Tokens,
+    /// Calls that it works on at once.
+    pub slots: u32,
+    /// Whether it stands in this router's data hall.
+    pub near: bool,
+    /// Whether this call was sent there before.
+    pub tried: bool,
+}
+
+/// What a call asks of its target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// A hash of the deepest part of the prompt that others share; of the call where there is none.
+    pub key: u64,
+    /// Whether there is a part of the prompt that others share.
+    pub shared: bool,
+    /// Whether the call may be sent again after it was sent to a suspect target.
+    pub repeatable: bool,
+    /// How many times the mean load a target may carry.
+    pub cap_factor: f64,
+}
+
+/// Why no target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoChoice {
+    /// The service has no target left that this call was not sent to.
+    NoTarget,
+    /// All have as many calls as they may.
+    AllFull,
+}
+
+/// The index of the chosen target.
+pub fn choose(options: &[Offer], wanted: &Wanted) -> Result<usize, NoChoice> {
+    let untried = |o: &&(usize, &Offer)| !o.1.tried;
+    let all: Vec<(usize, &Offer)> = options.iter().enumerate().collect();
+    let open: Vec<(usize, &Offer)> = all.iter().filter(untried).copied().collect();
+    if open.is_empty() {
+        return Err(NoChoice::NoTarget);
+    }
+    let standing = best_standing(&open, wanted.repeatable);
+    let fits = |o: &&(usize, &Offer)| o.1.standing <= standing;
+    let sound: Vec<(usize, &Offer)> = open.iter().filter(fits).copied().collect();
+    let mean = options.iter().map(|o| f64::from(o.calls)).sum::<f64>() / options.len() as f64;
+    let bound = mean * wanted.cap_factor * BOUND_PART + BOUND_SLACK;
+    let below = |o: &&(usize, &Offer)| {
+        f64::from(o.1.calls) < bound && o.1.calls < o.1.slots.saturating_mul(FULL_FACTOR)
+    };
+    let roomy: Vec<(usize, &Offer)> = sound.iter().filter(below).copied().collect();
+    match roomy.is_empty() {
+        true => Err(NoChoice::AllFull),
+        false => Ok(best(&roomy, wanted)),
+    }
+}
+
+/// The best standing that any has, or one step below it for calls that may try a suspect.
+fn best_standing(open: &[(usize, &Offer)], repeatable: bool) -> Standing {
+    let best = open.iter().map(|o| o.1.standing).min();
+    match best.unwrap_or_default() {
+        Standing::Well | Standing::Full if repeatable && on_trial(open) => Standing::OnTrial,
+        best => best,
+    }
+}
+
+fn on_trial(open: &[(usize, &Offer)]) -> bool {
+    open.iter().any(|o| o.1.standing == Standing::OnTrial)
+}
+
+fn best(roomy: &[(usize, &Offer)], wanted: &Wanted) -> usize {
+    let unread = !roomy.iter().any(|o| o.1.holds);
+    match unread && wanted.shared {
+        true => first_reader(roomy, wanted.key),
+        false => cheapest(roomy, wanted.key),
+    }
+}
+
+/// Who reads a prompt first: the first by rendezvous of those that keep no more than their part.
+fn first_reader(roomy: &[(usize, &Offer)], key: u64) -> usize {
+    let n = roomy.len() as f64;
+    let kept = roomy.iter().map(|o| o.1.kept.0 as f64).sum::<f64>() / n;
+    let calls = roomy.iter().map(|o| f64::from(o.1.calls)).sum::<f64>() / n;
+    let light = |o: &&(usize, &Offer)| {
+        o.1.kept.0 as f64 <= kept * KEPT_FACTOR + KEPT_SLACK && f64::from(o.1.calls) <= calls + 2.0
+    };
+    let by_hash = |o: &&(usize, &Offer)| draw(key, &o.1.target);
+    let chosen = roomy.iter().filter(light).max_by_key(by_hash);
+    let chosen = chosen.or_else(|| roomy.iter().max_by_key(by_hash));
+    chosen.map_or(0, |o| o.0)
+}
+
+fn cheapest(roomy: &[(usize, &Offer)], key: u64) -> usize {
+    let by_cost = |a: &&(usize, &Offer), b: &&(usize, &Offer)| {
+        let tie = || draw(key, &b.1.target).cmp(&draw(key, &a.1.target));
+        cost(a.1).total_cmp(&cost(b.1)).then_with(tie)
+    };
+    roomy.iter().min_by(by_cost).map_or(0, |o| o.0)
+}
+
+fn cost(option: &Offer) -> f64 {
+    let far = if option.near { 0.0 } else { 0.25 };
+    option.missing.0 as f64 * MISSING_WEIGHT
+        + option.backlog.0 as f64 * BACKLOG_WEIGHT
+        + (f64::from(option.calls) + far) * CALL_TOKENS
+}
+
+fn draw(key: u64, target: &TargetId) -> u64 {
+    xxh3_64_with_seed(target.as_str().as_bytes(), key)
+}
--- a/src/placement.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,8 @@
 //! is Schindelhauer and Schomaker 2005): each (conversation, target) pair has a score that no
 //! other target influences, so a joining or leaving target moves only its own chats.
 
+pub mod choice;
+
 use std::cmp::Ordering;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
--- /dev/null
+++ b/src/prompt_cache.rs
@@ -0,0 +1,139 @@
+//! Which target has read which part of which prompt, as far as the fleet remembers.
+//!
+//! Each router notes where it sent prompts and tells its peers of parts that are new at a target.
+//! An engine drops what is unused longest, so each target's parts are kept within its memory.
+
+use std::collections::HashMap;
+
+use lru::LruCache;
+
+use crate::{ids::TargetId, units::Tokens};
+
+/// A part of a prompt: a hash of its text and of all that stands before it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+/// A part with its length.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// What it is.
+    pub id: PartId,
+    /// How long it is.
+    pub tokens: Tokens,
+}
+
+/// The share of a target's memory that prompts are taken to keep; the rest is for running calls.
+const KEPT_SHARE: f64 = 0.8;
+
+/// The most parts that are remembered of one target: sessions' own parts come and go.
+const PARTS_LIMIT: usize = 4_096;
+
+#[derive(Debug)]
+struct Memory {
+    parts: LruCache<PartId, Tokens>,
+    tokens: Tokens,
+}
+
+/// What all targets are taken to keep.
+#[derive(Debug, Default)]
+pub struct PromptCache {
+    targets: HashMap<TargetId, Memory>,
+    news: Vec<(PartId, Tokens, TargetId)>,
+}
+
+impl PromptCache {
+    /// The tokens of a prompt that a target has yet to read: all from the first missing part on.
+    pub fn missing(&self, target: &TargetId, prompt: &[PromptPart]) -> Tokens {
+        let Some(memory) = self.targets.get(target) else {
+            return prompt.iter().map(|p| p.tokens).sum();
+        };
+        prompt
+            .iter()
+            .skip_while(|p| memory.parts.contains(&p.id))
+            .map(|p| p.tokens)
+            .sum()
+    }
+
+    /// Whether a target has read a part.
+    pub fn holds(&self, target: &TargetId, part: PartId) -> bool {
+        let memory = self.targets.get(target);
+        memory.is_some_and(|m| m.parts.contains(&part))
+    }
+
+    /// A prompt was sent to a target; `shared` of its parts are worth telling the peers.
+    pub fn on_send(
+        &mut self,
+        target: &TargetId,
+        prompt: &[PromptPart],
+        shared: usize,
+        memory_tokens: u64,
+    ) {
+        let memory = self.targets.entry(target.clone()).or_default();
+        for (i, part) in prompt.iter().enumerate() {
+            let is_new = memory.hold(*part);
+            if is_new && i < shared {
+                self.news.push((part.id, part.tokens, target.clone()));
+            }
+        }
+        memory.trim(memory_tokens);
+    }
+
+    /// A peer sent a part to a target.
+    pub fn on_peer(&mut self, target: &TargetId, part: PromptPart) {
+        let memory = self.targets.entry(target.clone()).or_default();
+        memory.hold(part);
+    }
+
+    /// A target lost its memory or refused what was counted as read.
+    pub fn forget(&mut self, target: &TargetId) {
+        self.targets.remove(target);
+    }
+
+    /// Forgets targets that are gone.
+    pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
+        self.targets.retain(|id, _| listed(id));
+    }
+
+    /// What is new since the last call, to tell the peers.
+    pub fn take_news(&mut self) -> Vec<(PartId, Tokens, TargetId)> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// The tokens that a target is taken to keep.
+    pub fn kept(&self, target: &TargetId) -> Tokens {
+        self.targets.get(target).map_or(Tokens(0), |m| m.tokens)
+    }
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self {
+            parts: LruCache::unbounded(),
+            tokens: Tokens(0),
+        }
+    }
+}
+
+impl Memory {
+    /// Notes a use; returns whether the part was not there.
+    fn hold(&mut self, part: PromptPart) -> bool {
+        let before = self.parts.put(part.id, part.tokens);
+        if before.is_none() {
+            self.tokens += part.tokens;
+        }
+        before.is_none()
+    }
+
+    fn trim(&mut self, memory_tokens: u64) {
+        let limit = Tokens((memory_tokens as f64 * KEPT_SHARE) as u64);
+        while self.tokens > limit || self.parts.len() > PARTS_LIMIT {
+            let Some((_, tokens)) = self.parts.pop_lru() else {
+                return;
+            };
+            self.tokens = self.tokens.less(tokens);
+        }
+    }
+}
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -97,6 +97,10 @@
     Overloaded = 3003, 503, No, "overloaded";
     /// The deadline passed while the request waited.
     QueueTimeout = 3004, 503, No, "queue_timeout";
+    /// The router has no configuration yet.
+    NoConfig = 3008, 503, No, "no_config";
+    /// What the router knows of the configuration is too old to trust a key by it.
+    ConfigTooOld = 3009, 503, No, "config_too_old";
     /// The router is stopping and takes no new work.
     Draining = 3005, 503, No, "draining";
     /// The target is at its bound; the entry router goes on to the next.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,120 @@
+//! What may follow a failed attempt, and the fleet's budget of repeats.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{config::serving::CallKind, ids::ServiceName, units::Instant};
+
+/// Whether a target ran a call that was sent to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It did not, and never will: the connection never opened, or the target said so.
+    NotRun,
+    /// It did: an answer came.
+    Ran,
+    /// Nobody can tell.
+    MayHaveRun,
+}
+
+/// All attempts of one call, as far as they bind what may be done and said.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Attempts {
+    sent: u32,
+    may_have_run: bool,
+}
+
+impl Attempts {
+    /// An attempt reached a target.
+    pub fn on_sent(&mut self) {
+        self.sent += 1;
+    }
+
+    /// An attempt ended.
+    pub fn on_fate(&mut self, fate: Fate) {
+        self.may_have_run |= fate != Fate::NotRun;
+    }
+
+    /// Targets that the call was sent to.
+    pub fn sent(self) -> u32 {
+        self.sent
+    }
+
+    /// Whether the caller may be told that the call has not run.
+    pub fn is_not_run(self) -> bool {
+        !self.may_have_run
+    }
+
+    /// Whether another target may be tried.
+    pub fn may_go_on(self, kind: CallKind, max_attempts: u32) -> bool {
+        self.sent < max_attempts.max(1) && (!self.may_have_run || kind.is_repeatable())
+    }
+}
+
+/// The part of the budget that is used at most: other routers' counts are a little old.
+const USED_PART: f64 = 0.8;
+
+/// How the fleet's budget is set.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetRule {
+    /// Repeats allowed for each call of the window.
+    pub ratio: f64,
+    /// The sliding window.
+    pub window: Duration,
+    /// Repeats allowed beyond the ratio, for the whole fleet.
+    pub extra: f64,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    calls: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+/// This router's share of the repeats at each service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    rule: BudgetRule,
+    services: HashMap<ServiceName, Window>,
+}
+
+impl RetryBudget {
+    /// A budget by this rule.
+    pub fn new(rule: BudgetRule) -> Self {
+        Self {
+            rule,
+            services: HashMap::new(),
+        }
+    }
+
+    /// A caller's call for a service arrived.
+    pub fn on_call(&mut self, now: Instant, service: &ServiceName) {
+        let window = self.window(now, service);
+        window.calls.push_back(now);
+    }
+
+    /// Takes one repeat if the share allows it. `share` is this router's part of the fleet.
+    pub fn take(&mut self, now: Instant, service: &ServiceName, share: f64) -> bool {
+        let rule = self.rule;
+        let window = self.window(now, service);
+        let by_calls = rule.ratio * window.calls.len() as f64;
+        let allowed = (by_calls + rule.extra * share) * USED_PART;
+        let fits = (window.repeats.len() as f64) + 1.0 <= allowed;
+        if fits {
+            window.repeats.push_back(now);
+        }
+        fits
+    }
+
+    fn window(&mut self, now: Instant, service: &ServiceName) -> &mut Window {
+        let length = self.rule.window;
+        let window = self.services.entry(service.clone()).or_default();
+        for times in [&mut window.calls, &mut window.repeats] {
+            while times.front().is_some_and(|at| now.since(*at) >= length) {
+                times.pop_front();
+            }
+        }
+        window
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -77,6 +77,32 @@
     }
 }
 
+/// A write of the platform's store; grows with each, and 0 is before all of them.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// How urgent a call is, 0 the most.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Rank(pub u8);
+
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// The capacity of a target relative to the others of its pool; 100 is the usual one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "u32", into = "u32")]
