A prompt that another target has read is taken from its memory

Ruled out: two routers choosing at once (3 of 57). Change: the target is told where to take the prompt from; each attempt logs its shared part and the source.

--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -93,6 +93,8 @@
     pub slots: u32,
     /// Tokens that the memory holds, running requests and cached prompts together.
     pub memory_tokens: u64,
+    /// Whether an engine can take a prompt from another one's memory.
+    pub moves: bool,
 }
 
 /// Bounds on what callers may send.
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -2,7 +2,7 @@
 //!
 //! The gateway works on these types; only the adapter knows what the headers are called.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
 
@@ -45,6 +45,8 @@
     pub last_event: Option<u64>,
     /// How urgent it is.
     pub rank: Option<Rank>,
+    /// Another target from whose memory the prompt is taken in place of being read again.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What the head of a target's answer says.
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    config::serving::CallKind,
+    config::serving::{CallKind, EngineSpec},
     discovery::{Discovery, TargetRecord},
     health::{Health, Outcome, Standing},
     ids::{DataHall, ServiceName, TargetId},
@@ -31,8 +31,8 @@
     pub prompt: Vec<PromptPart>,
     /// A hash of the caller's id, to spread calls without a prompt.
     pub hash: u64,
-    /// Tokens that one engine of the service holds.
-    pub memory_tokens: Option<u64>,
+    /// What is known of the service's engines, where it has such.
+    pub engine: Option<EngineSpec>,
     /// Targets that it was sent to.
     pub tried: Vec<TargetId>,
 }
@@ -44,9 +44,8 @@
         &self.prompt[..n]
     }
 
-    fn key(&self) -> u64 {
-        let deepest = self.shared_parts().last();
-        deepest.map_or(self.hash, |p| xxh3_64(&p.id.0.to_le_bytes()))
+    fn hash_of(&self, part: Option<&PromptPart>) -> u64 {
+        part.map_or(self.hash, |p| xxh3_64(&p.id.0.to_le_bytes()))
     }
 }
 
@@ -61,10 +60,18 @@
     pub calls: u32,
     /// Tokens of the prompt that the target has yet to read.
     pub missing: Tokens,
+    /// Whether the target was taken to have read the deepest shared part of the prompt.
+    pub holds: bool,
+    /// The target from whose memory the prompt is taken, where that saves reading.
+    pub fetch_from: Option<Rc<TargetRecord>>,
     /// What was believed of the target's health.
     pub standing: Standing,
 }
 
+/// Tokens that must be saved for a prompt to be taken from another target's memory: setting the
+/// move up takes about as long as reading these.
+const FETCH_LEAST: Tokens = Tokens(128);
+
 /// All that decides where calls go.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -102,9 +109,12 @@
         if targets.is_empty() {
             return Err(NoChoice::NoTarget);
         }
-        let offers: Vec<Offer> = targets.iter().map(|t| self.offer(now, t, plan)).collect();
+        let least_missing = self.least_missing(now, plan);
+        let offer = |t| self.offer(now, t, plan, least_missing);
+        let offers: Vec<Offer> = targets.iter().map(offer).collect();
         let wanted = Wanted {
-            key: plan.key(),
+            key: plan.hash_of(plan.shared_parts().last()),
+            root: plan.hash_of(plan.shared_parts().first()),
             shared: !plan.shared_parts().is_empty(),
             repeatable: plan.kind.is_repeatable(),
             cap_factor: self.cap_factor,
@@ -116,6 +126,8 @@
             work: InProgress::one(offer.missing),
             calls: offer.calls,
             missing: offer.missing,
+            holds: offer.holds,
+            fetch_from: self.fetch_source(now, plan, offer),
             standing: offer.standing,
         };
         self.on_send(now, &ticket, plan);
@@ -165,20 +177,52 @@
         self.load.on_send(target, ticket.work);
         self.health.on_send(now, target);
         let shared = plan.shared_parts().len();
-        let memory = plan.memory_tokens.unwrap_or(MEMORY_UNTOLD);
+        let memory = plan.engine.map_or(MEMORY_UNTOLD, |e| e.memory_tokens);
         if !plan.prompt.is_empty() {
             self.cache.on_send(target, &plan.prompt, shared, memory);
         }
     }
 
-    fn offer(&self, now: Instant, target: &Rc<TargetRecord>, plan: &Plan) -> Offer {
+    /// Targets of the call's service whose memory can be reached, those that leave included.
+    fn sources(&self, now: Instant, plan: &Plan) -> impl Iterator<Item = &Rc<TargetRecord>> {
+        let service = plan.service.clone();
+        let moves = plan.engine.is_some_and(|e| e.moves) && !plan.shared_parts().is_empty();
+        let all = self.discovery.all().filter(move |_| moves);
+        all.filter(move |t| {
+            t.service == service && self.health.standing(now, &t.id) != Standing::Paused
+        })
+    }
+
+    /// The least that any target would have to read of the prompt.
+    fn least_missing(&self, now: Instant, plan: &Plan) -> Option<Tokens> {
+        let missing = |t: &Rc<TargetRecord>| self.cache.missing(&t.id, &plan.prompt);
+        self.sources(now, plan).map(missing).min()
+    }
+
+    /// Where the chosen target takes the prompt from, if another one has read much more of it.
+    fn fetch_source(&self, now: Instant, plan: &Plan, chosen: &Offer) -> Option<Rc<TargetRecord>> {
+        let missing = |t: &&Rc<TargetRecord>| self.cache.missing(&t.id, &plan.prompt);
+        let source = self.sources(now, plan).min_by_key(missing)?;
+        let saved = chosen.missing.less(missing(&source));
+        (saved >= FETCH_LEAST).then(|| Rc::clone(source))
+    }
+
+    fn offer(
+        &self,
+        now: Instant,
+        target: &Rc<TargetRecord>,
+        plan: &Plan,
+        least_missing: Option<Tokens>,
+    ) -> Offer {
         let id = &target.id;
+        let missing = self.cache.missing(id, &plan.prompt);
         let deepest = plan.shared_parts().last();
         Offer {
             standing: self.health.standing(now, id),
             calls: self.load.calls(now, id),
             backlog: self.load.total(id).tokens,
-            missing: self.cache.missing(id, &plan.prompt),
+            missing,
+            fetchable: least_missing.map_or(Tokens(0), |least| missing.less(least)),
             holds: deepest.is_some_and(|p| self.cache.holds(id, p.id)),
             kept: self.cache.kept(id),
             slots: target.slots,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -22,6 +22,7 @@
     dispatcher::{Plan, Ticket},
     health::Outcome,
     placement::choice::NoChoice,
+    prompt_cache::PartId,
     retry::{Attempts, Fate},
     units::{Instant, Rank},
 };
@@ -63,6 +64,7 @@
     cx: Rc<Gateway>,
     ticket: Ticket,
     id: String,
+    shared_part: Option<PartId>,
     began: Instant,
     ended: bool,
 }
@@ -96,6 +98,9 @@
         info!(log, "attempt"; "id" => &self.id, "target" => %target, "outcome" => why,
             "took_ms" => now.since(self.began).as_millis() as u64,
             "calls_there" => self.ticket.calls, "tokens_missing" => self.ticket.missing.0,
+            "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.holds,
+            "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
+            "began_ms" => self.began.0.as_millis() as u64,
             "standing" => ?self.ticket.standing);
         if let Some(standing) = standing {
             info!(log, "standing"; "target" => %target, "standing" => ?standing, "id" => &self.id, "why" => why);
@@ -189,6 +194,7 @@
             cx: Rc::clone(cx),
             ticket,
             id: call.id().to_owned(),
+            shared_part: call.plan.shared_parts().last().map(|p| p.id),
             began: now,
             ended: false,
         };
@@ -219,7 +225,7 @@
     patience: Duration,
 ) -> Result<Begun, Failed> {
     let now = cx.now();
-    let req = request(cx, call, now, place.target());
+    let req = request(cx, call, now, &place.ticket);
     let until = (now + patience).min(call.hold_until);
     call.attempts.on_sent();
     let sent = conn.sender.try_send_request(req);
@@ -295,10 +301,11 @@
     cx: &Gateway,
     call: &Call,
     now: Instant,
-    target: &crate::ids::TargetId,
+    ticket: &Ticket,
 ) -> Request<Full<Bytes>> {
     let handover = Handover {
-        target,
+        target: &ticket.target.id,
+        fetch_from: ticket.fetch_from.as_ref().map(|t| t.address),
         time_left: call.hold_until.since(now),
         account: call.holder.as_ref().map(|h| &h.account),
         last_event: call.last_event,
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -195,7 +195,7 @@
             kind: route.kind,
             prompt: facts.prompt.clone(),
             hash,
-            memory_tokens: spec.and_then(|s| s.engine).map(|e| e.memory_tokens),
+            engine: spec.and_then(|s| s.engine),
             tried: Vec::new(),
         },
         hold_until: received + deadline.min(route.timeout),
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -13,6 +13,9 @@
 /// everything that runs there, and memory.
 const MISSING_WEIGHT: f64 = 3.0;
 
+/// What one token costs that a target takes from another one's memory: a seventh of reading it.
+const FETCH_WEIGHT: f64 = 2.0;
+
 /// What one token costs that a target still has to read for others: prompts are read in turns, so
 /// this call waits for a part of them only.
 const BACKLOG_WEIGHT: f64 = 0.3;
@@ -31,11 +34,13 @@
 /// Calls for each slot of a target above which it is left alone.
 const FULL_FACTOR: u32 = 3;
 
-/// How far above the mean a target's kept prompts may lie for it to be given another, as a factor
-/// and in tokens.
-const KEPT_FACTOR: f64 = 1.25;
+/// Tokens of prompts above the mean that a target may keep before new ones go elsewhere: half of
+/// the longest usual one.
 const KEPT_SLACK: f64 = 6_000.0;
 
+/// Calls above the mean that a target may have before new prompts go elsewhere.
+const CALLS_SLACK: f64 = 2.0;
+
 /// A target as a call sees it.
 #[derive(Debug, Clone)]
 pub struct Offer {
@@ -49,6 +54,8 @@
     pub backlog: Tokens,
     /// Tokens of this call's prompt that it has yet to read.
     pub missing: Tokens,
+    /// Tokens of these that it can take from another target's memory.
+    pub fetchable: Tokens,
     /// Whether it has read the deepest part of the prompt that others share.
     pub holds: bool,
     /// Tokens of prompts that it is taken to keep.
@@ -66,6 +73,8 @@
 pub struct Wanted {
     /// A hash of the deepest part of the prompt that others share; of the call where there is none.
     pub key: u64,
+    /// A hash of the first part of the prompt, which the most others share.
+    pub root: u64,
     /// Whether there is a part of the prompt that others share.
     pub shared: bool,
     /// Whether the call may be sent again after it was sent to a suspect target.
@@ -122,26 +131,31 @@
 fn best(roomy: &[(usize, &Offer)], wanted: &Wanted) -> usize {
     let unread = !roomy.iter().any(|o| o.1.holds);
     match unread && wanted.shared {
-        true => first_reader(roomy, wanted.key),
+        true => first_reader(roomy, wanted),
         false => cheapest(roomy, wanted.key),
     }
 }
 
-/// Who reads a prompt first: the first by rendezvous of those that keep no more than their part.
-fn first_reader(roomy: &[(usize, &Offer)], key: u64) -> usize {
+/// Who reads a prompt first: whoever has read most of its beginning, unless it keeps much more
+/// than the others or has more calls; rendezvous on the beginning decides between equals.
+fn first_reader(roomy: &[(usize, &Offer)], wanted: &Wanted) -> usize {
     let n = roomy.len() as f64;
     let kept = roomy.iter().map(|o| o.1.kept.0 as f64).sum::<f64>() / n;
     let calls = roomy.iter().map(|o| f64::from(o.1.calls)).sum::<f64>() / n;
-    let light = |o: &&(usize, &Offer)| {
-        o.1.kept.0 as f64 <= kept * KEPT_FACTOR + KEPT_SLACK && f64::from(o.1.calls) <= calls + 2.0
+    let cost = |o: &Offer| {
+        let more_kept = (o.kept.0 as f64 - kept - KEPT_SLACK).max(0.0);
+        let more_calls = (f64::from(o.calls) - calls - CALLS_SLACK).max(0.0);
+        o.missing.0 as f64 + more_kept + more_calls * CALL_TOKENS
     };
-    let by_hash = |o: &&(usize, &Offer)| draw(key, &o.1.target);
-    let chosen = roomy.iter().filter(light).max_by_key(by_hash);
-    let chosen = chosen.or_else(|| roomy.iter().max_by_key(by_hash));
-    chosen.map_or(0, |o| o.0)
+    least(roomy, wanted.root, cost)
 }
 
 fn cheapest(roomy: &[(usize, &Offer)], key: u64) -> usize {
+    least(roomy, key, cost)
+}
+
+/// The index of the offer of least cost; rendezvous on a key decides between equals.
+fn least(roomy: &[(usize, &Offer)], key: u64, cost: impl Fn(&Offer) -> f64) -> usize {
     let by_cost = |a: &&(usize, &Offer), b: &&(usize, &Offer)| {
         let tie = || draw(key, &b.1.target).cmp(&draw(key, &a.1.target));
         cost(a.1).total_cmp(&cost(b.1)).then_with(tie)
@@ -151,7 +165,9 @@
 
 fn cost(option: &Offer) -> f64 {
     let far = if option.near { 0.0 } else { 0.25 };
-    option.missing.0 as f64 * MISSING_WEIGHT
+    let unread = option.missing.less(option.fetchable);
+    unread.0 as f64 * MISSING_WEIGHT
+        + option.fetchable.0 as f64 * FETCH_WEIGHT
         + option.backlog.0 as f64 * BACKLOG_WEIGHT
         + (f64::from(option.calls) + far) * CALL_TOKENS
 }
