--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -1,15 +1,16 @@
 //! Datagrams between routers: sends what this one knows, takes in what others tell.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
 use super::gateway::{Gateway, Phase};
 use crate::{
+    ids::TargetId,
     load_account::InProgress,
     membership::peers::{Datagram, Heard, Stamp},
-    prompt_cache::PromptPart,
+    prompt_cache::{PartId, PromptPart},
     units::Tokens,
 };
 
@@ -44,35 +45,49 @@
         quiet = if changed { 0 } else { quiet + 1 };
         if changed || quiet >= QUIET_TURNS {
             quiet = 0;
-            send(&cx, &udp, turn);
+            send(&cx, &udp);
         }
     }
 }
 
 /// Sends one datagram to each peer.
-pub(super) fn send(cx: &Gateway, udp: &UdpSocket, number: u64) {
-    let mut told = datagram(cx, number);
+pub(super) fn send(cx: &Gateway, udp: &UdpSocket) {
+    let mut parts = cx.dispatcher.borrow_mut().cache.take_news();
+    parts.truncate(PARTS_TOLD);
+    let mut told = datagram(cx, parts);
     for (address, echo) in cx.peers.borrow().receivers() {
         told.echo = echo;
-        let Ok(bytes) = postcard::to_stdvec(&told) else {
-            debug!(cx.log, "datagram not encoded"; "to" => %address);
-            continue;
-        };
-        cx.metrics.datagrams_sent.inc();
-        cx.metrics.datagram_bytes.inc_by(bytes.len() as u64);
-        // A datagram that is not sent is like one that is lost: the next one tells all again.
-        let _ = udp.try_send_to(&bytes, address);
+        send_to(cx, udp, &told, address);
+    }
+}
+
+/// Tells a peer that joined all parts of prompts that are known to be read.
+fn teach(cx: &Gateway, udp: &UdpSocket, address: SocketAddr) {
+    let parts = cx.dispatcher.borrow().cache.shared_parts();
+    for some in parts.chunks(PARTS_TOLD) {
+        let told = datagram(cx, some.to_vec());
+        send_to(cx, udp, &told, address);
     }
 }
 
-fn datagram(cx: &Gateway, number: u64) -> Datagram {
+fn send_to(cx: &Gateway, udp: &UdpSocket, told: &Datagram, address: SocketAddr) {
+    let Ok(bytes) = postcard::to_stdvec(told) else {
+        debug!(cx.log, "datagram not encoded"; "to" => %address);
+        return;
+    };
+    cx.metrics.datagrams_sent.inc();
+    cx.metrics.datagram_bytes.inc_by(bytes.len() as u64);
+    // A datagram that is not sent is like one that is lost: the next one tells all again.
+    let _ = udp.try_send_to(&bytes, address);
+}
+
+fn datagram(cx: &Gateway, parts: Vec<(PartId, Tokens, TargetId)>) -> Datagram {
     let now = cx.now();
-    let mut dispatcher = cx.dispatcher.borrow_mut();
-    let load = dispatcher.load.own_counts();
+    let load = cx.dispatcher.borrow().load.own_counts();
     let freshness = cx.freshness.borrow();
     let age = freshness.age(now);
-    let mut parts = dispatcher.cache.take_news();
-    parts.truncate(PARTS_TOLD);
+    let number = cx.datagram_count.get() + 1;
+    cx.datagram_count.set(number);
     Datagram {
         vm: cx.cfg.vm.clone(),
         number,
@@ -102,19 +117,25 @@
             continue;
         };
         match postcard::from_bytes::<Datagram>(&buf[..len]) {
-            Ok(told) => on_datagram(&cx, from, told),
+            Ok(told) => on_datagram(&cx, &udp, from, told),
             Err(e) => debug!(cx.log, "datagram not understood"; "from" => %from, "why" => %e),
         }
     }
 }
 
-fn on_datagram(cx: &Gateway, from: std::net::SocketAddr, told: Datagram) {
+fn on_datagram(cx: &Gateway, udp: &UdpSocket, from: SocketAddr, told: Datagram) {
     let now = cx.now();
     let heard = cx.peers.borrow_mut().on_datagram(now, from, &told);
     match heard {
         Heard::Outdated => return,
-        Heard::Joined => info!(cx.log, "peer"; "peer" => %told.vm, "verdict" => "joined",
-            "address" => %from, "life" => told.sent.life.0),
+        Heard::Joined => {
+            let teach_it = cx.peers.borrow().is_teacher_of(now, &told.vm);
+            info!(cx.log, "peer"; "peer" => %told.vm, "verdict" => "joined",
+                "address" => %from, "life" => told.sent.life.0, "told_prompts" => teach_it);
+            if teach_it {
+                teach(cx, udp, from);
+            }
+        }
         Heard::Known => {}
     }
     if let Some(vouch) = cx.peers.borrow().vouch(&told) {
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -11,6 +11,7 @@
     config::freshness::Vouch,
     ids::{Incarnation, TargetId, VmId},
     load_account::PEER_EXPIRES,
+    placement::keepers,
     prompt_cache::PartId,
     units::{Instant, StoreRevision, Tokens},
 };
@@ -24,6 +25,9 @@
 /// Addresses that one datagram names.
 const KNOWN_TOLD: usize = 16;
 
+/// Routers that tell a peer that joined what it missed; two, as one may be about to go.
+const TEACHERS: usize = 2;
+
 /// A moment of one router's clock, as it is sent and echoed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
@@ -177,6 +181,14 @@
         self.unheard.retain(|_, since| keep(*since));
     }
 
+    /// Whether this router is one of the few that tell a peer that joined what the fleet knows.
+    pub fn is_teacher_of(&self, now: Instant, joined: &VmId) -> bool {
+        let living = self.peers.iter().filter(|(_, p)| is_alive(now, p));
+        let others = living.map(|(vm, _)| vm).filter(|vm| *vm != joined);
+        let all = others.chain(std::iter::once(&self.me));
+        keepers(joined.as_str(), all, TEACHERS).contains(&&self.me)
+    }
+
     /// Routers that live, this one included.
     pub fn alive(&self, now: Instant) -> usize {
         1 + self.living(now).count()
--- a/src/prompt_cache.rs
+++ b/src/prompt_cache.rs
@@ -31,9 +31,15 @@
 /// The most parts that are remembered of one target: sessions' own parts come and go.
 const PARTS_LIMIT: usize = 4_096;
 
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    tokens: Tokens,
+    shared: bool,
+}
+
 #[derive(Debug)]
 struct Memory {
-    parts: LruCache<PartId, Tokens>,
+    parts: LruCache<PartId, Held>,
     tokens: Tokens,
 }
 
@@ -73,8 +79,9 @@
     ) {
         let memory = self.targets.entry(target.clone()).or_default();
         for (i, part) in prompt.iter().enumerate() {
-            let is_new = memory.hold(*part);
-            if is_new && i < shared {
+            let is_shared = i < shared;
+            let is_new = memory.hold(*part, is_shared);
+            if is_new && is_shared {
                 self.news.push((part.id, part.tokens, target.clone()));
             }
         }
@@ -84,7 +91,7 @@
     /// A peer sent a part to a target.
     pub fn on_peer(&mut self, target: &TargetId, part: PromptPart) {
         let memory = self.targets.entry(target.clone()).or_default();
-        memory.hold(part);
+        memory.hold(part, true);
     }
 
     /// A target lost its memory or refused what was counted as read.
@@ -102,6 +109,16 @@
         std::mem::take(&mut self.news)
     }
 
+    /// All shared parts, those unused longest first, for a peer that has just started.
+    pub fn shared_parts(&self) -> Vec<(PartId, Tokens, TargetId)> {
+        let of_target = |(target, memory): (&TargetId, &Memory)| {
+            let shared = memory.parts.iter().rev().filter(|(_, held)| held.shared);
+            let told = shared.map(|(id, held)| (*id, held.tokens, target.clone()));
+            told.collect::<Vec<_>>()
+        };
+        self.targets.iter().flat_map(of_target).collect()
+    }
+
     /// The tokens that a target is taken to keep.
     pub fn kept(&self, target: &TargetId) -> Tokens {
         self.targets.get(target).map_or(Tokens(0), |m| m.tokens)
@@ -119,8 +136,9 @@
 
 impl Memory {
     /// Notes a use; returns whether the part was not there.
-    fn hold(&mut self, part: PromptPart) -> bool {
-        let before = self.parts.put(part.id, part.tokens);
+    fn hold(&mut self, part: PromptPart, shared: bool) -> bool {
+        let tokens = part.tokens;
+        let before = self.parts.put(part.id, Held { tokens, shared });
         if before.is_none() {
             self.tokens += part.tokens;
         }
@@ -130,10 +148,10 @@
     fn trim(&mut self, memory_tokens: u64) {
         let limit = Tokens((memory_tokens as f64 * KEPT_SHARE) as u64);
         while self.tokens > limit || self.parts.len() > PARTS_LIMIT {
-            let Some((_, tokens)) = self.parts.pop_lru() else {
+            let Some((_, held)) = self.parts.pop_lru() else {
                 return;
             };
-            self.tokens = self.tokens.less(tokens);
+            self.tokens = self.tokens.less(held.tokens);
         }
     }
 }
