--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -129,7 +129,9 @@
                 return Heard::Outdated;
             }
             Some(p) if p.stamp.life > told.sent.life => return Heard::Outdated,
-            Some(p) if p.stamp.life == told.sent.life && is_alive(now, p) => Heard::Known,
+            // One that stops is still the same life, and needs nothing told.
+            Some(p) if p.stamp.life == told.sent.life && is_heard(now, p) => Heard::Known,
+            _ if told.stopping => Heard::Known,
             _ => Heard::Joined,
         };
         let peer = Peer {
@@ -210,11 +212,15 @@
     }
 }
 
+fn is_heard(now: Instant, peer: &Peer) -> bool {
+    now.since(peer.heard) < ALIVE_FOR
+}
+
 fn is_alive(now: Instant, peer: &Peer) -> bool {
-    now.since(peer.heard) < ALIVE_FOR && !peer.stopping
+    is_heard(now, peer) && !peer.stopping
 }
 
 /// A peer that said it stops, and is silent since.
 fn gone(now: Instant, peer: &Peer) -> bool {
-    peer.stopping && now.since(peer.heard) >= ALIVE_FOR
+    peer.stopping && !is_heard(now, peer)
 }
