--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Where calls go and what their ends teach: discovery, load, health, prompts and the retry budget
 //! behind one synchronous type, which tests drive without a clock or a socket.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -87,8 +87,12 @@
     pub budget: RetryBudget,
     hall: DataHall,
     cap_factor: f64,
+    swept: Instant,
 }
 
+/// How often prompts of targets that are gone are forgotten: longer than a live one is missing.
+const SWEEP_EVERY: Duration = Duration::from_secs(5);
+
 impl Dispatcher {
     /// One that knows nothing yet.
     pub fn new(hall: DataHall, cap_factor: f64, budget: BudgetRule) -> Self {
@@ -100,6 +104,7 @@
             budget: RetryBudget::new(budget),
             hall,
             cap_factor,
+            swept: Instant::default(),
         }
     }
 
@@ -168,7 +173,10 @@
         let discovery = &self.discovery;
         let listed = |id: &TargetId| discovery.get(id).is_some();
         self.health.retain(listed);
-        self.cache.retain(listed);
+        if now.since(self.swept) >= SWEEP_EVERY {
+            self.swept = now;
+            self.cache.sweep(listed);
+        }
         gone
     }
 
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -9,8 +9,9 @@
 use crate::{
     discovery::{ListChange, Verdict},
     ids::TargetId,
+    prompt_cache::{PartId, PromptPart},
     store::{StoreChange, StoreError, StoreNews},
-    units::{Instant, StoreRevision},
+    units::{Instant, StoreRevision, Tokens},
 };
 
 /// How long one watch waits. The proof of the configuration is about this old at the most.
@@ -26,6 +27,13 @@
 /// How often a router says in the store where its peers reach it.
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(10);
 
+/// How often it is saved which prompts are read where, if that changed. Each write wakes all
+/// watches.
+const SAVE_EVERY: Duration = Duration::from_secs(4);
+
+/// The most that is saved, in bytes: well below the largest value of the users' sites in base64.
+const SAVED_LIMIT: usize = 512 << 10;
+
 /// The pause after an announcement that failed; peers know one another by datagrams meanwhile.
 const ANNOUNCE_AGAIN: Duration = Duration::from_secs(2);
 
@@ -114,7 +122,8 @@
                 on_change(cx, now, id.clone(), ListChange::Removed(id), revision);
             }
             StoreChange::Peer(address) => cx.peers.borrow_mut().on_address(now, address),
-            StoreChange::Other(None) => {}
+            StoreChange::Prompts(saved) if listed => recall_prompts(cx, &saved),
+            StoreChange::Prompts(_) | StoreChange::Other(None) => {}
             StoreChange::Other(Some(why)) => {
                 warn!(cx.log, "store entry not understood"; "why" => why)
             }
@@ -172,6 +181,48 @@
     info!(cx.log, "target"; "target" => %id, "verdict" => verdict, "revision" => at.0);
 }
 
+/// Takes in which prompts were read where before this router's life.
+fn recall_prompts(cx: &Gateway, saved: &[u8]) {
+    let parts: SavedPrompts = match postcard::from_bytes(saved) {
+        Ok(parts) => parts,
+        Err(e) => {
+            warn!(cx.log, "saved prompts not understood"; "why" => %e);
+            return;
+        }
+    };
+    info!(cx.log, "saved prompts"; "parts" => parts.len());
+    let mut dispatcher = cx.dispatcher.borrow_mut();
+    for (id, tokens, target) in parts {
+        let part = PromptPart { id, tokens };
+        dispatcher.cache.on_peer(&target, part);
+    }
+}
+
+/// Shared parts of prompts with the targets that have read them, as they are saved.
+type SavedPrompts = Vec<(PartId, Tokens, TargetId)>;
+
+/// Saves which prompts are read where, over and over; one router does it for all.
+pub(super) async fn save_prompts(cx: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SAVE_EVERY).await;
+        let is_keeper = cx.peers.borrow().is_keeper_of(cx.now(), "prompts");
+        let changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
+        if !is_keeper || !changed {
+            continue;
+        }
+        let parts: SavedPrompts = cx.dispatcher.borrow().cache.shared_parts();
+        let saved = match postcard::to_stdvec(&parts) {
+            Ok(bytes) if bytes.len() <= SAVED_LIMIT => cx.store.save_prompts(bytes).await,
+            Ok(bytes) => Err(StoreError::Garbled(format!("{} bytes", bytes.len()))),
+            Err(e) => Err(StoreError::Garbled(e.to_string())),
+        };
+        cx.metrics.on_store_call("save");
+        if let Err(e) = saved {
+            info!(cx.log, "prompts not saved"; "parts" => parts.len(), "why" => %e);
+        }
+    }
+}
+
 /// Says in the store where peers reach this router, over and over.
 pub(super) async fn announce(cx: Rc<Gateway>) {
     loop {
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -128,6 +128,7 @@
         spawn_local(ingress::serve_ready(Rc::clone(&self), ready));
         spawn_local(follow::follow_store(Rc::clone(&self)));
         spawn_local(follow::announce(Rc::clone(&self)));
+        spawn_local(follow::save_prompts(Rc::clone(&self)));
         let udp = Rc::new(udp);
         spawn_local(gossip::receive(Rc::clone(&self), Rc::clone(&udp)));
         spawn_local(gossip::tell(Rc::clone(&self), Rc::clone(&udp)));
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -11,7 +11,7 @@
     config::freshness::Vouch,
     ids::{Incarnation, TargetId, VmId},
     load_account::PEER_EXPIRES,
-    placement::keepers,
+    placement::{keeper, keepers},
     prompt_cache::PartId,
     units::{Instant, StoreRevision, Tokens},
 };
@@ -185,12 +185,21 @@
 
     /// Whether this router is one of the few that tell a peer that joined what the fleet knows.
     pub fn is_teacher_of(&self, now: Instant, joined: &VmId) -> bool {
-        let living = self.peers.iter().filter(|(_, p)| is_alive(now, p));
-        let others = living.map(|(vm, _)| vm).filter(|vm| *vm != joined);
-        let all = others.chain(std::iter::once(&self.me));
+        let all = self.names(now).filter(|vm| *vm != joined);
         keepers(joined.as_str(), all, TEACHERS).contains(&&self.me)
     }
 
+    /// Whether this router is the one that looks after a thing for all.
+    pub fn is_keeper_of(&self, now: Instant, thing: &str) -> bool {
+        keeper(thing, self.names(now)) == Some(&self.me)
+    }
+
+    /// The names of all that live, this router's included.
+    fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
+        let living = self.peers.iter().filter(move |(_, p)| is_alive(now, p));
+        living.map(|(vm, _)| vm).chain(std::iter::once(&self.me))
+    }
+
     /// Routers that live, this one included.
     pub fn alive(&self, now: Instant) -> usize {
         1 + self.living(now).count()
--- a/src/prompt_cache.rs
+++ b/src/prompt_cache.rs
@@ -3,7 +3,7 @@
 //! Each router notes where it sent prompts and tells its peers of parts that are new at a target.
 //! An engine drops what is unused longest, so each target's parts are kept within its memory.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use lru::LruCache;
 
@@ -48,6 +48,8 @@
 pub struct PromptCache {
     targets: HashMap<TargetId, Memory>,
     news: Vec<(PartId, Tokens, TargetId)>,
+    unsaved: bool,
+    unlisted: HashSet<TargetId>,
 }
 
 impl PromptCache {
@@ -83,6 +85,7 @@
             let is_new = memory.hold(*part, is_shared);
             if is_new && is_shared {
                 self.news.push((part.id, part.tokens, target.clone()));
+                self.unsaved = true;
             }
         }
         memory.trim(memory_tokens);
@@ -91,7 +94,7 @@
     /// A peer sent a part to a target.
     pub fn on_peer(&mut self, target: &TargetId, part: PromptPart) {
         let memory = self.targets.entry(target.clone()).or_default();
-        memory.hold(part, true);
+        self.unsaved |= memory.hold(part, true);
     }
 
     /// A target lost its memory or refused what was counted as read.
@@ -99,9 +102,24 @@
         self.targets.remove(target);
     }
 
-    /// Forgets targets that are gone.
-    pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
-        self.targets.retain(|id, _| listed(id));
+    /// Forgets targets that are gone: those that were not listed at the sweep before either, as
+    /// live ones may be missing from the list for a moment.
+    pub fn sweep(&mut self, listed: impl Fn(&TargetId) -> bool) {
+        let unlisted: HashSet<TargetId> = self
+            .targets
+            .keys()
+            .filter(|id| !listed(id))
+            .cloned()
+            .collect();
+        for id in unlisted.intersection(&self.unlisted) {
+            self.targets.remove(id);
+        }
+        self.unlisted = unlisted;
+    }
+
+    /// Whether shared parts came to be known since the last call.
+    pub fn take_unsaved(&mut self) -> bool {
+        std::mem::take(&mut self.unsaved)
     }
 
     /// What is new since the last call, to tell the peers.
--- a/src/store.rs
+++ b/src/store.rs
@@ -34,6 +34,8 @@
     TargetGone(TargetId, StoreRevision),
     /// A router wrote where its peers reach it.
     Peer(std::net::SocketAddr),
+    /// Which prompts are read where, as some router saved it.
+    Prompts(Vec<u8>),
     /// Something that concerns nobody here, or that could not be decoded, with the reason.
     Other(Option<String>),
 }
@@ -56,6 +58,8 @@
     fn list(&self) -> StoreCall<'_, StoreNews>;
     /// Waits for changes after a revision, at most so long; empty if there are none.
     fn watch(&self, after: StoreRevision, wait: Duration) -> StoreCall<'_, StoreNews>;
+    /// Saves which prompts are read where, for routers that start when no other is left to tell.
+    fn save_prompts(&self, prompts: Vec<u8>) -> StoreCall<'_, ()>;
     /// Writes where this router's peers reach it; the entry goes by itself some time after the
     /// router does. Called again, keeps the entry alive.
     fn announce(&self, address: std::net::SocketAddr) -> StoreCall<'_, ()>;
