Three routers read the store, the others ask them

Change: raw entries are mirrored and passed on between routers; who reads is chosen by rendezvous over those that live; a router whose reader falls behind, or that hears of no reader, asks another one or the store. Ages are still told by datagrams alone. Routers write themselves into the store only if they know no other.

--- a/src/config/freshness.rs
+++ b/src/config/freshness.rs
@@ -32,10 +32,10 @@
 }
 
 impl Freshness {
-    /// A configuration was applied that the store held when a call sent at `sent` reached it.
-    pub fn on_applied(&mut self, sent: Instant, revision: StoreRevision) {
-        self.revision = revision;
-        self.proven_at = self.proven_at.max(Some(sent));
+    /// A newer configuration was applied. The proof stays: it says that nothing newer than the applied revision existed at that
+    /// moment, and a newer revision holds all that was revoked by then.
+    pub fn on_applied(&mut self, revision: StoreRevision) {
+        self.revision = self.revision.max(revision);
     }
 
     /// The store answered a consistent call sent at `sent`: nothing newer than `revision` exists.
@@ -45,10 +45,11 @@
         }
     }
 
-    /// A peer vouches; only for the very revision that is applied here.
+    /// A peer vouches for the revision that it applies. A later one that is applied here holds all
+    /// that the peer's held; an earlier one is not vouched for.
     pub fn on_vouch(&mut self, vouch: Vouch) {
         let proof = Instant(vouch.echo.0.saturating_sub(vouch.age));
-        if vouch.revision == self.revision {
+        if vouch.revision <= self.revision {
             self.proven_at = self.proven_at.max(Some(proof));
         }
     }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -94,9 +94,9 @@
         self.known
     }
 
-    /// The store answers again after it did not.
-    pub fn on_store_back(&mut self, now: Instant) {
-        self.grace_until = Some(now + RETURN_GRACE);
+    /// The store answered again at `at`, after it did not.
+    pub fn on_store_back(&mut self, at: Instant) {
+        self.grace_until = self.grace_until.max(Some(at + RETURN_GRACE));
     }
 
     /// Takes one change that was written as `revision`; older news of an entry is passed over.
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -1,31 +1,50 @@
-//! Follows the store: lists it once, then waits for changes, and lists anew when history is gone.
+//! Follows the store: a few routers list and watch it, the others ask those few.
+//!
+//! List once, then wait for changes from that revision on, and list anew when the history is gone
+//! (see "List-Watch Semantics"). A router that hears from no reader goes to the store itself.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::Rng;
 use slog::{info, warn};
 
-use super::gateway::Gateway;
+use super::{gateway::Gateway, mirror::Upstream};
 use crate::{
+    config::serving::ServingConfig,
     discovery::{ListChange, Verdict},
     ids::TargetId,
     prompt_cache::{PartId, PromptPart},
-    store::{StoreChange, StoreError, StoreNews},
+    store::{Mirrored, StoreChange, StoreError, StoreNews},
     units::{Instant, StoreRevision, Tokens},
 };
 
 /// How long one watch waits. The proof of the configuration is about this old at the most.
-const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+const WATCH_WAIT: Duration = Duration::from_millis(600);
 
 /// The pause after a watch that brought something: changes that come together are read together.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 
-/// The pauses between calls while the store does not answer.
+/// The pauses between a reader's calls while the store does not answer.
 const FIRST_BACKOFF: Duration = Duration::from_millis(40);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(300);
 
-/// How often a router says in the store where its peers reach it.
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(10);
+/// The pause of a router that is no reader between its own calls to a store that does not answer:
+/// each call has its price, and the readers will tell.
+const BYSTANDER_BACKOFF: Duration = Duration::from_millis(1_500);
+
+/// How long after its start a router still waits for word from a reader before it goes to the
+/// store itself. Routers that start together do not know one another yet.
+const FIRST_WAIT: Duration = Duration::from_millis(700);
+
+/// The pause after a reader that had nothing or failed, before another one is asked.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
+/// How often a router that waits for its reader looks whether another peer knows more. One that
+/// does so twice in a row is asked in its place.
+const OVERTAKEN_CHECK: Duration = Duration::from_millis(150);
+
+/// How often it is looked whether this router knows no other, and says so in the store.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(8);
 
 /// How often it is saved which prompts are read where, if that changed. Each write wakes all
 /// watches.
@@ -34,102 +53,200 @@
 /// The most that is saved, in bytes: well below the largest value of the users' sites in base64.
 const SAVED_LIMIT: usize = 512 << 10;
 
-/// The pause after an announcement that failed; peers know one another by datagrams meanwhile.
-const ANNOUNCE_AGAIN: Duration = Duration::from_secs(2);
-
-/// Whether the store answers.
-struct Link {
-    lost_at: Option<Instant>,
+/// Whom this router follows.
+struct Follower {
+    cx: Rc<Gateway>,
+    upstream: Option<Upstream>,
+    listed: bool,
     backoff: Duration,
 }
 
 /// Follows the store for ever.
 pub(super) async fn follow_store(cx: Rc<Gateway>) {
-    let mut link = Link {
-        lost_at: None,
+    let mut follower = Follower {
+        cx,
+        upstream: None,
+        listed: false,
         backoff: FIRST_BACKOFF,
     };
-    let mut at: Option<StoreRevision> = None;
     loop {
-        let sent = cx.now();
-        let answer = match at {
-            None => cx.store.list().await,
-            Some(revision) => cx.store.watch(revision, WATCH_WAIT).await,
+        follower.step().await;
+    }
+}
+
+impl Follower {
+    /// One question, to the store or to a reader, and what follows from the answer.
+    async fn step(&mut self) {
+        let now = self.cx.now();
+        let is_reader = self.cx.peers.borrow().is_reader(now);
+        let link_lost = self.cx.store_lost_at.get().is_some();
+        let reader = {
+            let peers = self.cx.peers.borrow();
+            let revision = self.cx.mirror.borrow().revision();
+            let ahead = peers.ahead(now, revision).filter(|_| self.listed);
+            ahead.or_else(|| peers.reader(now))
         };
-        match answer {
-            Ok(news) => {
-                cx.metrics.on_store_call("answered");
-                link.on_answer(&cx);
-                let changed = !news.changes.is_empty();
-                let listed = at.is_none();
-                at = Some(news.revision);
-                take_news(&cx, news, sent, listed);
-                if changed && !listed {
-                    tokio::time::sleep(WATCH_PAUSE).await;
+        match reader {
+            Some(reader) if !is_reader || link_lost => self.ask(reader).await,
+            None if !is_reader && now.0 < FIRST_WAIT => tokio::time::sleep(ASK_AGAIN).await,
+            _ => self.read(is_reader).await,
+        }
+    }
+
+    /// Asks a peer that reads the store.
+    async fn ask(&mut self, reader: SocketAddr) {
+        let kept = self.upstream.take().filter(|u| u.address() == reader);
+        let connected = match kept {
+            Some(upstream) => Ok(upstream),
+            None => Upstream::connect(reader).await,
+        };
+        let told = match connected {
+            Ok(mut upstream) => {
+                let after = self.cx.mirror.borrow().revision();
+                tokio::select! {
+                    told = upstream.ask(after) => {
+                        self.upstream = Some(upstream);
+                        told
+                    }
+                    () = self.overtaken(reader, after) => return,
                 }
             }
+            Err(e) => Err(e),
+        };
+        // A reader itself retries the store now and then, or it would never be one again.
+        if self.cx.store_lost_at.get().is_some() && self.cx.peers.borrow().is_reader(self.cx.now())
+        {
+            self.read(true).await;
+        }
+        match told {
+            Ok(Mirrored::Changes(news)) => take_news(&self.cx, &news, false, reader),
+            Ok(Mirrored::List(news)) => take_news(&self.cx, &news, true, reader),
+            Ok(Mirrored::Nothing) => tokio::time::sleep(ASK_AGAIN).await,
+            Err(e) => {
+                self.upstream = None;
+                info!(self.cx.log, "reader does not answer"; "reader" => %reader, "why" => %e);
+                tokio::time::sleep(ASK_AGAIN).await;
+            }
+        }
+        self.listed |= self.cx.mirror.borrow().revision().0 > 0;
+    }
+
+    /// Ends when the reader that is asked falls behind other peers, or is not to be relied on.
+    async fn overtaken(&self, reader: SocketAddr, after: StoreRevision) {
+        let mut behind = 0;
+        loop {
+            tokio::time::sleep(OVERTAKEN_CHECK).await;
+            let now = self.cx.now();
+            let peers = self.cx.peers.borrow();
+            let ahead = peers.ahead(now, after).is_some();
+            behind = if ahead { behind + 1 } else { 0 };
+            if behind >= 2 || peers.reader(now) != Some(reader) {
+                return;
+            }
+        }
+    }
+
+    /// Asks the store itself.
+    async fn read(&mut self, is_reader: bool) {
+        let sent = self.cx.now();
+        let at = self.cx.mirror.borrow().revision();
+        let answer = match self.listed {
+            false => self.cx.store.list().await,
+            true => self.cx.store.watch(at, WATCH_WAIT).await,
+        };
+        match answer {
+            Ok(news) => self.on_answer(&news, sent).await,
             Err(StoreError::HistoryGone) => {
-                cx.metrics.on_store_call("history_gone");
-                warn!(cx.log, "store history gone"; "after" => at.map(|r| r.0));
-                at = None;
+                self.cx.metrics.on_store_call("history_gone");
+                warn!(self.cx.log, "store history gone"; "after" => at.0);
+                self.listed = false;
             }
             Err(e) => {
-                cx.metrics.on_store_call("failed");
-                link.on_failure(&cx, &e).await;
+                self.cx.metrics.on_store_call("failed");
+                self.on_failure(&e, is_reader).await;
             }
         }
     }
-}
 
-impl Link {
-    fn on_answer(&mut self, cx: &Gateway) {
+    async fn on_answer(&mut self, news: &StoreNews, sent: Instant) {
+        let cx = &self.cx;
+        cx.metrics.on_store_call("answered");
         self.backoff = FIRST_BACKOFF;
-        if let Some(lost_at) = self.lost_at.take() {
-            let now = cx.now();
+        let now = cx.now();
+        if let Some(lost_at) = cx.store_lost_at.take() {
+            cx.store_back_at.set(Some(now));
             cx.dispatcher.borrow_mut().discovery.on_store_back(now);
             let away = now.since(lost_at).as_millis() as u64;
             info!(cx.log, "dependency regained"; "dependency" => "store", "away_ms" => away);
         }
+        let is_list = !self.listed;
+        let quiet = news.items.is_empty() && !is_list;
+        self.listed = true;
+        take_news(cx, news, is_list, cx.cfg.peers);
+        let proven = match now.since(sent) {
+            // A watch that brought nothing waited until then for something newer.
+            waited if waited >= WATCH_WAIT && quiet => sent + WATCH_WAIT,
+            _ => sent,
+        };
+        let revision = cx.freshness.borrow().revision();
+        cx.freshness.borrow_mut().on_confirmed(proven, revision);
+        cx.store_proven_at.set(Some(proven));
+        if !quiet && !is_list {
+            tokio::time::sleep(WATCH_PAUSE).await;
+        }
     }
 
-    async fn on_failure(&mut self, cx: &Gateway, e: &StoreError) {
-        if self.lost_at.is_none() {
-            self.lost_at = Some(cx.now());
-            let age = cx.freshness.borrow().age(cx.now());
+    async fn on_failure(&mut self, e: &StoreError, is_reader: bool) {
+        let cx = &self.cx;
+        if cx.store_lost_at.get().is_none() {
+            let now = cx.now();
+            cx.store_lost_at.set(Some(now));
+            let age = cx.freshness.borrow().age(now);
             warn!(cx.log, "dependency lost"; "dependency" => "store", "why" => %e,
                 "config_age_ms" => age.map(|a| a.as_millis() as u64));
         }
         let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(self.backoff.mul_f64(jitter)).await;
+        let pause = match is_reader {
+            true => self.backoff,
+            false => BYSTANDER_BACKOFF,
+        };
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
         self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
     }
 }
 
-/// Takes in what the store told. `sent` is when it was asked; what it told is no older.
-fn take_news(cx: &Gateway, news: StoreNews, sent: Instant, listed: bool) {
+/// Takes in what the store or a reader told.
+fn take_news(cx: &Gateway, news: &StoreNews, is_list: bool, from: SocketAddr) {
     let now = cx.now();
-    let quiet = news.changes.is_empty() && !listed;
+    {
+        let mut mirror = cx.mirror.borrow_mut();
+        match is_list {
+            true => mirror.on_list(news),
+            false => mirror.on_changes(news),
+        }
+    }
     let mut list = Vec::new();
-    for change in news.changes {
-        match change {
-            StoreChange::Config(config, _) => apply(cx, *config, sent),
-            StoreChange::Target(record, revision) if listed => list.push((record, revision)),
-            StoreChange::Target(record, revision) => {
+    for item in &news.items {
+        let at = item.revision;
+        match cx.store.decode(item) {
+            Ok(StoreChange::Config(config)) => apply(cx, *config, from),
+            Ok(StoreChange::Target(record)) if is_list => list.push((record, at)),
+            Ok(StoreChange::Target(record)) => {
                 let id = record.id.clone();
-                on_change(cx, now, id, ListChange::Put(record), revision);
+                on_change(cx, now, id, ListChange::Put(record), at);
             }
-            StoreChange::TargetGone(id, revision) => {
-                on_change(cx, now, id.clone(), ListChange::Removed(id), revision);
+            Ok(StoreChange::TargetGone(id)) => {
+                on_change(cx, now, id.clone(), ListChange::Removed(id), at);
             }
-            StoreChange::Peer(address) => cx.peers.borrow_mut().on_address(now, address),
-            StoreChange::Prompts(saved) if listed => recall_prompts(cx, &saved),
-            StoreChange::Prompts(_) | StoreChange::Other(None) => {}
-            StoreChange::Other(Some(why)) => {
-                warn!(cx.log, "store entry not understood"; "why" => why)
+            Ok(StoreChange::Peer(address)) => cx.peers.borrow_mut().on_address(now, address),
+            Ok(StoreChange::Prompts(saved)) if is_list => recall_prompts(cx, &saved),
+            Ok(StoreChange::Prompts(_) | StoreChange::Other) => {}
+            Err(why) => {
+                warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why)
             }
         }
     }
-    if listed {
+    if is_list {
         let changes = {
             let mut dispatcher = cx.dispatcher.borrow_mut();
             dispatcher.discovery.on_list(now, list, news.revision)
@@ -138,23 +255,16 @@
             tell(cx, &id, verdict, news.revision);
         }
     }
-    let revision = cx.freshness.borrow().revision();
-    let proven = match now.since(sent) {
-        // A watch that brought nothing waited until then for something newer.
-        waited if waited >= WATCH_WAIT && quiet => sent + WATCH_WAIT,
-        _ => sent,
-    };
-    cx.freshness.borrow_mut().on_confirmed(proven, revision);
 }
 
-fn apply(cx: &Gateway, config: crate::config::serving::ServingConfig, sent: Instant) {
+fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
     let applied = cx.apply(config);
     if applied {
-        cx.freshness.borrow_mut().on_applied(sent, revision);
+        cx.freshness.borrow_mut().on_applied(revision);
     }
     info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
-        "applied" => applied, "asked_ms_ago" => cx.now().since(sent).as_millis() as u64);
+        "applied" => applied, "from" => %from);
 }
 
 fn on_change(cx: &Gateway, now: Instant, id: TargetId, change: ListChange, at: StoreRevision) {
@@ -223,19 +333,17 @@
     }
 }
 
-/// Says in the store where peers reach this router, over and over.
+/// Says in the store where peers reach this router, as long as it hears of none.
 pub(super) async fn announce(cx: Rc<Gateway>) {
     loop {
-        let told = cx.store.announce(cx.cfg.peers).await;
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(ANNOUNCE_EVERY.mul_f64(jitter)).await;
+        if cx.peers.borrow().alive(cx.now()) > 1 {
+            continue;
+        }
         cx.metrics.on_store_call("announce");
-        let pause = match told {
-            Ok(()) => ANNOUNCE_EVERY,
-            Err(e) => {
-                info!(cx.log, "not announced"; "why" => %e);
-                ANNOUNCE_AGAIN
-            }
-        };
-        let jitter = rand::rng().random_range(0.9..1.1);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        if let Err(e) = cx.store.announce(cx.cfg.peers).await {
+            info!(cx.log, "not announced"; "why" => %e);
+        }
     }
 }
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use slog::{Logger, info};
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    GatewayConfig, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, stop,
+    GatewayConfig, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, mirror, stop,
     stop::StopSignals,
 };
 use crate::{
@@ -24,7 +24,7 @@
     ids::Incarnation,
     log::LogFlusher,
     membership::peers::Peers,
-    store::MetaStore,
+    store::{MetaStore, StoreMirror},
     units::Instant,
 };
 
@@ -70,6 +70,13 @@
     pub(crate) in_progress: Cell<usize>,
     pub(crate) recent_calls: Cell<u32>,
     pub(crate) datagram_count: Cell<u64>,
+    pub(crate) mirror: RefCell<StoreMirror>,
+    /// Since when the store does not answer this router.
+    pub(crate) store_lost_at: Cell<Option<Instant>>,
+    /// When the store last answered after it had not.
+    pub(crate) store_back_at: Cell<Option<Instant>>,
+    /// The youngest moment at which the store is known to have held what the mirror holds.
+    pub(crate) store_proven_at: Cell<Option<Instant>>,
     serving: RefCell<Rc<ServingConfig>>,
     epoch: tokio::time::Instant,
     life: Incarnation,
@@ -96,6 +103,10 @@
             peers: RefCell::new(peers),
             freshness: RefCell::default(),
             serving: RefCell::default(),
+            mirror: RefCell::default(),
+            store_lost_at: Cell::new(None),
+            store_back_at: Cell::new(None),
+            store_proven_at: Cell::new(None),
             conns: Rc::default(),
             metrics: Metrics::default(),
             phase: Cell::default(),
@@ -117,6 +128,7 @@
         let callers = listen(self.cfg.callers).await?;
         let ready = listen(self.cfg.ready).await?;
         let udp = UdpSocket::bind(self.cfg.peers).await?;
+        let mirror = listen(self.cfg.peers).await?;
         info!(self.log, "started";
             "callers" => %self.cfg.callers, "peers" => %self.cfg.peers, "life" => self.life.0);
         if let Some(address) = self.cfg.metrics {
@@ -125,6 +137,7 @@
                 listen(address).await?,
             ));
         }
+        spawn_local(mirror::serve(Rc::clone(&self), mirror));
         spawn_local(ingress::serve_ready(Rc::clone(&self), ready));
         spawn_local(follow::follow_store(Rc::clone(&self)));
         spawn_local(follow::announce(Rc::clone(&self)));
@@ -178,6 +191,18 @@
             && fresh.may_use_keys(self.now(), self.cfg.revoke_bound)
     }
 
+    /// How old this router's own word from the store is, if it reads the store itself.
+    pub(crate) fn store_age(&self) -> Option<Duration> {
+        let now = self.now();
+        let age = self.store_proven_at.get().map(|at| now.since(at));
+        age.filter(|age| *age < READS_STORE)
+    }
+
+    /// Whether this router reads the store itself.
+    pub(crate) fn reads_store(&self) -> bool {
+        self.store_lost_at.get().is_none() && self.store_age().is_some()
+    }
+
     /// How many connections to one target this router may have, of `most` in all.
     pub(crate) fn conn_share(&self, most: u32) -> usize {
         let routers = self.peers.borrow().alive(self.now());
@@ -186,6 +211,10 @@
     }
 }
 
+/// How long after its last word from the store a router still counts as reading it: a watch that
+/// waits, its pause, and some delay.
+const READS_STORE: Duration = Duration::from_millis(1_400);
+
 /// The part of a target's connections that the fleet uses, in per cent: routers may not know of
 /// one another for a moment.
 const CONN_PART: usize = 80;
@@ -194,7 +223,7 @@
 const CONN_LEAST: usize = 2;
 
 /// How often what is too old is dropped, and gathered lines are written out.
-const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(100);
 
 async fn tick(cx: Rc<Gateway>) {
     loop {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -11,7 +11,7 @@
     load_account::InProgress,
     membership::peers::{Datagram, Heard, Stamp},
     prompt_cache::{PartId, PromptPart},
-    units::Tokens,
+    units::{Instant, Tokens},
 };
 
 /// How often counts that changed are told. Ten times a second kept the load bound with 85 routers
@@ -97,6 +97,15 @@
         },
         echo: None,
         config: age.map(|a| (freshness.revision(), a.as_millis() as u32)),
+        store_age: cx
+            .store_age()
+            .filter(|_| cx.reads_store())
+            .map(|a| a.as_millis() as u32),
+        mirror: cx.mirror.borrow().revision(),
+        store_back: cx
+            .store_back_at
+            .get()
+            .map(|at| now.since(at).as_millis() as u32),
         calls: cx.recent_calls.get(),
         stopping: cx.phase.get() != Phase::Serving,
         load: load
@@ -142,6 +151,10 @@
         cx.freshness.borrow_mut().on_vouch(vouch);
     }
     let mut dispatcher = cx.dispatcher.borrow_mut();
+    if let Some(ago) = told.store_back {
+        let at = now.0.saturating_sub(Duration::from_millis(u64::from(ago)));
+        dispatcher.discovery.on_store_back(Instant(at));
+    }
     let work = |(target, calls, tokens): (_, u32, Tokens)| (target, InProgress { calls, tokens });
     let counts = told.load.into_iter().map(work).collect();
     dispatcher.load.on_peer(now, told.vm, counts);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod gossip;
 mod ingress;
 mod metrics;
+mod mirror;
 mod stop;
 mod stream;
 
@@ -38,7 +39,7 @@
     pub ready: SocketAddr,
     /// Where counters and histograms are read, if anywhere.
     pub metrics: Option<SocketAddr>,
-    /// Where peers send datagrams.
+    /// Where peers send datagrams, and ask what the store holds.
     pub peers: SocketAddr,
     /// Where some other routers may be reached at first.
     pub seeds: Vec<SocketAddr>,
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -3,7 +3,11 @@
 //! Each router tells all others, some times a second, what it has in progress and how old its
 //! knowledge is. Whoever is silent for [`ALIVE_FOR`] counts as gone.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +32,18 @@
 /// Routers that tell a peer that joined what it missed; two, as one may be about to go.
 const TEACHERS: usize = 2;
 
+/// Routers that read the store for all: with a third of the routers cut off from it, one of three
+/// still reaches it nearly always, and then the others read for themselves.
+const READERS: usize = 3;
+
+/// What readers are chosen by.
+const READERS_KEY: &str = "store readers";
+
+/// How old a reader's word from the store may be for others to rely on that reader: a watch, its
+/// pause and a datagram. Two seconds after a change all have to know it, also where it came right
+/// after all readers were cut off.
+const READER_FRESH: Duration = Duration::from_millis(1_500);
+
 /// A moment of one router's clock, as it is sent and echoed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
@@ -51,6 +67,13 @@
     /// The revision of the configuration that the sender applies, and the age of its proof in
     /// milliseconds.
     pub config: Option<(StoreRevision, u32)>,
+    /// How old the sender's own word from the store is, in milliseconds, where it reads the store
+    /// itself.
+    pub store_age: Option<u32>,
+    /// The revision of the store up to which the sender knows all.
+    pub mirror: StoreRevision,
+    /// How long ago the store answered the sender again after it had not, in milliseconds.
+    pub store_back: Option<u32>,
     /// Calls that the sender took in the last seconds, to share the retry budget by.
     pub calls: u32,
     /// The sender stops and has no part in anything any more.
@@ -71,6 +94,8 @@
     number: u64,
     calls: u32,
     stopping: bool,
+    store_age: Option<Duration>,
+    mirror: StoreRevision,
 }
 
 /// What a datagram changed.
@@ -141,6 +166,10 @@
             number: told.number,
             calls: told.calls,
             stopping: told.stopping,
+            mirror: told.mirror,
+            store_age: told
+                .store_age
+                .map(|ms| Duration::from_millis(u64::from(ms))),
         };
         self.peers.insert(told.vm.clone(), peer);
         self.unheard.remove(&from);
@@ -194,6 +223,32 @@
         keeper(thing, self.names(now)) == Some(&self.me)
     }
 
+    /// Whether this router is one of those that read the store for all.
+    pub fn is_reader(&self, now: Instant) -> bool {
+        keepers(READERS_KEY, self.names(now), READERS).contains(&&self.me)
+    }
+
+    /// A peer that reads the store and heard from it a moment ago; routers spread over them.
+    pub fn reader(&self, now: Instant) -> Option<SocketAddr> {
+        let fresh = |p: &Peer| {
+            let age = p.store_age.map(|age| age + now.since(p.heard));
+            age.is_some_and(|age| age < READER_FRESH)
+        };
+        let readers: BTreeMap<&VmId, &Peer> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| is_alive(now, p) && fresh(p))
+            .collect();
+        let chosen = keeper(self.me.as_str(), readers.keys().copied())?;
+        readers.get(chosen).map(|p| p.address)
+    }
+
+    /// A peer that knows more of the store than up to a revision.
+    pub fn ahead(&self, now: Instant, revision: StoreRevision) -> Option<SocketAddr> {
+        let ahead = self.living(now).filter(|p| p.mirror > revision);
+        ahead.max_by_key(|p| p.mirror).map(|p| p.address)
+    }
+
     /// The names of all that live, this router's included.
     fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
         let living = self.peers.iter().filter(move |(_, p)| is_alive(now, p));
