Counts go through hubs in large fleets; a new prompt goes to one of four targets

Change: two hubs a data hall add up counts; all tell all each 24 ms times the routers as a sign of life. The first reader of a prompt is one of four that rendezvous on its deepest shared part names.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -98,7 +98,7 @@
     pub fn new(hall: DataHall, cap_factor: f64, budget: BudgetRule) -> Self {
         Self {
             discovery: Discovery::default(),
-            load: LoadAccount::default(),
+            load: LoadAccount::new(hall.clone()),
             health: Health::default(),
             cache: PromptCache::default(),
             budget: RetryBudget::new(budget),
@@ -119,7 +119,6 @@
         let offers: Vec<Offer> = targets.iter().map(offer).collect();
         let wanted = Wanted {
             key: plan.hash_of(plan.shared_parts().last()),
-            root: plan.hash_of(plan.shared_parts().first()),
             shared: !plan.shared_parts().is_empty(),
             repeatable: plan.kind.is_repeatable(),
             cap_factor: self.cap_factor,
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -304,7 +304,7 @@
     let mut dispatcher = cx.dispatcher.borrow_mut();
     for (id, tokens, target) in parts {
         let part = PromptPart { id, tokens };
-        dispatcher.cache.on_peer(&target, part);
+        dispatcher.cache.on_peer(&target, part, false);
     }
 }
 
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -97,7 +97,13 @@
         let wall_ms = since_unix.map_or(0, |d| d.as_millis() as u64);
         let life = Incarnation(wall_ms);
         let dispatcher = Dispatcher::new(cfg.data_hall.clone(), cfg.cap_factor, cfg.budget);
-        let peers = Peers::new(cfg.vm.clone(), life, cfg.peers, &cfg.seeds);
+        let peers = Peers::new(
+            cfg.vm.clone(),
+            cfg.data_hall.clone(),
+            life,
+            cfg.peers,
+            &cfg.seeds,
+        );
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
             peers: RefCell::new(peers),
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -8,8 +8,10 @@
 use super::gateway::{Gateway, Phase};
 use crate::{
     ids::TargetId,
-    load_account::InProgress,
-    membership::peers::{Datagram, Heard, Stamp},
+    membership::{
+        datagram::{Datagram, Stamp},
+        peers::Heard,
+    },
     prompt_cache::{PartId, PromptPart},
     units::{Instant, Tokens},
 };
@@ -18,11 +20,12 @@
 /// in a trial (DESIGN.md).
 const TELL_EVERY: Duration = Duration::from_millis(100);
 
-/// After so many turns without a change something is told all the same, as a sign of life.
-const QUIET_TURNS: u32 = 5;
+/// After so long without a change something is told all the same, as a sign of life.
+const QUIET_TIME: Duration = Duration::from_millis(400);
 
-/// The turns over which calls are counted for the share of the retry budget: ten seconds.
-const CALL_TURNS: u64 = 100;
+/// How often half of the counted calls is forgotten, so that the share of the retry budget follows
+/// the last ten seconds or so without jumping.
+const CALLS_HALVE: Duration = Duration::from_secs(10);
 
 /// The largest datagram that is sent, in bytes, and that is read.
 const DATAGRAM_LIMIT: usize = 8 << 10;
@@ -30,34 +33,86 @@
 /// Parts of prompts that one datagram tells of.
 const PARTS_TOLD: usize = 60;
 
-/// Sends counts, news of prompts and the age of the configuration to all peers, over and over.
+/// When what was last told.
+struct Told {
+    close: Instant,
+    everyone: Instant,
+    calls_halved: Instant,
+}
+
+/// Sends counts, news of prompts and the age of the configuration, over and over: as they change
+/// to all peers of a small fleet or to the hubs of a large one, and seldom to everyone.
 pub(super) async fn tell(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
-    let mut turn = 0_u64;
-    let mut quiet = 0;
+    let now = cx.now();
+    let mut last = Told {
+        close: now,
+        everyone: now,
+        calls_halved: now,
+    };
     loop {
         tokio::time::sleep(TELL_EVERY).await;
-        turn += 1;
-        if turn.is_multiple_of(CALL_TURNS) {
-            // Half of the last count stays, so that the share does not jump.
+        let now = cx.now();
+        if now.since(last.calls_halved) >= CALLS_HALVE {
+            last.calls_halved = now;
             cx.recent_calls.set(cx.recent_calls.get() / 2);
         }
+        let (is_large, adds_up, mesh) = {
+            let peers = cx.peers.borrow();
+            (
+                peers.is_large(now),
+                peers.adds_up(now),
+                peers.mesh_interval(),
+            )
+        };
         let changed = cx.dispatcher.borrow_mut().load.take_changed();
-        quiet = if changed { 0 } else { quiet + 1 };
-        if changed || quiet >= QUIET_TURNS {
-            quiet = 0;
-            send(&cx, &udp);
+        let due = changed || now.since(last.close) >= QUIET_TIME;
+        match is_large {
+            false if due => {
+                last.close = now;
+                last.everyone = now;
+                send_to_all(&cx, &udp);
+            }
+            true if due || adds_up => {
+                last.close = now;
+                send_to_close_ones(&cx, &udp, adds_up);
+            }
+            _ => {}
+        }
+        if is_large && now.since(last.everyone) >= mesh {
+            last.everyone = now;
+            send_to_all(&cx, &udp);
         }
     }
 }
 
 /// Sends one datagram to each peer.
-pub(super) fn send(cx: &Gateway, udp: &UdpSocket) {
-    let mut parts = cx.dispatcher.borrow_mut().cache.take_news();
-    parts.truncate(PARTS_TOLD);
+pub(super) fn send_to_all(cx: &Gateway, udp: &UdpSocket) {
+    let parts = cx.dispatcher.borrow_mut().cache.take_news(PARTS_TOLD);
     let mut told = datagram(cx, parts);
-    for (address, echo) in cx.peers.borrow().receivers() {
-        told.echo = echo;
-        send_to(cx, udp, &told, address);
+    for to in cx.peers.borrow().everyone() {
+        told.echo = to.echo;
+        send_to(cx, udp, &told, to.address);
+    }
+}
+
+/// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them.
+fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, adds_up: bool) {
+    let parts = cx.dispatcher.borrow_mut().cache.take_news(PARTS_TOLD);
+    let mut told = datagram(cx, parts);
+    told.known.clear();
+    let hall = &cx.cfg.data_hall;
+    for to in cx.peers.borrow().close_ones(cx.now()) {
+        told.echo = to.echo;
+        if adds_up {
+            let load = &cx.dispatcher.borrow().load;
+            let own = (hall.clone(), load.hall_counts(to.vm.as_ref()));
+            let others = match to.hall.as_ref() == Some(hall) {
+                true => load.other_halls(),
+                false => Vec::new(),
+            };
+            told.halls = others.into_iter().chain([own]).collect();
+        }
+        send_to(cx, udp, &told, to.address);
     }
 }
 
@@ -88,6 +143,10 @@
     let age = freshness.age(now);
     let number = cx.datagram_count.get() + 1;
     cx.datagram_count.set(number);
+    let own_age = cx.store_age().filter(|_| cx.reads_store());
+    let own = own_age.map(|a| (cx.cfg.vm.clone(), a.as_millis() as u32));
+    let readers = cx.peers.borrow().readers(now).into_iter().chain(own);
+    let readers = readers.collect();
     Datagram {
         vm: cx.cfg.vm.clone(),
         number,
@@ -97,10 +156,9 @@
         },
         echo: None,
         config: age.map(|a| (freshness.revision(), a.as_millis() as u32)),
-        store_age: cx
-            .store_age()
-            .filter(|_| cx.reads_store())
-            .map(|a| a.as_millis() as u32),
+        hall: cx.cfg.data_hall.clone(),
+        readers,
+        halls: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
             .store_back_at
@@ -108,10 +166,7 @@
             .map(|at| now.since(at).as_millis() as u32),
         calls: cx.recent_calls.get(),
         stopping: cx.phase.get() != Phase::Serving,
-        load: load
-            .into_iter()
-            .map(|(t, w)| (t, w.calls, w.tokens))
-            .collect(),
+        load,
         parts,
         known: cx.peers.borrow().known(number),
     }
@@ -150,16 +205,22 @@
     if let Some(vouch) = cx.peers.borrow().vouch(&told) {
         cx.freshness.borrow_mut().on_vouch(vouch);
     }
+    let adds_up = {
+        let peers = cx.peers.borrow();
+        peers.is_large(now) && peers.adds_up(now)
+    };
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = told.store_back {
         let at = now.0.saturating_sub(Duration::from_millis(u64::from(ago)));
         dispatcher.discovery.on_store_back(Instant(at));
     }
-    let work = |(target, calls, tokens): (_, u32, Tokens)| (target, InProgress { calls, tokens });
-    let counts = told.load.into_iter().map(work).collect();
-    dispatcher.load.on_peer(now, told.vm, counts);
+    let hall = told.hall;
+    dispatcher.load.on_peer(now, told.vm, hall, told.load);
+    for (hall, counts) in told.halls {
+        dispatcher.load.on_hall(now, hall, counts);
+    }
     for (id, tokens, target) in told.parts {
         let part = PromptPart { id, tokens };
-        dispatcher.cache.on_peer(&target, part);
+        dispatcher.cache.on_peer(&target, part, adds_up);
     }
 }
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -42,7 +42,7 @@
     cx.phase.set(Phase::Leaving);
     tokio::time::sleep(SERVE_ON).await;
     cx.phase.set(Phase::Refusing);
-    gossip::send(cx, udp);
+    gossip::send_to_all(cx, udp);
     let limit = cx.cfg.stop_time.mul_f64(LAST_PART);
     while cx.in_progress.get() > 0 && cx.now().since(began) < limit {
         tokio::time::sleep(LOOK_EVERY).await;
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -1,13 +1,19 @@
 //! How much each target has in progress, as far as one router can know it.
 //!
+//! Sums over a data hall come from one router of that hall that adds them up, where the fleet is
+//! large; without such a sum the peers' own counts are used.
+//!
 //! Three sources are added up or held against one another: what this router has in progress,
 //! which is exact; what its peers told, which is as old as their last datagram; and what a target
 //! said of itself in an answer, which counts all callers but ages quickly.
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
-    ids::{TargetId, VmId},
+    ids::{DataHall, TargetId, VmId},
     units::{Instant, Tokens},
 };
 
@@ -19,6 +25,25 @@
 /// often under load.
 const TOLD_EXPIRES: Duration = Duration::from_millis(400);
 
+/// How long a data hall's sum goes before the counts of its routers one by one: some sums that
+/// are sent ten times a second may be lost.
+const HALL_EXPIRES: Duration = Duration::from_millis(900);
+
+/// A target's name as a short hash: two of some thousand targets share one less than once in a
+/// thousand fleets, and then each counts for both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetHash(u32);
+
+impl From<&TargetId> for TargetHash {
+    fn from(id: &TargetId) -> Self {
+        Self(xxh3_64(id.as_str().as_bytes()) as u32)
+    }
+}
+
+/// Work in progress by target, as it is sent: calls, and tokens yet to be read.
+pub type TargetCounts = Vec<(TargetHash, u32, Tokens)>;
+
 /// Work in progress at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct InProgress {
@@ -54,12 +79,16 @@
     pub waiting: u32,
 }
 
+type Counts = HashMap<TargetHash, InProgress>;
+
 /// The account of all targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadAccount {
-    own: HashMap<TargetId, InProgress>,
+    hall: DataHall,
+    own: Counts,
     peers: HashMap<VmId, PeerCounts>,
-    others: HashMap<TargetId, InProgress>,
+    halls: HashMap<DataHall, HallCounts>,
+    others: Counts,
     told: HashMap<TargetId, (Instant, ToldLoad)>,
     changed: bool,
 }
@@ -67,19 +96,39 @@
 #[derive(Debug)]
 struct PeerCounts {
     at: Instant,
-    counts: Vec<(TargetId, InProgress)>,
+    hall: DataHall,
+    counts: TargetCounts,
+}
+
+#[derive(Debug)]
+struct HallCounts {
+    at: Instant,
+    counts: TargetCounts,
 }
 
 impl LoadAccount {
+    /// An empty account of a router in a data hall.
+    pub fn new(hall: DataHall) -> Self {
+        Self {
+            hall,
+            own: HashMap::new(),
+            peers: HashMap::new(),
+            halls: HashMap::new(),
+            others: HashMap::new(),
+            told: HashMap::new(),
+            changed: false,
+        }
+    }
+
     /// A call was sent to a target.
     pub fn on_send(&mut self, target: &TargetId, work: InProgress) {
-        self.own.entry(target.clone()).or_default().add(work);
+        self.own.entry(target.into()).or_default().add(work);
         self.changed = true;
     }
 
     /// A call that was sent has ended, however it did.
     pub fn on_end(&mut self, target: &TargetId, work: InProgress) {
-        if let Some(own) = self.own.get_mut(target) {
+        if let Some(own) = self.own.get_mut(&target.into()) {
             own.take(work);
         }
         self.own.retain(|_, w| w.calls > 0);
@@ -87,20 +136,25 @@
     }
 
     /// A peer told all of its counts.
-    pub fn on_peer(&mut self, now: Instant, peer: VmId, counts: Vec<(TargetId, InProgress)>) {
+    pub fn on_peer(&mut self, now: Instant, peer: VmId, hall: DataHall, counts: TargetCounts) {
         let at = now;
-        self.peers.insert(peer, PeerCounts { at, counts });
-        self.sum_others();
+        self.peers.insert(peer, PeerCounts { at, hall, counts });
+        self.sum_others(now);
     }
 
-    /// Forgets peers that are silent.
+    /// Some router told what all others of a data hall have in progress.
+    pub fn on_hall(&mut self, now: Instant, hall: DataHall, counts: TargetCounts) {
+        let at = now;
+        self.halls.insert(hall, HallCounts { at, counts });
+        self.sum_others(now);
+    }
+
+    /// Forgets peers and data halls that are silent.
     pub fn on_tick(&mut self, now: Instant) {
-        let before = self.peers.len();
         self.peers.retain(|_, p| now.since(p.at) < PEER_EXPIRES);
-        if self.peers.len() != before {
-            self.sum_others();
-        }
+        self.halls.retain(|_, h| now.since(h.at) < HALL_EXPIRES);
         self.told.retain(|_, (at, _)| now.since(*at) < TOLD_EXPIRES);
+        self.sum_others(now);
     }
 
     /// A target told its load in an answer.
@@ -110,8 +164,9 @@
 
     /// What all routers together have in progress at a target.
     pub fn total(&self, target: &TargetId) -> InProgress {
-        let mut total = self.own(target);
-        total.add(self.others.get(target).copied().unwrap_or_default());
+        let hash = TargetHash::from(target);
+        let mut total = self.own.get(&hash).copied().unwrap_or_default();
+        total.add(self.others.get(&hash).copied().unwrap_or_default());
         total
     }
 
@@ -123,14 +178,26 @@
         told.map_or(counted, |(_, t)| counted.max(t.running + t.waiting))
     }
 
-    /// What this router has in progress at a target.
-    pub fn own(&self, target: &TargetId) -> InProgress {
-        self.own.get(target).copied().unwrap_or_default()
+    /// All own counts, to tell the peers.
+    pub fn own_counts(&self) -> TargetCounts {
+        listed(&self.own)
     }
 
-    /// All own counts, to tell the peers.
-    pub fn own_counts(&self) -> Vec<(TargetId, InProgress)> {
-        self.own.iter().map(|(t, w)| (t.clone(), *w)).collect()
+    /// What all routers of this data hall have in progress, this one included, less what one of
+    /// them has.
+    pub fn hall_counts(&self, without: Option<&VmId>) -> TargetCounts {
+        let mut sum = self.own.clone();
+        let of_hall = self.peers.iter().filter(|(_, p)| p.hall == self.hall);
+        for (_, peer) in of_hall.filter(|(vm, _)| Some(*vm) != without) {
+            add_counts(&mut sum, &peer.counts);
+        }
+        listed(&sum)
+    }
+
+    /// The sums of other data halls that were told a moment ago.
+    pub fn other_halls(&self) -> Vec<(DataHall, TargetCounts)> {
+        let others = self.halls.iter().filter(|(hall, _)| **hall != self.hall);
+        others.map(|(h, c)| (h.clone(), c.counts.clone())).collect()
     }
 
     /// Whether own counts changed since the last call.
@@ -138,15 +205,30 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// The age of the oldest peer's counts that are still believed.
-    pub fn oldest_peer(&self, now: Instant) -> Option<Duration> {
-        self.peers.values().map(|p| now.since(p.at)).max()
-    }
-
-    fn sum_others(&mut self) {
+    fn sum_others(&mut self, now: Instant) {
         self.others.clear();
-        for (target, work) in self.peers.values().flat_map(|p| &p.counts) {
-            self.others.entry(target.clone()).or_default().add(*work);
+        let fresh = |h: &HallCounts| now.since(h.at) < HALL_EXPIRES;
+        let is_summed = |hall: &DataHall| self.halls.get(hall).is_some_and(fresh);
+        for peer in self.peers.values().filter(|p| !is_summed(&p.hall)) {
+            add_counts(&mut self.others, &peer.counts);
         }
+        for hall in self.halls.values().filter(|h| fresh(h)) {
+            add_counts(&mut self.others, &hall.counts);
+        }
+    }
+}
+
+fn add_counts(sum: &mut Counts, counts: &TargetCounts) {
+    for (target, calls, tokens) in counts {
+        let work = InProgress {
+            calls: *calls,
+            tokens: *tokens,
+        };
+        sum.entry(*target).or_default().add(work);
     }
 }
+
+fn listed(counts: &Counts) -> TargetCounts {
+    let in_progress = counts.iter().filter(|(_, w)| w.calls > 0);
+    in_progress.map(|(t, w)| (*t, w.calls, w.tokens)).collect()
+}
--- /dev/null
+++ b/src/membership/datagram.rs
@@ -0,0 +1,58 @@
+//! What routers tell one another some times a second.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{DataHall, Incarnation, TargetId, VmId},
+    load_account::TargetCounts,
+    prompt_cache::PartId,
+    units::{StoreRevision, Tokens},
+};
+
+/// A moment of one router's clock, as it is sent and echoed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The life of the router whose clock it is.
+    pub life: Incarnation,
+    /// Microseconds since that life began.
+    pub micros: u64,
+}
+
+/// What one router tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Who tells.
+    pub vm: VmId,
+    /// Where it stands.
+    pub hall: DataHall,
+    /// Counts the datagrams of one life.
+    pub number: u64,
+    /// When it was sent.
+    pub sent: Stamp,
+    /// The youngest stamp that the sender had from the receiver.
+    pub echo: Option<Stamp>,
+    /// The revision of the configuration that the sender applies, and the age of its proof in
+    /// milliseconds.
+    pub config: Option<(StoreRevision, u32)>,
+    /// How old the word from the store is, in milliseconds, of routers that read it.
+    pub readers: Vec<(VmId, u32)>,
+    /// The revision of the store up to which the sender knows all.
+    pub mirror: StoreRevision,
+    /// How long ago the store answered the sender again after it had not, in milliseconds.
+    pub store_back: Option<u32>,
+    /// Calls that the sender took in the last seconds, to share the retry budget by.
+    pub calls: u32,
+    /// The sender stops and has no part in anything any more.
+    pub stopping: bool,
+    /// What the sender has in progress.
+    pub load: TargetCounts,
+    /// What all routers of a data hall but the receiver have in progress, where the sender adds
+    /// it up for them.
+    pub halls: Vec<(DataHall, TargetCounts)>,
+    /// Shared parts of prompts that were sent to a target first.
+    pub parts: Vec<(PartId, Tokens, TargetId)>,
+    /// Where other routers are reached.
+    pub known: Vec<SocketAddr>,
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,7 @@
 //! in place of random targets makes the time to detect a bound, not an expectation).
 //! A view is a hint: nothing that must be exact depends on it.
 
+pub mod datagram;
 mod news;
 pub mod peers;
 
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -1,27 +1,40 @@
 //! Which other routers live, by the datagrams that they send.
 //!
-//! Each router tells all others, some times a second, what it has in progress and how old its
-//! knowledge is. Whoever is silent for [`ALIVE_FOR`] counts as gone.
+//! In a small fleet each router tells all others, some times a second, what it has in progress and
+//! how old its knowledge is. In a large one it tells that two hubs of its data hall; one of them
+//! adds up and tells the hall's routers and the other halls' hubs. All tell all only seldom, as a
+//! sign of life. Whoever is silent for long counts as gone.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-
+use super::datagram::{Datagram, Stamp};
 use crate::{
     config::freshness::Vouch,
-    ids::{Incarnation, TargetId, VmId},
+    ids::{DataHall, Incarnation, VmId},
     load_account::PEER_EXPIRES,
     placement::{keeper, keepers},
-    prompt_cache::PartId,
-    units::{Instant, StoreRevision, Tokens},
+    units::{Instant, StoreRevision},
 };
 
-/// How long a silent peer counts as alive.
-pub const ALIVE_FOR: Duration = PEER_EXPIRES;
+/// How long a silent peer counts as alive in a small fleet.
+const ALIVE_FOR: Duration = PEER_EXPIRES;
+
+/// Routers from which on counts go through hubs: below, all tell all at a kilobyte a second each.
+const LARGE_FLEET: usize = 16;
+
+/// Hubs of one data hall; the second stands in for the first.
+const HUBS: usize = 2;
+
+/// Silence after which the second hub takes the first one's place.
+const HUB_SILENT: Duration = Duration::from_millis(700);
+
+/// How often all tell all at the most, and what each router adds to that time.
+const MESH_LEAST: Duration = Duration::from_millis(500);
+const MESH_PER_ROUTER: Duration = Duration::from_millis(24);
 
 /// How long the address of a silent peer is still written to: it may only be cut off.
 const ADDRESS_KEPT: Duration = Duration::from_secs(60);
@@ -44,58 +57,31 @@
 /// after all readers were cut off.
 const READER_FRESH: Duration = Duration::from_millis(1_500);
 
-/// A moment of one router's clock, as it is sent and echoed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Stamp {
-    /// The life of the router whose clock it is.
-    pub life: Incarnation,
-    /// Microseconds since that life began.
-    pub micros: u64,
-}
-
-/// What one router tells another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Datagram {
-    /// Who tells.
-    pub vm: VmId,
-    /// Counts the datagrams of one life.
-    pub number: u64,
-    /// When it was sent.
-    pub sent: Stamp,
-    /// The youngest stamp that the sender had from the receiver.
-    pub echo: Option<Stamp>,
-    /// The revision of the configuration that the sender applies, and the age of its proof in
-    /// milliseconds.
-    pub config: Option<(StoreRevision, u32)>,
-    /// How old the sender's own word from the store is, in milliseconds, where it reads the store
-    /// itself.
-    pub store_age: Option<u32>,
-    /// The revision of the store up to which the sender knows all.
-    pub mirror: StoreRevision,
-    /// How long ago the store answered the sender again after it had not, in milliseconds.
-    pub store_back: Option<u32>,
-    /// Calls that the sender took in the last seconds, to share the retry budget by.
-    pub calls: u32,
-    /// The sender stops and has no part in anything any more.
-    pub stopping: bool,
-    /// What the sender has in progress: calls and tokens by target.
-    pub load: Vec<(TargetId, u32, Tokens)>,
-    /// Shared parts of prompts that the sender sent to a target first.
-    pub parts: Vec<(PartId, Tokens, TargetId)>,
-    /// Where other routers are reached.
-    pub known: Vec<SocketAddr>,
-}
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    hall: DataHall,
     heard: Instant,
     stamp: Stamp,
     number: u64,
     calls: u32,
     stopping: bool,
-    store_age: Option<Duration>,
     mirror: StoreRevision,
+    /// When the peer last had word from the store, if it reads it.
+    store_word: Option<Instant>,
+}
+
+/// A peer to send to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Receiver {
+    /// Its name, once it was heard of.
+    pub vm: Option<VmId>,
+    /// Its data hall, once it was heard of.
+    pub hall: Option<DataHall>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The youngest stamp that was heard from it.
+    pub echo: Option<Stamp>,
 }
 
 /// What a datagram changed.
@@ -113,6 +99,7 @@
 #[derive(Debug)]
 pub struct Peers {
     me: VmId,
+    hall: DataHall,
     life: Incarnation,
     own_address: SocketAddr,
     peers: HashMap<VmId, Peer>,
@@ -121,9 +108,16 @@
 
 impl Peers {
     /// None but the addresses to begin with.
-    pub fn new(me: VmId, life: Incarnation, own_address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    pub fn new(
+        me: VmId,
+        hall: DataHall,
+        life: Incarnation,
+        own_address: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Self {
         let mut peers = Self {
             me,
+            hall,
             life,
             own_address,
             peers: HashMap::new(),
@@ -155,23 +149,30 @@
             }
             Some(p) if p.stamp.life > told.sent.life => return Heard::Outdated,
             // One that stops is still the same life, and needs nothing told.
-            Some(p) if p.stamp.life == told.sent.life && is_heard(now, p) => Heard::Known,
+            Some(p) if p.stamp.life == told.sent.life && self.is_heard(now, p) => Heard::Known,
             _ if told.stopping => Heard::Known,
             _ => Heard::Joined,
         };
+        let store_word = before.and_then(|p| p.store_word);
         let peer = Peer {
             address: from,
+            hall: told.hall.clone(),
             heard: now,
             stamp: told.sent,
             number: told.number,
             calls: told.calls,
             stopping: told.stopping,
             mirror: told.mirror,
-            store_age: told
-                .store_age
-                .map(|ms| Duration::from_millis(u64::from(ms))),
+            store_word,
         };
         self.peers.insert(told.vm.clone(), peer);
+        for (reader, age_ms) in &told.readers {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            let word = Instant(now.0.saturating_sub(age));
+            if let Some(peer) = self.peers.get_mut(reader) {
+                peer.store_word = peer.store_word.max(Some(word));
+            }
+        }
         self.unheard.remove(&from);
         for address in &told.known {
             self.on_address(now, *address);
@@ -190,13 +191,88 @@
         })
     }
 
-    /// Where to send, and what to echo there.
-    pub fn receivers(&self) -> Vec<(SocketAddr, Option<Stamp>)> {
-        let heard = self.peers.values().map(|p| (p.address, Some(p.stamp)));
-        let unheard = self.unheard.keys().map(|address| (*address, None));
+    /// All peers, and all places where one may be.
+    pub fn everyone(&self) -> Vec<Receiver> {
+        let heard = self.peers.iter().map(receiver);
+        let unheard = self.unheard.keys().map(|address| Receiver {
+            vm: None,
+            hall: None,
+            address: *address,
+            echo: None,
+        });
         heard.chain(unheard).collect()
     }
 
+    /// Whether counts go through hubs.
+    pub fn is_large(&self, now: Instant) -> bool {
+        self.alive(now) >= LARGE_FLEET
+    }
+
+    /// The peers that are told counts as they change: hubs, and for the one that adds up for its
+    /// data hall that hall's routers.
+    pub fn close_ones(&self, now: Instant) -> Vec<Receiver> {
+        let adds_up = self.adds_up(now);
+        let hubs: HashSet<&VmId> = self.all_hubs(now).into_iter().collect();
+        let is_close = |vm: &VmId, p: &Peer| {
+            let is_hub = hubs.contains(vm);
+            match p.hall == self.hall {
+                true => adds_up || is_hub,
+                false => adds_up && is_hub,
+            }
+        };
+        let living = self.peers.iter().filter(|(_, p)| self.is_alive(now, p));
+        living
+            .filter(|(vm, p)| is_close(vm, p))
+            .map(receiver)
+            .collect()
+    }
+
+    /// Whether this router adds up the counts of its data hall: its first hub does, or the second
+    /// while the first one is silent.
+    pub fn adds_up(&self, now: Instant) -> bool {
+        let hubs = self.hubs_of(now, &self.hall);
+        let silent = |vm: &VmId| {
+            let peer = self.peers.get(vm);
+            peer.is_none_or(|p| now.since(p.heard) >= HUB_SILENT)
+        };
+        match hubs.as_slice() {
+            [first, ..] if *first == &self.me => true,
+            [first, second, ..] if *second == &self.me => silent(first),
+            _ => false,
+        }
+    }
+
+    fn all_hubs(&self, now: Instant) -> Vec<&VmId> {
+        let living = self.peers.values().filter(|p| self.is_alive(now, p));
+        let mut halls: Vec<&DataHall> = living.map(|p| &p.hall).collect();
+        halls.push(&self.hall);
+        halls.sort();
+        halls.dedup();
+        let hubs = halls.into_iter().map(|hall| self.hubs_of(now, hall));
+        hubs.flatten().collect()
+    }
+
+    fn hubs_of(&self, now: Instant, hall: &DataHall) -> Vec<&VmId> {
+        let of_hall = |vm: &&VmId| match self.peers.get(*vm) {
+            Some(peer) => peer.hall == *hall,
+            None => self.hall == *hall,
+        };
+        keepers("hub", self.names(now).filter(of_hall), HUBS)
+    }
+
+    /// How old the word from the store is, in milliseconds, of peers that read it.
+    pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
+        let fresh = self
+            .peers
+            .iter()
+            .filter(|(_, p)| self.is_fresh_reader(now, p));
+        let age = |p: &Peer| {
+            p.store_word
+                .map_or(u32::MAX, |at| now.since(at).as_millis() as u32)
+        };
+        fresh.map(|(vm, p)| (vm.clone(), age(p))).collect()
+    }
+
     /// Addresses to tell, other ones each time.
     pub fn known(&self, turn: u64) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.peers.values().map(|p| p.address).collect();
@@ -208,7 +284,9 @@
     /// Forgets peers that are silent for long; returns those that stopped to count as alive.
     pub fn on_tick(&mut self, now: Instant) {
         let keep = |since: Instant| now.since(since) < ADDRESS_KEPT;
-        self.peers.retain(|_, p| keep(p.heard) && !gone(now, p));
+        let alive_for = self.alive_for();
+        let gone = |p: &Peer| p.stopping && now.since(p.heard) >= alive_for;
+        self.peers.retain(|_, p| keep(p.heard) && !gone(p));
         self.unheard.retain(|_, since| keep(*since));
     }
 
@@ -230,14 +308,10 @@
 
     /// A peer that reads the store and heard from it a moment ago; routers spread over them.
     pub fn reader(&self, now: Instant) -> Option<SocketAddr> {
-        let fresh = |p: &Peer| {
-            let age = p.store_age.map(|age| age + now.since(p.heard));
-            age.is_some_and(|age| age < READER_FRESH)
-        };
         let readers: BTreeMap<&VmId, &Peer> = self
             .peers
             .iter()
-            .filter(|(_, p)| is_alive(now, p) && fresh(p))
+            .filter(|(_, p)| self.is_fresh_reader(now, p))
             .collect();
         let chosen = keeper(self.me.as_str(), readers.keys().copied())?;
         readers.get(chosen).map(|p| p.address)
@@ -251,7 +325,10 @@
 
     /// The names of all that live, this router's included.
     fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
-        let living = self.peers.iter().filter(move |(_, p)| is_alive(now, p));
+        let living = self
+            .peers
+            .iter()
+            .filter(move |(_, p)| self.is_alive(now, p));
         living.map(|(vm, _)| vm).chain(std::iter::once(&self.me))
     }
 
@@ -271,20 +348,39 @@
         }
     }
 
-    fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |p| is_alive(now, p))
+    /// How often all tell all: what a router sends must not grow with the fleet.
+    pub fn mesh_interval(&self) -> Duration {
+        let routers = self.peers.len() as u32 + 1;
+        MESH_LEAST.max(MESH_PER_ROUTER * routers)
     }
-}
 
-fn is_heard(now: Instant, peer: &Peer) -> bool {
-    now.since(peer.heard) < ALIVE_FOR
-}
+    fn alive_for(&self) -> Duration {
+        ALIVE_FOR.max(self.mesh_interval() * 7 / 2)
+    }
+
+    fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+        now.since(peer.heard) < self.alive_for()
+    }
+
+    fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
+        self.is_heard(now, peer) && !peer.stopping
+    }
+
+    fn is_fresh_reader(&self, now: Instant, peer: &Peer) -> bool {
+        let fresh = |at| now.since(at) < READER_FRESH;
+        self.is_alive(now, peer) && peer.store_word.is_some_and(fresh)
+    }
 
-fn is_alive(now: Instant, peer: &Peer) -> bool {
-    is_heard(now, peer) && !peer.stopping
+    fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| self.is_alive(now, p))
+    }
 }
 
-/// A peer that said it stops, and is silent since.
-fn gone(now: Instant, peer: &Peer) -> bool {
-    peer.stopping && !is_heard(now, peer)
+fn receiver((vm, peer): (&VmId, &Peer)) -> Receiver {
+    Receiver {
+        vm: Some(vm.clone()),
+        hall: Some(peer.hall.clone()),
+        address: peer.address,
+        echo: Some(peer.stamp),
+    }
 }
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -38,6 +38,9 @@
 /// the longest usual one.
 const KEPT_SLACK: f64 = 6_000.0;
 
+/// Targets of which one reads a prompt first.
+const READERS_NAMED: usize = 4;
+
 /// Calls above the mean that a target may have before new prompts go elsewhere.
 const CALLS_SLACK: f64 = 2.0;
 
@@ -73,8 +76,6 @@
 pub struct Wanted {
     /// A hash of the deepest part of the prompt that others share; of the call where there is none.
     pub key: u64,
-    /// A hash of the first part of the prompt, which the most others share.
-    pub root: u64,
     /// Whether there is a part of the prompt that others share.
     pub shared: bool,
     /// Whether the call may be sent again after it was sent to a suspect target.
@@ -136,8 +137,11 @@
     }
 }
 
-/// Who reads a prompt first: whoever has read most of its beginning, unless it keeps much more
-/// than the others or has more calls; rendezvous on the beginning decides between equals.
+/// Who reads a prompt first: of a few that rendezvous names, the one that has read most of its
+/// beginning and keeps and does no more than the others.
+///
+/// Only few, as many routers choose within the moment before they hear of one another's choices:
+/// all prompts with the same beginning must not meet at one target.
 fn first_reader(roomy: &[(usize, &Offer)], wanted: &Wanted) -> usize {
     let n = roomy.len() as f64;
     let kept = roomy.iter().map(|o| o.1.kept.0 as f64).sum::<f64>() / n;
@@ -145,9 +149,12 @@
     let cost = |o: &Offer| {
         let more_kept = (o.kept.0 as f64 - kept - KEPT_SLACK).max(0.0);
         let more_calls = (f64::from(o.calls) - calls - CALLS_SLACK).max(0.0);
-        o.missing.0 as f64 + more_kept + more_calls * CALL_TOKENS
+        o.missing.0 as f64 + o.backlog.0 as f64 + more_kept + more_calls * CALL_TOKENS
     };
-    least(roomy, wanted.root, cost)
+    let mut named = roomy.to_vec();
+    named.sort_unstable_by_key(|o| std::cmp::Reverse(draw(wanted.key, &o.1.target)));
+    named.truncate(READERS_NAMED);
+    least(&named, wanted.key, cost)
 }
 
 fn cheapest(roomy: &[(usize, &Offer)], key: u64) -> usize {
--- a/src/prompt_cache.rs
+++ b/src/prompt_cache.rs
@@ -91,10 +91,14 @@
         memory.trim(memory_tokens);
     }
 
-    /// A peer sent a part to a target.
-    pub fn on_peer(&mut self, target: &TargetId, part: PromptPart) {
+    /// A peer sent a part to a target; `passed_on` where other peers have to be told by us.
+    pub fn on_peer(&mut self, target: &TargetId, part: PromptPart, passed_on: bool) {
         let memory = self.targets.entry(target.clone()).or_default();
-        self.unsaved |= memory.hold(part, true);
+        let is_new = memory.hold(part, true);
+        self.unsaved |= is_new;
+        if is_new && passed_on {
+            self.news.push((part.id, part.tokens, target.clone()));
+        }
     }
 
     /// A target lost its memory or refused what was counted as read.
@@ -122,9 +126,10 @@
         std::mem::take(&mut self.unsaved)
     }
 
-    /// What is new since the last call, to tell the peers.
-    pub fn take_news(&mut self) -> Vec<(PartId, Tokens, TargetId)> {
-        std::mem::take(&mut self.news)
+    /// What is new since the last call, to tell the peers; at most `most` parts at a time.
+    pub fn take_news(&mut self, most: usize) -> Vec<(PartId, Tokens, TargetId)> {
+        let n = self.news.len().min(most);
+        self.news.drain(..n).collect()
     }
 
     /// All shared parts, those unused longest first, for a peer that has just started.
