--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -49,6 +49,15 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
+/// Who says that a call has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// The target that was meant.
+    ByTarget,
+    /// Another one that has its address now.
+    ByAnother,
+}
+
 /// What the head of a target's answer says.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerFacts {
@@ -56,10 +65,8 @@
     pub id: Option<String>,
     /// Whether the target vouches for the answer as its own.
     pub sealed: bool,
-    /// The target says that it has not run the call and will not.
-    pub not_run: bool,
-    /// The target that was expected is not the one at this address.
-    pub misdirected: bool,
+    /// The call was refused: it has not run and will not.
+    pub refused: Option<Refused>,
     /// The body is encoded, which no target does by itself.
     pub encoded: bool,
     /// The target's load by its own word.
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -8,12 +8,13 @@
 use crate::{
     config::serving::{CallKind, EngineSpec},
     discovery::{Discovery, TargetRecord},
+    edge::Rules,
     health::{Health, Outcome, Standing},
     ids::{DataHall, ServiceName, TargetId},
     load_account::{InProgress, LoadAccount},
     placement::choice::{NoChoice, Offer, Wanted, choose},
     prompt_cache::{PromptCache, PromptPart},
-    retry::{BudgetRule, RetryBudget},
+    retry::RetryBudget,
     units::{Instant, Tokens},
 };
 
@@ -95,19 +96,25 @@
 
 impl Dispatcher {
     /// One that knows nothing yet.
-    pub fn new(hall: DataHall, cap_factor: f64, budget: BudgetRule) -> Self {
+    pub fn new(hall: DataHall, rules: &Rules) -> Self {
         Self {
             discovery: Discovery::default(),
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
             cache: PromptCache::default(),
-            budget: RetryBudget::new(budget),
+            budget: RetryBudget::new(rules.budget),
             hall,
-            cap_factor,
+            cap_factor: rules.cap_factor,
             swept: Instant::default(),
         }
     }
 
+    /// Puts changed bounds in force; what was counted so far stays.
+    pub fn set_rules(&mut self, rules: &Rules) {
+        self.cap_factor = rules.cap_factor;
+        self.budget.set_rule(rules.budget);
+    }
+
     /// Chooses a target and takes a place there; [`Self::on_end`] gives the place back.
     pub fn choose(&mut self, now: Instant, plan: &Plan) -> Result<Ticket, NoChoice> {
         let targets = self.discovery.serving(&plan.service);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -18,7 +18,7 @@
 use crate::config::serving::KeyHolder;
 use crate::{
     config::serving::Route,
-    dialect::{AnswerFacts, CallFacts, Handover},
+    dialect::{AnswerFacts, CallFacts, Handover, Refused},
     dispatcher::{Plan, Ticket},
     health::Outcome,
     placement::choice::NoChoice,
@@ -278,11 +278,11 @@
             begun.place.end(Outcome::Broken, "answer to another call");
             Err(Failed::may_have_run("answer to another call"))
         }
-        () if facts.misdirected => {
+        () if facts.refused == Some(Refused::ByAnother) => {
             begun.place.end(Outcome::Broken, "another target there");
             Err(Failed::not_run("another target there"))
         }
-        () if facts.not_run => {
+        () if facts.refused.is_some() => {
             begun.place.end(Outcome::Full, "refused");
             Err(Failed::not_run("refused"))
         }
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -166,7 +166,7 @@
     let needs_key = config.keyed && !route.public;
     let trusted = || {
         let freshness = cx.freshness.borrow();
-        freshness.may_use_keys(received, cx.cfg.revoke_bound)
+        freshness.may_use_keys(received, cx.rules.get().revoke_bound)
     };
     if needs_key && !trusted() {
         let why = "configuration too old to trust keys";
--- a/src/edge/conn.rs
+++ b/src/edge/conn.rs
@@ -30,11 +30,11 @@
 const REST_PART: f64 = 0.7;
 
 /// How long a connection rests where the target tells no time.
-const REST_UNTOLD: Duration = Duration::from_millis(2_000);
+const REST_UNTOLD: Duration = Duration::from_secs(2);
 
 /// The longest rest at first after which a connection carries a call that must not be sent twice:
 /// half of the time that targets of the users' sites tell.
-const CAREFUL_REST: Duration = Duration::from_millis(5_000);
+const CAREFUL_REST: Duration = Duration::from_secs(5);
 
 /// The least that it falls to when connections turn out to be closed without a word.
 const CAREFUL_REST_LEAST: Duration = Duration::from_millis(250);
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -242,7 +242,7 @@
             Ok(StoreChange::Prompts(saved)) if is_list => recall_prompts(cx, &saved),
             Ok(StoreChange::Prompts(_) | StoreChange::Other) => {}
             Err(why) => {
-                warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why)
+                warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why);
             }
         }
     }
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -13,8 +13,8 @@
 };
 
 use super::{
-    GatewayConfig, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, mirror, stop,
-    stop::StopSignals,
+    GatewayConfig, Rules, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, mirror, stop,
+    stop::Signals,
 };
 use crate::{
     Error, Result,
@@ -66,6 +66,7 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) rules: Cell<Rules>,
     pub(crate) phase: Cell<Phase>,
     pub(crate) in_progress: Cell<usize>,
     pub(crate) recent_calls: Cell<u32>,
@@ -82,9 +83,74 @@
     life: Incarnation,
 }
 
+/// A gateway that listens and does not serve yet.
+pub struct Listening {
+    gateway: Rc<Gateway>,
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: Option<TcpListener>,
+    mirror: TcpListener,
+    udp: UdpSocket,
+}
+
+impl Listening {
+    /// Where it listens; ports that were 0 in the settings are the real ones here.
+    pub fn config(&self) -> &GatewayConfig {
+        &self.gateway.cfg
+    }
+
+    /// Follows the store and serves until a planned stop is complete. Runs within a `LocalSet`.
+    pub async fn serve(self, signals: Signals) {
+        let cx = self.gateway;
+        let udp = Rc::new(self.udp);
+        info!(cx.log, "started";
+            "callers" => %cx.cfg.callers, "peers" => %cx.cfg.peers, "life" => cx.life.0);
+        if let Some(metrics) = self.metrics {
+            spawn_local(ingress::serve_metrics(Rc::clone(&cx), metrics));
+        }
+        spawn_local(mirror::serve(Rc::clone(&cx), self.mirror));
+        spawn_local(ingress::serve_ready(Rc::clone(&cx), self.ready));
+        spawn_local(follow::follow_store(Rc::clone(&cx)));
+        spawn_local(follow::announce(Rc::clone(&cx)));
+        spawn_local(follow::save_prompts(Rc::clone(&cx)));
+        spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
+        spawn_local(gossip::tell(Rc::clone(&cx), Rc::clone(&udp)));
+        spawn_local(tick(Rc::clone(&cx)));
+        spawn_local(ingress::serve_callers(Rc::clone(&cx), self.callers));
+        stop::wait(&cx, signals, &udp).await;
+    }
+}
+
 impl Gateway {
-    /// A gateway of these parts, that has not begun yet.
-    pub fn new(parts: GatewayParts) -> Rc<Self> {
+    /// Listens where the settings say; errors are those of the addresses.
+    pub async fn listen(mut parts: GatewayParts) -> Result<Listening> {
+        let cfg = &mut parts.cfg;
+        let callers = listen(cfg.callers).await?;
+        cfg.callers = callers.local_addr()?;
+        let ready = listen(cfg.ready).await?;
+        cfg.ready = ready.local_addr()?;
+        let metrics = match cfg.metrics {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        cfg.metrics = match &metrics {
+            Some(listener) => Some(listener.local_addr()?),
+            None => None,
+        };
+        let mirror = listen(cfg.peers).await?;
+        cfg.peers = mirror.local_addr()?;
+        let udp = UdpSocket::bind(cfg.peers).await?;
+        Ok(Listening {
+            gateway: Self::new(parts),
+            callers,
+            ready,
+            metrics,
+            mirror,
+            udp,
+        })
+    }
+
+    fn new(parts: GatewayParts) -> Rc<Self> {
         let GatewayParts {
             cfg,
             dialect,
@@ -93,13 +159,14 @@
             flusher,
         } = parts;
         let since_unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        // The time of day only tells lives apart; the random part does so if it stepped back.
+        // The time of day only tells one life from the next.
         let wall_ms = since_unix.map_or(0, |d| d.as_millis() as u64);
         let life = Incarnation(wall_ms);
-        let dispatcher = Dispatcher::new(cfg.data_hall.clone(), cfg.cap_factor, cfg.budget);
+        let dispatcher = Dispatcher::new(cfg.data_hall.clone(), &cfg.rules);
         let peers = Peers::new(
             cfg.vm.clone(),
             cfg.data_hall.clone(),
+            cfg.strength,
             life,
             cfg.peers,
             &cfg.seeds,
@@ -107,6 +174,7 @@
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
             peers: RefCell::new(peers),
+            rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
             serving: RefCell::default(),
             mirror: RefCell::default(),
@@ -129,32 +197,15 @@
         })
     }
 
-    /// Listens, follows the store and serves until a planned stop is complete.
-    pub async fn run(self: Rc<Self>, signals: StopSignals) -> Result<()> {
-        let callers = listen(self.cfg.callers).await?;
-        let ready = listen(self.cfg.ready).await?;
-        let udp = UdpSocket::bind(self.cfg.peers).await?;
-        let mirror = listen(self.cfg.peers).await?;
-        info!(self.log, "started";
-            "callers" => %self.cfg.callers, "peers" => %self.cfg.peers, "life" => self.life.0);
-        if let Some(address) = self.cfg.metrics {
-            spawn_local(ingress::serve_metrics(
-                Rc::clone(&self),
-                listen(address).await?,
-            ));
+    /// Puts changed bounds and addresses of other routers in force.
+    pub(crate) fn reload(&self, cfg: &GatewayConfig) {
+        let now = self.now();
+        self.rules.set(cfg.rules);
+        self.dispatcher.borrow_mut().set_rules(&cfg.rules);
+        for seed in &cfg.seeds {
+            self.peers.borrow_mut().on_address(now, *seed);
         }
-        spawn_local(mirror::serve(Rc::clone(&self), mirror));
-        spawn_local(ingress::serve_ready(Rc::clone(&self), ready));
-        spawn_local(follow::follow_store(Rc::clone(&self)));
-        spawn_local(follow::announce(Rc::clone(&self)));
-        spawn_local(follow::save_prompts(Rc::clone(&self)));
-        let udp = Rc::new(udp);
-        spawn_local(gossip::receive(Rc::clone(&self), Rc::clone(&udp)));
-        spawn_local(gossip::tell(Rc::clone(&self), Rc::clone(&udp)));
-        spawn_local(tick(Rc::clone(&self)));
-        spawn_local(ingress::serve_callers(Rc::clone(&self), callers));
-        stop::wait(&self, signals, &udp).await;
-        Ok(())
+        info!(self.log, "reload"; "outcome" => "in force", "rules" => ?cfg.rules);
     }
 
     /// The time since the gateway began.
@@ -194,7 +245,7 @@
         self.phase.get() == Phase::Serving
             && self.serving().is_some()
             && self.dispatcher.borrow().discovery.is_known()
-            && fresh.may_use_keys(self.now(), self.cfg.revoke_bound)
+            && fresh.may_use_keys(self.now(), self.rules.get().revoke_bound)
     }
 
     /// How old this router's own word from the store is, if it reads the store itself.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -157,6 +157,7 @@
         echo: None,
         config: age.map(|a| (freshness.revision(), a.as_millis() as u32)),
         hall: cx.cfg.data_hall.clone(),
+        strength: cx.cfg.strength,
         readers,
         halls: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -27,14 +27,14 @@
 const IDLE_SLACK: Duration = Duration::from_millis(500);
 
 /// How often a resting connection's time is looked at; the allowed rest may change.
-const IDLE_CHECK: Duration = Duration::from_millis(1_000);
+const IDLE_CHECK: Duration = Duration::from_secs(1);
 
 /// The least buffer that the server side of the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8 << 10;
 
 /// The longest that a head may take to arrive on a connection that has just opened or rests;
 /// resting is bounded apart from it.
-const LONGEST_HEAD: Duration = Duration::from_secs(120);
+const LONGEST_HEAD: Duration = Duration::from_mins(2);
 
 /// Accepts callers until the process ends.
 pub(super) async fn serve_callers(cx: Rc<Gateway>, listener: TcpListener) {
--- a/src/edge/mirror.rs
+++ b/src/edge/mirror.rs
@@ -18,7 +18,7 @@
 };
 
 /// How long an asked router waits for something newer.
-const ASK_WAIT: Duration = Duration::from_millis(5_000);
+const ASK_WAIT: Duration = Duration::from_secs(5);
 
 /// How often an asked router looks for something newer.
 const LOOK_EVERY: Duration = Duration::from_millis(40);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,11 +18,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-pub use gateway::{Gateway, GatewayParts};
-pub use stop::StopSignals;
+pub use gateway::{Gateway, GatewayParts, Listening};
+pub use stop::Signals;
 
 use crate::{
     ids::{DataHall, VmId},
+    membership::datagram::Strength,
     retry::BudgetRule,
 };
 
@@ -33,6 +34,8 @@
     pub vm: VmId,
     /// Where it stands.
     pub data_hall: DataHall,
+    /// What its link and processor can bear.
+    pub strength: Strength,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether this VM is ready.
@@ -45,6 +48,13 @@
     pub seeds: Vec<SocketAddr>,
     /// The most connections that this VM may have open.
     pub max_connections: usize,
+    /// What may change while the gateway runs.
+    pub rules: Rules,
+}
+
+/// Bounds that may change while a gateway runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rules {
     /// How long after its revocation a key may still work.
     pub revoke_bound: Duration,
     /// How many times the mean load a target may carry.
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -7,6 +7,7 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use super::{
+    GatewayConfig,
     gateway::{Gateway, Phase},
     gossip,
 };
@@ -14,7 +15,7 @@
 /// How long callers are still taken after the stop was asked for. The balancer asks each second
 /// and sends nobody any more after two misses; calls sent up to three seconds after the signal
 /// still count as cut off if the stop cuts them (RULES).
-const SERVE_ON: Duration = Duration::from_millis(3_000);
+const SERVE_ON: Duration = Duration::from_secs(3);
 
 /// The part of the stop's time after which it ends whatever is left.
 const LAST_PART: f64 = 0.95;
@@ -25,17 +26,23 @@
 /// The longest that a stop waits for the last lines to be written out.
 const LAST_LINES: Duration = Duration::from_millis(50);
 
-/// Where the process's signals arrive.
-pub struct StopSignals {
+/// What the process is told from outside.
+pub struct Signals {
     /// A planned stop is asked for.
     pub stop: mpsc::Receiver<()>,
+    /// The settings changed.
+    pub reload: mpsc::Receiver<GatewayConfig>,
 }
 
 /// Waits for the signal, then for the end of the stop.
-pub(super) async fn wait(cx: &Rc<Gateway>, mut signals: StopSignals, udp: &UdpSocket) {
-    if signals.stop.recv().await.is_none() {
-        // Nobody can ask for a stop any more: serve on.
-        std::future::pending::<()>().await;
+pub(super) async fn wait(cx: &Rc<Gateway>, mut signals: Signals, udp: &UdpSocket) {
+    loop {
+        tokio::select! {
+            Some(()) = signals.stop.recv() => break,
+            Some(cfg) = signals.reload.recv() => cx.reload(&cfg),
+            // Nobody can ask for anything any more: serve on.
+            else => std::future::pending::<()>().await,
+        }
     }
     let began = cx.now();
     info!(cx.log, "stop asked for"; "in_progress" => cx.in_progress.get());
@@ -43,7 +50,7 @@
     tokio::time::sleep(SERVE_ON).await;
     cx.phase.set(Phase::Refusing);
     gossip::send_to_all(cx, udp);
-    let limit = cx.cfg.stop_time.mul_f64(LAST_PART);
+    let limit = cx.rules.get().stop_time.mul_f64(LAST_PART);
     while cx.in_progress.get() > 0 && cx.now().since(began) < limit {
         tokio::time::sleep(LOOK_EVERY).await;
     }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -62,10 +62,10 @@
             match tokio::time::timeout_at(cx.tokio_time(until), frame).await {
                 Err(_) => return Next::Broken("silent"),
                 Ok(Some(Err(_))) => return Next::Broken("answer broke off"),
-                Ok(Some(Ok(frame))) => match frame.data_ref() {
-                    Some(data) => self.splitter.push(data),
-                    None => continue,
-                },
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
+                    self.splitter.push(data);
+                }
                 Ok(None) if self.splitter.has_rest() => return Next::Broken("event cut off"),
                 Ok(None) => return Next::End,
             }
--- a/src/event_stream.rs
+++ b/src/event_stream.rs
@@ -66,8 +66,8 @@
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|b| *b == b'\n');
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(values.last()?).ok()?;
+    let mut lines = event.rsplit(|b| *b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let text = std::str::from_utf8(value).ok()?;
     text.trim().parse().ok()
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -22,7 +22,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 
 /// The longest pause: a target that is well again waits no longer for its first call.
-const LONGEST_PAUSE: Duration = Duration::from_millis(3_000);
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
 /// How a call at a target ended, as far as it tells the target's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -19,7 +19,7 @@
 
 /// How long a peer's counts are believed after its last datagram. A peer that is silent longer is
 /// gone or cut off, and its calls have ended or soon will: three of its slowest heartbeats.
-pub const PEER_EXPIRES: Duration = Duration::from_millis(3_000);
+pub const PEER_EXPIRES: Duration = Duration::from_secs(3);
 
 /// How long a target's own word is held against the counts: answers of engines come about this
 /// often under load.
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -20,6 +20,26 @@
     pub micros: u64,
 }
 
+/// What a router's VM can bear, in steps of two; the stronger ones do what is done for all.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Strength(u8);
+
+impl Strength {
+    /// Of a VM with this link and this share of a core; the scarcer of the two decides, where ten
+    /// megabits a second stand beside a tenth of a core.
+    pub fn new(link_mbps: f64, cpu_share: f64) -> Self {
+        let steps = (link_mbps / 10.0).min(cpu_share * 10.0).max(1.0).log2();
+        Self(steps.floor() as u8)
+    }
+
+    /// Half of it.
+    pub fn half(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+}
+
 /// What one router tells another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
@@ -27,6 +47,8 @@
     pub vm: VmId,
     /// Where it stands.
     pub hall: DataHall,
+    /// What its link and processor can bear.
+    pub strength: Strength,
     /// Counts the datagrams of one life.
     pub number: u64,
     /// When it was sent.
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use super::datagram::{Datagram, Stamp};
+use super::datagram::{Datagram, Stamp, Strength};
 use crate::{
     config::freshness::Vouch,
     ids::{DataHall, Incarnation, VmId},
@@ -37,7 +37,7 @@
 const MESH_PER_ROUTER: Duration = Duration::from_millis(24);
 
 /// How long the address of a silent peer is still written to: it may only be cut off.
-const ADDRESS_KEPT: Duration = Duration::from_secs(60);
+const ADDRESS_KEPT: Duration = Duration::from_mins(1);
 
 /// Addresses that one datagram names.
 const KNOWN_TOLD: usize = 16;
@@ -61,6 +61,7 @@
 struct Peer {
     address: SocketAddr,
     hall: DataHall,
+    strength: Strength,
     heard: Instant,
     stamp: Stamp,
     number: u64,
@@ -100,9 +101,10 @@
 pub struct Peers {
     me: VmId,
     hall: DataHall,
+    strength: Strength,
     life: Incarnation,
     own_address: SocketAddr,
-    peers: HashMap<VmId, Peer>,
+    heard: HashMap<VmId, Peer>,
     unheard: HashMap<SocketAddr, Instant>,
 }
 
@@ -111,6 +113,7 @@
     pub fn new(
         me: VmId,
         hall: DataHall,
+        strength: Strength,
         life: Incarnation,
         own_address: SocketAddr,
         seeds: &[SocketAddr],
@@ -118,9 +121,10 @@
         let mut peers = Self {
             me,
             hall,
+            strength,
             life,
             own_address,
-            peers: HashMap::new(),
+            heard: HashMap::new(),
             unheard: HashMap::new(),
         };
         for seed in seeds {
@@ -131,7 +135,7 @@
 
     /// A place where a router may be reached.
     pub fn on_address(&mut self, now: Instant, address: SocketAddr) {
-        let known = self.peers.values().any(|p| p.address == address);
+        let known = self.heard.values().any(|p| p.address == address);
         if !known && address != self.own_address {
             self.unheard.entry(address).or_insert(now);
         }
@@ -142,7 +146,7 @@
         if told.vm == self.me {
             return Heard::Outdated;
         }
-        let before = self.peers.get(&told.vm);
+        let before = self.heard.get(&told.vm);
         let heard = match before {
             Some(p) if p.stamp.life == told.sent.life && p.number >= told.number => {
                 return Heard::Outdated;
@@ -157,6 +161,7 @@
         let peer = Peer {
             address: from,
             hall: told.hall.clone(),
+            strength: told.strength,
             heard: now,
             stamp: told.sent,
             number: told.number,
@@ -165,11 +170,11 @@
             mirror: told.mirror,
             store_word,
         };
-        self.peers.insert(told.vm.clone(), peer);
+        self.heard.insert(told.vm.clone(), peer);
         for (reader, age_ms) in &told.readers {
             let age = Duration::from_millis(u64::from(*age_ms));
             let word = Instant(now.0.saturating_sub(age));
-            if let Some(peer) = self.peers.get_mut(reader) {
+            if let Some(peer) = self.heard.get_mut(reader) {
                 peer.store_word = peer.store_word.max(Some(word));
             }
         }
@@ -193,7 +198,7 @@
 
     /// All peers, and all places where one may be.
     pub fn everyone(&self) -> Vec<Receiver> {
-        let heard = self.peers.iter().map(receiver);
+        let heard = self.heard.iter().map(receiver);
         let unheard = self.unheard.keys().map(|address| Receiver {
             vm: None,
             hall: None,
@@ -220,7 +225,7 @@
                 false => adds_up && is_hub,
             }
         };
-        let living = self.peers.iter().filter(|(_, p)| self.is_alive(now, p));
+        let living = self.heard.iter().filter(|(_, p)| self.is_alive(now, p));
         living
             .filter(|(vm, p)| is_close(vm, p))
             .map(receiver)
@@ -232,7 +237,7 @@
     pub fn adds_up(&self, now: Instant) -> bool {
         let hubs = self.hubs_of(now, &self.hall);
         let silent = |vm: &VmId| {
-            let peer = self.peers.get(vm);
+            let peer = self.heard.get(vm);
             peer.is_none_or(|p| now.since(p.heard) >= HUB_SILENT)
         };
         match hubs.as_slice() {
@@ -242,8 +247,27 @@
         }
     }
 
+    /// The routers that keep a thing together, of the stronger ones: those that bear at least half
+    /// of what the strongest bears, unless they are too few.
+    fn strong_keepers<'a>(
+        &'a self,
+        thing: &str,
+        names: impl Iterator<Item = &'a VmId>,
+        n: usize,
+    ) -> Vec<&'a VmId> {
+        let strength = |vm: &VmId| self.heard.get(vm).map_or(self.strength, |p| p.strength);
+        let mut all: Vec<&VmId> = names.collect();
+        let mut strengths: Vec<Strength> = all.iter().map(|vm| strength(vm)).collect();
+        strengths.sort_unstable_by(|a, b| b.cmp(a));
+        let strongest = strengths.first().copied().unwrap_or_default();
+        let nth = strengths.get(n.saturating_sub(1)).copied();
+        let least = strongest.half().min(nth.unwrap_or_default());
+        all.retain(|vm| strength(vm) >= least);
+        keepers(thing, all.into_iter(), n)
+    }
+
     fn all_hubs(&self, now: Instant) -> Vec<&VmId> {
-        let living = self.peers.values().filter(|p| self.is_alive(now, p));
+        let living = self.heard.values().filter(|p| self.is_alive(now, p));
         let mut halls: Vec<&DataHall> = living.map(|p| &p.hall).collect();
         halls.push(&self.hall);
         halls.sort();
@@ -253,17 +277,17 @@
     }
 
     fn hubs_of(&self, now: Instant, hall: &DataHall) -> Vec<&VmId> {
-        let of_hall = |vm: &&VmId| match self.peers.get(*vm) {
+        let of_hall = |vm: &&VmId| match self.heard.get(*vm) {
             Some(peer) => peer.hall == *hall,
             None => self.hall == *hall,
         };
-        keepers("hub", self.names(now).filter(of_hall), HUBS)
+        self.strong_keepers("hub", self.names(now).filter(of_hall), HUBS)
     }
 
     /// How old the word from the store is, in milliseconds, of peers that read it.
     pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
         let fresh = self
-            .peers
+            .heard
             .iter()
             .filter(|(_, p)| self.is_fresh_reader(now, p));
         let age = |p: &Peer| {
@@ -275,7 +299,7 @@
 
     /// Addresses to tell, other ones each time.
     pub fn known(&self, turn: u64) -> Vec<SocketAddr> {
-        let all: Vec<SocketAddr> = self.peers.values().map(|p| p.address).collect();
+        let all: Vec<SocketAddr> = self.heard.values().map(|p| p.address).collect();
         let skip = (turn as usize * KNOWN_TOLD) % all.len().max(1);
         let turned = all.iter().cycle().skip(skip);
         turned.take(KNOWN_TOLD.min(all.len())).copied().collect()
@@ -286,7 +310,7 @@
         let keep = |since: Instant| now.since(since) < ADDRESS_KEPT;
         let alive_for = self.alive_for();
         let gone = |p: &Peer| p.stopping && now.since(p.heard) >= alive_for;
-        self.peers.retain(|_, p| keep(p.heard) && !gone(p));
+        self.heard.retain(|_, p| keep(p.heard) && !gone(p));
         self.unheard.retain(|_, since| keep(*since));
     }
 
@@ -303,13 +327,14 @@
 
     /// Whether this router is one of those that read the store for all.
     pub fn is_reader(&self, now: Instant) -> bool {
-        keepers(READERS_KEY, self.names(now), READERS).contains(&&self.me)
+        self.strong_keepers(READERS_KEY, self.names(now), READERS)
+            .contains(&&self.me)
     }
 
     /// A peer that reads the store and heard from it a moment ago; routers spread over them.
     pub fn reader(&self, now: Instant) -> Option<SocketAddr> {
         let readers: BTreeMap<&VmId, &Peer> = self
-            .peers
+            .heard
             .iter()
             .filter(|(_, p)| self.is_fresh_reader(now, p))
             .collect();
@@ -326,7 +351,7 @@
     /// The names of all that live, this router's included.
     fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
         let living = self
-            .peers
+            .heard
             .iter()
             .filter(move |(_, p)| self.is_alive(now, p));
         living.map(|(vm, _)| vm).chain(std::iter::once(&self.me))
@@ -344,13 +369,13 @@
         match own_calls + others {
             0 => even,
             // Half by calls and half evenly: a router that had few calls may need repeats now.
-            all => (f64::from(own_calls) / f64::from(all) + even) / 2.0,
+            all => f64::midpoint(f64::from(own_calls) / f64::from(all), even),
         }
     }
 
     /// How often all tell all: what a router sends must not grow with the fleet.
     pub fn mesh_interval(&self) -> Duration {
-        let routers = self.peers.len() as u32 + 1;
+        let routers = self.heard.len() as u32 + 1;
         MESH_LEAST.max(MESH_PER_ROUTER * routers)
     }
 
@@ -372,7 +397,7 @@
     }
 
     fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |p| self.is_alive(now, p))
+        self.heard.values().filter(move |p| self.is_alive(now, p))
     }
 }
 
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Puts another rule in force; what was counted stays.
+    pub fn set_rule(&mut self, rule: BudgetRule) {
+        self.rule = rule;
+    }
+
     /// A caller's call for a service arrived.
     pub fn on_call(&mut self, now: Instant, service: &ServiceName) {
         let window = self.window(now, service);
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,7 +1,7 @@
 //! The platform's metadata store as the gateway uses it, and a mirror of it that peers may ask.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashSet, VecDeque},
     future::Future,
     pin::Pin,
     time::Duration,
@@ -36,11 +36,40 @@
     /// The key.
     pub key: String,
     /// What was written; `None` where the entry was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<PackedValue>,
     /// The write or removal.
     pub revision: StoreRevision,
 }
 
+/// A value as it is kept and passed on between routers: compressed, as a configuration of some
+/// hundred routes is told to many routers at once and some of them have thin links.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedValue(Vec<u8>);
+
+/// How hard values are compressed, from 0 to 10: a tenth of the size in few milliseconds.
+const PACK_LEVEL: u8 = 4;
+
+/// The largest value that is unpacked, in bytes; a store's values are a megabyte at the most.
+const UNPACK_LIMIT: usize = 16 << 20;
+
+impl PackedValue {
+    /// Compresses a value.
+    pub fn pack(value: &[u8]) -> Self {
+        Self(miniz_oxide::deflate::compress_to_vec(value, PACK_LEVEL))
+    }
+
+    /// The value as it was written; the error says what is wrong with the packing.
+    pub fn unpack(&self) -> Result<Vec<u8>, String> {
+        let unpacked = miniz_oxide::inflate::decompress_to_vec_with_limit(&self.0, UNPACK_LIMIT);
+        unpacked.map_err(|e| format!("value not unpacked: {e}"))
+    }
+
+    /// Bytes that it takes.
+    pub fn packed_len(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// What an entry means.
 #[derive(Debug)]
 pub enum StoreChange {
@@ -143,7 +172,7 @@
         match after {
             after if after >= revision => None,
             after if after >= self.oldest => Some(Mirrored::Changes(StoreNews {
-                items: self.history.iter().filter(newer).cloned().collect(),
+                items: newest(self.history.iter().filter(newer)),
                 revision,
             })),
             _ => Some(Mirrored::List(StoreNews {
@@ -154,6 +183,15 @@
     }
 }
 
+/// The last change of each key, in order.
+fn newest<'a>(changes: impl DoubleEndedIterator<Item = &'a StoreItem>) -> Vec<StoreItem> {
+    let mut seen = HashSet::new();
+    let last = changes.rev().filter(|item| seen.insert(item.key.as_str()));
+    let mut items: Vec<StoreItem> = last.cloned().collect();
+    items.reverse();
+    items
+}
+
 /// What one router tells another of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Mirrored {
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,250 @@
+//! Who lives, who reads the store and who adds up counts, in virtual time.
+
+use std::net::SocketAddr;
+
+use scaleford::{
+    ids::{DataHall, Incarnation, VmId},
+    membership::{
+        datagram::{Datagram, Stamp, Strength},
+        peers::{Heard, Peers},
+    },
+    units::{Instant, StoreRevision},
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn vm(n: usize) -> VmId {
+    format!("vm-{n}").parse().unwrap()
+}
+
+fn hall(n: usize) -> DataHall {
+    format!("hall-{}", n % 3).parse().unwrap()
+}
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8], 7340))
+}
+
+fn peers(me: usize) -> Peers {
+    let strength = Strength::new(100.0, 0.5);
+    Peers::new(vm(me), hall(me), strength, Incarnation(1), address(me), &[])
+}
+
+fn datagram(from: usize, number: u64) -> Datagram {
+    Datagram {
+        vm: vm(from),
+        hall: hall(from),
+        strength: Strength::new(100.0, 0.5),
+        number,
+        sent: Stamp {
+            life: Incarnation(1),
+            micros: number,
+        },
+        echo: None,
+        config: None,
+        readers: Vec::new(),
+        mirror: StoreRevision(0),
+        store_back: None,
+        calls: 0,
+        stopping: false,
+        load: Vec::new(),
+        halls: Vec::new(),
+        parts: Vec::new(),
+        known: Vec::new(),
+    }
+}
+
+fn hear(peers: &mut Peers, now: Instant, told: &Datagram) -> Heard {
+    let from: usize = told.vm.as_str()[3..].parse().unwrap();
+    peers.on_datagram(now, address(from), told)
+}
+
+/// A fleet of `n` routers, as each of them sees it when all were heard at `now`.
+fn fleet(n: usize, now: Instant) -> Vec<Peers> {
+    (0..n)
+        .map(|me| {
+            let mut seen = peers(me);
+            for other in (0..n).filter(|o| *o != me) {
+                hear(&mut seen, now, &datagram(other, 1));
+            }
+            seen
+        })
+        .collect()
+}
+
+/// Sapporo trouble-2: each datagram of a router that stopped counted as a join, and it was sent
+/// all prompts each time: 0.1 GB in twelve seconds.
+#[test]
+fn a_peer_that_stops_does_not_join_again() {
+    let mut seen = peers(0);
+    assert_eq!(hear(&mut seen, at(0), &datagram(1, 1)), Heard::Joined);
+    for number in 2..20 {
+        let told = Datagram {
+            stopping: true,
+            ..datagram(1, number)
+        };
+        assert_eq!(hear(&mut seen, at(number * 100), &told), Heard::Known);
+    }
+    assert_eq!(seen.alive(at(2_000)), 1);
+}
+
+#[test]
+fn a_new_life_joins_and_an_old_one_is_passed_over() {
+    let mut seen = peers(0);
+    hear(&mut seen, at(0), &datagram(1, 9));
+    let mut reborn = datagram(1, 1);
+    reborn.sent.life = Incarnation(2);
+    assert_eq!(hear(&mut seen, at(10), &reborn), Heard::Joined);
+    assert_eq!(hear(&mut seen, at(20), &datagram(1, 10)), Heard::Outdated);
+    assert_eq!(
+        hear(&mut seen, at(30), &reborn),
+        Heard::Outdated,
+        "twice the same"
+    );
+}
+
+#[test]
+fn an_echo_of_another_life_vouches_for_nothing() {
+    let seen = peers(0);
+    let mut told = datagram(1, 1);
+    told.config = Some((StoreRevision(4), 100));
+    assert!(seen.vouch(&told).is_none(), "it answers nothing of ours");
+    told.echo = Some(Stamp {
+        life: Incarnation(7),
+        micros: 5,
+    });
+    assert!(seen.vouch(&told).is_none());
+    told.echo = Some(Stamp {
+        life: Incarnation(1),
+        micros: 5_000_000,
+    });
+    assert_eq!(seen.vouch(&told).unwrap().echo, at(5_000));
+}
+
+#[test]
+fn routers_that_know_the_same_name_the_same_three_readers() {
+    let fleet = fleet(12, at(0));
+    let readers = fleet.iter().filter(|p| p.is_reader(at(100))).count();
+    assert_eq!(readers, 3);
+}
+
+#[test]
+fn a_reader_without_recent_word_from_the_store_is_not_asked() {
+    let mut seen = peers(0);
+    let told = Datagram {
+        readers: vec![(vm(1), 200)],
+        ..datagram(1, 1)
+    };
+    hear(&mut seen, at(1_000), &told);
+    assert_eq!(seen.reader(at(1_100)), Some(address(1)));
+    let silent = datagram(1, 2);
+    hear(&mut seen, at(2_500), &silent);
+    assert_eq!(
+        seen.reader(at(2_500)),
+        None,
+        "it lives, but tells of no word since"
+    );
+}
+
+#[test]
+fn one_router_of_each_hall_adds_up_and_another_stands_in_when_it_is_silent() {
+    let n = 30;
+    let mut fleet = fleet(n, at(0));
+    let adding = |fleet: &[Peers], now| -> Vec<usize> {
+        (0..n).filter(|i| fleet[*i].adds_up(now)).collect()
+    };
+    let first = adding(&fleet, at(100));
+    assert_eq!(first.len(), 3, "one a hall: {first:?}");
+    // All but the first ones are heard again.
+    for me in 0..n {
+        for other in (0..n).filter(|o| *o != me && !first.contains(o)) {
+            hear(&mut fleet[me], at(1_000), &datagram(other, 2));
+        }
+    }
+    let second = adding(&fleet, at(1_000));
+    let stand_ins = second.iter().filter(|i| !first.contains(i)).count();
+    assert_eq!(stand_ins, 3, "{second:?}");
+}
+
+#[test]
+fn what_a_router_sends_does_not_grow_with_the_fleet() {
+    let sent_a_second = |n: usize| {
+        let fleet = fleet(n, at(0));
+        let mesh = fleet[0].mesh_interval().as_secs_f64();
+        (n - 1) as f64 / mesh
+    };
+    assert!(sent_a_second(200) < 45.0);
+    assert!(sent_a_second(200) < sent_a_second(100) * 1.1);
+    // Only the router that adds up for a hall sends to many others as counts change.
+    let large = fleet(90, at(0));
+    let close = large.iter().filter(|p| p.close_ones(at(100)).len() > 2);
+    assert_eq!(close.count(), 3);
+}
+
+#[test]
+fn the_shares_of_the_retry_budget_add_up_to_about_the_whole() {
+    let calls = [100, 10, 50, 0];
+    let shares: f64 = (0..4)
+        .map(|me| {
+            let mut seen = peers(me);
+            for other in (0..4).filter(|o| *o != me) {
+                let told = Datagram {
+                    calls: calls[other],
+                    ..datagram(other, 1)
+                };
+                hear(&mut seen, at(0), &told);
+            }
+            seen.share(at(10), calls[me])
+        })
+        .sum();
+    assert!((shares - 1.0).abs() < 0.01, "{shares}");
+}
+
+#[test]
+fn a_silent_peer_stops_to_count() {
+    let mut seen = peers(0);
+    hear(&mut seen, at(0), &datagram(1, 1));
+    assert_eq!(seen.alive(at(2_000)), 2);
+    assert_eq!(seen.alive(at(4_000)), 1);
+}
+
+/// Grown sapporo trouble-1: readers with thin links took seconds to tell a configuration on.
+#[test]
+fn the_stronger_routers_read_the_store_and_add_up() {
+    let n = 30;
+    let strength = |i: usize| match i % 5 {
+        0 => Strength::new(200.0, 0.5),
+        _ => Strength::new(10.0, 0.12),
+    };
+    let fleet: Vec<Peers> = (0..n)
+        .map(|me| {
+            let seen = Peers::new(
+                vm(me),
+                hall(me),
+                strength(me),
+                Incarnation(1),
+                address(me),
+                &[],
+            );
+            let mut seen = seen;
+            for other in (0..n).filter(|o| *o != me) {
+                let told = Datagram {
+                    strength: strength(other),
+                    ..datagram(other, 1)
+                };
+                hear(&mut seen, at(0), &told);
+            }
+            seen
+        })
+        .collect();
+    let chosen =
+        |f: &dyn Fn(&Peers) -> bool| -> Vec<usize> { (0..n).filter(|i| f(&fleet[*i])).collect() };
+    let readers = chosen(&|p| p.is_reader(at(100)));
+    assert_eq!(readers.len(), 3);
+    assert!(readers.iter().all(|i| i % 5 == 0), "{readers:?}");
+    let adding = chosen(&|p| p.adds_up(at(100)));
+    assert_eq!(adding.len(), 3);
+    assert!(adding.iter().all(|i| i % 5 == 0), "{adding:?}");
+}
