A target without a sign of life is left alone, and peers are told of it

Ruled out: refusals and overload; it was silent. Change: a target with calls of ours and no part of an answer for 0.22 s (plain) or 0.9 s (engine) gets no more; what two peers doubt is the last choice.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -146,8 +146,9 @@
     }
 
     /// The target has read the prompt: its first event came.
-    pub fn on_first_event(&mut self, ticket: &mut Ticket) {
+    pub fn on_first_event(&mut self, now: Instant, ticket: &mut Ticket) {
         let target = &ticket.target.id;
+        self.health.on_sign(now, target);
         self.load.on_end(target, ticket.work);
         ticket.work = InProgress::one(Tokens(0));
         self.load.on_send(target, ticket.work);
@@ -189,7 +190,7 @@
     fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &Plan) {
         let target = &ticket.target.id;
         self.load.on_send(target, ticket.work);
-        self.health.on_send(now, target);
+        self.health.on_send(now, target, !plan.prompt.is_empty());
         let shared = plan.shared_parts().len();
         let memory = plan.engine.map_or(MEMORY_UNTOLD, |e| e.memory_tokens);
         if !plan.prompt.is_empty() {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -74,8 +74,17 @@
 
     /// The first event came.
     pub(crate) fn on_first_event(&mut self) {
+        let now = self.cx.now();
+        let mut dispatcher = self.cx.dispatcher.borrow_mut();
+        dispatcher.on_first_event(now, &mut self.ticket);
+    }
+
+    /// A further event came.
+    pub(crate) fn on_event(&self) {
         let mut dispatcher = self.cx.dispatcher.borrow_mut();
-        dispatcher.on_first_event(&mut self.ticket);
+        dispatcher
+            .health
+            .on_sign(self.cx.now(), &self.ticket.target.id);
     }
 
     /// The target's name.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -159,6 +159,7 @@
         hall: cx.cfg.data_hall.clone(),
         strength: cx.cfg.strength,
         readers,
+        doubted: cx.dispatcher.borrow().health.doubted_here(now),
         halls: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
@@ -215,6 +216,8 @@
         let at = now.0.saturating_sub(Duration::from_millis(u64::from(ago)));
         dispatcher.discovery.on_store_back(Instant(at));
     }
+    let peer = told.vm.clone();
+    dispatcher.health.on_doubts(now, peer, told.doubted);
     let hall = told.hall;
     dispatcher.load.on_peer(now, told.vm, hall, told.load);
     for (hall, counts) in told.halls {
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -269,7 +269,10 @@
         }
         let until = (cx.now() + gap_patience(&call)).min(call.hold_until);
         event = match next_new(cx, &mut source, call.last_event, until).await {
-            Next::Event(event) => event,
+            Next::Event(event) => {
+                source.place.on_event();
+                event
+            }
             Next::End => {
                 let Source {
                     conn, place, facts, ..
--- a/src/health.rs
+++ b/src/health.rs
@@ -6,7 +6,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{ids::TargetId, units::Instant};
+use crate::{
+    ids::{TargetId, VmId},
+    load_account::TargetHash,
+    units::Instant,
+};
 
 /// The weight of one outcome in the moving share of failures: about the last eight count.
 const OUTCOME_WEIGHT: f64 = 0.12;
@@ -71,34 +75,117 @@
     Well,
     /// It refused a call a moment ago.
     Full,
+    /// Several peers get no answers from it.
+    Doubted,
     /// One call may be tried there, if it can be repeated elsewhere.
     OnTrial,
+    /// It has calls of ours and gives no sign of life.
+    Stalled,
     /// It gets none.
     Paused,
 }
 
+/// How long a plain service's target may give no sign of life while it has calls of ours: its work
+/// takes 15 ms and seldom 110 (users' sheets).
+const PLAIN_STALLS: Duration = Duration::from_millis(220);
+
+/// The same for a model engine, which may have to read some long prompts first.
+const ENGINE_STALLS: Duration = Duration::from_millis(900);
+
+/// Peers that have to doubt a target for it to be doubted here: one may have a bad link itself.
+const DOUBTERS: usize = 2;
+
+/// How long a peer's doubt counts after it was told.
+const DOUBT_EXPIRES: Duration = Duration::from_millis(1_200);
+
+/// Calls of ours at one target.
+#[derive(Debug)]
+struct Waiting {
+    calls: u32,
+    last_sign: Instant,
+    stalls: Duration,
+}
+
 /// The health of all targets.
 #[derive(Debug, Default)]
 pub struct Health {
     records: HashMap<TargetId, Record>,
+    waiting: HashMap<TargetId, Waiting>,
+    doubts: HashMap<VmId, (Instant, Vec<TargetHash>)>,
 }
 
 impl Health {
     /// What is believed of a target now.
     pub fn standing(&self, now: Instant, target: &TargetId) -> Standing {
-        let Some(record) = self.records.get(target) else {
-            return Standing::Well;
-        };
-        match record.paused_until {
-            Some(until) if now < until || record.trial => Standing::Paused,
-            Some(_) => Standing::OnTrial,
-            None if record.full_until.is_some_and(|t| now < t) => Standing::Full,
+        let record = self.records.get(target);
+        let paused = record.and_then(|r| r.paused_until.map(|until| now < until || r.trial));
+        let is_full = record.is_some_and(|r| r.full_until.is_some_and(|t| now < t));
+        match paused {
+            Some(true) => Standing::Paused,
+            _ if self.is_stalled(now, target) => Standing::Stalled,
+            Some(false) => Standing::OnTrial,
+            None if self.is_doubted(now, target) => Standing::Doubted,
+            None if is_full => Standing::Full,
             None => Standing::Well,
         }
     }
 
-    /// A call is sent to a target.
-    pub fn on_send(&mut self, now: Instant, target: &TargetId) {
+    fn is_stalled(&self, now: Instant, target: &TargetId) -> bool {
+        let waiting = self.waiting.get(target).filter(|w| w.calls > 0);
+        waiting.is_some_and(|w| now.since(w.last_sign) >= w.stalls)
+    }
+
+    fn is_doubted(&self, now: Instant, target: &TargetId) -> bool {
+        let hash = TargetHash::from(target);
+        let doubts = |(at, targets): &&(Instant, Vec<TargetHash>)| {
+            now.since(*at) < DOUBT_EXPIRES && targets.contains(&hash)
+        };
+        self.doubts.values().filter(doubts).count() >= DOUBTERS
+    }
+
+    /// A target gave a sign of life: a part of an answer.
+    pub fn on_sign(&mut self, now: Instant, target: &TargetId) {
+        if let Some(waiting) = self.waiting.get_mut(target) {
+            waiting.last_sign = now;
+        }
+    }
+
+    /// A peer told which targets give it no answers.
+    pub fn on_doubts(&mut self, now: Instant, peer: VmId, targets: Vec<TargetHash>) {
+        self.doubts.insert(peer, (now, targets));
+    }
+
+    /// Targets that give no answers here, to tell the peers.
+    pub fn doubted_here(&self, now: Instant) -> Vec<TargetHash> {
+        let silent = |t: &&TargetId| self.standing(now, t) >= Standing::Stalled;
+        let known = self.records.keys().chain(self.waiting.keys());
+        let mut all: Vec<TargetHash> = known.filter(silent).map(TargetHash::from).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    fn on_gone(&mut self, target: &TargetId) {
+        if let Some(waiting) = self.waiting.get_mut(target) {
+            waiting.calls = waiting.calls.saturating_sub(1);
+        }
+    }
+
+    /// A call is sent to a target; engines may take longer than plain services to give a sign.
+    pub fn on_send(&mut self, now: Instant, target: &TargetId, is_engine: bool) {
+        let waiting = self.waiting.entry(target.clone()).or_insert(Waiting {
+            calls: 0,
+            last_sign: now,
+            stalls: if is_engine {
+                ENGINE_STALLS
+            } else {
+                PLAIN_STALLS
+            },
+        });
+        if waiting.calls == 0 {
+            waiting.last_sign = now;
+        }
+        waiting.calls += 1;
         if self.standing(now, target) == Standing::OnTrial
             && let Some(record) = self.records.get_mut(target)
         {
@@ -108,6 +195,7 @@
 
     /// A call was given up before its outcome was known.
     pub fn on_abandon(&mut self, target: &TargetId) {
+        self.on_gone(target);
         if let Some(record) = self.records.get_mut(target) {
             record.trial = false;
         }
@@ -121,6 +209,10 @@
         outcome: Outcome,
     ) -> Option<Standing> {
         let before = self.standing(now, target);
+        self.on_gone(target);
+        if matches!(outcome, Outcome::Good | Outcome::Full | Outcome::Error) {
+            self.on_sign(now, target);
+        }
         let record = self.records.entry(target.clone()).or_default();
         record.trial = false;
         match outcome {
@@ -135,12 +227,7 @@
     /// Forgets targets that are gone.
     pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
         self.records.retain(|id, _| listed(id));
-    }
-
-    /// Targets that get no calls now.
-    pub fn paused(&self, now: Instant) -> Vec<TargetId> {
-        let paused = |id: &&TargetId| self.standing(now, id) == Standing::Paused;
-        self.records.keys().filter(paused).cloned().collect()
+        self.waiting.retain(|id, w| w.calls > 0 || listed(id));
     }
 }
 
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{DataHall, Incarnation, TargetId, VmId},
-    load_account::TargetCounts,
+    load_account::{TargetCounts, TargetHash},
     prompt_cache::PartId,
     units::{StoreRevision, Tokens},
 };
@@ -73,6 +73,8 @@
     /// What all routers of a data hall but the receiver have in progress, where the sender adds
     /// it up for them.
     pub halls: Vec<(DataHall, TargetCounts)>,
+    /// Targets that give the sender no answers.
+    pub doubted: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
     pub parts: Vec<(PartId, Tokens, TargetId)>,
     /// Where other routers are reached.
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -51,6 +51,7 @@
         stopping: false,
         load: Vec::new(),
         halls: Vec::new(),
+        doubted: Vec::new(),
         parts: Vec::new(),
         known: Vec::new(),
     }
