--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -1,22 +1,29 @@
 //! One call of a caller, from its head to its answer.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming, header, http::response};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header,
+    http::{request, response},
+};
 use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     attempt::{Begun, Call, Failed, attempt},
     body::AnswerBody,
+    ending::{Ending, give_up, pass_on, refuse},
     gateway::{Gateway, Phase},
     stream,
 };
 use crate::{
     ResultCode,
     config::serving::Denied,
+    dialect::CallFacts,
     dispatcher::Plan,
     health::Outcome,
     retry::{Attempts, Fate},
@@ -36,80 +43,11 @@
 /// The least that any attempt waits.
 const LEAST_PATIENCE: Duration = Duration::from_millis(120);
 
-/// When a caller that was refused may come back; by then another router gets it.
-const COME_BACK: Duration = Duration::from_millis(100);
-
 /// An answer cannot be given: the connection is closed instead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the caller's request ended early")]
 pub(crate) struct Cut;
 
-/// Counts a call as in progress.
-pub(crate) struct InProgressGuard(Rc<Gateway>);
-
-impl InProgressGuard {
-    fn new(cx: &Rc<Gateway>) -> Self {
-        cx.in_progress.set(cx.in_progress.get() + 1);
-        Self(Rc::clone(cx))
-    }
-}
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
-    }
-}
-
-/// How a call ended, for the log; a call that is dropped before its end is logged as abandoned.
-pub(crate) struct Ending {
-    cx: Rc<Gateway>,
-    id: String,
-    route: String,
-    received: Instant,
-    told: Cell<bool>,
-    _guard: InProgressGuard,
-}
-
-impl Ending {
-    fn new(cx: &Rc<Gateway>, id: Option<&str>) -> Self {
-        Self {
-            cx: Rc::clone(cx),
-            id: id.unwrap_or("-").to_owned(),
-            route: String::new(),
-            received: cx.now(),
-            told: Cell::new(false),
-            _guard: InProgressGuard::new(cx),
-        }
-    }
-
-    /// Logs the end.
-    pub(crate) fn tell(&self, code: &'static str, status: u16, why: &str, attempts: Attempts) {
-        self.told.set(true);
-        let now = self.cx.now();
-        let took = now.since(self.received);
-        self.cx.metrics.on_call(code, took);
-        let freshness = self.cx.freshness.borrow();
-        let age = freshness.age(now);
-        info!(self.cx.log, "call"; "id" => &self.id, "route" => &self.route, "code" => code,
-            "status" => status, "why" => why, "attempts" => attempts.sent(),
-            "took_ms" => took.as_millis() as u64, "config_revision" => freshness.revision().0,
-            "config_age_ms" => age.map(|a| a.as_millis() as u64));
-    }
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        if !self.told.get() {
-            self.tell(
-                ResultCode::CallerGone.name(),
-                0,
-                "caller left",
-                Attempts::default(),
-            );
-        }
-    }
-}
-
 /// Answers one call.
 pub(crate) async fn on_call(
     cx: &Rc<Gateway>,
@@ -119,77 +57,72 @@
     let (head, incoming) = req.into_parts();
     let facts = cx.dialect.read_call(&head.headers);
     let mut ending = Ending::new(cx, facts.id.as_deref());
-    let config = cx.serving();
-    let body_limit = config.as_ref().map_or(0, |c| c.limits.body_bytes);
-    let body = read_body(&head.headers, incoming, body_limit.max(64 << 10)).await?;
-    let Some(config) = config else {
-        return Ok(refuse(
-            cx,
-            &ending,
-            ResultCode::NoConfig,
-            "no configuration yet",
-        ));
-    };
-    let Some(body) = body else {
-        return Ok(refuse(
-            cx,
-            &ending,
-            ResultCode::BodyTooLarge,
-            "body above the limit",
-        ));
+    let limits = cx.serving().map(|c| c.limits).unwrap_or_default();
+    let body = read_body(&head.headers, incoming, limits.body_bytes).await?;
+    let arrived = Arrived {
+        head,
+        facts,
+        received,
     };
-    let host = host_of(&head).unwrap_or_default().to_owned();
-    let admitted = config.admit(&host, head.uri.path(), facts.key.as_deref());
-    let (route, holder) = match admitted {
-        Ok(admitted) => admitted,
-        Err(Denied::NoRoute) => {
-            return Ok(refuse(
-                cx,
-                &ending,
-                ResultCode::UnknownPath,
-                "no route fits",
-            ));
-        }
-        Err(Denied::WrongKey) => {
-            return Ok(refuse(
-                cx,
-                &ending,
-                ResultCode::WrongKey,
-                "no account holds the key",
-            ));
+    match admit(cx, arrived, body) {
+        Err(refusal) => Ok(refuse(cx, &ending, refusal)),
+        Ok(call) => {
+            ending.route.clone_from(&call.route.name);
+            match call.route.kind.is_stream() {
+                true => Ok(stream::serve(cx, call, ending).await),
+                false => Ok(serve(cx, call, ending).await),
+            }
         }
-    };
-    ending.route.clone_from(&route.name);
+    }
+}
+
+/// A call's head, and when it was read.
+struct Arrived {
+    head: request::Parts,
+    facts: CallFacts,
+    received: Instant,
+}
+
+/// Why a call is refused before anything is sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Refusal {
+    pub(crate) code: ResultCode,
+    pub(crate) why: &'static str,
+}
+
+/// What a call needs to be served, or why it is not; `None` for a body above the limit.
+fn admit(cx: &Gateway, arrived: Arrived, body: Option<Bytes>) -> Result<Call, Refusal> {
+    let refusal = |code, why| Refusal { code, why };
+    let Arrived {
+        head,
+        facts,
+        received,
+    } = arrived;
+    let config = cx.serving();
+    let config = config.ok_or(refusal(ResultCode::NoConfig, "no configuration yet"))?;
+    let body = body.ok_or(refusal(ResultCode::BodyTooLarge, "body above the limit"))?;
+    let host = host_of(&head).unwrap_or_default();
+    let admitted = config.admit(host, head.uri.path(), facts.key.as_deref());
+    let (route, holder) = admitted.map_err(|denied| match denied {
+        Denied::NoRoute => refusal(ResultCode::UnknownPath, "no route fits"),
+        Denied::WrongKey => refusal(ResultCode::WrongKey, "no account holds the key"),
+    })?;
     if cx.phase.get() == Phase::Refusing {
-        return Ok(refuse(cx, &ending, ResultCode::Draining, "stopping"));
+        return Err(refusal(ResultCode::Draining, "stopping"));
     }
     let needs_key = config.keyed && !route.public;
-    let trusted = || {
-        let freshness = cx.freshness.borrow();
-        freshness.may_use_keys(received, cx.rules.get().revoke_bound)
-    };
-    if needs_key && !trusted() {
+    if needs_key && !cx.may_use_keys(received) {
         let why = "configuration too old to trust keys";
-        return Ok(refuse(cx, &ending, ResultCode::ConfigTooOld, why));
+        return Err(refusal(ResultCode::ConfigTooOld, why));
     }
     let hash = xxh3_64(facts.id.as_deref().unwrap_or_default().as_bytes());
-    let Some(service) = route.service_for(hash).cloned() else {
-        return Ok(refuse(
-            cx,
-            &ending,
-            ResultCode::NoTarget,
-            "no service on the route",
-        ));
-    };
+    let service = route.service_for(hash).cloned();
+    let service = service.ok_or(refusal(ResultCode::NoTarget, "no service on the route"))?;
     let deadline = facts.deadline.unwrap_or(DEADLINE_UNTOLD);
     let spec = config.service(&service);
     let conn_limit = spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns));
-    cx.recent_calls.set(cx.recent_calls.get().saturating_add(1));
-    cx.dispatcher
-        .borrow_mut()
-        .budget
-        .on_call(received, &service);
-    let call = Call {
+    cx.count_call(received, &service);
+    Ok(Call {
         plan: Plan {
             service,
             kind: route.kind,
@@ -208,15 +141,11 @@
         holder,
         conn_limit,
         received,
-    };
-    match call.route.kind.is_stream() {
-        true => Ok(stream::serve(cx, call, ending).await),
-        false => Ok(serve(cx, call, ending).await),
-    }
+    })
 }
 
 /// A call's host, from its target or its `Host` header.
-fn host_of(head: &hyper::http::request::Parts) -> Option<&str> {
+fn host_of(head: &request::Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
     let named = named.and_then(|h| h.to_str().ok());
     head.uri.host().or(named)
@@ -304,7 +233,8 @@
     }
 }
 
-type Whole = (response::Parts, Bytes);
+/// A target's whole answer.
+pub(crate) type Whole = (response::Parts, Bytes);
 
 async fn read_answer(cx: &Gateway, call: &mut Call, begun: Begun) -> Result<Whole, Failed> {
     let Begun {
@@ -363,61 +293,3 @@
     }
     headers.remove("keep-alive");
 }
-
-fn pass_on(cx: &Gateway, ending: &Ending, call: &Call, answer: Whole) -> Response<AnswerBody> {
-    let (head, body) = answer;
-    let code = match head.status {
-        s if s.is_success() => "ok",
-        _ => "target_error",
-    };
-    ending.tell(code, head.status.as_u16(), "", call.attempts);
-    let mut res = Response::from_parts(head, AnswerBody::whole(body));
-    close_if_stopping(cx, &mut res);
-    res
-}
-
-/// Closes the caller's connection after this answer if a stop was asked for.
-pub(crate) fn close_if_stopping(cx: &Gateway, res: &mut Response<AnswerBody>) {
-    if cx.phase.get() != Phase::Serving {
-        let close = header::HeaderValue::from_static("close");
-        res.headers_mut().insert(header::CONNECTION, close);
-    }
-}
-
-/// The answer to a call that was not served, by whether it may have run.
-pub(crate) fn give_up(
-    cx: &Gateway,
-    ending: &Ending,
-    call: &Call,
-    failed: Failed,
-) -> Response<AnswerBody> {
-    let code = match call.attempts.is_not_run() {
-        true if failed.why == "all targets full" => ResultCode::Overloaded,
-        true => ResultCode::NoTarget,
-        false if cx.now() >= call.hold_until => ResultCode::TargetTimeout,
-        false => ResultCode::OutcomeUnknown,
-    };
-    ending.tell(code.name(), code.status(), failed.why, call.attempts);
-    answer(cx, code)
-}
-
-fn refuse(cx: &Gateway, ending: &Ending, code: ResultCode, why: &str) -> Response<AnswerBody> {
-    ending.tell(code.name(), code.status(), why, Attempts::default());
-    answer(cx, code)
-}
-
-/// An answer of our own.
-fn answer(cx: &Gateway, code: ResultCode) -> Response<AnswerBody> {
-    let mut res = Response::new(AnswerBody::whole(format!("{code}\n")));
-    let status = StatusCode::from_u16(code.status());
-    *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    if matches!(code.status(), 503 | 429) {
-        let jitter = rand::random_range(0.5..1.5);
-        let pause = format!("{:.3}", COME_BACK.as_secs_f64() * jitter);
-        if let Ok(pause) = header::HeaderValue::from_str(&pause) {
-            res.headers_mut().insert(header::RETRY_AFTER, pause);
-        }
-    }
-    close_if_stopping(cx, &mut res);
-    res
-}
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -21,7 +21,7 @@
     config::{freshness::Freshness, serving::ServingConfig},
     dialect::Dialect,
     dispatcher::Dispatcher,
-    ids::Incarnation,
+    ids::{Incarnation, ServiceName},
     log::LogFlusher,
     membership::peers::Peers,
     store::{MetaStore, StoreMirror},
@@ -239,13 +239,25 @@
         newer
     }
 
+    /// Whether a key that the configuration holds may be relied on for a call read at `at`.
+    pub(crate) fn may_use_keys(&self, at: Instant) -> bool {
+        let freshness = self.freshness.borrow();
+        freshness.may_use_keys(at, self.rules.get().revoke_bound)
+    }
+
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        let fresh = self.freshness.borrow();
         self.phase.get() == Phase::Serving
             && self.serving().is_some()
             && self.dispatcher.borrow().discovery.is_known()
-            && fresh.may_use_keys(self.now(), self.rules.get().revoke_bound)
+            && self.may_use_keys(self.now())
+    }
+
+    /// A call for a service came in; it counts for this router's share of the retry budget.
+    pub(crate) fn count_call(&self, now: Instant, service: &ServiceName) {
+        self.recent_calls
+            .set(self.recent_calls.get().saturating_add(1));
+        self.dispatcher.borrow_mut().budget.on_call(now, service);
     }
 
     /// How old this router's own word from the store is, if it reads the store itself.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod call;
 mod conn;
+mod ending;
 mod follow;
 mod gateway;
 mod gossip;
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -8,7 +8,8 @@
 use super::{
     attempt::{Begun, Call, Failed, Place, attempt},
     body::{AnswerBody, BrokeOff, EventSender},
-    call::{Ending, close_if_stopping, give_up, keep, may_repeat, strip_connection_headers},
+    call::{keep, may_repeat, strip_connection_headers},
+    ending::{Ending, close_if_stopping, give_up, pass_on},
     gateway::Gateway,
 };
 use crate::{
@@ -85,15 +86,7 @@
                 return relay(cx, call, ending, head, source, first);
             }
             Ok(Beginning::Whole(head, bytes)) => {
-                let code = if head.status.is_success() {
-                    "ok"
-                } else {
-                    "target_error"
-                };
-                ending.tell(code, head.status.as_u16(), "", call.attempts);
-                let mut res = Response::from_parts(head, AnswerBody::whole(bytes));
-                close_if_stopping(cx, &mut res);
-                return res;
+                return pass_on(cx, &ending, &call, (head, bytes));
             }
             Err(failed) => failed,
         };
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! A view is a hint: nothing that must be exact depends on it.
 
 pub mod datagram;
+mod hubs;
 mod news;
 pub mod peers;
 
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -159,9 +159,9 @@
     let first = adding(&fleet, at(100));
     assert_eq!(first.len(), 3, "one a hall: {first:?}");
     // All but the first ones are heard again.
-    for me in 0..n {
+    for (me, seen) in fleet.iter_mut().enumerate() {
         for other in (0..n).filter(|o| *o != me && !first.contains(o)) {
-            hear(&mut fleet[me], at(1_000), &datagram(other, 2));
+            hear(seen, at(1_000), &datagram(other, 2));
         }
     }
     let second = adding(&fleet, at(1_000));
