--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -195,6 +195,7 @@
             NoChoice::AllFull => Failed::nowhere("all targets full"),
         })?;
         let target = Rc::clone(&ticket.target);
+        cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
         call.plan.tried.push(target.id.clone());
         let place = Place {
             cx: Rc::clone(cx),
