A soak of the real gateways under faults from outside

Change: soak/ starts gateways as processes on loopback addresses, before targets and a store that links lead to; kills, stops, pauses, reloads, changed targets, links, entries, keys and configurations, drawn from a seed.

--- /dev/null
+++ b/soak/src/callers.rs
@@ -0,0 +1,175 @@
+//! Callers that keep their connections until the process is gone.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
+
+use crate::{
+    promises::{End, Promise, Promises},
+    vm::{KEYS, PATIENCE, Vm, World},
+};
+
+/// Callers of each gateway.
+const CALLERS: usize = 3;
+
+/// The longest pause between two calls of one caller.
+const PAUSE_MS: u64 = 30;
+
+/// How long a caller waits for its answer.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// How many calls must be served after the faults for the fleet to count as recovered.
+const SERVED_AGAIN: u64 = 100;
+
+/// One connection.
+pub struct Caller {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    pub async fn connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::task::spawn_local(async move {
+            // Its end reaches whoever waits for an answer on it.
+            let _ = connection.await;
+        });
+        Some(Self { sender })
+    }
+
+    /// Whether a plain question gets a 200.
+    pub async fn is_ok(&mut self) -> bool {
+        let req = Request::get("/").header("host", "x").body(Full::default());
+        let Ok(req) = req else { return false };
+        let answer = tokio::time::timeout(DEADLINE, self.sender.send_request(req)).await;
+        matches!(answer, Ok(Ok(res)) if res.status() == 200)
+    }
+
+    async fn call(&mut self, kind: &str, id: &str, key: &str) -> End {
+        let req = Request::post(format!("/{kind}/x"))
+            .header("host", "desk.example")
+            .header("x-attempt-id", id)
+            .header("x-deadline-ms", DEADLINE.as_millis().to_string())
+            .header("authorization", format!("Token {key}"))
+            .body(Full::from(id.to_owned()));
+        let Ok(req) = req else { return End::Nothing };
+        let answer = tokio::time::timeout(DEADLINE, self.sender.send_request(req)).await;
+        let Ok(Ok(res)) = answer else {
+            return End::Nothing;
+        };
+        let status = res.status().as_u16();
+        let mut incoming = res.into_body();
+        let mut body = Vec::new();
+        loop {
+            match tokio::time::timeout(DEADLINE, incoming.frame()).await {
+                Ok(Some(Ok(frame))) => body.extend_from_slice(frame.data_ref().map_or(&[], |d| d)),
+                Ok(None) => return End::Answer(status, body, true),
+                _ => return End::Answer(status, body, false),
+            }
+        }
+    }
+}
+
+/// All callers of a run.
+pub struct Calling {
+    tasks: Vec<JoinHandle<()>>,
+    over: Rc<Cell<bool>>,
+    promises: Rc<Promises>,
+}
+
+/// Starts callers before each gateway.
+pub fn start(world: &World, seed: u64) -> Calling {
+    let over = Rc::new(Cell::new(false));
+    let mut tasks = Vec::new();
+    for (v, vm) in world.vms.iter().enumerate() {
+        for c in 0..CALLERS {
+            let rng = Pcg64::seed_from_u64(seed ^ (v * CALLERS + c + 1) as u64);
+            let name = format!("{v}-{c}");
+            let task = go_on_calling(
+                Rc::clone(vm),
+                Rc::clone(&world.promises),
+                Rc::clone(&over),
+                rng,
+                name,
+            );
+            tasks.push(tokio::task::spawn_local(task));
+        }
+    }
+    Calling {
+        tasks,
+        over,
+        promises: Rc::clone(&world.promises),
+    }
+}
+
+async fn go_on_calling(
+    vm: Rc<Vm>,
+    promises: Rc<Promises>,
+    over: Rc<Cell<bool>>,
+    mut rng: Pcg64,
+    name: String,
+) {
+    let mut kept: Option<Caller> = None;
+    let mut n = 0_u64;
+    while !over.get() {
+        n += 1;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
+        let kind = ["safe", "once", "stream"][rng.random_range(0..3)];
+        let old_key = rng.random_bool(0.2);
+        let id = format!("{kind}-{name}-{n}");
+        let mut caller = match kept.take().filter(|c| c.sender.is_ready()) {
+            Some(caller) => caller,
+            None => match Caller::connect(vm.callers).await {
+                Some(caller) => caller,
+                None => continue,
+            },
+        };
+        vm.harmed.set(vm.harmed.get() && !vm.stopping.get());
+        let stopping = vm.stopping.get();
+        let sent = Instant::now();
+        let end = caller.call(kind, &id, KEYS[usize::from(old_key)]).await;
+        promises.on_end(&id, &end, sent, old_key);
+        let cut = matches!(end, End::Answer(200, _, false));
+        if cut && stopping && !vm.harmed.get() && !vm.runs() {
+            promises.break_(Promise::StopCutsNothing, id);
+        }
+        if end != End::Nothing {
+            kept = Some(caller);
+        }
+    }
+}
+
+impl Calling {
+    /// Waits until calls are served again after the faults.
+    pub async fn until_served_again(&self) {
+        let before = self.promises.served();
+        let until = Instant::now() + PATIENCE;
+        while self.promises.served() < before + SERVED_AGAIN {
+            if Instant::now() > until {
+                let served = self.promises.served() - before;
+                let how = format!("{served} calls served in {PATIENCE:?}");
+                self.promises.break_(Promise::Recovery, how);
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Lets each caller finish its call.
+    pub async fn stop(self) {
+        self.over.set(true);
+        for task in self.tasks {
+            // A caller that panicked shows it by itself.
+            let _ = task.await;
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/faults.rs
@@ -0,0 +1,148 @@
+//! Faults from outside, drawn from the seed, in overlapping series.
+
+use std::time::Duration;
+
+use rand::{Rng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+use tokio::time::Instant;
+
+use crate::{
+    link::Fault,
+    store::Mood as StoreMood,
+    target::Mood,
+    vm::{KEYS, World},
+};
+
+/// The pause between two faults.
+const PAUSE_MS: std::ops::Range<u64> = 50..500;
+
+/// How long the longest bytes are held back.
+const DELAY_MS: std::ops::Range<u64> = 20..400;
+
+/// Injects faults for a while; they may still be in force when it ends.
+pub async fn inject(world: &World, rng: &mut Pcg64, for_: Duration) {
+    let until = Instant::now() + for_;
+    let revokes = rng.random_bool(0.5);
+    let mut revoked = false;
+    while Instant::now() < until {
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        tokio::time::sleep(pause).await;
+        match rng.random_range(0..14) {
+            0 | 1 => kill(world, rng).await,
+            2 => stop(world, rng).await,
+            3 => pause_vm(world, rng),
+            4 => resume_vms(world),
+            5 => reload(world, rng),
+            6 | 7 => change_target(world, rng),
+            8 | 9 => change_link(world, rng),
+            10 => change_store(world, rng),
+            11 => change_entry(world, rng),
+            12 if revokes && !revoked => {
+                revoked = true;
+                world.write_config(&KEYS[..1]);
+                world.promises.on_revoked();
+            }
+            _ if revoked => world.write_config(&KEYS[..1]),
+            _ => world.write_config(&KEYS),
+        }
+        world.promises.on_settled(is_settled(world));
+    }
+}
+
+fn is_settled(world: &World) -> bool {
+    let reached = world.store_link.fault.get() == Fault::None;
+    let well = world.store.mood.get() == StoreMood::Well;
+    reached && well && !world.vms.iter().any(|vm| vm.paused.get())
+}
+
+/// Kills a gateway, and starts one that is not running.
+async fn kill(world: &World, rng: &mut Pcg64) {
+    for vm in &world.vms {
+        if !vm.runs() {
+            vm.ensure_runs().await;
+        }
+    }
+    if let Some(vm) = world.vms.choose(rng) {
+        vm.harmed.set(true);
+        vm.signal(Signal::KILL);
+    }
+}
+
+/// Asks a gateway to stop as planned; it is started again by a later fault.
+async fn stop(world: &World, rng: &mut Pcg64) {
+    if let Some(vm) = world.vms.choose(rng)
+        && vm.runs()
+    {
+        vm.harmed.set(false);
+        vm.stopping.set(true);
+        vm.signal(Signal::TERM);
+    }
+}
+
+fn pause_vm(world: &World, rng: &mut Pcg64) {
+    if let Some(vm) = world.vms.choose(rng) {
+        vm.harmed.set(true);
+        vm.paused.set(true);
+        vm.signal(Signal::STOP);
+    }
+}
+
+fn resume_vms(world: &World) {
+    world.vms.iter().for_each(|vm| vm.resume());
+}
+
+fn reload(world: &World, rng: &mut Pcg64) {
+    if let Some(vm) = world.vms.choose(rng) {
+        vm.signal(Signal::HUP);
+    }
+}
+
+fn change_target(world: &World, rng: &mut Pcg64) {
+    let moods = [
+        Mood::Well,
+        Mood::Well,
+        Mood::Full,
+        Mood::Failing,
+        Mood::Cutting,
+        Mood::Hanging,
+    ];
+    if let (Some((target, _)), Some(mood)) = (world.targets.choose(rng), moods.choose(rng)) {
+        target.mood.set(*mood);
+    }
+}
+
+fn change_link(world: &World, rng: &mut Pcg64) {
+    let links = world.targets.iter().map(|(_, link)| link);
+    let links: Vec<_> = links.chain([&world.store_link]).collect();
+    if let Some(link) = links.choose(rng) {
+        link.fault.set(fault(rng));
+    }
+}
+
+fn fault(rng: &mut Pcg64) -> Fault {
+    let delay = Duration::from_millis(rng.random_range(DELAY_MS));
+    let faults = [
+        Fault::None,
+        Fault::None,
+        Fault::Delay(delay),
+        Fault::Reset,
+        Fault::SilentThere,
+        Fault::SilentBack,
+    ];
+    faults.choose(rng).copied().unwrap_or_default()
+}
+
+fn change_store(world: &World, rng: &mut Pcg64) {
+    match rng.random_range(0..4) {
+        0 => world.store.compact(),
+        1 => world.store.mood.set(StoreMood::Busy),
+        _ => world.store.mood.set(StoreMood::Well),
+    }
+}
+
+/// A target leaves, or is back.
+fn change_entry(world: &World, rng: &mut Pcg64) {
+    let state = ["ready", "draining"][rng.random_range(0..2)];
+    world.write_entry(&world.targets[0].0.id, state);
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,105 @@
+//! A randomized soak: gateways as processes, targets and the store as stand-ins, links that fail.
+//!
+//! Everything is drawn from a seed. What must hold is checked from what callers and targets see;
+//! the exit status is 1 if anything did not.
+
+mod callers;
+mod faults;
+mod link;
+mod promises;
+#[allow(dead_code)]
+#[path = "../../platform/tests/support/store.rs"]
+mod store;
+mod target;
+mod vm;
+
+use std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+// The store's stand-in is the one that the adapter's tests use, and needs these.
+use target::{Body, listen, whole};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs gateways as processes on loopback under faults, and checks what was promised.
+        cmd soak {
+            /// What everything is drawn from; 1 if not given.
+            optional --seed seed: u64
+            /// How long faults go on, in seconds; 10 if not given.
+            optional --seconds seconds: u64
+            /// How many gateways; 4 if not given, 40 at the most.
+            optional --vms vms: usize
+            /// The gateway's program, if it is not beside this one.
+            optional --program program: PathBuf
+            /// Print the verdict as JSON.
+            optional --json
+        }
+    }
+}
+
+/// What a run is made of.
+#[derive(Debug, Clone)]
+struct Plan {
+    seed: u64,
+    faults_for: Duration,
+    vms: usize,
+    program: PathBuf,
+}
+
+/// Gateways at the most: with their links a few hundred descriptors and some 400 MB.
+const MOST_VMS: usize = 40;
+
+fn main() -> ExitCode {
+    let flags = match flags::Soak::from_env() {
+        Ok(flags) => flags,
+        Err(e) => e.exit(),
+    };
+    let beside = std::env::current_exe().ok();
+    let beside = beside.map(|p| p.with_file_name("scaleford-gateway"));
+    let plan = Plan {
+        seed: flags.seed.unwrap_or(1),
+        faults_for: Duration::from_secs(flags.seconds.unwrap_or(10)),
+        vms: flags.vms.unwrap_or(4).clamp(1, MOST_VMS),
+        program: flags.program.or(beside).unwrap_or_default(),
+    };
+    if !plan.program.is_file() {
+        eprintln!("no program {}: build it first", plan.program.display());
+        return ExitCode::from(2);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let verdict = match runtime {
+        Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, run(&plan)),
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    match flags.json {
+        true => println!("{}", verdict.json(&plan)),
+        false => println!("{}", verdict.text(&plan)),
+    }
+    match verdict.is_kept() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+async fn run(plan: &Plan) -> promises::Verdict {
+    let mut rng = Pcg64::seed_from_u64(plan.seed);
+    let world = vm::World::start(plan).await;
+    let promises = Rc::clone(&world.promises);
+    world.until_ready().await;
+    let calling = callers::start(&world, plan.seed);
+    faults::inject(&world, &mut rng, plan.faults_for).await;
+    world.heal().await;
+    calling.until_served_again().await;
+    calling.stop().await;
+    world.stop().await;
+    promises.verdict()
+}
--- /dev/null
+++ b/soak/src/promises.rs
@@ -0,0 +1,220 @@
+//! What must hold, checked from what callers and targets see.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    time::Duration,
+};
+
+use hyper::HeaderMap;
+use tokio::time::Instant;
+
+use crate::{
+    Plan,
+    target::{LAST_EVENT, answer_to, event},
+};
+
+/// How long after its entry says that it leaves a target may still get calls: the rule's two seconds,
+/// and one for this machine being busy.
+const LEAVES_WITHIN: Duration = Duration::from_secs(3);
+
+/// How long after it was taken away a key may work.
+const REVOKED_WITHIN: Duration = Duration::from_secs(5);
+
+/// A promise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Promise {
+    /// A caller gets the whole answer to its own call, or a failure.
+    OwnWholeAnswer,
+    /// A call that must not be repeated runs at most once.
+    AtMostOnce,
+    /// A call that was told "not run" did not run.
+    NotRunIsTrue,
+    /// A target that leaves gets no calls after a while.
+    LeavingGetsNothing,
+    /// A key that was taken away stops to work.
+    RevokedKeys,
+    /// The targets get what the caller sent, in the account's name.
+    Unchanged,
+    /// A planned stop cuts off no call.
+    StopCutsNothing,
+    /// After the faults, calls are served again.
+    Recovery,
+}
+
+/// How a call ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// An answer with a status, its body, and whether that came to its proper end.
+    Answer(u16, Vec<u8>, bool),
+    /// No answer.
+    Nothing,
+}
+
+#[derive(Debug, Default)]
+struct Call {
+    runs: u32,
+    not_run: bool,
+}
+
+/// The book of all calls.
+#[derive(Default)]
+pub struct Promises {
+    calls: RefCell<HashMap<String, Call>>,
+    broken: RefCell<Vec<(Promise, String)>>,
+    leaving: RefCell<HashMap<String, Instant>>,
+    revoked_at: Cell<Option<Instant>>,
+    settled_at: Cell<Option<Instant>>,
+    asked: Cell<u64>,
+    served: Cell<u64>,
+}
+
+impl Promises {
+    /// A promise was broken.
+    pub fn break_(&self, promise: Promise, how: String) {
+        self.broken.borrow_mut().push((promise, how));
+    }
+
+    /// A target's entry says that it leaves, or no longer does.
+    pub fn on_leaving(&self, target: &str, leaves: bool) {
+        let mut leaving = self.leaving.borrow_mut();
+        match leaves {
+            true => leaving.insert(target.to_owned(), Instant::now()),
+            false => leaving.remove(target),
+        };
+    }
+
+    /// Whether the store can be reached and no gateway is paused: else nobody need know of a
+    /// target that leaves.
+    pub fn on_settled(&self, settled: bool) {
+        let at = self.settled_at.get().unwrap_or_else(Instant::now);
+        self.settled_at.set(settled.then_some(at));
+    }
+
+    /// The second key was taken away.
+    pub fn on_revoked(&self) {
+        self.revoked_at.set(Some(Instant::now()));
+    }
+
+    /// A target begins to run a call.
+    pub fn on_run(&self, target: &str, call: &str, headers: &HeaderMap, body: &[u8]) {
+        let mut calls = self.calls.borrow_mut();
+        let book = calls.entry(call.to_owned()).or_default();
+        book.runs += 1;
+        if call.starts_with("once") && book.runs > 1 {
+            self.break_(Promise::AtMostOnce, format!("{call} at {target}"));
+        }
+        if book.not_run {
+            self.break_(
+                Promise::NotRunIsTrue,
+                format!("{call} ran later at {target}"),
+            );
+        }
+        let account = headers.get("x-tenant").map(|v| v.as_bytes());
+        if account != Some(b"farm") || body != call.as_bytes() {
+            self.break_(Promise::Unchanged, format!("{call} at {target}"));
+        }
+        let since = self.leaving.borrow().get(target).copied();
+        let long = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() > LEAVES_WITHIN);
+        if long(since) && long(self.settled_at.get()) {
+            self.break_(Promise::LeavingGetsNothing, format!("{call} at {target}"));
+        }
+    }
+
+    /// A caller's call ended; `sent` is when it was sent, `old_key` whether with the second key.
+    pub fn on_end(&self, call: &str, end: &End, sent: Instant, old_key: bool) {
+        self.asked.set(self.asked.get() + 1);
+        let (status, body, complete) = match end {
+            End::Answer(status, body, complete) => (*status, body.as_slice(), *complete),
+            End::Nothing => return,
+        };
+        let ran = self.calls.borrow().get(call).map_or(0, |c| c.runs) > 0;
+        match status {
+            200 => self.on_success(call, body, complete),
+            503 | 429 | 421 | 408 => {
+                let mut calls = self.calls.borrow_mut();
+                calls.entry(call.to_owned()).or_default().not_run = true;
+                // What may be repeated may have run at a target before another refused it; only
+                // the rest is a promise.
+                if ran && call.starts_with("once") {
+                    self.break_(Promise::NotRunIsTrue, format!("{call} had run"));
+                }
+            }
+            _ => {}
+        }
+        let revoked = self.revoked_at.get();
+        let too_late = revoked.is_some_and(|at| sent > at + REVOKED_WITHIN);
+        if old_key && too_late && ran {
+            self.break_(Promise::RevokedKeys, format!("{call} ran"));
+        }
+    }
+
+    fn on_success(&self, call: &str, body: &[u8], complete: bool) {
+        self.served.set(self.served.get() + 1);
+        let right = match call.starts_with("stream") {
+            true => (1..=LAST_EVENT).map(|n| event(call, n)).collect::<String>(),
+            false => answer_to(call),
+        };
+        let is_start = right.as_bytes().starts_with(body);
+        let is_whole = right.as_bytes() == body;
+        if !is_start || (complete && !is_whole) {
+            let got = String::from_utf8_lossy(body).into_owned();
+            self.break_(Promise::OwnWholeAnswer, format!("{call} got {got:?}"));
+        }
+    }
+
+    /// Calls that were served so far.
+    pub fn served(&self) -> u64 {
+        self.served.get()
+    }
+
+    /// What came of the run.
+    pub fn verdict(&self) -> Verdict {
+        Verdict {
+            asked: self.asked.get(),
+            served: self.served.get(),
+            broken: self.broken.borrow().clone(),
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Verdict {
+    asked: u64,
+    served: u64,
+    broken: Vec<(Promise, String)>,
+}
+
+impl Verdict {
+    /// Whether all promises were kept.
+    pub fn is_kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+
+    /// For a person.
+    pub fn text(&self, plan: &Plan) -> String {
+        let Plan { seed, vms, .. } = plan;
+        let mut lines = vec![format!(
+            "seed {seed}, {vms} vms: {} calls, {} served, {} promises broken",
+            self.asked,
+            self.served,
+            self.broken.len()
+        )];
+        let broken = self.broken.iter().map(|(p, how)| format!("  {p:?}: {how}"));
+        lines.extend(broken);
+        lines.join("\n")
+    }
+
+    /// For a program.
+    pub fn json(&self, plan: &Plan) -> String {
+        let broken: Vec<String> = self
+            .broken
+            .iter()
+            .map(|(p, h)| format!("{p:?}: {h}"))
+            .collect();
+        serde_json::json!({"seed": plan.seed, "vms": plan.vms, "asked": self.asked,
+            "served": self.served, "broken": broken})
+        .to_string()
+    }
+}
