--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -6,7 +6,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
     task::spawn_local,
@@ -130,13 +130,10 @@
         let ready = listen(cfg.ready).await?;
         cfg.ready = ready.local_addr()?;
         let metrics = match cfg.metrics {
-            Some(address) => Some(listen(address).await?),
-            None => None,
-        };
-        cfg.metrics = match &metrics {
-            Some(listener) => Some(listener.local_addr()?),
+            Some(address) => listen_for_metrics(address, &parts.log).await,
             None => None,
         };
+        cfg.metrics = metrics.as_ref().and_then(|m| m.local_addr().ok());
         let mirror = listen(cfg.peers).await?;
         cfg.peers = mirror.local_addr()?;
         let udp = UdpSocket::bind(cfg.peers).await?;
@@ -316,6 +313,17 @@
     }
 }
 
+/// Callers are served also where nobody can read the figures.
+async fn listen_for_metrics(address: std::net::SocketAddr, log: &Logger) -> Option<TcpListener> {
+    match listen(address).await {
+        Ok(listener) => Some(listener),
+        Err(e) => {
+            warn!(log, "no figures"; "why" => %e);
+            None
+        }
+    }
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
