--- a/src/event_stream.rs
+++ b/src/event_stream.rs
@@ -14,7 +14,7 @@
     pub bytes: Bytes,
 }
 
-/// An event is larger than [`EVENT_LIMIT`].
+/// An event is larger than the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("an event is larger than {EVENT_LIMIT} bytes")]
 pub struct TooLarge;
