--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,8 @@
 mod faults;
 mod link;
 mod promises;
+#[path = "../../platform/tests/support/serve.rs"]
+mod serve;
 #[allow(dead_code)]
 #[path = "../../platform/tests/support/store.rs"]
 mod store;
@@ -19,7 +21,7 @@
 use rand_pcg::Pcg64;
 
 // The store's stand-in is the one that the adapter's tests use, and needs these.
-use target::{Body, listen, whole};
+use serve::{Body, listen, whole};
 
 mod flags {
     use std::path::PathBuf;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -1,59 +1,19 @@
 //! A target that keeps a book of what it ran.
 
-use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Request, Response,
     body::{Frame, Incoming},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-
-use crate::promises::Promises;
-
-pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
-
-/// A body that is known whole.
-pub fn whole(text: impl Into<Bytes>) -> Body {
-    let full = Full::new(text.into());
-    full.map_err(|never: Infallible| match never {})
-        .boxed_unsync()
-}
 
-/// Answers requests on a port of its own until the run ends.
-pub async fn listen<F, A>(answer: F) -> SocketAddr
-where
-    F: Fn(Request<Incoming>) -> A + Clone + 'static,
-    A: Future<Output = Response<Body>> + 'static,
-{
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("a port on loopback");
-    let address = listener.local_addr().expect("a bound port");
-    tokio::task::spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            tokio::task::spawn_local(async move {
-                let service = service_fn(move |req| {
-                    let answered = answer(req);
-                    async move { Ok::<_, Infallible>(answered.await) }
-                });
-                let connection = http1::Builder::new();
-                // Whoever left needs no answer.
-                let _ = connection
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-            });
-        }
-    });
-    address
-}
+use crate::{
+    promises::Promises,
+    serve::{Body, listen, whole},
+};
 
 /// How a target behaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -173,7 +173,7 @@
 async fn serve(cx: &Rc<Gateway>, mut call: Call, ending: Ending) -> Response<AnswerBody> {
     let mut last_answer = None;
     loop {
-        let patience = patience(cx, &call);
+        let patience = patience(cx, &call, PATIENCE, LEAST_PATIENCE);
         let failed = match attempt(cx, &mut call, patience).await {
             Ok(begun) => match read_answer(cx, &mut call, begun).await {
                 Ok(answer) if answer.0.status.is_server_error() => {
@@ -218,17 +218,13 @@
     taken
 }
 
-/// How long an attempt waits for the head of its answer.
-fn patience(cx: &Gateway, call: &Call) -> Duration {
+/// How long an attempt waits for its answer to begin: some times the goal where another target may
+/// be asked after it, and else as long as there is.
+pub(crate) fn patience(cx: &Gateway, call: &Call, goals: f64, least: Duration) -> Duration {
     let left = call.hold_until.since(cx.now());
     let more = call.attempts.sent() + 1 < call.route.max_attempts;
     match call.route.kind.is_repeatable() && more {
-        true => call
-            .route
-            .goal
-            .mul_f64(PATIENCE)
-            .max(LEAST_PATIENCE)
-            .min(left),
+        true => call.route.goal.mul_f64(goals).max(least).min(left),
         false => left,
     }
 }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -8,7 +8,7 @@
 use super::{
     attempt::{Begun, Call, Failed, Place, attempt},
     body::{AnswerBody, BrokeOff, EventSender},
-    call::{keep, may_repeat, strip_connection_headers},
+    call::{keep, may_repeat, patience, strip_connection_headers},
     ending::{Ending, close_if_stopping, give_up, pass_on},
     gateway::Gateway,
 };
@@ -106,7 +106,7 @@
 
 /// Makes attempts until one brings its first event.
 async fn begin(cx: &Rc<Gateway>, call: &mut Call) -> Result<Beginning, Failed> {
-    let patience = first_patience(cx, call);
+    let patience = patience(cx, call, FIRST_PATIENCE, LEAST_PATIENCE);
     let until = (cx.now() + patience).min(call.hold_until);
     let begun = attempt(cx, call, patience).await?;
     let Begun {
@@ -187,21 +187,6 @@
     }
 }
 
-/// How long the first event is waited for.
-fn first_patience(cx: &Gateway, call: &Call) -> Duration {
-    let left = call.hold_until.since(cx.now());
-    let more = call.attempts.sent() + 1 < call.route.max_attempts;
-    match call.route.kind.is_repeatable() && more {
-        true => call
-            .route
-            .goal
-            .mul_f64(FIRST_PATIENCE)
-            .max(LEAST_PATIENCE)
-            .min(left),
-        false => left,
-    }
-}
-
 fn gap_patience(call: &Call) -> Duration {
     let more = call.attempts.sent() < call.route.max_attempts;
     match call.route.gap_goal {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -117,7 +117,7 @@
     }
 
     async fn swap(&self, key: &str, expected: Option<StoreRevision>, value: &str) -> Result<Swap> {
-        let path = format!("/kv/{key}?expect={}", expected.unwrap_or(0));
+        let path = format!("/kv/{key}?expect={}", expected.unwrap_or_default());
         let (status, body) = self.call(Method::PUT, &path, value, CALL_TIMEOUT).await?;
         match status {
             StatusCode::CONFLICT => Ok(Swap::Conflict),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,8 +10,7 @@
 
 pub use http::HttpPlatform;
 
-/// The store's own count of writes; grows with each.
-pub type StoreRevision = u64;
+pub use crate::units::StoreRevision;
 
 /// A key's value and the write that made it.
 #[derive(Debug, Clone, PartialEq, Eq)]
