--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -206,7 +206,15 @@
         })
         .collect();
     let started = |i: usize| fleet.engines[i].state.lock().unwrap().executed.len();
-    until(async || (0..3).map(started).sum::<usize>() == 12).await;
+    // All gates are closed: a chat that ended was refused, and one that began twice was repeated.
+    // Either would be waited for in vain.
+    let begun = async || {
+        let sum = (0..3).map(started).sum::<usize>();
+        let ended = chats.iter().filter(|c| c.is_finished()).count();
+        assert!(sum <= 12 && ended == 0, "{sum} begun, {ended} ended early");
+        sum == 12
+    };
+    until(begun).await;
     let revision = fleet
         .change("engine 0 leaves", vec![fleet.engine_edit(0, "leave")])
         .await;
