--- a/examples/demo/faults.rs
+++ b/examples/demo/faults.rs
@@ -12,7 +12,7 @@
     report::World,
     support::{
         engine::{Engine, Fault},
-        platform::PlatformFault,
+        store::StoreFault,
     },
 };
 
@@ -56,8 +56,8 @@
         .fleet
         .lock()
         .await
-        .platform
-        .set_fault(PlatformFault::default());
+        .store
+        .set_fault(StoreFault::default());
 }
 
 async fn one(world: &Arc<World>, rng: &mut Pcg64) {
@@ -69,11 +69,11 @@
         2 => replace_engine(world, i).await,
         3 => leave_and_return(world, i).await,
         4 => {
-            let down = PlatformFault {
+            let down = StoreFault {
                 down: true,
-                lose_answers: 0,
+                ..StoreFault::default()
             };
-            platform_for(
+            store_for(
                 world,
                 "store_down",
                 down,
@@ -81,11 +81,11 @@
             );
         }
         5 => {
-            let lost = PlatformFault {
-                down: false,
+            let lost = StoreFault {
                 lose_answers: rng.random_range(1..8),
+                ..StoreFault::default()
             };
-            platform_for(world, "answers_lost", lost, Duration::from_secs(2));
+            store_for(world, "answers_lost", lost, Duration::from_secs(2));
         }
         6 => engine_for(world, i, "engine_refuses", Fault::Refuse).await,
         7 => engine_for(world, i, "engine_dies_early", Fault::DieBefore).await,
@@ -101,7 +101,6 @@
     drop(fleet.routers[i].take());
     let router = fleet.start_router(i).await;
     fleet.routers[i] = Some(router);
-    fleet.list_vms();
 }
 
 async fn stop_router(world: &Arc<World>, i: usize) {
@@ -114,7 +113,6 @@
     };
     let router = fleet.start_router(i).await;
     fleet.routers[i] = Some(router);
-    fleet.list_vms();
     drop(fleet);
     let report = old.stop().await;
     world.note_stop(report.cut_off);
@@ -174,18 +172,18 @@
     false
 }
 
-fn platform_for(world: &Arc<World>, name: &'static str, fault: PlatformFault, time: Duration) {
+fn store_for(world: &Arc<World>, name: &'static str, fault: StoreFault, time: Duration) {
     world.note_fault(name);
     let world = Arc::clone(world);
     tokio::spawn(async move {
-        world.fleet.lock().await.platform.set_fault(fault);
+        world.fleet.lock().await.store.set_fault(fault);
         tokio::time::sleep(time).await;
         world
             .fleet
             .lock()
             .await
-            .platform
-            .set_fault(PlatformFault::default());
+            .store
+            .set_fault(StoreFault::default());
     });
 }
 
--- a/examples/demo/report.rs
+++ b/examples/demo/report.rs
@@ -231,7 +231,7 @@
         counts.samples_above += u64::from(worst / mean > 1.25);
     }
     for router in fleet.live() {
-        let vm = router.vm_info().vm.to_string();
+        let vm = router.vm.to_string();
         let revision = router.revision().0;
         let known = counts.revisions.entry(vm).or_default();
         let reverted = revision < *known;
@@ -256,7 +256,7 @@
     let control: u64 = fleet.live().map(|r| r.control_bytes()).sum();
     let claims: u64 = fleet.live().map(|r| r.claim_bytes()).sum();
     let hop_spans = fleet.live().map(|r| r.hop_spans()).sum();
-    let (store_reads, store_writes) = fleet.platform.calls();
+    let (store_reads, store_writes) = fleet.store.calls();
     let counts = world.counts();
     let ran = |id: &String| counts.executed.iter().any(|a| a.starts_with(id.as_str()));
     let wrongly = |(key, fate): &(&String, &Fate)| {
--- a/examples/path.rs
+++ b/examples/path.rs
@@ -1,7 +1,7 @@
-//! What the path costs: an engine asked directly, through one router, and through two.
+//! What the path costs: an engine asked directly, and through a router.
 //!
 //! `cargo run --release --locked --example path`
-//! Everything runs in one process, so the figures hold the stand-ins' and the caller's cost too;
+//! A router works on one thread. Everything runs in one process, so the figures hold the stand-ins' and the caller's cost too;
 //! the ratios say what a hop adds.
 
 #[path = "../tests/support/mod.rs"]
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use support::{
     caller::{Caller, chat_body},
-    fleet::{Fleet, MODEL, Plan, status},
+    fleet::{Fleet, MODEL, Plan},
 };
 
 const WARM: usize = 500;
@@ -30,50 +30,33 @@
 #[tokio::main]
 async fn main() {
     let plan = Plan {
-        routers: 2,
+        routers: 1,
         engines: 1,
         services: 0,
         halls: 1,
         ..Plan::default()
     };
     let fleet = Fleet::start(plan).await;
-    let mut ways: Vec<(&str, SocketAddr)> = vec![("direct", fleet.engines[0].server.address)];
-    for i in 0..2 {
-        let homes = status(fleet.operators_at(i)).await["homes"].clone();
-        let is_home = homes.as_array().is_some_and(|h| !h.is_empty());
-        let name = if is_home { "one router" } else { "two routers" };
-        ways.push((name, fleet.callers_at(i)));
-    }
-    ways.sort_by_key(|w| w.0);
+    let ways = [
+        ("direct", fleet.engines[0].server.address),
+        ("a router", fleet.callers_at(0)),
+    ];
     println!(
-        "{:<12} {:>8} {:>8} {:>9} {:>10} {:>8} {:>12} {:>12}",
-        "way", "p50 us", "p99 us", "calls/s", "chunks/s", "threads", "calls/s/thr", "chunks/s/thr"
+        "{:<12} {:>8} {:>8} {:>9} {:>10}",
+        "way", "p50 us", "p99 us", "calls/s", "chunks/s"
     );
     let small = chat_body(MODEL, &[("user", "short".to_owned())], 1, false);
     let long = chat_body(MODEL, &[("user", "long".to_owned())], CHUNKS, true);
-    for (name, at) in &ways {
-        let (p50, p99) = latency(*at, &small).await;
-        let calls = rate(*at, &small, CALLS).await;
-        let chunks = rate(*at, &long, STREAMS).await * CHUNKS as f64;
-        let threads = threads(name);
-        let (per, chunks_per) = (calls / threads, chunks / threads);
-        println!(
-            "{name:<12} {p50:>8} {p99:>8} {calls:>9.0} {chunks:>10.0} {threads:>8} {per:>12.0} {chunks_per:>12.0}"
-        );
+    for (name, at) in ways {
+        let (p50, p99) = latency(at, &small).await;
+        let calls = rate(at, &small, CALLS).await;
+        let chunks = rate(at, &long, STREAMS).await * CHUNKS as f64;
+        println!("{name:<12} {p50:>8} {p99:>8} {calls:>9.0} {chunks:>10.0}");
     }
     println!("rss after the calls: {} KB", rss_kb());
     open_streams(&fleet).await;
 }
 
-/// The worker threads that carry a way: all of the process, or two for each router.
-fn threads(way: &str) -> f64 {
-    match way {
-        "one router" => 2.0,
-        "two routers" => 4.0,
-        _ => std::thread::available_parallelism().map_or(1.0, |n| n.get() as f64),
-    }
-}
-
 async fn latency(at: SocketAddr, body: &Value) -> (u64, u64) {
     let caller = Caller::default();
     let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("histogram");
@@ -112,25 +95,17 @@
     let before = rss_kb();
     let body = chat_body(MODEL, &[("user", "open".to_owned())], 50, true).to_string();
     let mut open = Vec::new();
-    for i in 0..OPEN_STREAMS {
+    for _ in 0..OPEN_STREAMS {
         let caller = Caller::default();
         let path = "/v1/chat/completions";
         let res = caller
-            .send(
-                fleet.callers_at(i % 2),
-                Method::POST,
-                path,
-                &[],
-                body.clone(),
-            )
+            .send(fleet.callers_at(0), Method::POST, path, &[], body.clone())
             .await;
         open.push((res.expect("a stream"), caller));
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
     let per_stream = (rss_kb() - before) as f64 / OPEN_STREAMS as f64;
-    println!(
-        "{OPEN_STREAMS} open streams, half of them over two routers: {per_stream:.1} KB each, all ends counted"
-    );
+    println!("{OPEN_STREAMS} open streams: {per_stream:.1} KB each, all ends counted");
     fleet.engines[0].set_gate(true);
 }
 
--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -14,24 +14,22 @@
 
 use scaleford::{
     config::{
-        ClientAccount, ConfigLog, FleetConfig, KeyHash, Serves, Snapshot, Target, TargetIntent,
+        ClientAccount, ConfigLog, FleetConfig, KeyHash, Model, Serves, Snapshot, Target,
+        TargetIntent, routes,
+        serving::{CallKind, CallerLimits},
     },
-    conversation::ConversationTable,
-    homes::HomeMap,
-    ids::{ConversationKey, Incarnation, PrefixKey, Revision, TargetId, VmId},
-    membership::Membership,
-    peer::encode_datagram,
-    placement::{Candidate, prefix_targets, rank},
-    settings::VmInfo,
-    units::{Instant, Priority, Weight},
+    dispatcher::{Dispatcher, Plan},
+    ids::{ConversationKey, Revision},
+    prompt_cache::{PartId, PromptCache, PromptPart},
+    retry::BudgetRule,
+    units::{Instant, Priority, StoreRevision, Tokens, Weight},
 };
 use support::{
     caller::TOKEN,
     fleet::{change_at, status},
-    platform::Platform,
+    store::Store,
 };
 
-const ROUTERS: usize = 380;
 const TARGETS: usize = 1_200;
 const ACCOUNTS: usize = 470;
 const MODELS: usize = 11;
@@ -41,8 +39,7 @@
 async fn main() {
     configuration();
     placement();
-    conversations();
-    membership();
+    prompts();
     for n in [3, 12, 24] {
         daemons(n).await;
     }
@@ -67,6 +64,10 @@
         };
         cfg.accounts.insert(name(&format!("account-{i}")), account);
     }
+    for i in 0..MODELS {
+        cfg.models
+            .insert(name(&format!("model-{i}")), Model::default());
+    }
     for i in 0..TARGETS {
         let target = Target {
             address: ([10, 0, (i / 250) as u8, (i % 250) as u8], 8000).into(),
@@ -82,10 +83,6 @@
     cfg
 }
 
-fn vms(n: usize) -> Vec<VmId> {
-    (0..n).map(|i| name(&format!("vm-{i}"))).collect()
-}
-
 fn configuration() {
     let before = rss_kb();
     let cfg = fleet_config();
@@ -102,70 +99,93 @@
         "configuration: snapshot {} bytes",
         serde_json::to_vec(&snapshot).expect("json").len()
     );
-    for n in [7, 95, ROUTERS] {
-        let live = vms(n);
-        let took = time(20, || drop(black_box(HomeMap::new(&cfg, &live))));
-        println!("homes: map of {TARGETS} targets over {n} routers: {took:.0} ns");
-    }
-    let took = time(200, || {
-        drop(black_box(cfg.account_of("key-469").map(|a| a.0.clone())))
+    let rules = routes::CallerRules {
+        limits: CallerLimits::default(),
+        chat_timeout: Duration::from_secs(300),
+        longest_silence: Duration::from_secs(60),
+    };
+    let serving = || routes::serving(&cfg, Revision(1), &rules);
+    let took = time(50, || drop(black_box(serving())));
+    println!("configuration: put in force in {took:.0} ns, targets apart");
+    let in_force = serving();
+    let took = time(20_000, || {
+        drop(black_box(in_force.holder("key-469").cloned()));
     });
     println!("accounts: finding a key among {ACCOUNTS}: {took:.0} ns");
 }
 
+/// The time of a decision, by how many targets a model has.
 fn placement() {
-    for n in [50, 300, TARGETS] {
-        let all: Vec<_> = (0..n)
-            .map(|i| Candidate::new(name::<TargetId>(&format!("runner-{i}")), Weight::USUAL))
-            .collect();
-        let whole = time(2_000, || drop(black_box(rank(&all, ConversationKey(7), 4))));
-        let near = prefix_targets(&all, PrefixKey(9), 1.0 / ACCOUNTS as f64);
-        let near: Vec<_> = near.into_iter().map(|i| all[i].clone()).collect();
-        let short = time(2_000, || {
-            drop(black_box(rank(&near, ConversationKey(7), 4)))
+    let rules = scaleford::edge::Rules {
+        revoke_bound: None,
+        cap_factor: 1.25,
+        budget: BudgetRule {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            extra: 50.0,
+        },
+        serve_on: Duration::ZERO,
+        stop_time: Duration::ZERO,
+    };
+    for n in [9, 60, 140, 600] {
+        let mut d = Dispatcher::new(name("hall-1"), &rules);
+        let mut cfg = fleet_config();
+        cfg.targets = cfg.targets.into_iter().take(n).collect();
+        for target in cfg.targets.values_mut() {
+            target.serves = model(0);
+        }
+        let targets = routes::targets(&cfg);
+        d.discovery
+            .on_stated(Instant::default(), targets, StoreRevision(1));
+        let mut chat = 0;
+        let took = time(2_000, || {
+            chat += 1;
+            let now = Instant::from_millis(chat);
+            if let Ok(ticket) = d.choose(now, &turn(chat)) {
+                black_box(d.on_end(now, &ticket, None));
+            }
         });
-        println!(
-            "placement: rank of {n} targets {whole:.0} ns; of a prefix's {} {short:.0} ns",
-            near.len()
-        );
+        println!("placement: one of {n} targets in {took:.0} ns, with its end");
     }
 }
 
-fn conversations() {
-    let before = rss_kb();
-    let mut tables: Vec<ConversationTable> = (0..8).map(|_| ConversationTable::default()).collect();
-    let n = 16_384;
-    for table in &mut tables {
-        (0..n).for_each(|k| table.on_placed(ConversationKey(k), name("runner-12")));
+/// A chat's third turn.
+fn turn(chat: u64) -> Plan {
+    let part = |id, tokens| PromptPart {
+        id: PartId(id),
+        tokens: Tokens(tokens),
+    };
+    let own = (0..5).map(|n| part(chat * 100 + n, 120));
+    Plan {
+        service: model(0).pool(),
+        kind: CallKind::Safe,
+        prompt: std::iter::once(part(1, 400)).chain(own).collect(),
+        shared_parts: 1,
+        chat: Some(ConversationKey(chat)),
+        answer: Tokens(200),
+        hash: chat,
+        engine: None,
+        tried: Vec::new(),
     }
-    let bytes = (rss_kb() - before) as f64 * 1024.0 / (8.0 * n as f64);
-    println!("conversations: {bytes:.0} bytes each off its first choice");
 }
 
-fn membership() {
-    let info =
-        |i: usize| -> VmInfo { name(&format!("vm-{i}/region-1/hall-{}/10.0.0.1:7000", i % 6)) };
-    for n in [7, 95, ROUTERS] {
-        let mut view = Membership::new(info(0), Incarnation(1), 1);
-        view.on_vm_list(Instant::default(), (0..n).map(info).collect());
-        let mut bytes = 0;
-        let beats = 12;
-        for i in 0..beats {
-            let out = view.on_tick(Instant::from_millis(i));
-            bytes += out
-                .iter()
-                .map(|(_, m)| encode_datagram(m).map_or(0, |b| b.len()) + 28)
-                .sum::<usize>();
+/// The memory of what a router remembers of prompts.
+fn prompts() {
+    let before = rss_kb();
+    let mut cache = PromptCache::default();
+    let (targets, parts) = (100, 2_000_u64);
+    for t in 0..targets {
+        let target = name(&format!("runner-{t}"));
+        for id in 0..parts {
+            let part = PromptPart {
+                id: PartId(id),
+                tokens: Tokens(100),
+            };
+            cache.on_peer(&target, part, false);
         }
-        let took = time(200, || {
-            drop(black_box(view.on_tick(Instant::from_millis(20))))
-        });
-        // Two beats a second, each answered by as much.
-        let per_s = bytes as f64 / beats as f64 * 2.0;
-        println!(
-            "membership: {n} routers: {per_s:.0} bytes/s of heartbeats sent, as many answers; a beat {took:.0} ns"
-        );
     }
+    let bytes = (rss_kb() - before) as f64 * 1024.0 / (targets as f64 * parts as f64);
+    println!("prompts: {bytes:.0} bytes a part at a target");
 }
 
 struct Daemon {
@@ -193,8 +213,8 @@
         .and_then(|p| p.parent())
         .expect("folder")
         .join("scalefordd");
-    let platform = Platform::start("127.0.0.1:0").await;
-    let (mut all, mut vms) = (Vec::new(), Vec::new());
+    let store = Store::start("127.0.0.1:0").await;
+    let mut all = Vec::new();
     for i in 0..n {
         let (callers, peers, operators) = (free(), free(), free());
         let child = Command::new(&program)
@@ -211,24 +231,22 @@
                 &peers.to_string(),
             ])
             .args(["--operator-listen", &operators.to_string()])
-            .args(["--platform", &platform.server.address.to_string()])
+            .args(["--platform", &store.server.address.to_string()])
             .env("SCALEFORD_OPERATOR_TOKENS", format!("night-watch:{TOKEN}"))
-            .stderr(Stdio::null())
+            .stdout(Stdio::null())
             .spawn()
             .expect("build the daemon first: cargo build --release");
-        vms.push(format!("vm-{i}/region-1/hall-{}/{peers}", i % 6));
         all.push(Daemon { child, operators });
     }
-    platform.set_vms(vms);
     tokio::time::sleep(Duration::from_secs(8)).await;
-    let (bytes, cpu, calls) = (control(&all).await, ticks(&all), platform.calls());
+    let (bytes, cpu, calls) = (control(&all).await, ticks(&all), store.calls());
     let time = Duration::from_secs(10);
     tokio::time::sleep(time).await;
     let seconds = time.as_secs_f64();
     let sent = (control(&all).await - bytes) / seconds / n as f64;
     let core = (ticks(&all) - cpu) as f64 / seconds / n as f64;
     let rss: i64 = all.iter().map(|d| rss_of(&d.child.id().to_string())).sum();
-    let (reads, _) = platform.calls();
+    let (reads, _) = store.calls();
     println!(
         "daemons: {n} idle: {} KB each, {core:.2}% of a core, {sent:.0} control bytes/s sent, {:.2} store reads/s in all",
         rss / n as i64,
--- a/examples/standin.rs
+++ b/examples/standin.rs
@@ -1,4 +1,4 @@
-//! Runs one stand-in as a process: an engine, a plain service, or the platform.
+//! Runs one stand-in as a process: an engine, a plain service, or the store.
 //!
 //! `cargo run --release --locked --example standin -- engine --listen 127.0.0.1:0`
 
@@ -9,8 +9,8 @@
 
 use support::{
     engine::{Engine, EngineConfig},
-    platform::Platform,
     service::Service,
+    store::Store,
 };
 
 mod flags {
@@ -32,8 +32,8 @@
             }
             /// A plain service.
             cmd service {}
-            /// The platform's key-value service and VM list; POST /vms sets the list.
-            cmd platform {}
+            /// The platform's metadata store.
+            cmd store {}
         }
     }
 }
@@ -60,9 +60,9 @@
             announce(service.server.address);
             std::future::pending::<()>().await;
         }
-        flags::StandinCmd::Platform(_) => {
-            let platform = Platform::start(listen).await;
-            announce(platform.server.address);
+        flags::StandinCmd::Store(_) => {
+            let store = Store::start(listen).await;
+            announce(store.server.address);
             std::future::pending::<()>().await;
         }
     }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     link::Fault,
-    store::Mood as StoreMood,
+    store::StoreFault,
     target::Mood,
     vm::{KEYS, World},
 };
@@ -52,7 +52,7 @@
 
 fn is_settled(world: &World) -> bool {
     let reached = world.store_link.fault.get() == Fault::None;
-    let well = world.store.mood.get() == StoreMood::Well;
+    let well = world.store.fault() == StoreFault::default();
     reached && well && !world.vms.iter().any(|vm| vm.paused.get())
 }
 
@@ -138,8 +138,11 @@
 fn change_store(world: &World, rng: &mut Pcg64) {
     match rng.random_range(0..4) {
         0 => world.store.compact(),
-        1 => world.store.mood.set(StoreMood::Busy),
-        _ => world.store.mood.set(StoreMood::Well),
+        1 => world.store.set_fault(StoreFault {
+            busy: true,
+            ..StoreFault::default()
+        }),
+        _ => world.store.set_fault(StoreFault::default()),
     }
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,9 @@
 
 mod callers;
 mod faults;
+#[allow(dead_code)]
+#[path = "../../tests/support/http.rs"]
+mod http;
 mod link;
 mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
@@ -20,9 +23,6 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
-// The store's stand-in is the one that the adapter's tests use, and needs these.
-use serve::{Body, listen, whole};
-
 mod flags {
     use std::path::PathBuf;
 
@@ -61,7 +61,7 @@
         Err(e) => e.exit(),
     };
     let beside = std::env::current_exe().ok();
-    let beside = beside.map(|p| p.with_file_name("scaleford-gateway"));
+    let beside = beside.map(|p| p.with_file_name("scalefordd"));
     let plan = Plan {
         seed: flags.seed.unwrap_or(1),
         faults_for: Duration::from_secs(flags.seconds.unwrap_or(10)),
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -14,7 +14,14 @@
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
 
-use crate::{Plan, callers::Caller, link::Link, promises::Promises, store::Store, target::Target};
+use crate::{
+    Plan,
+    callers::Caller,
+    link::Link,
+    promises::Promises,
+    store::{Store, StoreFault},
+    target::Target,
+};
 
 /// Targets, of which one may leave.
 const TARGETS: usize = 4;
@@ -57,8 +64,8 @@
 impl World {
     pub async fn start(plan: &Plan) -> Self {
         let promises = Rc::new(Promises::default());
-        let (store, store_address) = Store::start().await;
-        let store_link = Link::start(store_address).await.expect("a port");
+        let store = Rc::new(Store::start("127.0.0.1:0").await);
+        let store_link = Link::start(store.server.address).await.expect("a port");
         let mut targets = Vec::new();
         for n in 0..TARGETS {
             let (target, address) = Target::start(&format!("i-{n}"), &promises).await;
@@ -123,7 +130,7 @@
 
     /// Ends all faults, and starts what is not running.
     pub async fn heal(&self) {
-        self.store.mood.set(crate::store::Mood::Well);
+        self.store.set_fault(StoreFault::default());
         self.store_link.fault.set(crate::link::Fault::None);
         for (target, link) in &self.targets {
             target.mood.set(crate::target::Mood::Well);
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -2,7 +2,7 @@
 //! reaches a target.
 //!
 //! Keys are spread over [`SHARDS`] shards. A shard is a chain of small values in the store,
-//! `claims/SHARD/NUMBER`: records are appended to the last one by compare-and-swap, many at
+//! `SHARD/NUMBER` below [`CLAIMS_PREFIX`]: records are appended to the last one by compare-and-swap, many at
 //! once; a full one is sealed in the same write and the next is created as "absent". So every
 //! record passes one point of order, whoever believes to keep the shard: of two keepers one
 //! gets "conflict", reads anew, and decides again.
@@ -16,6 +16,10 @@
     result_code::ResultCode,
 };
 
+/// What the keys of claims begin with in the store; apart from what routers follow there, as claims
+/// are written some hundred times as often.
+pub const CLAIMS_PREFIX: &str = "scaleford-claims/";
+
 /// Into how many shards keys are spread; each can be written about ten times a second.
 pub const SHARDS: u64 = 8;
 
@@ -84,20 +88,6 @@
     Release,
 }
 
-impl ClaimKind {
-    /// The kind's number on the wire.
-    pub fn number(self) -> i32 {
-        self as i32
-    }
-
-    /// The kind with this number.
-    pub fn from_number(n: i32) -> Option<Self> {
-        [Self::Claim, Self::Done, Self::Release]
-            .into_iter()
-            .find(|k| k.number() == n)
-    }
-}
-
 /// One step of an unrepeatable call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimStep {
@@ -113,7 +103,7 @@
 }
 
 /// What the shard's keeper says to a step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimVerdict {
     /// The step is in the store.
     Recorded,
@@ -128,28 +118,6 @@
 }
 
 impl ClaimVerdict {
-    /// The verdict as it travels.
-    pub fn numbers(self) -> (i32, i32) {
-        match self {
-            Self::Recorded => (0, 0),
-            Self::Running => (1, 0),
-            Self::Ran(status) => (2, status.into()),
-            Self::Unknown => (3, 0),
-            Self::NotRecorded => (4, 0),
-        }
-    }
-
-    /// The verdict that travelled as these numbers.
-    pub fn from_numbers(verdict: i32, outcome: i32) -> Self {
-        match verdict {
-            0 => Self::Recorded,
-            1 => Self::Running,
-            2 => Self::Ran(outcome as u16),
-            3 => Self::Unknown,
-            _ => Self::NotRecorded,
-        }
-    }
-
     /// What a caller is told whose claim came to this; `None` if it goes on.
     pub fn refusal(self) -> Option<ResultCode> {
         match self {
@@ -216,7 +184,7 @@
 
     /// What the keys of a shard's chunks begin with.
     pub fn store_prefix(shard: u64) -> String {
-        format!("claims/{shard}/")
+        format!("{CLAIMS_PREFIX}{shard}/")
     }
 
     /// Takes the next chunk as read from the store, in order.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 pub mod freshness;
 mod log;
 mod model;
+pub mod routes;
 pub mod serving;
 
 pub use log::{Change, ChangeOutcome, ConfigLog, Digest, RING, Snapshot, Update};
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -3,7 +3,6 @@
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use subtle::ConstantTimeEq;
 
 use crate::{
     ids::{ClientAccountId, DataHall, ModelName, Region, ServiceName, TargetId},
@@ -106,15 +105,22 @@
     Service(ServiceName),
 }
 
-impl fmt::Display for Serves {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Serves {
+    /// The pool's name among all pools.
+    pub fn pool(&self) -> ServiceName {
         match self {
-            Self::Model(m) => write!(f, "model:{m}"),
-            Self::Service(s) => write!(f, "service:{s}"),
+            Self::Model(name) => ServiceName::of_pool("model", name.as_str()),
+            Self::Service(name) => ServiceName::of_pool("service", name.as_str()),
         }
     }
 }
 
+impl fmt::Display for Serves {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.pool())
+    }
+}
+
 /// What operators want of a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -126,8 +132,9 @@
     Leave,
 }
 
-/// The hash of a bearer key; the key itself is never kept.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// The hash of a key; the key itself is never kept. What is compared is a hash that nobody can
+/// choose, so the time of a comparison tells nothing of a key.
+#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyHash([u8; 32]);
 
@@ -136,11 +143,6 @@
     pub fn of(key: &str) -> Self {
         Self(blake3::hash(key.as_bytes()).into())
     }
-
-    /// Compares in constant time.
-    pub fn matches(&self, other: &Self) -> bool {
-        self.0.ct_eq(&other.0).into()
-    }
 }
 
 impl fmt::Debug for KeyHash {
@@ -264,13 +266,6 @@
         }
     }
 
-    /// The account that a bearer key belongs to; every key is compared, in constant time each.
-    pub fn account_of(&self, key: &str) -> Option<(&ClientAccountId, &ClientAccount)> {
-        let hash = KeyHash::of(key);
-        let holds = |a: &ClientAccount| a.key_hashes.iter().any(|k| k.matches(&hash));
-        self.accounts.iter().find(|(_, a)| holds(a))
-    }
-
     /// The targets of a pool that may get new work.
     pub fn serving<'a>(
         &'a self,
--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -3,11 +3,27 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use hyper::Method;
+
+use super::KeyHash;
 use crate::{
     ids::{ClientAccountId, ServiceName},
-    units::{Rank, StoreRevision},
+    limits::AccountLimits,
+    units::{Rank, StoreRevision, Tokens},
 };
 
+/// When a stream may be sent to another target after it may have run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StreamRepeats {
+    /// Never: it runs at most once.
+    #[default]
+    Never,
+    /// As long as the caller has no event of it.
+    UntilFirstEvent,
+    /// At any time: another target goes on after the last event that was delivered.
+    Resumed,
+}
+
 /// Whether a call may be sent again, and how its answer comes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum CallKind {
@@ -16,42 +32,54 @@
     Unsafe,
     /// May run more than once.
     Safe,
-    /// Answers with events; without `resumable` it runs at most once.
-    Stream {
-        /// Whether another target may go on after the last event that was delivered.
-        resumable: bool,
-    },
+    /// Answers with events.
+    Stream(StreamRepeats),
 }
 
 impl CallKind {
-    /// Whether the call may be sent again after it may have run.
+    /// Whether a call of which the caller has nothing yet may be sent again after it may have run.
     pub fn is_repeatable(self) -> bool {
-        matches!(self, Self::Safe | Self::Stream { resumable: true })
+        use StreamRepeats::{Resumed, UntilFirstEvent};
+        matches!(self, Self::Safe | Self::Stream(UntilFirstEvent | Resumed))
+    }
+
+    /// Whether another target may go on with an answer that has begun.
+    pub fn is_resumable(self) -> bool {
+        self == Self::Stream(StreamRepeats::Resumed)
     }
 
     /// Whether the answer is a series of events.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream { .. })
+        matches!(self, Self::Stream(_))
     }
 }
 
-/// One route of a host.
-#[derive(Debug, Clone)]
+/// One route.
+#[derive(Debug, Clone, Default)]
 pub struct Route {
     /// The operator's name for it, for logs.
     pub name: String,
-    /// The host it belongs to, in lower case.
+    /// The host it belongs to, in lower case; empty for any.
     pub host: String,
-    /// What the path begins with; starts and ends with a slash.
+    /// What the path begins with.
     pub path_prefix: String,
+    /// The one method that it takes; `None` for any.
+    pub method: Option<Method>,
+    /// What is taken off the front of the path before the target sees it.
+    pub hidden_prefix: String,
     /// Whether and how its calls repeat.
     pub kind: CallKind,
+    /// Whether its calls carry a key under which they are claimed, so that each runs at most once
+    /// however often its caller sends it.
+    pub claimed: bool,
     /// The longest that a call may be held.
     pub timeout: Duration,
     /// The time to the answer, or to its first event, that earns full credit.
     pub goal: Duration,
     /// The longest pause between two events that is still in time.
     pub gap_goal: Option<Duration>,
+    /// How long a target may be silent within an answer that no other one can go on with.
+    pub longest_silence: Duration,
     /// The most targets that one call may be sent to.
     pub max_attempts: u32,
     /// How urgent its calls are, unless the account says otherwise.
@@ -62,6 +90,17 @@
     pub split: Vec<(ServiceName, u32)>,
 }
 
+/// What a call asks for, as routes see it.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    /// The host, with its port if it was sent.
+    pub host: String,
+    /// The method.
+    pub method: Method,
+    /// The path without its query.
+    pub path: String,
+}
+
 impl Route {
     /// The service for a call, by a hash of the call; the same for each repeat of it.
     pub fn service_for(&self, hash: u64) -> Option<&ServiceName> {
@@ -75,6 +114,11 @@
         }
         None
     }
+
+    fn takes(&self, asked: &Asked) -> bool {
+        let by_method = self.method.as_ref().is_none_or(|m| *m == asked.method);
+        by_method && asked.path.starts_with(&self.path_prefix)
+    }
 }
 
 /// What a service's targets have in common.
@@ -95,6 +139,8 @@
     pub memory_tokens: u64,
     /// Whether an engine can take a prompt from another one's memory.
     pub moves: bool,
+    /// Tokens that an answer is expected to have, where that counts as work in progress.
+    pub usual_answer: Option<Tokens>,
 }
 
 /// Bounds on what callers may send.
@@ -106,6 +152,8 @@
     pub body_bytes: usize,
     /// How long a head may take to arrive.
     pub header_time: Duration,
+    /// How long a body may take to arrive.
+    pub body_time: Duration,
     /// How long a kept connection may rest.
     pub idle_time: Duration,
 }
@@ -117,6 +165,7 @@
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
             header_time: Duration::from_secs(3),
+            body_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(15),
         }
     }
@@ -129,6 +178,8 @@
     pub account: ClientAccountId,
     /// The account's own rank, which goes before the route's.
     pub rank: Option<Rank>,
+    /// What the account may use of the fleet, where that is limited.
+    pub limits: Option<AccountLimits>,
 }
 
 /// A whole configuration, ready for look-ups.
@@ -144,7 +195,7 @@
     pub keyed: bool,
     hosts: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
-    keys: HashMap<blake3::Hash, KeyHolder>,
+    keys: HashMap<KeyHash, KeyHolder>,
 }
 
 /// Why a call is not allowed, by the configuration alone.
@@ -167,11 +218,12 @@
         }
     }
 
-    /// Adds a route; the longest fitting prefix is found first.
+    /// Adds a route; the longest fitting prefix is found first, and of these one for the method.
     pub fn add_route(&mut self, route: Route) {
         let routes = self.hosts.entry(route.host.clone()).or_default();
         routes.push(Rc::new(route));
-        routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+        let order = |r: &Rc<Route>| (r.path_prefix.len(), r.method.is_some());
+        routes.sort_by_key(|r| std::cmp::Reverse(order(r)));
     }
 
     /// Adds a service.
@@ -180,15 +232,16 @@
     }
 
     /// Adds a key of an account; only its hash is kept.
-    pub fn add_key(&mut self, key: &str, holder: KeyHolder) {
-        self.keys.insert(blake3::hash(key.as_bytes()), holder);
+    pub fn add_key(&mut self, key: KeyHash, holder: KeyHolder) {
+        self.keys.insert(key, holder);
     }
 
-    /// The route for a host and path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+    /// The route for what is asked.
+    pub fn route(&self, asked: &Asked) -> Option<&Rc<Route>> {
+        let host = asked.host.as_str();
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
         let routes = self.hosts.get(&host.to_ascii_lowercase())?;
-        routes.iter().find(|r| path.starts_with(&r.path_prefix))
+        routes.iter().find(|r| r.takes(asked))
     }
 
     /// A service's facts.
@@ -198,17 +251,16 @@
 
     /// Who holds a key.
     pub fn holder(&self, key: &str) -> Option<&KeyHolder> {
-        self.keys.get(&blake3::hash(key.as_bytes()))
+        self.keys.get(&KeyHash::of(key))
     }
 
     /// Route and account of a call, or why it is not allowed.
     pub fn admit(
         &self,
-        host: &str,
-        path: &str,
+        asked: &Asked,
         key: Option<&str>,
     ) -> Result<(Rc<Route>, Option<KeyHolder>), Denied> {
-        let route = self.route(host, path).ok_or(Denied::NoRoute)?;
+        let route = self.route(asked).ok_or(Denied::NoRoute)?;
         let holder = key.and_then(|k| self.holder(k)).cloned();
         match holder {
             None if self.keyed && !route.public => Err(Denied::WrongKey),
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ids::{DataHall, ServiceName, TargetId},
-    units::{Instant, StoreRevision},
+    units::{Instant, StoreRevision, Tokens},
 };
 
 /// How long after the store's return a missing entry still counts: live targets are back in the
@@ -42,6 +42,8 @@
     pub data_hall: DataHall,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// Tokens that it may have in progress, where operators limit that.
+    pub most_tokens: Option<Tokens>,
     /// Whether it takes work.
     pub state: TargetState,
 }
@@ -146,6 +148,18 @@
         changes
     }
 
+    /// Takes the whole list as operators state it: a target that is not on it is gone for certain.
+    pub fn on_stated(
+        &mut self,
+        now: Instant,
+        list: Vec<TargetRecord>,
+        revision: StoreRevision,
+    ) -> Vec<(TargetId, Verdict)> {
+        self.grace_until = None;
+        let list = list.into_iter().map(|r| (r, revision)).collect();
+        self.on_list(now, list, revision)
+    }
+
     /// Drops entries whose grace is over; returns them.
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
         let over = |l: &Listed| l.missing_until.is_some_and(|until| now >= until);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -10,9 +10,9 @@
     discovery::{Discovery, TargetRecord},
     edge::Rules,
     health::{Health, Outcome, Standing},
-    ids::{DataHall, ServiceName, TargetId},
+    ids::{ConversationKey, DataHall, ServiceName, TargetId},
     load_account::{InProgress, LoadAccount},
-    placement::choice::{NoChoice, Offer, Wanted, choose},
+    placement::choice::{NoChoice, Offer, Wanted, choose, draw},
     prompt_cache::{PromptCache, PromptPart},
     retry::RetryBudget,
     units::{Instant, Tokens},
@@ -30,6 +30,12 @@
     pub kind: CallKind,
     /// Its prompt; empty for plain services.
     pub prompt: Vec<PromptPart>,
+    /// How many of the prompt's parts other calls begin with as well.
+    pub shared_parts: usize,
+    /// The chat that it belongs to, where that is known: chats have a target of first choice.
+    pub chat: Option<ConversationKey>,
+    /// Tokens that its answer is expected to have, where that counts as work.
+    pub answer: Tokens,
     /// A hash of the caller's id, to spread calls without a prompt.
     pub hash: u64,
     /// What is known of the service's engines, where it has such.
@@ -39,14 +45,27 @@
 }
 
 impl Plan {
-    /// The parts of the prompt that other calls share: all but its own last one.
+    /// The parts of the prompt that other calls begin with as well.
     pub fn shared_parts(&self) -> &[PromptPart] {
-        let n = self.prompt.len().saturating_sub(1);
+        let n = self.shared_parts.min(self.prompt.len());
         &self.prompt[..n]
     }
 
-    fn hash_of(&self, part: Option<&PromptPart>) -> u64 {
-        part.map_or(self.hash, |p| xxh3_64(&p.id.0.to_le_bytes()))
+    /// What targets are drawn by: the chat, else the prompt's deepest shared part, else the call.
+    fn key(&self) -> u64 {
+        let part = self.shared_parts().last();
+        match (self.chat, part) {
+            (Some(chat), _) => chat.0,
+            (None, Some(part)) => xxh3_64(&part.id.0.to_le_bytes()),
+            (None, None) => self.hash,
+        }
+    }
+
+    /// Tokens of the prompt that the chat's first choice has yet to read: the last message, and what
+    /// is the request's own.
+    fn new_tokens(&self) -> Tokens {
+        let n = self.prompt.len().saturating_sub(2).max(self.shared_parts);
+        self.prompt.iter().skip(n).map(|p| p.tokens).sum()
     }
 }
 
@@ -57,6 +76,8 @@
     pub target: Rc<TargetRecord>,
     /// What the call adds to the target's load.
     pub work: InProgress,
+    /// Tokens of the answer, which stay work once the prompt is read.
+    pub answer: Tokens,
     /// Calls at the target before this one.
     pub calls: u32,
     /// Tokens of the prompt that the target has yet to read.
@@ -122,11 +143,12 @@
             return Err(NoChoice::NoTarget);
         }
         let least_missing = self.least_missing(now, plan);
-        let offer = |t| self.offer(now, t, plan, least_missing);
+        let first = plan.chat.and_then(|chat| first_choice(targets, chat));
+        let offer = |t| self.offer(now, t, plan, least_missing, first);
         let offers: Vec<Offer> = targets.iter().map(offer).collect();
         let wanted = Wanted {
-            key: plan.hash_of(plan.shared_parts().last()),
-            shared: !plan.shared_parts().is_empty(),
+            key: plan.key(),
+            shared: !plan.shared_parts().is_empty() && plan.chat.is_none(),
             repeatable: plan.kind.is_repeatable(),
             cap_factor: self.cap_factor,
         };
@@ -134,14 +156,16 @@
         let (target, offer) = (Rc::clone(&targets[i]), &offers[i]);
         let ticket = Ticket {
             target,
-            work: InProgress::one(offer.missing),
+            work: InProgress::one(offer.missing + plan.answer),
+            answer: plan.answer,
             calls: offer.calls,
             missing: offer.missing,
             holds: offer.holds,
             fetch_from: self.fetch_source(now, plan, offer),
             standing: offer.standing,
         };
-        self.on_send(now, &ticket, plan);
+        let is_first = first.is_none_or(|t| *t == ticket.target.id);
+        self.on_send(now, &ticket, plan, is_first);
         Ok(ticket)
     }
 
@@ -150,7 +174,7 @@
         let target = &ticket.target.id;
         self.health.on_sign(now, target);
         self.load.on_end(target, ticket.work);
-        ticket.work = InProgress::one(Tokens(0));
+        ticket.work = InProgress::one(ticket.answer);
         self.load.on_send(target, ticket.work);
     }
 
@@ -187,14 +211,18 @@
         gone
     }
 
-    fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &Plan) {
+    /// `is_first` tells whether peers expect the chat at this target; else they are told of it.
+    fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &Plan, is_first: bool) {
         let target = &ticket.target.id;
         self.load.on_send(target, ticket.work);
         self.health.on_send(now, target, !plan.prompt.is_empty());
-        let shared = plan.shared_parts().len();
+        let told = match is_first {
+            true => plan.shared_parts().len(),
+            false => plan.prompt.len().saturating_sub(1),
+        };
         let memory = plan.engine.map_or(MEMORY_UNTOLD, |e| e.memory_tokens);
         if !plan.prompt.is_empty() {
-            self.cache.on_send(target, &plan.prompt, shared, memory);
+            self.cache.on_send(target, &plan.prompt, told, memory);
         }
     }
 
@@ -228,9 +256,13 @@
         target: &Rc<TargetRecord>,
         plan: &Plan,
         least_missing: Option<Tokens>,
+        first_choice: Option<&TargetId>,
     ) -> Offer {
         let id = &target.id;
-        let missing = self.cache.missing(id, &plan.prompt);
+        let mut missing = self.cache.missing(id, &plan.prompt);
+        if first_choice == Some(id) {
+            missing = missing.min(plan.new_tokens());
+        }
         let deepest = plan.shared_parts().last();
         Offer {
             standing: self.health.standing(now, id),
@@ -241,9 +273,16 @@
             holds: deepest.is_some_and(|p| self.cache.holds(id, p.id)),
             kept: self.cache.kept(id),
             slots: target.slots,
+            most_tokens: target.most_tokens,
             near: target.data_hall == self.hall,
             tried: plan.tried.contains(id),
             target: id.clone(),
         }
     }
 }
+
+/// The target that rendezvous hashing names for a chat.
+fn first_choice(targets: &[Rc<TargetRecord>], chat: ConversationKey) -> Option<&TargetId> {
+    let first = targets.iter().max_by_key(|t| draw(chat.0, &t.id));
+    first.map(|t| &t.id)
+}
--- /dev/null
+++ b/src/edge/accounts.rs
@@ -0,0 +1,129 @@
+//! The limits of client accounts at this router, and the shares of the accounts that it keeps.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+
+use super::gateway::Gateway;
+use crate::{
+    config::serving::KeyHolder,
+    ids::{ClientAccountId, VmId},
+    limits::{AccountLimits, Demand, Grant, Limiter, ShareKeeper},
+    membership::datagram::Message,
+    units::Instant,
+};
+
+/// Accounts' limits at one router.
+#[derive(Default)]
+pub(crate) struct Accounts {
+    limiters: RefCell<HashMap<ClientAccountId, Limiter>>,
+    keepers: RefCell<HashMap<ClientAccountId, ShareKeeper>>,
+}
+
+/// Gives a place in an account's concurrency back when dropped.
+pub(crate) struct AccountPlace {
+    cx: Rc<Gateway>,
+    account: ClientAccountId,
+}
+
+impl Drop for AccountPlace {
+    fn drop(&mut self) {
+        let mut limiters = self.cx.accounts.limiters.borrow_mut();
+        if let Some(limiter) = limiters.get_mut(&self.account) {
+            limiter.finish();
+        }
+    }
+}
+
+/// Takes a call of an account in, or says when to come back; `None` where it has no limits.
+pub(crate) fn admit(
+    cx: &Rc<Gateway>,
+    holder: Option<&KeyHolder>,
+) -> Result<Option<AccountPlace>, std::time::Duration> {
+    let limited = holder.and_then(|h| h.limits.map(|limits| (&h.account, limits)));
+    let Some((account, limits)) = limited else {
+        return Ok(None);
+    };
+    let now = cx.now();
+    let routers = cx.peers.borrow().alive(now);
+    let mut limiters = cx.accounts.limiters.borrow_mut();
+    let limiter = limiters
+        .entry(account.clone())
+        .or_insert_with(|| Limiter::new(now));
+    limiter.admit(now, limits, routers)?;
+    Ok(Some(AccountPlace {
+        cx: Rc::clone(cx),
+        account: account.clone(),
+    }))
+}
+
+/// What is needed here, as each account's keeper is to be told it, with where that keeper is;
+/// what this router keeps itself is granted at once.
+pub(crate) fn asks(cx: &Gateway) -> Vec<(SocketAddr, Message)> {
+    let now = cx.now();
+    let mut asks = Vec::new();
+    for (account, demand) in demands(cx, now) {
+        let keeper = cx
+            .peers
+            .borrow()
+            .keeper_of(now, &format!("account/{account}"));
+        match keeper {
+            Some(address) => {
+                let from = cx.cfg.vm.clone();
+                let ask = Message::ShareAsk {
+                    from,
+                    account,
+                    demand,
+                };
+                asks.push((address, ask));
+            }
+            None => {
+                let grant = on_demand(cx, &cx.cfg.vm, &account, demand);
+                grant.into_iter().for_each(|g| on_grant(cx, &account, g));
+            }
+        }
+    }
+    asks
+}
+
+fn demands(cx: &Gateway, now: Instant) -> Vec<(ClientAccountId, Demand)> {
+    let mut demands = Vec::new();
+    cx.accounts.limiters.borrow_mut().retain(|id, limiter| {
+        let demand = limiter.take_demand(now);
+        let is_used = demand.is_some() || limiter.in_flight() > 0;
+        demands.extend(demand.map(|d| (id.clone(), d)));
+        is_used
+    });
+    cx.accounts
+        .keepers
+        .borrow_mut()
+        .retain(|_, k| !k.is_idle(now));
+    demands
+}
+
+/// A share of an account that this router keeps; `None` for an account that is not known.
+pub(crate) fn on_demand(
+    cx: &Gateway,
+    to: &VmId,
+    account: &ClientAccountId,
+    demand: Demand,
+) -> Option<Grant> {
+    let limits = cx.fleet.with_log(|log| {
+        let account = log.config().accounts.get(account)?;
+        Some(AccountLimits {
+            requests_per_s: account.requests_per_s,
+            concurrency: account.concurrency,
+        })
+    })?;
+    let now = cx.now();
+    let mut keepers = cx.accounts.keepers.borrow_mut();
+    let keeper = keepers
+        .entry(account.clone())
+        .or_insert_with(|| ShareKeeper::new(now));
+    Some(keeper.on_demand(now, to.clone(), demand, limits))
+}
+
+/// Takes a share.
+pub(crate) fn on_grant(cx: &Gateway, account: &ClientAccountId, grant: Grant) {
+    if let Some(limiter) = cx.accounts.limiters.borrow_mut().get_mut(account) {
+        limiter.on_grant(cx.now(), grant);
+    }
+}
--- /dev/null
+++ b/src/edge/admission.rs
@@ -0,0 +1,147 @@
+//! Whether a call is taken, and what it needs to be served.
+
+use std::{borrow::Cow, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::http::request;
+use slog::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    accounts::{self, AccountPlace},
+    attempt::Call,
+    gateway::Gateway,
+};
+use crate::{
+    ResultCode,
+    config::serving::{Denied, KeyHolder, Route},
+    dialect::{CallFacts, Refusal},
+    dispatcher::Plan,
+    explain::Decision,
+    lifecycle::Phase,
+    retry::Attempts,
+    units::{Instant, Rank, Tokens},
+};
+
+/// A whole call as it came in.
+pub(crate) struct Arrived {
+    /// Its head.
+    pub(crate) head: request::Parts,
+    /// Its body; `None` for one above the limit.
+    pub(crate) body: Option<Bytes>,
+    /// Its id.
+    pub(crate) id: Option<String>,
+    /// When its head was read.
+    pub(crate) received: Instant,
+}
+
+/// Takes a call in, or says why not.
+pub(crate) fn admit(
+    cx: &Rc<Gateway>,
+    arrived: Arrived,
+) -> Result<(Call, Option<AccountPlace>), Refusal> {
+    let Arrived {
+        head,
+        body,
+        id,
+        received,
+    } = arrived;
+    let config = cx.serving();
+    let config = config.ok_or(Refusal::new(ResultCode::NoConfig, "no configuration yet"))?;
+    let too_large = Refusal::new(ResultCode::BodyTooLarge, "body above the limit");
+    let body = body.ok_or(too_large)?;
+    let facts = cx.dialect.read_call(&head, &body, id.as_deref())?;
+    let admitted = config.admit(&facts.asked, facts.key.as_deref());
+    let (route, holder) = admitted.map_err(|denied| match denied {
+        Denied::NoRoute => facts.unknown.clone(),
+        Denied::WrongKey => Refusal::new(ResultCode::WrongKey, "no such key"),
+    })?;
+    if cx.phase() >= Phase::Refusing {
+        return Err(Refusal::new(ResultCode::Draining, "stopping"));
+    }
+    if cx.in_progress.get() > cx.cfg.max_calls {
+        let why = "as many calls in progress as there may be";
+        return Err(Refusal::new(ResultCode::RouterFull, why));
+    }
+    let needs_key = config.keyed && !route.public;
+    if needs_key && !cx.may_use_keys(received) {
+        let why = "configuration too old to trust keys";
+        return Err(Refusal::new(ResultCode::ConfigTooOld, why));
+    }
+    let place = accounts::admit(cx, holder.as_ref())
+        .map_err(|pause| over_limit(cx, id.as_deref(), pause))?;
+    let hash = xxh3_64(id.as_deref().unwrap_or_default().as_bytes());
+    let service = route.service_for(hash).cloned();
+    let no_service = Refusal::new(ResultCode::NoTarget, "no service on the route");
+    let service = service.ok_or(no_service)?;
+    let spec = config.service(&service);
+    let engine = spec.and_then(|s| s.engine);
+    cx.count_call(received, &service);
+    cx.note(id.as_deref().unwrap_or_default(), || Decision::Received {
+        account: holder
+            .as_ref()
+            .map_or_else(String::new, |h| h.account.to_string()),
+        pool: service.to_string(),
+    });
+    let plan = Plan {
+        kind: route.kind,
+        prompt: facts.prompt.clone(),
+        shared_parts: facts.shared_parts,
+        chat: chat_within(&facts, holder.as_ref()),
+        answer: engine
+            .and_then(|e| e.usual_answer)
+            .map_or(Tokens(0), |usual| facts.answer.unwrap_or(usual)),
+        hash,
+        engine,
+        tried: Vec::new(),
+        service,
+    };
+    let call = Call {
+        hold_until: received + held_for(&facts, &route),
+        rank: rank(&facts, &route, holder.as_ref()),
+        last_event: facts.last_event,
+        attempts: Attempts::default(),
+        conn_limit: spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns)),
+        plan,
+        head,
+        body,
+        id,
+        facts,
+        route,
+        holder,
+        received,
+    };
+    Ok((call, place))
+}
+
+/// How long a call is held: the caller's own time, but no longer than the route allows.
+fn held_for(facts: &CallFacts, route: &Route) -> Duration {
+    facts
+        .deadline
+        .map_or(route.timeout, |d| d.min(route.timeout))
+}
+
+fn chat_within(
+    facts: &CallFacts,
+    holder: Option<&KeyHolder>,
+) -> Option<crate::ids::ConversationKey> {
+    let chat = facts.chat?;
+    Some(holder.map_or(chat, |h| chat.within(&h.account)))
+}
+
+/// The account's rank or else the route's; less urgent where the caller wishes it.
+fn rank(facts: &CallFacts, route: &Route, holder: Option<&KeyHolder>) -> Rank {
+    let own = holder.and_then(|h| h.rank).unwrap_or(route.rank);
+    let own = if route.claimed { route.rank } else { own };
+    facts.rank.map_or(own, |asked| asked.max(own))
+}
+
+fn over_limit(cx: &Gateway, id: Option<&str>, pause: Duration) -> Refusal {
+    info!(cx.log, "account over its limit"; "id" => id,
+        "come_back_ms" => pause.as_millis() as u64);
+    Refusal {
+        why: Cow::Borrowed("the account's limit is reached"),
+        come_back: Some(pause),
+        ..Refusal::new(ResultCode::AccountLimit, "")
+    }
+}
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request,
+    Request, Uri,
     body::Incoming,
     http::{request, response},
 };
@@ -19,11 +19,13 @@
     config::serving::{KeyHolder, Route},
     dialect::{AnswerFacts, CallFacts, Handover, Refused},
     dispatcher::{Plan, Ticket},
+    explain::Decision,
     health::Outcome,
     ids::TargetId,
     placement::choice::NoChoice,
     prompt_cache::PartId,
     retry::{Attempts, Fate},
+    spans::HopSpan,
     units::{Instant, Rank},
 };
 
@@ -31,6 +33,7 @@
 pub(crate) struct Call {
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    pub(crate) id: Option<String>,
     pub(crate) facts: CallFacts,
     pub(crate) route: Rc<Route>,
     pub(crate) holder: Option<KeyHolder>,
@@ -40,6 +43,8 @@
     /// When an answer is of no use any more, or the operator wants the call ended.
     pub(crate) hold_until: Instant,
     pub(crate) attempts: Attempts,
+    /// How urgent it is.
+    pub(crate) rank: Rank,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
@@ -47,12 +52,20 @@
 impl Call {
     /// The caller's id of the call, for logs.
     pub(crate) fn id(&self) -> &str {
-        self.facts.id.as_deref().unwrap_or("-")
+        self.id.as_deref().unwrap_or("-")
     }
 
-    fn rank(&self) -> Option<Rank> {
-        let own = self.holder.as_ref().and_then(|h| h.rank);
-        (!self.plan.prompt.is_empty()).then(|| own.unwrap_or(self.route.rank))
+    /// The path as the target sees it; the caller's own where nothing is hidden.
+    fn handed_uri(&self) -> Uri {
+        let uri = &self.head.uri;
+        let hidden = self.route.hidden_prefix.as_str();
+        let shown = uri
+            .path_and_query()
+            .and_then(|p| p.as_str().strip_prefix(hidden));
+        let shown = shown.filter(|_| !hidden.is_empty());
+        shown
+            .and_then(|path| path.parse().ok())
+            .unwrap_or_else(|| uri.clone())
     }
 }
 
@@ -64,6 +77,7 @@
     shared_part: Option<PartId>,
     began: Instant,
     ended: bool,
+    span: HopSpan,
 }
 
 impl Place {
@@ -101,6 +115,16 @@
         };
         let (log, target) = (&self.cx.log, &self.ticket.target.id);
         self.cx.metrics.on_attempt(why);
+        self.span.note("outcome", why);
+        self.cx.note(&self.id, || match outcome {
+            Some(Outcome::Good) => Decision::Answered {
+                target: target.clone(),
+            },
+            _ => Decision::Failed {
+                target: target.clone(),
+                why: why.to_owned(),
+            },
+        });
         info!(log, "attempt"; "id" => &self.id, "target" => %target, "outcome" => why,
             "took_ms" => now.since(self.began).as_millis() as u64,
             "calls_there" => self.ticket.calls, "tokens_missing" => self.ticket.missing.0,
@@ -143,6 +167,14 @@
 }
 
 impl Failed {
+    /// What the call failed for: where no other target was left to try, what happened before.
+    pub(crate) fn after(self, before: Option<Self>) -> Self {
+        match before {
+            Some(before) if self.nowhere => before,
+            _ => self,
+        }
+    }
+
     fn nowhere(why: &'static str) -> Self {
         Self {
             fate: Fate::NotRun,
@@ -204,7 +236,13 @@
             shared_part: call.plan.shared_parts().last().map(|p| p.id),
             began: now,
             ended: false,
+            span: cx.spans.hop("target", call.id(), &call.head.headers),
         };
+        cx.note(call.id(), || Decision::Tried {
+            target: target.id.clone(),
+            calls: place.ticket.calls,
+            missing: place.ticket.missing.0,
+        });
         let repeatable = call.route.kind.is_repeatable();
         if let Some(conn) = cx.conns.take(now, &target.id, repeatable) {
             return Ok((place, conn));
@@ -229,7 +267,7 @@
     patience: Duration,
 ) -> Result<Begun, Failed> {
     let now = cx.now();
-    let req = request(cx, call, now, &place.ticket);
+    let req = request(cx, call, now, &place.ticket, &place.span);
     let until = (now + patience).min(call.hold_until);
     call.attempts.on_sent();
     let sent = conn.sender.try_send_request(req);
@@ -282,7 +320,7 @@
 fn judge(call: &Call, begun: Begun) -> Result<Begun, Failed> {
     let facts = &begun.facts;
     let status = begun.head.status;
-    let other = facts.id.is_some() && facts.id != call.facts.id;
+    let other = facts.id.is_some() && facts.id != call.id;
     match () {
         () if other => {
             begun.place.end(Outcome::Broken, "answer to another call");
@@ -304,20 +342,29 @@
     }
 }
 
-fn request(cx: &Gateway, call: &Call, now: Instant, ticket: &Ticket) -> Request<Full<Bytes>> {
+fn request(
+    cx: &Gateway,
+    call: &Call,
+    now: Instant,
+    ticket: &Ticket,
+    span: &HopSpan,
+) -> Request<Full<Bytes>> {
     let handover = Handover {
         target: &ticket.target.id,
+        id: call.id.as_deref(),
+        attempt: call.attempts.sent() + 1,
         fetch_from: ticket.fetch_from.as_ref().map(|t| t.address),
         time_left: call.hold_until.since(now),
         account: call.holder.as_ref().map(|h| &h.account),
         last_event: call.last_event,
-        rank: call.rank(),
+        rank: (!call.plan.prompt.is_empty()).then_some(call.rank),
     };
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.head.method.clone();
-    *req.uri_mut() = call.head.uri.clone();
+    *req.uri_mut() = call.handed_uri();
     let mut headers = call.head.headers.clone();
     cx.dialect.write_handover(&mut headers, &handover);
+    span.inject(&mut headers);
     *req.headers_mut() = headers;
     req
 }
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -5,37 +5,34 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::Incoming,
     header,
     http::{request, response},
 };
+use serde::Serialize;
 use slog::info;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    admission::{Arrived, admit},
     attempt::{Begun, Call, Failed, attempt},
     body::AnswerBody,
     ending::{Ending, give_up, pass_on, refuse},
-    gateway::{Gateway, Phase},
-    stream,
+    gateway::Gateway,
+    once, stream, view,
 };
 use crate::{
     ResultCode,
-    config::serving::Denied,
-    dialect::CallFacts,
-    dispatcher::Plan,
+    dialect::{AnswerFacts, Page, Refusal},
     health::Outcome,
-    retry::{Attempts, Fate},
-    units::Instant,
+    ids::ModelName,
+    reply,
+    retry::Fate,
 };
 
 /// The largest plain answer that is read whole before it is passed on, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
 
-/// How long a call waits where the caller names no deadline.
-const DEADLINE_UNTOLD: Duration = Duration::from_secs(30);
-
 /// How many times the goal a plain call that may be repeated waits for its answer before another
 /// target is asked; a target's own tail is well within.
 const PATIENCE: f64 = 1.5;
@@ -55,127 +52,154 @@
 ) -> Result<Response<AnswerBody>, Cut> {
     let received = cx.now();
     let (head, incoming) = req.into_parts();
-    let facts = cx.dialect.read_call(&head.headers);
-    let mut ending = Ending::new(cx, facts.id.as_deref());
-    let limits = cx.serving().map(|c| c.limits).unwrap_or_default();
-    let body = read_body(&head.headers, incoming, limits.body_bytes).await?;
+    let id = cx.dialect.call_id(&head.headers);
+    if let Some(page) = cx.dialect.page(&head) {
+        let mut res = on_page(cx, page, &head);
+        cx.dialect
+            .name_answer(res.headers_mut(), id.as_deref().unwrap_or_default());
+        return Ok(res);
+    }
+    let mut ending = Ending::new(cx, id.as_deref());
+    let body = match read_body(cx, &head.headers, incoming).await {
+        Ok(body) => body,
+        Err(NoBody::Cut) => return Err(Cut),
+        Err(NoBody::Slow) => {
+            let refusal = Refusal::new(ResultCode::SlowSender, "the body did not arrive in time");
+            return Ok(refuse(cx, &ending, refusal));
+        }
+    };
     let arrived = Arrived {
         head,
-        facts,
+        body,
+        id,
         received,
     };
-    match admit(cx, arrived, body) {
-        Err(refusal) => Ok(refuse(cx, &ending, refusal)),
-        Ok(call) => {
-            ending.route.clone_from(&call.route.name);
-            match call.route.kind.is_stream() {
-                true => Ok(stream::serve(cx, call, ending).await),
-                false => Ok(serve(cx, call, ending).await),
-            }
-        }
-    }
+    let (call, place) = match admit(cx, arrived) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return Ok(refuse(cx, &ending, refusal)),
+    };
+    ending.route.clone_from(&call.route.name);
+    ending.hold(place);
+    Ok(match () {
+        () if call.route.claimed => once::serve_once(cx, call, ending).await,
+        () if call.route.kind.is_stream() => stream::serve(cx, call, ending).await,
+        () => serve_plain(cx, call, ending).await,
+    })
 }
 
-/// A call's head, and when it was read.
-struct Arrived {
-    head: request::Parts,
-    facts: CallFacts,
-    received: Instant,
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'a str,
+    data: Vec<ModelEntry<'a>>,
 }
 
-/// Why a call is refused before anything is sent.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Refusal {
-    pub(crate) code: ResultCode,
-    pub(crate) why: &'static str,
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'a str,
+    created: u64,
+    owned_by: &'a str,
 }
 
-/// What a call needs to be served, or why it is not; `None` for a body above the limit.
-fn admit(cx: &Gateway, arrived: Arrived, body: Option<Bytes>) -> Result<Call, Refusal> {
-    let refusal = |code, why| Refusal { code, why };
-    let Arrived {
-        head,
-        facts,
-        received,
-    } = arrived;
-    let config = cx.serving();
-    let config = config.ok_or(refusal(ResultCode::NoConfig, "no configuration yet"))?;
-    let body = body.ok_or(refusal(ResultCode::BodyTooLarge, "body above the limit"))?;
-    let host = host_of(&head).unwrap_or_default();
-    let admitted = config.admit(host, head.uri.path(), facts.key.as_deref());
-    let (route, holder) = admitted.map_err(|denied| match denied {
-        Denied::NoRoute => refusal(ResultCode::UnknownPath, "no route fits"),
-        Denied::WrongKey => refusal(ResultCode::WrongKey, "no account holds the key"),
-    })?;
-    if cx.phase.get() == Phase::Refusing {
-        return Err(refusal(ResultCode::Draining, "stopping"));
-    }
-    let needs_key = config.keyed && !route.public;
-    if needs_key && !cx.may_use_keys(received) {
-        let why = "configuration too old to trust keys";
-        return Err(refusal(ResultCode::ConfigTooOld, why));
+/// What this router tells of itself; the models only to whoever has a key.
+fn on_page(cx: &Gateway, page: Page, head: &request::Parts) -> Response<AnswerBody> {
+    match page {
+        Page::Alive => reply::whole(200, "text/plain", "ok\n"),
+        Page::Ready if cx.is_ready() => reply::whole(200, "text/plain", "ready\n"),
+        Page::Ready => reply::whole(503, "text/plain", format!("{}\n", view::state(cx))),
+        Page::Models => {
+            let facts = cx.dialect.read_call(head, &Bytes::new(), None);
+            let key = facts.ok().and_then(|f| f.key);
+            let config = cx.serving();
+            let holds = |key: &str| config.as_ref().is_some_and(|c| c.holder(key).is_some());
+            match key.as_deref().is_some_and(holds) {
+                true => models(cx),
+                false => reply::error(ResultCode::WrongKey, "no such key"),
+            }
+        }
     }
-    let hash = xxh3_64(facts.id.as_deref().unwrap_or_default().as_bytes());
-    let service = route.service_for(hash).cloned();
-    let service = service.ok_or(refusal(ResultCode::NoTarget, "no service on the route"))?;
-    let deadline = facts.deadline.unwrap_or(DEADLINE_UNTOLD);
-    let spec = config.service(&service);
-    let conn_limit = spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns));
-    cx.count_call(received, &service);
-    Ok(Call {
-        plan: Plan {
-            service,
-            kind: route.kind,
-            prompt: facts.prompt.clone(),
-            hash,
-            engine: spec.and_then(|s| s.engine),
-            tried: Vec::new(),
-        },
-        hold_until: received + deadline.min(route.timeout),
-        last_event: facts.last_event,
-        attempts: Attempts::default(),
-        head,
-        body,
-        facts,
-        route,
-        holder,
-        conn_limit,
-        received,
+}
+
+fn models(cx: &Gateway) -> Response<AnswerBody> {
+    cx.fleet.with_log(|log| {
+        let entry = |name| ModelEntry {
+            id: name,
+            object: "model",
+            created: 0,
+            owned_by: "scaleford",
+        };
+        let names = log.config().models.keys().map(ModelName::as_str);
+        let list = ModelList {
+            object: "list",
+            data: names.map(entry).collect(),
+        };
+        reply::json(200, &list)
     })
 }
 
-/// A call's host, from its target or its `Host` header.
-fn host_of(head: &request::Parts) -> Option<&str> {
-    let named = head.headers.get(header::HOST);
-    let named = named.and_then(|h| h.to_str().ok());
-    head.uri.host().or(named)
+/// Why there is no body.
+enum NoBody {
+    /// The caller closed before it was whole.
+    Cut,
+    /// It took too long.
+    Slow,
 }
 
 /// The whole body; `None` if it is above the limit.
 async fn read_body(
-    headers: &hyper::HeaderMap,
+    cx: &Gateway,
+    headers: &HeaderMap,
     incoming: Incoming,
-    limit: usize,
-) -> Result<Option<Bytes>, Cut> {
+) -> Result<Option<Bytes>, NoBody> {
+    let limits = cx.caller_limits();
     let told = headers.get(header::CONTENT_LENGTH);
     let told = told.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-    if told.is_some_and(|n| n > limit) {
+    if told.is_some_and(|n| n > limits.body_bytes) {
         return Ok(None);
     }
-    match Limited::new(incoming, limit).collect().await {
-        Ok(body) => Ok(Some(body.to_bytes())),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Ok(None),
-        Err(_) => Err(Cut),
+    let reading = Limited::new(incoming, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_time, reading).await {
+        Ok(Ok(body)) => Ok(Some(body.to_bytes())),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Ok(None),
+        Ok(Err(_)) => Err(NoBody::Cut),
+        Err(_) => Err(NoBody::Slow),
+    }
+}
+
+/// What a call came to whose answer comes whole.
+pub(crate) enum Served {
+    /// A target's answer.
+    Answer(Whole),
+    /// None.
+    GaveUp(Failed),
+}
+
+async fn serve_plain(cx: &Rc<Gateway>, mut call: Call, ending: Ending) -> Response<AnswerBody> {
+    let served = serve(cx, &mut call).await;
+    respond(cx, &ending, &call, served)
+}
+
+/// The answer to a call that was served, or given up.
+pub(crate) fn respond(
+    cx: &Gateway,
+    ending: &Ending,
+    call: &Call,
+    served: Served,
+) -> Response<AnswerBody> {
+    match served {
+        Served::Answer(answer) => pass_on(cx, ending, call, answer),
+        Served::GaveUp(failed) => give_up(cx, ending, call, failed),
     }
 }
 
 /// Serves a call whose answer comes whole.
-async fn serve(cx: &Rc<Gateway>, mut call: Call, ending: Ending) -> Response<AnswerBody> {
+pub(crate) async fn serve(cx: &Rc<Gateway>, call: &mut Call) -> Served {
     let mut last_answer = None;
+    let mut before = None;
     loop {
-        let patience = patience(cx, &call, PATIENCE, LEAST_PATIENCE);
-        let failed = match attempt(cx, &mut call, patience).await {
-            Ok(begun) => match read_answer(cx, &mut call, begun).await {
+        let patience = patience(cx, call, PATIENCE, LEAST_PATIENCE);
+        let failed = match attempt(cx, call, patience).await {
+            Ok(begun) => match read_answer(cx, call, begun).await {
                 Ok(answer) if answer.0.status.is_server_error() => {
                     last_answer = Some(answer);
                     Failed {
@@ -184,17 +208,18 @@
                         nowhere: false,
                     }
                 }
-                Ok(answer) => return pass_on(cx, &ending, &call, answer),
+                Ok(answer) => return Served::Answer(answer),
                 Err(failed) => failed,
             },
             Err(failed) => failed,
         };
-        if !may_repeat(cx, &call, failed) {
+        if !may_repeat(cx, call, failed) {
             return match last_answer {
-                Some(answer) => pass_on(cx, &ending, &call, answer),
-                None => give_up(cx, &ending, &call, failed),
+                Some(answer) => Served::Answer(answer),
+                None => Served::GaveUp(failed.after(before)),
             };
         }
+        before = Some(failed);
     }
 }
 
@@ -264,11 +289,7 @@
 }
 
 /// Keeps a connection for the next call if it is still sound.
-pub(crate) async fn keep(
-    cx: &Gateway,
-    mut conn: super::conn::Conn,
-    facts: &crate::dialect::AnswerFacts,
-) {
+pub(crate) async fn keep(cx: &Gateway, mut conn: super::conn::Conn, facts: &AnswerFacts) {
     if facts.closing {
         return;
     }
--- a/src/claim_keeper.rs
+++ b/src/edge/claim_keeper.rs
@@ -1,8 +1,7 @@
 //! The shards of claims that this router keeps: steps are gathered and written together.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use parking_lot::Mutex;
 use tokio::{
     sync::{
         mpsc::{self, Receiver, Sender},
@@ -12,9 +11,9 @@
 };
 
 use crate::{
-    Error, Result,
     claims::{Batch, ClaimShard, ClaimStep, ClaimVerdict},
-    platform::{KvStore, StoreRevision, Swap},
+    store::{MetaStore, StoreError, Swap},
+    units::StoreRevision,
 };
 
 /// The shortest time between two writes of a shard; eight shards stay below 80 writes a second.
@@ -36,15 +35,15 @@
 
 /// Keeps shards of claims in the store.
 pub(crate) struct ClaimKeeper {
-    store: Arc<dyn KvStore>,
-    shards: Mutex<HashMap<u64, Sender<Waiting>>>,
+    store: Rc<dyn MetaStore>,
+    shards: RefCell<HashMap<u64, Sender<Waiting>>>,
 }
 
 impl ClaimKeeper {
-    pub(crate) fn new(store: Arc<dyn KvStore>) -> Self {
+    pub(crate) fn new(store: Rc<dyn MetaStore>) -> Self {
         Self {
             store,
-            shards: Mutex::default(),
+            shards: RefCell::default(),
         }
     }
 
@@ -59,10 +58,10 @@
     }
 
     fn queue(&self, shard: u64) -> Sender<Waiting> {
-        let mut shards = self.shards.lock();
+        let mut shards = self.shards.borrow_mut();
         let queue = shards.entry(shard).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(QUEUE);
-            tokio::spawn(keep(shard, Arc::clone(&self.store), rx));
+            tokio::task::spawn_local(keep(shard, Rc::clone(&self.store), rx));
             tx
         });
         queue.clone()
@@ -75,7 +74,7 @@
     revision: Option<StoreRevision>,
 }
 
-async fn keep(number: u64, store: Arc<dyn KvStore>, mut rx: Receiver<Waiting>) {
+async fn keep(number: u64, store: Rc<dyn MetaStore>, mut rx: Receiver<Waiting>) {
     let mut kept = None;
     let mut waiting = Vec::new();
     let mut next = Instant::now();
@@ -103,10 +102,10 @@
 /// Decides and writes, again with what another keeper wrote meanwhile.
 async fn record(
     number: u64,
-    store: &dyn KvStore,
+    store: &dyn MetaStore,
     kept: &mut Option<Kept>,
     steps: &[ClaimStep],
-) -> Result<Vec<ClaimVerdict>> {
+) -> Result<Vec<ClaimVerdict>, StoreError> {
     for _ in 0..TRIES {
         let current = match kept.take() {
             Some(k) => k,
@@ -119,22 +118,22 @@
             return Ok(verdicts);
         }
     }
-    Err(Error::Platform("claims: too many keepers".to_owned()))
+    Err(StoreError::Garbled("claims: too many keepers".to_owned()))
 }
 
 async fn write(
     number: u64,
-    store: &dyn KvStore,
+    store: &dyn MetaStore,
     kept: &mut Option<Kept>,
     current: Kept,
     batch: Batch,
-) -> Result<Option<Vec<ClaimVerdict>>> {
-    let value = serde_json::to_string(&batch.chunk).map_err(|e| Error::Platform(e.to_string()))?;
+) -> Result<Option<Vec<ClaimVerdict>>, StoreError> {
+    let value = serde_json::to_vec(&batch.chunk).map_err(|e| StoreError::Garbled(e.to_string()))?;
     let key = ClaimShard::store_key(number, batch.number);
     let expected = current
         .revision
         .filter(|_| current.shard.number() == batch.number);
-    let swap = match store.swap(&key, expected, &value).await {
+    let swap = match store.swap(&key, expected, value.clone()).await {
         Ok(swap) => swap,
         Err(_) => settle(store, &key, &value).await?,
     };
@@ -157,26 +156,26 @@
 ///
 /// A write that did not may still be on its way, so "not written" is never concluded here: the
 /// batch is decided anew and competes with it for the same place.
-async fn settle(store: &dyn KvStore, key: &str, value: &str) -> Result<Swap> {
+async fn settle(store: &dyn MetaStore, key: &str, value: &[u8]) -> Result<Swap, StoreError> {
     match store.get(key).await? {
         Some(entry) if entry.value == value => Ok(Swap::Done(entry.revision)),
         _ => Ok(Swap::Conflict),
     }
 }
 
-async fn load(number: u64, store: &dyn KvStore) -> Result<Kept> {
+async fn load(number: u64, store: &dyn MetaStore) -> Result<Kept, StoreError> {
     let prefix = ClaimShard::store_prefix(number);
-    let (entries, _) = store.list(&prefix).await?;
+    let entries = store.range(&prefix).await?;
     let mut kept = Kept {
         shard: ClaimShard::default(),
         revision: None,
     };
     let newest = entries.last().map_or_else(String::new, |e| e.key.clone());
     for entry in entries {
-        let fault = |e: String| Error::Platform(format!("{}: {e}", entry.key));
+        let fault = |e: String| StoreError::Garbled(format!("{}: {e}", entry.key));
         let place = entry.key[prefix.len()..].parse();
         let place = place.map_err(|e: std::num::ParseIntError| fault(e.to_string()))?;
-        let chunk = serde_json::from_str(&entry.value).map_err(|e| fault(e.to_string()))?;
+        let chunk = serde_json::from_slice(&entry.value).map_err(|e| fault(e.to_string()))?;
         if entry.key != newest && ClaimShard::is_expired(&chunk, wall_s()) {
             store.remove(&entry.key).await?;
             continue;
--- a/src/operator/confirm.rs
+++ b/src/edge/confirm.rs
@@ -1,21 +1,20 @@
 //! Confirming a plan: one compare-and-swap decides, and a lost answer is settled by reading.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use serde::Serialize;
 use slog::{info, warn};
 
+use super::{fleet::take_change, follow::read_changes, gateway::Gateway};
 use crate::{
     config::{Change, ChangeOutcome},
-    config_feed::{SNAPSHOT_KEY, change_key, read_store, take_change},
     ids::{ChangeId, Revision},
     intent::{self, IntentError, Plan},
-    platform::Swap,
     result_code::ResultCode,
-    router::Shared,
+    store::{
+        StoreError, Swap,
+        own::{SNAPSHOT_KEY, change_key},
+    },
 };
 
 /// How often a confirmation that loses the race for a place tries the next one.
@@ -48,17 +47,19 @@
 }
 
 /// Makes a plan's change the next accepted one, exactly once.
-pub(super) async fn confirm(cx: &Arc<Shared>, plan: &Plan) -> Result<Accepted, IntentError> {
+pub(super) async fn confirm(cx: &Rc<Gateway>, plan: &Plan) -> Result<Accepted, IntentError> {
     for _ in 0..TRIES {
         if let Some(accepted) = accepted_before(cx, &plan.id) {
             return Ok(accepted);
         }
-        let change = intent::change(&cx.config.lock(), plan)?;
+        let change = cx.fleet.with_log(|log| intent::change(log, plan))?;
         match write(cx, change).await? {
             Written::Accepted(change) => return Ok(accept(cx, change)),
             // Somebody else's change has the place: take it and try the next one.
             Written::Lost => {
-                let _ = read_store(cx).await;
+                if let Err(e) = read_changes(cx).await {
+                    info!(cx.log, "changes not read"; "why" => %e);
+                }
             }
             Written::Unknown => {
                 let detail = format!("not known yet: scaleford intent show {}", plan.id);
@@ -70,25 +71,24 @@
     Err(IntentError::new(ResultCode::PlanOutdated, detail))
 }
 
-fn accepted_before(cx: &Shared, id: &ChangeId) -> Option<Accepted> {
-    let config = cx.config.lock();
-    let known = config.recent().find(|c| c.id == *id)?;
+fn accepted_before(cx: &Gateway, id: &ChangeId) -> Option<Accepted> {
+    let revision = cx.fleet.revision_of(id)?;
     Some(Accepted {
         id: id.clone(),
-        revision: known.revision,
+        revision,
     })
 }
 
-async fn write(cx: &Arc<Shared>, change: Change) -> Result<Written, IntentError> {
+async fn write(cx: &Rc<Gateway>, change: Change) -> Result<Written, IntentError> {
     let fault = |e: serde_json::Error| IntentError::new(ResultCode::Internal, e.to_string());
-    let value = serde_json::to_string(&change).map_err(fault)?;
+    let value = serde_json::to_vec(&change).map_err(fault)?;
     let key = change_key(change.revision);
     for n in 0..SETTLE_TRIES {
         if n > 0 {
             tokio::time::sleep(SETTLE_WAIT).await;
         }
-        cx.counters.store_calls.fetch_add(1, Ordering::Relaxed);
-        match cx.store.swap(&key, None, &value).await {
+        cx.metrics.on_store_call("confirm");
+        match cx.store.swap(&key, None, value.clone()).await {
             Ok(Swap::Done(_)) => return Ok(Written::Accepted(change)),
             Ok(Swap::Conflict) => match whose(cx, &key, &change).await {
                 Some(true) => return Ok(Written::Accepted(change)),
@@ -96,7 +96,7 @@
                 None => {}
             },
             Err(e) => {
-                warn!(cx.telemetry.log, "write without an answer"; "key" => &key, "error" => %e);
+                warn!(cx.log, "write without an answer"; "key" => &key, "error" => %e);
             }
         }
     }
@@ -104,27 +104,27 @@
 }
 
 /// Whether the change at a key is this one; `None` where the store does not answer.
-async fn whose(cx: &Shared, key: &str, change: &Change) -> Option<bool> {
-    cx.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+async fn whose(cx: &Gateway, key: &str, change: &Change) -> Option<bool> {
+    cx.metrics.on_store_call("confirm");
     let entry = cx.store.get(key).await.ok()??;
-    let found: Change = serde_json::from_str(&entry.value).ok()?;
+    let found: Change = serde_json::from_slice(&entry.value).ok()?;
     Some(found.id == change.id)
 }
 
-fn accept(cx: &Arc<Shared>, change: Change) -> Accepted {
+fn accept(cx: &Rc<Gateway>, change: Change) -> Accepted {
     let accepted = Accepted {
         id: change.id.clone(),
         revision: change.revision,
     };
-    info!(cx.telemetry.log, "change accepted"; "id" => %change.id, "revision" => change.revision.0,
+    info!(cx.log, "change accepted"; "id" => %change.id, "revision" => change.revision.0,
         "author" => &change.author, "reason" => &change.reason);
     let revision = change.revision.0;
     if take_change(cx, change) == ChangeOutcome::Applied && revision.is_multiple_of(SNAPSHOT_EVERY)
     {
-        let cx = Arc::clone(cx);
-        tokio::spawn(async move {
+        let cx = Rc::clone(cx);
+        tokio::task::spawn_local(async move {
             if let Err(e) = store_snapshot(&cx).await {
-                warn!(cx.telemetry.log, "snapshot not stored"; "error" => %e);
+                warn!(cx.log, "snapshot not stored"; "error" => %e);
             }
         });
     }
@@ -132,13 +132,12 @@
 }
 
 /// Stores the whole configuration and removes changes that it makes needless.
-async fn store_snapshot(cx: &Arc<Shared>) -> crate::Result<()> {
-    let snapshot = cx.config.lock().snapshot();
-    let value = serde_json::to_string(&snapshot);
-    let value = value.map_err(|e| crate::Error::Platform(e.to_string()))?;
+async fn store_snapshot(cx: &Rc<Gateway>) -> Result<(), StoreError> {
+    let snapshot = cx.fleet.with_log(crate::config::ConfigLog::snapshot);
+    let value = serde_json::to_vec(&snapshot).map_err(|e| StoreError::Garbled(e.to_string()))?;
     let known = cx.store.get(SNAPSHOT_KEY).await?;
     cx.store
-        .swap(SNAPSHOT_KEY, known.map(|e| e.revision), &value)
+        .swap(SNAPSHOT_KEY, known.map(|e| e.revision), value)
         .await?;
     let last = snapshot.revision.0.saturating_sub(KEEP_CHANGES);
     for n in last.saturating_sub(SNAPSHOT_EVERY) + 1..=last {
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -1,23 +1,35 @@
 //! How calls end: the answer that the caller gets, and the line that the log keeps of it.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{borrow::Cow, cell::Cell, rc::Rc, time::Duration};
 
-use hyper::{Response, StatusCode, header};
+use hyper::{
+    Response,
+    header::{self, HeaderValue},
+};
 use slog::info;
 
 use super::{
+    accounts::AccountPlace,
     attempt::{Call, Failed},
     body::AnswerBody,
-    call::{Refusal, Whole},
-    gateway::{Gateway, Phase},
+    call::Whole,
+    gateway::Gateway,
+};
+use crate::{
+    ResultCode,
+    dialect::Refusal,
+    explain::Decision,
+    lifecycle::Phase,
+    reply,
+    retry::{Attempts, NotRun},
+    units::Instant,
 };
-use crate::{ResultCode, reply, retry::Attempts, units::Instant};
 
 /// When a caller that was refused may come back; by then another router gets it.
 const COME_BACK: Duration = Duration::from_millis(100);
 
 /// Counts a call as in progress.
-pub(crate) struct InProgressGuard(Rc<Gateway>);
+struct InProgressGuard(Rc<Gateway>);
 
 impl InProgressGuard {
     fn new(cx: &Rc<Gateway>) -> Self {
@@ -39,9 +51,48 @@
     pub(crate) route: String,
     received: Instant,
     told: Cell<bool>,
+    place: Option<AccountPlace>,
     _guard: InProgressGuard,
 }
 
+/// What a call came to, for the log.
+pub(crate) struct End<'a> {
+    /// The name of its code; `ok` or `target_error` with a target's answer.
+    pub(crate) name: &'static str,
+    /// The number of its code; 0 with a target's answer.
+    pub(crate) number: u16,
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// Why, where it was not served.
+    pub(crate) why: &'a str,
+}
+
+impl<'a> End<'a> {
+    /// An end without an answer of a target.
+    pub(crate) fn coded(code: ResultCode, why: &'a str) -> Self {
+        Self {
+            name: code.name(),
+            number: code.number(),
+            status: code.status(),
+            why,
+        }
+    }
+
+    /// A target's answer was passed on.
+    pub(crate) fn answered(status: hyper::StatusCode) -> Self {
+        let name = match status {
+            s if s.is_success() => "ok",
+            _ => "target_error",
+        };
+        Self {
+            name,
+            number: 0,
+            status: status.as_u16(),
+            why: "",
+        }
+    }
+}
+
 impl Ending {
     /// A call that has just come in.
     pub(crate) fn new(cx: &Rc<Gateway>, id: Option<&str>) -> Self {
@@ -51,20 +102,30 @@
             route: String::new(),
             received: cx.now(),
             told: Cell::new(false),
+            place: None,
             _guard: InProgressGuard::new(cx),
         }
     }
 
+    /// Keeps the call's place in its account's concurrency until the end.
+    pub(crate) fn hold(&mut self, place: Option<AccountPlace>) {
+        self.place = place;
+    }
+
     /// Logs the end.
-    pub(crate) fn tell(&self, code: &'static str, status: u16, why: &str, attempts: Attempts) {
+    pub(crate) fn tell(&self, end: End<'_>, attempts: Attempts) {
         self.told.set(true);
         let now = self.cx.now();
         let took = now.since(self.received);
-        self.cx.metrics.on_call(code, took);
+        self.cx.metrics.on_call(end.name, end.number, took);
+        self.cx.note(&self.id, || Decision::Ended {
+            code: end.number,
+            why: end.why.to_owned(),
+        });
         let freshness = self.cx.freshness.borrow();
         let age = freshness.age(now);
-        info!(self.cx.log, "call"; "id" => &self.id, "route" => &self.route, "code" => code,
-            "status" => status, "why" => why, "attempts" => attempts.sent(),
+        info!(self.cx.log, "call"; "id" => &self.id, "route" => &self.route, "code" => end.name,
+            "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
             "took_ms" => took.as_millis() as u64, "config_revision" => freshness.revision().0,
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
     }
@@ -73,12 +134,11 @@
 impl Drop for Ending {
     fn drop(&mut self) {
         if !self.told.get() {
-            self.tell(
-                ResultCode::CallerGone.name(),
-                0,
-                "caller left",
-                Attempts::default(),
-            );
+            let end = End {
+                status: 0,
+                ..End::coded(ResultCode::CallerGone, "caller left")
+            };
+            self.tell(end, Attempts::default());
         }
     }
 }
@@ -91,22 +151,27 @@
     answer: Whole,
 ) -> Response<AnswerBody> {
     let (head, body) = answer;
-    let code = match head.status {
-        s if s.is_success() => "ok",
-        _ => "target_error",
-    };
-    ending.tell(code, head.status.as_u16(), "", call.attempts);
-    let mut res = Response::from_parts(head, AnswerBody::whole(body));
-    close_if_stopping(cx, &mut res);
-    res
+    ending.tell(End::answered(head.status), call.attempts);
+    finish(
+        cx,
+        ending,
+        Response::from_parts(head, AnswerBody::whole(body)),
+    )
 }
 
-/// Closes the caller's connection after this answer if a stop was asked for.
-pub(crate) fn close_if_stopping(cx: &Gateway, res: &mut Response<AnswerBody>) {
-    if cx.phase.get() != Phase::Serving {
-        let close = header::HeaderValue::from_static("close");
+/// Names the call on its answer, and closes the caller's connection after it if a stop was asked
+/// for.
+pub(crate) fn finish(
+    cx: &Gateway,
+    ending: &Ending,
+    mut res: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    cx.dialect.name_answer(res.headers_mut(), &ending.id);
+    if cx.phase() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
+    res
 }
 
 /// The answer to a call that was not served, by whether it may have run.
@@ -116,37 +181,64 @@
     call: &Call,
     failed: Failed,
 ) -> Response<AnswerBody> {
-    let code = match call.attempts.is_not_run() {
-        true if failed.why == "all targets full" => ResultCode::Overloaded,
-        true => ResultCode::NoTarget,
-        false if cx.now() >= call.hold_until => ResultCode::TargetTimeout,
-        false => ResultCode::OutcomeUnknown,
+    match call.attempts.not_run() {
+        Some(proof) => tell_not_run(cx, ending, call, failed, proof),
+        None => {
+            let code = match cx.now() >= call.hold_until {
+                true => ResultCode::TargetTimeout,
+                false => ResultCode::OutcomeUnknown,
+            };
+            ending.tell(End::coded(code, failed.why), call.attempts);
+            finish(cx, ending, reply::error(code, failed.why))
+        }
+    }
+}
+
+fn tell_not_run(
+    cx: &Gateway,
+    ending: &Ending,
+    call: &Call,
+    failed: Failed,
+    _proof: NotRun,
+) -> Response<AnswerBody> {
+    let (code, text) = match failed.why {
+        "all targets full" => (ResultCode::Overloaded, "all targets are full"),
+        _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
+        why => (ResultCode::NoTarget, why),
     };
-    ending.tell(code.name(), code.status(), failed.why, call.attempts);
-    answer(cx, code)
+    ending.tell(End::coded(code, failed.why), call.attempts);
+    answer(cx, ending, code, text, None)
 }
 
 /// Refuses a call before anything was sent.
 pub(crate) fn refuse(cx: &Gateway, ending: &Ending, refusal: Refusal) -> Response<AnswerBody> {
-    let Refusal { code, why } = refusal;
-    ending.tell(code.name(), code.status(), why, Attempts::default());
-    answer(cx, code)
+    let Refusal {
+        code,
+        why,
+        come_back,
+    } = refusal;
+    let why: Cow<'static, str> = why;
+    ending.tell(End::coded(code, &why), Attempts::default());
+    answer(cx, ending, code, &why, come_back)
 }
 
-/// An answer of our own.
-fn answer(cx: &Gateway, code: ResultCode) -> Response<AnswerBody> {
-    let mut res = Response::new(AnswerBody::whole(format!("{code}\n")));
-    let status = StatusCode::from_u16(code.status());
-    *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let number = header::HeaderValue::from(code.number());
-    res.headers_mut().insert(reply::CODE_HEADER, number);
-    if matches!(code.status(), 503 | 429) {
-        let jitter = rand::random_range(0.5..1.5);
-        let pause = format!("{:.3}", COME_BACK.as_secs_f64() * jitter);
-        if let Ok(pause) = header::HeaderValue::from_str(&pause) {
-            res.headers_mut().insert(header::RETRY_AFTER, pause);
-        }
+/// An answer of our own, with when to come back where that may help.
+fn answer(
+    cx: &Gateway,
+    ending: &Ending,
+    code: ResultCode,
+    why: &str,
+    come_back: Option<Duration>,
+) -> Response<AnswerBody> {
+    let mut res = reply::error(code, why);
+    let usual = || COME_BACK.mul_f64(rand::random_range(0.5..1.5));
+    let pause = match code.status() {
+        429 | 503 => Some(come_back.unwrap_or_else(usual)),
+        _ => come_back,
+    };
+    let pause = pause.map(|p| HeaderValue::from_str(&cx.dialect.retry_after(p)));
+    if let Some(Ok(pause)) = pause {
+        res.headers_mut().insert(header::RETRY_AFTER, pause);
     }
-    close_if_stopping(cx, &mut res);
-    res
+    finish(cx, ending, res)
 }
--- /dev/null
+++ b/src/edge/fleet.rs
@@ -0,0 +1,123 @@
+//! The operators' own configuration at this router: accepted changes in their one order, and what
+//! they put in force.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use slog::{error, info, warn};
+
+use super::gateway::Gateway;
+use crate::{
+    ResultCode,
+    config::{Change, ChangeOutcome, ConfigLog, Snapshot, routes},
+    ids::{ChangeId, Revision},
+    store::own,
+};
+
+/// The log of changes, and how often an older history was refused.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    log: RefCell<ConfigLog>,
+    reverts_refused: std::cell::Cell<u64>,
+}
+
+impl Fleet {
+    /// The last change in force.
+    pub(crate) fn revision(&self) -> Revision {
+        self.log.borrow().revision()
+    }
+
+    /// Older histories that were not taken.
+    pub(crate) fn reverts_refused(&self) -> u64 {
+        self.reverts_refused.get()
+    }
+
+    /// Looks at the log.
+    pub(crate) fn with_log<T>(&self, f: impl FnOnce(&ConfigLog) -> T) -> T {
+        f(&self.log.borrow())
+    }
+
+    /// The revision of a recent change.
+    pub(crate) fn revision_of(&self, id: &ChangeId) -> Option<Revision> {
+        let log = self.log.borrow();
+        log.recent().find(|c| c.id == *id).map(|c| c.revision)
+    }
+
+    fn on_revert(&self) {
+        self.reverts_refused.set(self.reverts_refused.get() + 1);
+    }
+}
+
+/// Takes a change, from wherever; says what became of it.
+pub(crate) fn take_change(cx: &Gateway, change: Change) -> ChangeOutcome {
+    let revision = change.revision;
+    let outcome = cx.fleet.log.borrow_mut().on_change(change);
+    after(cx, outcome, revision);
+    outcome
+}
+
+/// Takes a whole configuration, from wherever.
+pub(crate) fn take_snapshot(cx: &Gateway, snapshot: Snapshot) {
+    let revision = snapshot.revision;
+    let outcome = cx.fleet.log.borrow_mut().on_snapshot(snapshot);
+    after(cx, outcome, revision);
+}
+
+fn after(cx: &Gateway, outcome: ChangeOutcome, revision: Revision) {
+    match outcome {
+        ChangeOutcome::Applied => put_in_force(cx),
+        ChangeOutcome::Conflict => {
+            cx.fleet.on_revert();
+            error!(cx.log, "a change of another history was not taken";
+                "code" => ResultCode::StoreReverted.number(), "revision" => revision.0);
+        }
+        ChangeOutcome::Old | ChangeOutcome::Gap => {}
+    }
+}
+
+fn put_in_force(cx: &Gateway) {
+    let (revision, config) = {
+        let log = cx.fleet.log.borrow();
+        (log.revision(), Arc::clone(log.config()))
+    };
+    let serving = routes::serving(&config, revision, &cx.cfg.callers_rules);
+    let at = serving.revision;
+    let applied = cx.apply(serving);
+    let targets = routes::targets(&config);
+    let now = cx.now();
+    let changes = {
+        let mut dispatcher = cx.dispatcher.borrow_mut();
+        dispatcher.discovery.on_stated(now, targets, at)
+    };
+    for (id, verdict) in changes {
+        super::follow::tell(cx, &id, verdict, at);
+    }
+    info!(cx.log, "config"; "revision" => revision.0, "applied" => applied);
+}
+
+/// Says loudly that the store holds less than what is in force, and gives it back what it lost.
+/// `last` is the newest change that the store holds.
+pub(crate) async fn mend_store(cx: &Rc<Gateway>, last: Revision) {
+    let lost: Vec<Arc<Change>> = cx.fleet.with_log(|log| {
+        let newer = log.recent().filter(|c| c.revision > last);
+        newer.cloned().collect()
+    });
+    if lost.is_empty() {
+        return;
+    }
+    cx.fleet.on_revert();
+    error!(cx.log, "the store holds an older configuration than is in force";
+        "code" => ResultCode::StoreReverted.number(), "store" => last.0, "lost" => lost.len());
+    for change in lost {
+        let key = own::change_key(change.revision);
+        let written = match serde_json::to_vec(&*change) {
+            // Whoever creates the key first, the content is the same; another content shows as a
+            // conflict when it is read.
+            Ok(value) => cx.store.swap(&key, None, value).await.map(|_| ()),
+            Err(e) => Err(crate::store::StoreError::Garbled(e.to_string())),
+        };
+        if let Err(e) = written {
+            warn!(cx.log, "change not given back"; "revision" => change.revision.0, "why" => %e);
+            return;
+        }
+    }
+}
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -8,14 +8,16 @@
 use rand::Rng;
 use slog::{info, warn};
 
-use super::{gateway::Gateway, mirror::Upstream};
+use super::{fleet, gateway::Gateway, peer_calls::PeerConn, prompts};
 use crate::{
     config::serving::ServingConfig,
     discovery::{ListChange, Verdict},
-    ids::TargetId,
-    prompt_cache::{PartId, PromptPart},
-    store::{Mirrored, StoreChange, StoreError, StoreNews},
-    units::{Instant, StoreRevision, Tokens},
+    ids::{Revision, TargetId},
+    store::{
+        Mirrored, StoreChange, StoreError, StoreItem, StoreNews,
+        own::{self, OwnEntry},
+    },
+    units::{Instant, StoreRevision},
 };
 
 /// How long one watch waits. The proof of the configuration is about this old at the most.
@@ -43,20 +45,10 @@
 /// does so twice in a row is asked in its place.
 const OVERTAKEN_CHECK: Duration = Duration::from_millis(150);
 
-/// How often it is looked whether this router knows no other, and says so in the store.
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(8);
-
-/// How often it is saved which prompts are read where, if that changed. Each write wakes all
-/// watches.
-const SAVE_EVERY: Duration = Duration::from_secs(4);
-
-/// The most that is saved, in bytes: well below the largest value of the users' sites in base64.
-const SAVED_LIMIT: usize = 512 << 10;
-
 /// Whom this router follows.
 struct Follower {
     cx: Rc<Gateway>,
-    upstream: Option<Upstream>,
+    upstream: Option<PeerConn>,
     listed: bool,
     backoff: Duration,
 }
@@ -83,7 +75,9 @@
         let reader = {
             let peers = self.cx.peers.borrow();
             let revision = self.cx.mirror.borrow().revision();
-            let ahead = peers.ahead(now, revision).filter(|_| self.listed);
+            // Without the store, what any peer still knows is better than nothing.
+            let ahead = peers.ahead(now, revision);
+            let ahead = ahead.filter(|_| self.listed || link_lost);
             ahead.or_else(|| peers.reader(now))
         };
         match reader {
@@ -98,13 +92,13 @@
         let kept = self.upstream.take().filter(|u| u.address() == reader);
         let connected = match kept {
             Some(upstream) => Ok(upstream),
-            None => Upstream::connect(reader).await,
+            None => PeerConn::open(reader).await,
         };
         let told = match connected {
-            Ok(mut upstream) => {
+            Ok(upstream) => {
                 let after = self.cx.mirror.borrow().revision();
                 tokio::select! {
-                    told = upstream.ask(after) => {
+                    told = upstream.newer(after) => {
                         self.upstream = Some(upstream);
                         told
                     }
@@ -173,6 +167,16 @@
         cx.metrics.on_store_call("answered");
         self.backoff = FIRST_BACKOFF;
         let now = cx.now();
+        if news.revision < cx.mirror.borrow().revision() {
+            // The mirror holds what the store held before this call was sent.
+            warn!(cx.log, "store was set back"; "revision" => news.revision.0,
+                "known" => cx.mirror.borrow().revision().0);
+            cx.mirror.borrow_mut().clear();
+            if self.listed {
+                self.listed = false;
+                return;
+            }
+        }
         if let Some(lost_at) = cx.store_lost_at.take() {
             cx.store_back_at.set(Some(now));
             cx.dispatcher.borrow_mut().discovery.on_store_back(now);
@@ -183,6 +187,9 @@
         let quiet = news.items.is_empty() && !is_list;
         self.listed = true;
         take_news(cx, news, is_list, cx.cfg.peers);
+        if is_list && cx.cfg.own_config {
+            fleet::mend_store(cx, newest_change(news)).await;
+        }
         let proven = match now.since(sent) {
             // A watch that brought nothing waited until then for something newer.
             waited if waited >= WATCH_WAIT && quiet => sent + WATCH_WAIT,
@@ -225,8 +232,9 @@
             false => mirror.on_changes(news),
         }
     }
+    take_own(cx, &news.items, is_list);
     let mut list = Vec::new();
-    for item in &news.items {
+    for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
         let at = item.revision;
         match cx.store.decode(item) {
             Ok(StoreChange::Config(config)) => apply(cx, *config, from),
@@ -238,15 +246,11 @@
             Ok(StoreChange::TargetGone(id)) => {
                 on_change(cx, now, id.clone(), ListChange::Removed(id), at);
             }
-            Ok(StoreChange::Peer(address)) => cx.peers.borrow_mut().on_address(now, address),
-            Ok(StoreChange::Prompts(saved)) if is_list => recall_prompts(cx, &saved),
-            Ok(StoreChange::Prompts(_) | StoreChange::Other) => {}
-            Err(why) => {
-                warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why);
-            }
+            Ok(StoreChange::Other) => {}
+            Err(why) => not_understood(cx, item, &why),
         }
     }
-    if is_list {
+    if is_list && !cx.cfg.own_config {
         let changes = {
             let mut dispatcher = cx.dispatcher.borrow_mut();
             dispatcher.discovery.on_list(now, list, news.revision)
@@ -257,12 +261,55 @@
     }
 }
 
+/// Takes in what other routers wrote. A whole configuration goes first: changes build on it.
+fn take_own(cx: &Gateway, items: &[StoreItem], is_list: bool) {
+    let mut changes = Vec::new();
+    let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
+    for (item, entry) in own {
+        match entry {
+            Ok(OwnEntry::Router(address)) => {
+                cx.peers.borrow_mut().on_address(cx.now(), address);
+            }
+            Ok(OwnEntry::Prompts(saved)) if is_list => prompts::recall(cx, &saved),
+            Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
+                fleet::take_snapshot(cx, *snapshot);
+            }
+            Ok(OwnEntry::Change(change)) if cx.cfg.own_config => changes.push(*change),
+            Ok(_) => {}
+            Err(why) => not_understood(cx, item, &why),
+        }
+    }
+    for change in changes {
+        fleet::take_change(cx, change);
+    }
+}
+
+fn not_understood(cx: &Gateway, item: &StoreItem, why: &str) {
+    warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why);
+}
+
+/// The newest change that a list of the store holds.
+fn newest_change(news: &StoreNews) -> Revision {
+    let of_entry = |item: &StoreItem| match own::decode(item)? {
+        Ok(OwnEntry::Change(change)) => Some(change.revision),
+        Ok(OwnEntry::Snapshot(snapshot)) => Some(snapshot.revision),
+        _ => None,
+    };
+    let newest = news.items.iter().filter_map(of_entry).max();
+    newest.unwrap_or_default()
+}
+
+/// Reads the accepted changes anew, for an operator's change that met another one.
+pub(super) async fn read_changes(cx: &Gateway) -> Result<(), StoreError> {
+    cx.metrics.on_store_call("confirm");
+    let news = cx.store.list().await?;
+    take_own(cx, &news.items, false);
+    Ok(())
+}
+
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
     let applied = cx.apply(config);
-    if applied {
-        cx.freshness.borrow_mut().on_applied(revision);
-    }
     info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
         "applied" => applied, "from" => %from);
 }
@@ -277,7 +324,8 @@
     }
 }
 
-fn tell(cx: &Gateway, id: &TargetId, verdict: Verdict, at: StoreRevision) {
+/// Logs what became of a target's entry, and closes connections to one that is gone.
+pub(super) fn tell(cx: &Gateway, id: &TargetId, verdict: Verdict, at: StoreRevision) {
     if verdict == Verdict::Gone {
         cx.conns.forget(id);
     }
@@ -290,60 +338,3 @@
     };
     info!(cx.log, "target"; "target" => %id, "verdict" => verdict, "revision" => at.0);
 }
-
-/// Takes in which prompts were read where before this router's life.
-fn recall_prompts(cx: &Gateway, saved: &[u8]) {
-    let parts: SavedPrompts = match postcard::from_bytes(saved) {
-        Ok(parts) => parts,
-        Err(e) => {
-            warn!(cx.log, "saved prompts not understood"; "why" => %e);
-            return;
-        }
-    };
-    info!(cx.log, "saved prompts"; "parts" => parts.len());
-    let mut dispatcher = cx.dispatcher.borrow_mut();
-    for (id, tokens, target) in parts {
-        let part = PromptPart { id, tokens };
-        dispatcher.cache.on_peer(&target, part, false);
-    }
-}
-
-/// Shared parts of prompts with the targets that have read them, as they are saved.
-type SavedPrompts = Vec<(PartId, Tokens, TargetId)>;
-
-/// Saves which prompts are read where, over and over; one router does it for all.
-pub(super) async fn save_prompts(cx: Rc<Gateway>) {
-    loop {
-        tokio::time::sleep(SAVE_EVERY).await;
-        let is_keeper = cx.peers.borrow().is_keeper_of(cx.now(), "prompts");
-        let changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
-        if !is_keeper || !changed {
-            continue;
-        }
-        let parts: SavedPrompts = cx.dispatcher.borrow().cache.shared_parts();
-        let saved = match postcard::to_stdvec(&parts) {
-            Ok(bytes) if bytes.len() <= SAVED_LIMIT => cx.store.save_prompts(bytes).await,
-            Ok(bytes) => Err(StoreError::Garbled(format!("{} bytes", bytes.len()))),
-            Err(e) => Err(StoreError::Garbled(e.to_string())),
-        };
-        cx.metrics.on_store_call("save");
-        if let Err(e) = saved {
-            info!(cx.log, "prompts not saved"; "parts" => parts.len(), "why" => %e);
-        }
-    }
-}
-
-/// Says in the store where peers reach this router, as long as it hears of none.
-pub(super) async fn announce(cx: Rc<Gateway>) {
-    loop {
-        let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(ANNOUNCE_EVERY.mul_f64(jitter)).await;
-        if cx.peers.borrow().alive(cx.now()) > 1 {
-            continue;
-        }
-        cx.metrics.on_store_call("announce");
-        if let Err(e) = cx.store.announce(cx.cfg.peers).await {
-            info!(cx.log, "not announced"; "why" => %e);
-        }
-    }
-}
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -13,34 +14,29 @@
 };
 
 use super::{
-    GatewayConfig, Rules, conn::ConnPool, follow, gossip, ingress, metrics::Metrics, mirror, stop,
-    stop::Signals,
+    GatewayConfig, Rules, StopReport, accounts::Accounts, claim_keeper::ClaimKeeper,
+    conn::ConnPool, fleet::Fleet, follow, gossip, ingress, metrics::Metrics, operators, peer_calls,
+    prompts, stop, stop::Signals,
 };
 use crate::{
     Error, Result,
-    config::{freshness::Freshness, serving::ServingConfig},
+    config::{
+        freshness::Freshness,
+        serving::{CallerLimits, ServingConfig},
+    },
     dialect::Dialect,
     dispatcher::Dispatcher,
-    ids::{Incarnation, ServiceName},
+    explain::{Decision, ExplainRing},
+    ids::{Incarnation, Revision, ServiceName},
+    lifecycle::{Phase, RouterEvent, RouterLife},
     log::LogFlusher,
     membership::peers::Peers,
+    spans::Spans,
     store::{MetaStore, StoreMirror},
     units::Instant,
 };
 
-/// Where a planned stop has come to.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) enum Phase {
-    /// No stop was asked for.
-    #[default]
-    Serving,
-    /// Not ready any more; calls are still taken, and connections closed after each.
-    Leaving,
-    /// New calls are refused as not run.
-    Refusing,
-}
-
-/// What an adapter brings along.
+/// What a program brings along.
 pub struct GatewayParts {
     /// The checked settings.
     pub cfg: GatewayConfig,
@@ -48,6 +44,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The platform's store.
     pub store: Rc<dyn MetaStore>,
+    /// Spans of calls.
+    pub spans: Spans,
     /// Where lines are logged.
     pub log: Logger,
     /// Writes them out.
@@ -59,6 +57,7 @@
     pub(crate) cfg: GatewayConfig,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) store: Rc<dyn MetaStore>,
+    pub(crate) spans: Spans,
     pub(crate) log: Logger,
     pub(crate) flusher: LogFlusher,
     pub(crate) metrics: Metrics,
@@ -66,8 +65,11 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) fleet: Fleet,
+    pub(crate) accounts: Accounts,
+    pub(crate) claims: ClaimKeeper,
+    pub(crate) explain: ExplainRing,
     pub(crate) rules: Cell<Rules>,
-    pub(crate) phase: Cell<Phase>,
     pub(crate) in_progress: Cell<usize>,
     pub(crate) recent_calls: Cell<u32>,
     pub(crate) datagram_count: Cell<u64>,
@@ -78,46 +80,55 @@
     pub(crate) store_back_at: Cell<Option<Instant>>,
     /// The youngest moment at which the store is known to have held what the mirror holds.
     pub(crate) store_proven_at: Cell<Option<Instant>>,
+    life: RefCell<RouterLife>,
     serving: RefCell<Rc<ServingConfig>>,
     epoch: tokio::time::Instant,
-    life: Incarnation,
+    wall_epoch_ms: u64,
 }
 
 /// A gateway that listens and does not serve yet.
 pub struct Listening {
     gateway: Rc<Gateway>,
     callers: TcpListener,
-    ready: TcpListener,
+    ready: Option<TcpListener>,
     metrics: Option<TcpListener>,
-    mirror: TcpListener,
+    operators: Option<TcpListener>,
+    peers: TcpListener,
     udp: UdpSocket,
 }
 
 impl Listening {
-    /// Where it listens; ports that were 0 in the settings are the real ones here.
-    pub fn config(&self) -> &GatewayConfig {
-        &self.gateway.cfg
+    /// The gateway; its settings name the real ports where they were 0.
+    pub fn gateway(&self) -> Rc<Gateway> {
+        Rc::clone(&self.gateway)
     }
 
     /// Follows the store and serves until a planned stop is complete. Runs within a `LocalSet`.
-    pub async fn serve(self, signals: Signals) {
+    pub async fn serve(self, signals: Signals) -> StopReport {
         let cx = self.gateway;
         let udp = Rc::new(self.udp);
-        info!(cx.log, "started";
-            "callers" => %cx.cfg.callers, "peers" => %cx.cfg.peers, "life" => cx.life.0);
+        let cfg = &cx.cfg;
+        let operators = cfg.operators.as_ref().map(|(at, _)| at.to_string());
+        info!(cx.log, "started"; "vm" => %cfg.vm, "callers" => %cfg.callers, "peers" => %cfg.peers,
+            "operators" => operators, "life" => cx.life_number().0);
         if let Some(metrics) = self.metrics {
             spawn_local(ingress::serve_metrics(Rc::clone(&cx), metrics));
         }
-        spawn_local(mirror::serve(Rc::clone(&cx), self.mirror));
-        spawn_local(ingress::serve_ready(Rc::clone(&cx), self.ready));
+        if let Some(ready) = self.ready {
+            spawn_local(ingress::serve_ready(Rc::clone(&cx), ready));
+        }
+        if let Some(operators) = self.operators {
+            spawn_local(operators::serve(Rc::clone(&cx), operators));
+        }
+        spawn_local(peer_calls::serve(Rc::clone(&cx), self.peers));
         spawn_local(follow::follow_store(Rc::clone(&cx)));
-        spawn_local(follow::announce(Rc::clone(&cx)));
-        spawn_local(follow::save_prompts(Rc::clone(&cx)));
+        spawn_local(prompts::announce(Rc::clone(&cx)));
+        spawn_local(prompts::save(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::tell(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(tick(Rc::clone(&cx)));
         spawn_local(ingress::serve_callers(Rc::clone(&cx), self.callers));
-        stop::wait(&cx, signals, &udp).await;
+        stop::wait(&cx, signals, &udp).await
     }
 }
 
@@ -125,24 +136,28 @@
     /// Listens where the settings say; errors are those of the addresses.
     pub async fn listen(mut parts: GatewayParts) -> Result<Listening> {
         let cfg = &mut parts.cfg;
-        let callers = listen(cfg.callers).await?;
-        cfg.callers = callers.local_addr()?;
-        let ready = listen(cfg.ready).await?;
-        cfg.ready = ready.local_addr()?;
-        let metrics = match cfg.metrics {
+        let callers = listen(&mut cfg.callers).await?;
+        let ready = match &mut cfg.ready {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        let operators = match &mut cfg.operators {
+            Some((address, _)) => Some(listen(address).await?),
+            None => None,
+        };
+        let metrics = match &mut cfg.metrics {
             Some(address) => listen_for_metrics(address, &parts.log).await,
             None => None,
         };
-        cfg.metrics = metrics.as_ref().and_then(|m| m.local_addr().ok());
-        let mirror = listen(cfg.peers).await?;
-        cfg.peers = mirror.local_addr()?;
+        let peers = listen(&mut cfg.peers).await?;
         let udp = UdpSocket::bind(cfg.peers).await?;
         Ok(Listening {
             gateway: Self::new(parts),
             callers,
             ready,
             metrics,
-            mirror,
+            operators,
+            peers,
             udp,
         })
     }
@@ -152,19 +167,19 @@
             cfg,
             dialect,
             store,
+            spans,
             log,
             flusher,
         } = parts;
         let since_unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        // The time of day only tells one life from the next.
-        let wall_ms = since_unix.map_or(0, |d| d.as_millis() as u64);
-        let life = Incarnation(wall_ms);
+        // The time of day only tells one life from the next, and orders what `explain` shows.
+        let wall_epoch_ms = since_unix.map_or(0, |d| d.as_millis() as u64);
         let dispatcher = Dispatcher::new(cfg.data_hall.clone(), &cfg.rules);
         let peers = Peers::new(
             cfg.vm.clone(),
             cfg.data_hall.clone(),
             cfg.strength,
-            life,
+            Incarnation(wall_epoch_ms),
             cfg.peers,
             &cfg.seeds,
         );
@@ -178,22 +193,65 @@
             store_lost_at: Cell::new(None),
             store_back_at: Cell::new(None),
             store_proven_at: Cell::new(None),
+            fleet: Fleet::default(),
+            accounts: Accounts::default(),
+            claims: ClaimKeeper::new(Rc::clone(&store)),
+            explain: ExplainRing::new(cfg.explain_kept),
             conns: Rc::default(),
             metrics: Metrics::default(),
-            phase: Cell::default(),
+            life: RefCell::default(),
             in_progress: Cell::new(0),
             recent_calls: Cell::new(0),
             datagram_count: Cell::new(0),
             epoch: tokio::time::Instant::now(),
-            life,
+            wall_epoch_ms,
             cfg,
             dialect,
             store,
+            spans,
             log,
             flusher,
         })
     }
 
+    /// The settings; ports that were 0 are the real ones here.
+    pub fn config(&self) -> &GatewayConfig {
+        &self.cfg
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving
+            && self.serving().is_some()
+            && self.dispatcher.borrow().discovery.is_known()
+            && self.may_use_keys(self.now())
+    }
+
+    /// The last change of the operators' own configuration that is in force here.
+    pub fn revision(&self) -> Revision {
+        self.fleet.revision()
+    }
+
+    /// Older histories of the store that were not taken.
+    pub fn reverts_refused(&self) -> u64 {
+        self.fleet.reverts_refused()
+    }
+
+    /// Bytes of datagrams to other routers so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.metrics.datagram_bytes.get()
+    }
+
+    /// Bytes of claims that were sent to other routers so far.
+    pub fn claim_bytes(&self) -> u64 {
+        self.metrics.claim_bytes.get()
+    }
+
+    /// Spans of hops so far.
+    pub fn hop_spans(&self) -> u64 {
+        self.spans.begun()
+    }
+
     /// Puts changed bounds and addresses of other routers in force.
     pub(crate) fn reload(&self, cfg: &GatewayConfig) {
         let now = self.now();
@@ -216,8 +274,24 @@
     }
 
     /// Which life of this VM's router it is.
-    pub(crate) fn life(&self) -> Incarnation {
-        self.life
+    pub(crate) fn life_number(&self) -> Incarnation {
+        Incarnation(self.wall_epoch_ms)
+    }
+
+    /// Where a planned stop has come to.
+    pub(crate) fn phase(&self) -> Phase {
+        self.life.borrow().phase()
+    }
+
+    /// Goes on with a planned stop.
+    pub(crate) fn on_life(&self, event: RouterEvent) {
+        self.life.borrow_mut().on(event);
+    }
+
+    /// Keeps a decision on a call for `explain`.
+    pub(crate) fn note(&self, call: &str, decision: impl FnOnce() -> Decision) {
+        let at_ms = self.wall_epoch_ms + self.epoch.elapsed().as_millis() as u64;
+        self.explain.record(at_ms, call, decision);
     }
 
     /// The configuration in force; `None` before the first.
@@ -226,12 +300,20 @@
         (serving.revision.0 > 0).then(|| Rc::clone(&serving))
     }
 
+    /// What callers may send.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let serving = self.serving();
+        serving.map_or(self.cfg.callers_rules.limits, |c| c.limits)
+    }
+
     /// Puts a configuration in force, unless it is older than the one that is.
     pub(crate) fn apply(&self, config: ServingConfig) -> bool {
+        let revision = config.revision;
         let mut serving = self.serving.borrow_mut();
-        let newer = config.revision > serving.revision;
+        let newer = revision > serving.revision;
         if newer {
             *serving = Rc::new(config);
+            self.freshness.borrow_mut().on_applied(revision);
         }
         newer
     }
@@ -239,15 +321,8 @@
     /// Whether a key that the configuration holds may be relied on for a call read at `at`.
     pub(crate) fn may_use_keys(&self, at: Instant) -> bool {
         let freshness = self.freshness.borrow();
-        freshness.may_use_keys(at, self.rules.get().revoke_bound)
-    }
-
-    /// Whether the balancer may send callers here.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving
-            && self.serving().is_some()
-            && self.dispatcher.borrow().discovery.is_known()
-            && self.may_use_keys(self.now())
+        let bound = self.rules.get().revoke_bound;
+        bound.is_none_or(|bound| freshness.may_use_keys(at, bound))
     }
 
     /// A call for a service came in; it counts for this router's share of the retry budget.
@@ -272,7 +347,7 @@
     /// How many connections to one target this router may have, of `most` in all.
     pub(crate) fn conn_share(&self, most: u32) -> usize {
         let routers = self.peers.borrow().alive(self.now());
-        let share = most as usize * CONN_PART / 100 / routers;
+        let share = (most as usize).saturating_mul(CONN_PART) / 100 / routers;
         share.max(CONN_LEAST)
     }
 }
@@ -314,7 +389,7 @@
 }
 
 /// Callers are served also where nobody can read the figures.
-async fn listen_for_metrics(address: std::net::SocketAddr, log: &Logger) -> Option<TcpListener> {
+async fn listen_for_metrics(address: &mut SocketAddr, log: &Logger) -> Option<TcpListener> {
     match listen(address).await {
         Ok(listener) => Some(listener),
         Err(e) => {
@@ -324,8 +399,14 @@
     }
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen { address, source })
+/// Listens at an address, and notes the real port there.
+async fn listen(address: &mut SocketAddr) -> Result<TcpListener> {
+    let wanted = *address;
+    let fault = |source| Error::Listen {
+        address: wanted,
+        source,
+    };
+    let listener = TcpListener::bind(wanted).await.map_err(fault)?;
+    *address = listener.local_addr().map_err(fault)?;
+    Ok(listener)
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -2,14 +2,17 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use serde::Serialize;
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
-use super::gateway::{Gateway, Phase};
+use super::{accounts, gateway::Gateway};
 use crate::{
     ids::TargetId,
+    lifecycle::Phase,
+    limits::SHARE_EVERY,
     membership::{
-        datagram::{Datagram, Stamp},
+        datagram::{Datagram, Message, Stamp},
         peers::Heard,
     },
     prompt_cache::{PartId, PromptPart},
@@ -38,6 +41,7 @@
     close: Instant,
     everyone: Instant,
     calls_halved: Instant,
+    shares: Instant,
 }
 
 /// Sends counts, news of prompts and the age of the configuration, over and over: as they change
@@ -48,6 +52,7 @@
         close: now,
         everyone: now,
         calls_halved: now,
+        shares: now,
     };
     loop {
         tokio::time::sleep(TELL_EVERY).await;
@@ -56,6 +61,10 @@
             last.calls_halved = now;
             cx.recent_calls.set(cx.recent_calls.get() / 2);
         }
+        if now.since(last.shares) >= SHARE_EVERY {
+            last.shares = now;
+            ask_for_shares(&cx, &udp);
+        }
         let (is_large, adds_up, mesh) = {
             let peers = cx.peers.borrow();
             (
@@ -116,6 +125,13 @@
     }
 }
 
+/// Tells the keepers of accounts what is needed of their limits here.
+fn ask_for_shares(cx: &Gateway, udp: &UdpSocket) {
+    for (keeper, ask) in accounts::asks(cx) {
+        send_message(cx, udp, &ask, keeper);
+    }
+}
+
 /// Tells a peer that joined all parts of prompts that are known to be read.
 fn teach(cx: &Gateway, udp: &UdpSocket, address: SocketAddr) {
     let parts = cx.dispatcher.borrow().cache.shared_parts();
@@ -126,9 +142,21 @@
 }
 
 fn send_to(cx: &Gateway, udp: &UdpSocket, told: &Datagram, address: SocketAddr) {
-    let Ok(bytes) = postcard::to_stdvec(told) else {
-        debug!(cx.log, "datagram not encoded"; "to" => %address);
-        return;
+    send_message(cx, udp, &Message::State(told), address);
+}
+
+fn send_message<S: Serialize>(
+    cx: &Gateway,
+    udp: &UdpSocket,
+    message: &Message<S>,
+    address: SocketAddr,
+) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            debug!(cx.log, "datagram not encoded"; "to" => %address, "why" => %e);
+            return;
+        }
     };
     cx.metrics.datagrams_sent.inc();
     cx.metrics.datagram_bytes.inc_by(bytes.len() as u64);
@@ -151,7 +179,7 @@
         vm: cx.cfg.vm.clone(),
         number,
         sent: Stamp {
-            life: cx.life(),
+            life: cx.life_number(),
             micros: now.0.as_micros() as u64,
         },
         echo: None,
@@ -167,7 +195,7 @@
             .get()
             .map(|at| now.since(at).as_millis() as u32),
         calls: cx.recent_calls.get(),
-        stopping: cx.phase.get() != Phase::Serving,
+        stopping: cx.phase() != Phase::Serving,
         load,
         parts,
         known: cx.peers.borrow().known(number),
@@ -182,8 +210,19 @@
             // A peer's port that is closed is told here; it concerns only that peer.
             continue;
         };
-        match postcard::from_bytes::<Datagram>(&buf[..len]) {
-            Ok(told) => on_datagram(&cx, &udp, from, told),
+        match postcard::from_bytes::<Message>(&buf[..len]) {
+            Ok(Message::State(told)) => on_datagram(&cx, &udp, from, *told),
+            Ok(Message::ShareAsk {
+                from: vm,
+                account,
+                demand,
+            }) => {
+                if let Some(grant) = accounts::on_demand(&cx, &vm, &account, demand) {
+                    let grant: Message = Message::ShareGrant { account, grant };
+                    send_message(&cx, &udp, &grant, from);
+                }
+            }
+            Ok(Message::ShareGrant { account, grant }) => accounts::on_grant(&cx, &account, grant),
             Err(e) => debug!(cx.log, "datagram not understood"; "from" => %from, "why" => %e),
         }
     }
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -12,15 +12,11 @@
     sync::Notify,
 };
 
-use super::{
-    body::AnswerBody,
-    call,
-    conn::prepare,
-    gateway::{Gateway, Phase},
-};
+use super::{body::AnswerBody, call, conn::prepare, gateway::Gateway};
+use crate::lifecycle::Phase;
 
 /// The pause after a connection that could not be accepted, for want of descriptors most likely.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How long after its allowed rest a caller's connection is closed; callers that keep to the rest
 /// never meet the close.
@@ -68,7 +64,7 @@
 
 async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) {
     prepare(&stream);
-    let limits = cx.serving().map(|c| c.limits).unwrap_or_default();
+    let limits = cx.caller_limits();
     let rest = Rc::new(Rest::default());
     rest.since.set(cx.now());
     let service = {
@@ -103,18 +99,18 @@
 /// Ends when the connection has rested longer than callers may let it, or a stop wants it closed.
 async fn until_rested(cx: &Gateway, rest: &Rest) {
     loop {
-        let pause = match cx.phase.get() {
+        let pause = match cx.phase() {
             Phase::Serving => IDLE_CHECK,
             _ => IDLE_CHECK / 10,
         };
         tokio::time::sleep(pause).await;
-        let limits = cx.serving().map(|c| c.limits).unwrap_or_default();
+        let limits = cx.caller_limits();
         let rested = cx.now().since(rest.since.get());
         let longest = limits.idle_time + IDLE_SLACK;
         if rest.busy.get() {
             continue;
         }
-        if rested > longest || cx.phase.get() == Phase::Refusing {
+        if rested > longest || cx.phase() >= Phase::Refusing {
             return;
         }
     }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms of one gateway, in the text form that scrapers read.
 
-use std::{fmt::Write, time::Duration};
+use std::{cell::Cell, fmt::Write, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -35,10 +35,14 @@
     pub(crate) connections_opened: Counter,
     pub(crate) datagrams_sent: Counter,
     pub(crate) datagram_bytes: Counter,
+    pub(crate) claim_bytes: Counter,
     pub(crate) prompt_tokens_missing: Counter,
     pub(crate) in_progress: Gauge,
     pub(crate) peers_alive: Gauge,
     pub(crate) config_age_ms: Gauge,
+    answered: Cell<u64>,
+    refused: Cell<u64>,
+    store_call_count: Cell<u64>,
 }
 
 impl Default for Metrics {
@@ -53,6 +57,10 @@
             connections_opened: Counter::default(),
             datagrams_sent: Counter::default(),
             datagram_bytes: Counter::default(),
+            claim_bytes: Counter::default(),
+            answered: Cell::new(0),
+            refused: Cell::new(0),
+            store_call_count: Cell::new(0),
             prompt_tokens_missing: Counter::default(),
             in_progress: Gauge::default(),
             peers_alive: Gauge::default(),
@@ -96,6 +104,11 @@
             self.datagrams_sent.clone(),
         );
         r.register("datagram_bytes", "Their bytes", self.datagram_bytes.clone());
+        r.register(
+            "claim_bytes",
+            "Bytes of claims to other routers",
+            self.claim_bytes.clone(),
+        );
         let missing = self.prompt_tokens_missing.clone();
         r.register(
             "prompt_tokens_missing",
@@ -108,9 +121,30 @@
         r.register("config_age_ms", "Age of the configuration's proof", age);
     }
 
-    pub(crate) fn on_call(&self, code: &'static str, took: Duration) {
-        self.calls.get_or_create(&CodeLabel { code }).inc();
+    /// A call ended with a code; 0 stands for a target's answer.
+    pub(crate) fn on_call(&self, name: &'static str, number: u16, took: Duration) {
+        self.calls.get_or_create(&CodeLabel { code: name }).inc();
         self.call_time.observe(took.as_secs_f64());
+        let count = match number {
+            0 => &self.answered,
+            _ => &self.refused,
+        };
+        count.set(count.get() + 1);
+    }
+
+    /// Calls that a target answered.
+    pub(crate) fn answered(&self) -> u64 {
+        self.answered.get()
+    }
+
+    /// Calls that ended otherwise.
+    pub(crate) fn refused(&self) -> u64 {
+        self.refused.get()
+    }
+
+    /// Calls to the store.
+    pub(crate) fn store_calls(&self) -> u64 {
+        self.store_call_count.get()
     }
 
     pub(crate) fn on_first_event(&self, took: Duration) {
@@ -124,6 +158,7 @@
     pub(crate) fn on_store_call(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
         self.store_calls.get_or_create(&label).inc();
+        self.store_call_count.set(self.store_call_count.get() + 1);
     }
 
     /// All figures as text.
--- a/src/operator/mod.rs
+++ b/src/edge/operators.rs
@@ -1,9 +1,6 @@
 //! The operators' side: status, explain, plans and confirmations over HTTP and JSON.
 
-mod confirm;
-mod view;
-
-use std::sync::Arc;
+use std::rc::Rc;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, body::Incoming, service::service_fn};
@@ -11,49 +8,53 @@
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
 
+use super::{body::AnswerBody, confirm, gateway::Gateway, ingress::ACCEPT_PAUSE, view};
 use crate::{
+    config::ConfigLog,
     intent::{self, IntentError, Plan},
-    reply::{self, Body},
+    reply,
     result_code::ResultCode,
-    router::Shared,
+    settings::OperatorToken,
 };
 
 /// The largest body that an operator may send.
 const BODY_LIMIT: usize = 4 << 20;
 
 /// Accepts operators until the router ends.
-pub(crate) async fn serve(listener: TcpListener, cx: Arc<Shared>) {
+pub(super) async fn serve(cx: Rc<Gateway>, listener: TcpListener) {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let service_cx = Arc::clone(&cx);
+        let service_cx = Rc::clone(&cx);
         let service = service_fn(move |req| {
-            let cx = Arc::clone(&service_cx);
+            let cx = Rc::clone(&service_cx);
             async move { Ok::<_, std::convert::Infallible>(on_request(&cx, req).await) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(cx.cfg.header_timeout_ms.duration())
+            .header_read_timeout(cx.cfg.callers_rules.limits.header_time)
             .serve_connection(TokioIo::new(socket), service);
-        tokio::spawn(async move {
+        tokio::task::spawn_local(async move {
             // An operator that leaves asks again.
             let _ = connection.await;
         });
     }
 }
 
-async fn on_request(cx: &Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+async fn on_request(cx: &Rc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
     let Some(author) = operator(cx, &req) else {
-        return reply::error(ResultCode::WrongToken, "no such operator's token", None);
+        return reply::error(ResultCode::WrongToken, "no such operator's token");
     };
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method().clone(), &parts[..]) {
         (Method::GET, ["v1", "status"]) => reply::json(200, &view::status(cx)),
         (Method::GET, ["v1", "explain", id]) => view::explain(cx, id).await,
-        (Method::GET, ["v1", "config"]) => reply::json(200, &cx.config.lock().snapshot()),
+        (Method::GET, ["v1", "config"]) => {
+            reply::json(200, &cx.fleet.with_log(ConfigLog::snapshot))
+        }
         (Method::GET, ["v1", "changes"]) => view::changes(cx),
         (Method::GET, ["v1", "changes", id]) => view::change(cx, id),
         (Method::POST, ["v1", "intents", "plan"]) => match body(req).await {
@@ -64,18 +65,17 @@
             Ok(text) => confirm_plan(cx, &author, &text).await,
             Err(e) => intent_error(&e),
         },
-        _ => reply::error(ResultCode::UnknownPath, "no such path", None),
+        _ => reply::error(ResultCode::UnknownPath, "no such path"),
     }
 }
 
 /// The name of the operator whose token a request shows; every token is compared.
-fn operator(cx: &Shared, req: &Request<Incoming>) -> Option<String> {
+fn operator(cx: &Gateway, req: &Request<Incoming>) -> Option<String> {
     let header = req.headers().get(hyper::header::AUTHORIZATION)?;
     let shown = header.to_str().ok()?.strip_prefix("Bearer ")?;
-    let holds = |t: &&crate::settings::OperatorToken| {
-        bool::from(t.token.reveal().as_bytes().ct_eq(shown.as_bytes()))
-    };
-    let tokens = &cx.cfg.operator_tokens.0;
+    let holds =
+        |t: &&OperatorToken| bool::from(t.token.reveal().as_bytes().ct_eq(shown.as_bytes()));
+    let (_, tokens) = cx.cfg.operators.as_ref()?;
     tokens.iter().find(holds).map(|t| t.name.clone())
 }
 
@@ -85,10 +85,10 @@
     Ok(body.map_err(|_| bad())?.to_bytes().to_vec())
 }
 
-fn plan(cx: &Shared, author: &str, text: &[u8]) -> Response<Body> {
+fn plan(cx: &Gateway, author: &str, text: &[u8]) -> Response<AnswerBody> {
     let planned = intent::read(text).and_then(|i| {
-        let log = cx.config.lock();
-        intent::plan(&log, author, i, rand::random())
+        cx.fleet
+            .with_log(|log| intent::plan(log, author, i, rand::random()))
     });
     match planned {
         Ok(plan) => reply::json(200, &plan),
@@ -96,7 +96,7 @@
     }
 }
 
-async fn confirm_plan(cx: &Arc<Shared>, author: &str, text: &[u8]) -> Response<Body> {
+async fn confirm_plan(cx: &Rc<Gateway>, author: &str, text: &[u8]) -> Response<AnswerBody> {
     let bad = |e: serde_json::Error| IntentError::new(ResultCode::BadIntent, e.to_string());
     let plan = serde_json::from_slice::<Plan>(text).map_err(bad);
     let plan = plan.map(|p| Plan {
@@ -113,6 +113,6 @@
     }
 }
 
-fn intent_error(e: &IntentError) -> Response<Body> {
-    reply::error(e.code, &e.detail, None)
+fn intent_error(e: &IntentError) -> Response<AnswerBody> {
+    reply::error(e.code, &e.detail)
 }
--- /dev/null
+++ b/src/edge/prompts.rs
@@ -0,0 +1,90 @@
+//! What routers keep in the store of themselves: which prompts are read where, for routers that
+//! start when no other is left to tell, and where a router is that knows no other.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::Rng;
+use slog::{info, warn};
+
+use super::gateway::Gateway;
+use crate::{
+    ids::TargetId,
+    prompt_cache::{PartId, PromptPart},
+    store::{StoreError, own},
+    units::Tokens,
+};
+
+/// How long a router that has just started waits to hear of another one before it says in the
+/// store where it is.
+const FIRST_ANNOUNCE: Duration = Duration::from_secs(1);
+
+/// How often it does so again while it knows no other.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(8);
+
+/// How often it is saved which prompts are read where, if that changed. Each write wakes all
+/// watches.
+const SAVE_EVERY: Duration = Duration::from_secs(4);
+
+/// The most that is saved, in bytes: well below the largest value of the users' sites in base64.
+const SAVED_LIMIT: usize = 512 << 10;
+
+/// Shared parts of prompts with the targets that have read them, as they are saved.
+type SavedPrompts = Vec<(PartId, Tokens, TargetId)>;
+
+/// Takes in which prompts were read where before this router's life.
+pub(super) fn recall(cx: &Gateway, saved: &[u8]) {
+    let parts: SavedPrompts = match postcard::from_bytes(saved) {
+        Ok(parts) => parts,
+        Err(e) => {
+            warn!(cx.log, "saved prompts not understood"; "why" => %e);
+            return;
+        }
+    };
+    info!(cx.log, "saved prompts"; "parts" => parts.len());
+    let mut dispatcher = cx.dispatcher.borrow_mut();
+    for (id, tokens, target) in parts {
+        let part = PromptPart { id, tokens };
+        dispatcher.cache.on_peer(&target, part, false);
+    }
+}
+
+/// Saves which prompts are read where, over and over; one router does it for all.
+pub(super) async fn save(cx: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SAVE_EVERY).await;
+        let is_keeper = cx.peers.borrow().is_keeper_of(cx.now(), "prompts");
+        let changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
+        if !is_keeper || !changed {
+            continue;
+        }
+        let parts: SavedPrompts = cx.dispatcher.borrow().cache.shared_parts();
+        let saved = match postcard::to_stdvec(&parts) {
+            Ok(bytes) if bytes.len() <= SAVED_LIMIT => cx.store.put(own::PROMPTS_KEY, bytes).await,
+            Ok(bytes) => Err(StoreError::Garbled(format!("{} bytes", bytes.len()))),
+            Err(e) => Err(StoreError::Garbled(e.to_string())),
+        };
+        cx.metrics.on_store_call("save");
+        if let Err(e) = saved {
+            info!(cx.log, "prompts not saved"; "parts" => parts.len(), "why" => %e);
+        }
+    }
+}
+
+/// Says in the store where peers reach this router, as long as it hears of none.
+pub(super) async fn announce(cx: Rc<Gateway>) {
+    let mut pause = FIRST_ANNOUNCE;
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = ANNOUNCE_EVERY;
+        if cx.peers.borrow().alive(cx.now()) > 1 {
+            continue;
+        }
+        cx.metrics.on_store_call("announce");
+        let key = own::router_key(&cx.cfg.vm);
+        let address = cx.cfg.peers.to_string().into_bytes();
+        if let Err(e) = cx.store.keep(&key, address).await {
+            info!(cx.log, "not announced"; "why" => %e);
+        }
+    }
+}
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -6,16 +6,8 @@
 use slog::info;
 use tokio::{net::UdpSocket, sync::mpsc};
 
-use super::{
-    GatewayConfig,
-    gateway::{Gateway, Phase},
-    gossip,
-};
-
-/// How long callers are still taken after the stop was asked for. The balancer asks each second
-/// and sends nobody any more after two misses; calls sent up to three seconds after the signal
-/// still count as cut off if the stop cuts them (RULES).
-const SERVE_ON: Duration = Duration::from_secs(3);
+use super::{GatewayConfig, gateway::Gateway, gossip};
+use crate::lifecycle::RouterEvent;
 
 /// The part of the stop's time after which it ends whatever is left.
 const LAST_PART: f64 = 0.95;
@@ -34,8 +26,19 @@
     pub reload: mpsc::Receiver<GatewayConfig>,
 }
 
+/// What a planned stop came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub struct StopReport {
+    /// Calls that were in progress when the router took no more.
+    pub in_progress: u64,
+    /// Those that were cut off as the time was up.
+    pub cut_off: u64,
+    /// How long it took, in milliseconds.
+    pub took_ms: u64,
+}
+
 /// Waits for the signal, then for the end of the stop.
-pub(super) async fn wait(cx: &Rc<Gateway>, mut signals: Signals, udp: &UdpSocket) {
+pub(super) async fn wait(cx: &Rc<Gateway>, mut signals: Signals, udp: &UdpSocket) -> StopReport {
     loop {
         tokio::select! {
             Some(()) = signals.stop.recv() => break,
@@ -46,9 +49,10 @@
     }
     let began = cx.now();
     info!(cx.log, "stop asked for"; "in_progress" => cx.in_progress.get());
-    cx.phase.set(Phase::Leaving);
-    tokio::time::sleep(SERVE_ON).await;
-    cx.phase.set(Phase::Refusing);
+    cx.on_life(RouterEvent::Stop);
+    tokio::time::sleep(cx.rules.get().serve_on).await;
+    cx.on_life(RouterEvent::BalancerKnows);
+    let in_progress = cx.in_progress.get() as u64;
     gossip::send_to_all(cx, udp);
     let limit = cx.rules.get().stop_time.mul_f64(LAST_PART);
     while cx.in_progress.get() > 0 && cx.now().since(began) < limit {
@@ -56,8 +60,17 @@
     }
     // Idle connections are closed by now; what is in the sockets is sent by the system.
     tokio::time::sleep(LOOK_EVERY * 10).await;
-    info!(cx.log, "stopped"; "cut_off" => cx.in_progress.get(),
-        "took_ms" => cx.now().since(began).as_millis() as u64);
+    cx.on_life(RouterEvent::Finished);
+    let report = StopReport {
+        in_progress,
+        cut_off: cx.in_progress.get() as u64,
+        took_ms: cx.now().since(began).as_millis() as u64,
+    };
+    info!(cx.log, "stopped"; "cut_off" => report.cut_off, "took_ms" => report.took_ms);
+    if let Err(e) = cx.spans.flush() {
+        info!(cx.log, "spans not sent"; "why" => %e);
+    }
     cx.flusher.flush();
     tokio::time::sleep(LAST_LINES).await;
+    report
 }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -3,13 +3,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::Response;
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body::Incoming, http::response};
 
 use super::{
     attempt::{Begun, Call, Failed, Place, attempt},
     body::{AnswerBody, BrokeOff, EventSender},
     call::{keep, may_repeat, patience, strip_connection_headers},
-    ending::{Ending, close_if_stopping, give_up, pass_on},
+    ending::{End, Ending, finish, give_up, pass_on},
     gateway::Gateway,
 };
 use crate::{
@@ -19,8 +20,6 @@
     retry::Fate,
     units::Instant,
 };
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 /// How many times the goal a stream that may be resumed waits for its first event before another
 /// target is asked: reading the prompt again there costs more than waiting a little.
@@ -80,6 +79,7 @@
     mut call: Call,
     ending: Ending,
 ) -> Response<AnswerBody> {
+    let mut before = None;
     loop {
         let failed = match begin(cx, &mut call).await {
             Ok(Beginning::Stream(head, source, first)) => {
@@ -91,17 +91,18 @@
             Err(failed) => failed,
         };
         if !may_repeat(cx, &call, failed) {
-            return give_up(cx, &ending, &call, failed);
+            return give_up(cx, &ending, &call, failed.after(before));
         }
+        before = Some(failed);
     }
 }
 
 /// How a target's answer began.
 enum Beginning {
     /// With an event; more follow.
-    Stream(hyper::http::response::Parts, Box<Source>, Event),
+    Stream(response::Parts, Box<Source>, Event),
     /// It is complete: a failure of the target's own, or a stream without events.
-    Whole(hyper::http::response::Parts, bytes::Bytes),
+    Whole(response::Parts, bytes::Bytes),
 }
 
 /// Makes attempts until one brings its first event.
@@ -159,7 +160,7 @@
 async fn whole_failure(
     cx: &Gateway,
     call: &mut Call,
-    head: hyper::http::response::Parts,
+    head: response::Parts,
     body: Incoming,
     place: Place,
 ) -> Result<Beginning, Failed> {
@@ -190,10 +191,10 @@
 fn gap_patience(call: &Call) -> Duration {
     let more = call.attempts.sent() < call.route.max_attempts;
     match call.route.gap_goal {
-        Some(gap) if call.route.kind.is_repeatable() && more => {
+        Some(gap) if call.route.kind.is_resumable() && more => {
             gap.mul_f64(GAP_PATIENCE).max(LEAST_PATIENCE)
         }
-        _ => call.route.timeout,
+        _ => call.route.longest_silence,
     }
 }
 
@@ -212,11 +213,12 @@
     cx: &Rc<Gateway>,
     call: Call,
     ending: Ending,
-    head: hyper::http::response::Parts,
+    head: response::Parts,
     source: Box<Source>,
     first: Event,
 ) -> Response<AnswerBody> {
     let (tx, body) = AnswerBody::events();
+    let res = finish(cx, &ending, Response::from_parts(head, body));
     let cx_task = Rc::clone(cx);
     tokio::task::spawn_local(async move {
         let gone = tx.clone();
@@ -226,8 +228,6 @@
             () = pass_events(&cx_task, call, &ending, *source, first, tx) => {}
         }
     });
-    let mut res = Response::from_parts(head, body);
-    close_if_stopping(cx, &mut res);
     res
 }
 
@@ -240,6 +240,7 @@
     tx: EventSender,
 ) {
     let mut event = first;
+    call.attempts.on_begun();
     loop {
         call.last_event = event.id.or(call.last_event);
         if tx.send(Ok(event.bytes)).await.is_err() {
@@ -256,7 +257,7 @@
                     conn, place, facts, ..
                 } = source;
                 place.end(Outcome::Good, "answered");
-                ending.tell("ok", 200, "", call.attempts);
+                ending.tell(End::answered(StatusCode::OK), call.attempts);
                 drop(tx);
                 keep(cx, conn, &facts).await;
                 return;
@@ -267,8 +268,11 @@
                     event
                 }
                 Err(failed) => {
-                    let code = ResultCode::Incomplete;
-                    ending.tell(code.name(), 200, failed.why, call.attempts);
+                    let end = End {
+                        status: 200,
+                        ..End::coded(ResultCode::Incomplete, failed.why)
+                    };
+                    ending.tell(end, call.attempts);
                     // The caller may be gone as well; then nobody needs the end.
                     let _ = tx.send(Err(BrokeOff)).await;
                     return;
--- /dev/null
+++ b/src/edge/view.rs
@@ -0,0 +1,172 @@
+//! What operators are shown.
+
+use std::{rc::Rc, sync::Arc};
+
+use futures::future::join_all;
+use hyper::Response;
+use serde::Serialize;
+use slog::info;
+
+use super::{body::AnswerBody, gateway::Gateway, peer_calls};
+use crate::{
+    config::{Change, Digest},
+    explain::DecisionRecord,
+    health::Standing,
+    ids::{DataHall, Region, Revision, ServiceName, TargetId, VmId},
+    lifecycle::Phase,
+    membership::peers::Member,
+    reply,
+    result_code::ResultCode,
+};
+
+/// The fleet as one router sees it.
+#[derive(Serialize)]
+pub(super) struct Status {
+    vm: VmId,
+    region: Option<Region>,
+    data_hall: DataHall,
+    state: &'static str,
+    revision: Revision,
+    digest: Digest,
+    in_progress: usize,
+    answered: u64,
+    refused: u64,
+    control_bytes: u64,
+    store_calls: u64,
+    /// How long ago the store is known to have held what is in force, in milliseconds.
+    config_age_ms: Option<u64>,
+    reverts_refused: u64,
+    routers: Vec<Member>,
+    targets: Vec<TargetStatus>,
+}
+
+/// A target as one router sees it.
+#[derive(Serialize)]
+struct TargetStatus {
+    target: TargetId,
+    pool: ServiceName,
+    /// What is believed of its health.
+    standing: Standing,
+    /// Calls of all routers in progress there.
+    calls: u32,
+    /// Calls beside the mean of its pool.
+    load: f64,
+    /// Tokens that it has yet to read or write for them.
+    tokens: u64,
+    /// Tokens of prompts that it is taken to keep.
+    kept: u64,
+}
+
+#[derive(Serialize)]
+struct Explained {
+    request: String,
+    decisions: Vec<DecisionRecord>,
+}
+
+#[derive(Serialize)]
+struct Changes {
+    revision: Revision,
+    changes: Vec<Arc<Change>>,
+}
+
+/// The fleet as this router sees it.
+pub(super) fn status(cx: &Gateway) -> Status {
+    let now = cx.now();
+    let (revision, digest) = cx.fleet.with_log(|log| (log.revision(), log.digest()));
+    let age = cx.freshness.borrow().age(now);
+    let mut routers = cx.peers.borrow().members(now);
+    routers.sort_by(|a, b| a.vm.cmp(&b.vm));
+    Status {
+        vm: cx.cfg.vm.clone(),
+        region: cx.cfg.region.clone(),
+        data_hall: cx.cfg.data_hall.clone(),
+        state: state(cx),
+        revision,
+        digest,
+        in_progress: cx.in_progress.get(),
+        answered: cx.metrics.answered(),
+        refused: cx.metrics.refused(),
+        control_bytes: cx.control_bytes(),
+        store_calls: cx.metrics.store_calls(),
+        config_age_ms: age.map(|a| a.as_millis() as u64),
+        reverts_refused: cx.reverts_refused(),
+        routers,
+        targets: targets(cx),
+    }
+}
+
+/// The phase, or that there is nothing to serve yet.
+pub(super) fn state(cx: &Gateway) -> &'static str {
+    match cx.phase() {
+        Phase::Serving if !cx.is_ready() => "starting",
+        phase => phase.name(),
+    }
+}
+
+fn targets(cx: &Gateway) -> Vec<TargetStatus> {
+    let now = cx.now();
+    let dispatcher = cx.dispatcher.borrow();
+    let all: Vec<_> = dispatcher.discovery.all().collect();
+    let calls = |id: &TargetId| dispatcher.load.calls(now, id);
+    let mean = |pool: &ServiceName| {
+        let of_pool = all.iter().filter(|t| t.service == *pool);
+        let counts: Vec<f64> = of_pool.map(|t| f64::from(calls(&t.id))).collect();
+        counts.iter().sum::<f64>() / counts.len().max(1) as f64
+    };
+    let status = |t: &&Rc<crate::discovery::TargetRecord>| TargetStatus {
+        target: t.id.clone(),
+        pool: t.service.clone(),
+        standing: dispatcher.health.standing(now, &t.id),
+        calls: calls(&t.id),
+        load: f64::from(calls(&t.id)) / mean(&t.service).max(1.0),
+        tokens: dispatcher.load.total(&t.id).tokens.0,
+        kept: dispatcher.cache.kept(&t.id).0,
+    };
+    let mut shown: Vec<TargetStatus> = all.iter().map(status).collect();
+    shown.sort_by(|a, b| a.target.cmp(&b.target));
+    shown
+}
+
+/// What all routers that answer remember of a call.
+pub(super) async fn explain(cx: &Rc<Gateway>, id: &str) -> Response<AnswerBody> {
+    let peers = cx.peers.borrow().addresses(cx.now());
+    let asks = peers.iter().map(|peer| peer_calls::explain(*peer, id));
+    let mut decisions = cx.explain.of(&cx.cfg.vm, id);
+    for (peer, told) in peers.iter().zip(join_all(asks).await) {
+        match told {
+            Ok(records) => decisions.extend(records),
+            Err(e) => info!(cx.log, "peer does not explain"; "peer" => %peer, "why" => %e),
+        }
+    }
+    decisions.sort_by_key(|d| d.at_ms);
+    match decisions.is_empty() {
+        true => reply::error(ResultCode::NotFound, "no router remembers the request"),
+        false => reply::json(
+            200,
+            &Explained {
+                request: id.to_owned(),
+                decisions,
+            },
+        ),
+    }
+}
+
+/// The recent changes.
+pub(super) fn changes(cx: &Gateway) -> Response<AnswerBody> {
+    let changes = cx.fleet.with_log(|log| Changes {
+        revision: log.revision(),
+        changes: log.recent().cloned().collect(),
+    });
+    reply::json(200, &changes)
+}
+
+/// One recent change.
+pub(super) fn change(cx: &Gateway, id: &str) -> Response<AnswerBody> {
+    let found = cx
+        .fleet
+        .with_log(|log| log.recent().find(|c| c.id.as_str() == id).cloned());
+    match found {
+        Some(change) => reply::json(200, &*change),
+        None => reply::error(ResultCode::NotFound, "no such change is accepted"),
+    }
+}
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,19 +1,15 @@
-//! Why a request went where it did: a bounded ring of small records.
+//! Why a call went where it did: a bounded ring of small records.
 
-use std::collections::VecDeque;
+use std::{cell::RefCell, collections::VecDeque};
 
-use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{RequestId, TargetId, VmId},
+    ids::{TargetId, VmId},
     result_code::ResultCode,
 };
 
-/// Records that a router keeps.
-const RING: usize = 16_384;
-
-/// One decision on a request.
+/// One decision on a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum Decision {
@@ -24,100 +20,69 @@
         /// What it asks for.
         pool: String,
     },
-    /// A target was tried.
+    /// It was sent to a target.
     Tried {
         /// The target.
         target: TargetId,
-        /// Its home router.
-        home: VmId,
-        /// Its place in the chat's rank, from 1; 0 where a home named it.
-        place: usize,
+        /// Calls there before it.
+        calls: u32,
+        /// Tokens of its prompt that the target had yet to read.
+        missing: u64,
     },
-    /// The home did not take it.
-    Declined {
+    /// The target did not answer it.
+    Failed {
         /// The target.
         target: TargetId,
         /// Why.
-        code: u16,
-        /// What happened.
-        detail: String,
-    },
-    /// The home admitted it.
-    Admitted {
-        /// The target.
-        target: TargetId,
-        /// Whether it had to wait.
-        waited_ms: u64,
+        why: String,
     },
-    /// The target's answer began.
+    /// The target answered.
     Answered {
         /// The target.
         target: TargetId,
-        /// The HTTP status.
-        status: u16,
     },
-    /// It ended without an answer.
+    /// It ended.
     Ended {
-        /// Why.
+        /// With which code; 0 with a target's answer.
         code: u16,
-        /// What happened.
-        detail: String,
+        /// Why, where it was not served.
+        why: String,
     },
 }
 
 impl Decision {
     /// The decision as a sentence.
     pub fn sentence(&self) -> String {
-        let name = |code: &u16| {
-            let code = ResultCode::from_number((*code).into());
-            code.map_or_else(|| "an unknown code".to_owned(), |c| c.to_string())
-        };
         match self {
             Self::Received { account, pool } => format!("{account} asked for {pool}."),
             Self::Tried {
                 target,
-                home,
-                place: 0,
-            } => {
-                format!("A home named {target}, kept by {home}, as holding the chat's cache.")
-            }
-            Self::Tried {
-                target,
-                home,
-                place,
-            } => {
-                format!("{target}, kept by {home}, was tried as choice {place}.")
+                calls,
+                missing,
+            } => format!(
+                "{target} was chosen, with {calls} calls and {missing} prompt tokens to read."
+            ),
+            Self::Failed { target, why } => format!("{target} did not answer: {why}."),
+            Self::Answered { target } => format!("{target} answered."),
+            Self::Ended { code: 0, .. } => "The answer was passed on.".to_owned(),
+            Self::Ended { code, why } => {
+                let name = ResultCode::from_number((*code).into());
+                let name = name.map_or_else(|| "an unknown code".to_owned(), |c| c.to_string());
+                format!("It ended with {name}: {why}.")
             }
-            Self::Declined {
-                target,
-                code,
-                detail,
-            } => {
-                format!("{target} did not take it: {} {detail}", name(code))
-            }
-            Self::Admitted {
-                target,
-                waited_ms: 0,
-            } => format!("{target} took it at once."),
-            Self::Admitted { target, waited_ms } => {
-                format!("{target} took it after {waited_ms} ms in its queue.")
-            }
-            Self::Answered { target, status } => format!("{target} answered with {status}."),
-            Self::Ended { code, detail } => format!("It ended with {}. {detail}", name(code)),
         }
     }
 }
 
-/// A decision with its time and request.
+/// A decision with its time and call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DecisionRecord {
-    /// Milliseconds of the wall clock.
+    /// Milliseconds of the time of day, which orders records of several routers about.
     pub at_ms: u64,
     /// The router that decided.
     pub vm: VmId,
-    /// The request.
-    #[serde(with = "crate::ids::request_text")]
-    pub request: RequestId,
+    /// The call.
+    pub request: String,
     /// What was decided.
     #[serde(flatten)]
     pub decision: Decision,
@@ -126,34 +91,44 @@
 }
 
 /// A router's recent decisions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ExplainRing {
-    records: Mutex<VecDeque<(u64, RequestId, Decision)>>,
+    kept: usize,
+    records: RefCell<VecDeque<(u64, String, Decision)>>,
 }
 
 impl ExplainRing {
+    /// A ring of so many decisions; of none, it keeps nothing.
+    pub fn new(kept: usize) -> Self {
+        Self {
+            kept,
+            records: RefCell::default(),
+        }
+    }
+
     /// Keeps a decision; the oldest goes where the ring is full.
-    pub fn record(&self, at_ms: u64, request: RequestId, decision: Decision) {
-        let mut records = self.records.lock();
-        if records.len() == RING {
+    pub fn record(&self, at_ms: u64, call: &str, decision: impl FnOnce() -> Decision) {
+        if self.kept == 0 {
+            return;
+        }
+        let mut records = self.records.borrow_mut();
+        if records.len() == self.kept {
             records.pop_front();
         }
-        records.push_back((at_ms, request, decision));
+        records.push_back((at_ms, call.to_owned(), decision()));
     }
 
-    /// All that is kept of a request, in order.
-    pub fn of(&self, vm: &VmId, request: RequestId) -> Vec<DecisionRecord> {
-        let records = self.records.lock();
-        records
-            .iter()
-            .filter(|(_, r, _)| *r == request)
-            .map(|(at_ms, request, decision)| DecisionRecord {
-                at_ms: *at_ms,
-                vm: vm.clone(),
-                request: *request,
-                sentence: decision.sentence(),
-                decision: decision.clone(),
-            })
-            .collect()
+    /// All that is kept of a call, in order.
+    pub fn of(&self, vm: &VmId, call: &str) -> Vec<DecisionRecord> {
+        let records = self.records.borrow();
+        let of_call = records.iter().filter(|(_, id, _)| id == call);
+        let record = |(at_ms, request, decision): &(u64, String, Decision)| DecisionRecord {
+            at_ms: *at_ms,
+            vm: vm.clone(),
+            request: request.clone(),
+            sentence: decision.sentence(),
+            decision: decision.clone(),
+        };
+        of_call.map(record).collect()
     }
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -68,7 +68,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
 /// What is believed of a target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Standing {
     /// It gets calls.
     #[default]
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -3,7 +3,7 @@
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The longest name that an id may have, in bytes.
 pub const MAX_NAME: usize = 96;
@@ -146,18 +146,18 @@
     ConversationKey
 );
 
-number_id!(
-    /// The long prompt that a chat begins with and shares with others, as a hash.
-    PrefixKey
-);
-
 impl ConversationKey {
-    /// The key of a chat that names itself, kept apart between accounts.
-    pub fn named(account: &ClientAccountId, name: &str) -> Self {
-        Self(xxh3_64_with_seed(
-            name.as_bytes(),
-            xxh3_64(account.as_str().as_bytes()),
-        ))
+    /// The same chat's key within an account: what callers of two accounts name alike is kept
+    /// apart.
+    pub fn within(self, account: &ClientAccountId) -> Self {
+        Self(xxh3_64_with_seed(account.as_str().as_bytes(), self.0))
+    }
+}
+
+impl ServiceName {
+    /// The pool of the targets that serve a model or a plain service, which may share a name.
+    pub(crate) fn of_pool(kind: &str, name: &str) -> Self {
+        Self(format!("{kind}:{name}").into())
     }
 }
 
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,46 +1,70 @@
-//! The life of a router: starting, serving, draining, gone.
+//! The life of a router: serving, leaving, refusing, gone.
 
 use statig::prelude::*;
 
 /// What happens to a router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RouterEvent {
-    /// It has a configuration that is not older than any peer's it can reach.
-    Configured,
+pub(crate) enum RouterEvent {
     /// A planned stop was asked for.
     Stop,
-    /// Nothing is in progress any more, or the limit passed.
+    /// The balancer has had time to learn of it.
+    BalancerKnows,
+    /// Nothing is in progress any more, or the time is up.
     Finished,
 }
 
+/// Where a router has come to, in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// No stop was asked for.
+    Serving,
+    /// Not ready any more; calls are still taken, and connections closed after each.
+    Leaving,
+    /// New calls are refused as not run.
+    Refusing,
+    /// Its stop is complete.
+    Gone,
+}
+
+impl Phase {
+    /// The phase's name for operators.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Leaving | Self::Refusing => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// The machine behind [`RouterLife`].
 #[derive(Debug, Default)]
-pub struct LifeMachine;
+struct LifeMachine;
 
 #[state_machine(
-    initial = "State::starting()",
+    initial = "State::serving()",
     state(derive(Debug, Clone, Copy, PartialEq, Eq))
 )]
 impl LifeMachine {
     #[state]
-    fn starting(event: &RouterEvent) -> Outcome<State> {
+    fn serving(event: &RouterEvent) -> Outcome<State> {
         match event {
-            RouterEvent::Configured => Transition(State::serving()),
-            RouterEvent::Stop => Transition(State::draining()),
-            RouterEvent::Finished => Handled,
+            RouterEvent::Stop => Transition(State::leaving()),
+            _ => Handled,
         }
     }
 
     #[state]
-    fn serving(event: &RouterEvent) -> Outcome<State> {
+    fn leaving(event: &RouterEvent) -> Outcome<State> {
         match event {
-            RouterEvent::Stop => Transition(State::draining()),
-            _ => Handled,
+            RouterEvent::BalancerKnows => Transition(State::refusing()),
+            RouterEvent::Finished => Transition(State::gone()),
+            RouterEvent::Stop => Handled,
         }
     }
 
     #[state]
-    fn draining(event: &RouterEvent) -> Outcome<State> {
+    fn refusing(event: &RouterEvent) -> Outcome<State> {
         match event {
             RouterEvent::Finished => Transition(State::gone()),
             _ => Handled,
@@ -54,8 +78,8 @@
     }
 }
 
-/// A router's life; only `serving` is ready for the balancer.
-pub struct RouterLife {
+/// A router's life.
+pub(crate) struct RouterLife {
     machine: statig::blocking::StateMachine<LifeMachine>,
 }
 
@@ -69,22 +93,17 @@
 
 impl RouterLife {
     /// Takes an event.
-    pub fn on(&mut self, event: RouterEvent) {
+    pub(crate) fn on(&mut self, event: RouterEvent) {
         self.machine.handle(&event);
     }
 
-    /// Whether the balancer may send requests.
-    pub fn is_ready(&self) -> bool {
-        *self.machine.state() == State::serving()
-    }
-
-    /// The state's name.
-    pub fn name(&self) -> &'static str {
+    /// Where it has come to.
+    pub(crate) fn phase(&self) -> Phase {
         match self.machine.state() {
-            State::Starting {} => "starting",
-            State::Serving {} => "serving",
-            State::Draining {} => "draining",
-            State::Gone {} => "gone",
+            State::Serving {} => Phase::Serving,
+            State::Leaving {} => Phase::Leaving,
+            State::Refusing {} => Phase::Refusing,
+            State::Gone {} => Phase::Gone,
         }
     }
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -7,6 +7,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{ids::VmId, units::Instant};
 
 /// How often demand is told and shares are granted.
@@ -22,7 +24,7 @@
 const BURST_SECONDS: f64 = 1.0;
 
 /// What a router needs of an account's limits.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Requests that came in a second, in thousandths.
     pub rate_milli: u64,
@@ -46,7 +48,7 @@
 }
 
 /// What a router may use of an account's limits, beyond its floor.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// Requests a second, in thousandths.
     pub rate_milli: u64,
--- a/src/log.rs
+++ b/src/log.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use slog::{Drain, Logger, o, warn};
+use slog::{Drain, LevelFilter, Logger, o, warn};
 
 /// Bytes of lines that may wait: some thousand lines, a few seconds of a busy router.
 const BUFFER_LIMIT: usize = 512 << 10;
@@ -123,7 +123,9 @@
 }
 
 /// A logger that writes JSON lines to `out`, and what has to be called now and then to do so.
-pub fn buffered(mut out: impl Write + Send + 'static) -> (Logger, LogFlusher) {
+///
+/// Lines below `level` are left out without a count.
+pub fn buffered(mut out: impl Write + Send + 'static, level: slog::Level) -> (Logger, LogFlusher) {
     let (batches, waiting) = sync_channel::<Vec<u8>>(BATCHES);
     std::thread::spawn(move || {
         for batch in waiting {
@@ -136,7 +138,7 @@
     let drain = LineDrain {
         buffer: buffer.clone(),
     };
-    let log = Logger::root(drain, o!());
+    let log = Logger::root(LevelFilter::new(drain, level).fuse(), o!());
     let flusher = LogFlusher {
         buffer,
         batches,
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{DataHall, Incarnation, TargetId, VmId},
+    ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
+    limits::{Demand, Grant},
     load_account::{TargetCounts, TargetHash},
     prompt_cache::PartId,
     units::{StoreRevision, Tokens},
@@ -40,7 +41,30 @@
     }
 }
 
-/// What one router tells another.
+/// What travels between routers in one datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message<State = Box<Datagram>> {
+    /// What the sender has in progress and knows.
+    State(State),
+    /// What the sender needs of an account's limits, to the router that keeps the account.
+    ShareAsk {
+        /// The sender.
+        from: VmId,
+        /// The account.
+        account: ClientAccountId,
+        /// What it needs.
+        demand: Demand,
+    },
+    /// What the receiver may use of an account's limits.
+    ShareGrant {
+        /// The account.
+        account: ClientAccountId,
+        /// The share.
+        grant: Grant,
+    },
+}
+
+/// What one router tells another, some times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
     /// Who tells.
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -73,6 +73,31 @@
     pub echo: Option<Stamp>,
 }
 
+/// What is believed of a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// It was heard of a moment ago.
+    Alive,
+    /// It said that it stops.
+    Stopping,
+    /// It is silent.
+    Dead,
+}
+
+/// Another router, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Member {
+    /// Its VM.
+    pub vm: VmId,
+    /// Where it stands.
+    pub data_hall: DataHall,
+    /// What is believed of it.
+    pub state: MemberState,
+    /// How long ago it was last heard of, in milliseconds.
+    pub silent_ms: u64,
+}
+
 /// What a datagram changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
@@ -234,7 +259,33 @@
 
     /// Whether this router is the one that looks after a thing for all.
     pub fn is_keeper_of(&self, now: Instant, thing: &str) -> bool {
-        keeper(thing, self.names(now)) == Some(&self.me)
+        self.keeper_of(now, thing).is_none()
+    }
+
+    /// Where the router is that looks after a thing for all; `None` if it is this one.
+    pub fn keeper_of(&self, now: Instant, thing: &str) -> Option<SocketAddr> {
+        let keeper = keeper(thing, self.names(now))?;
+        self.heard.get(keeper).map(|p| p.address)
+    }
+
+    /// The other routers that were heard of, each with its data hall and whether it lives.
+    pub fn members(&self, now: Instant) -> Vec<Member> {
+        let member = |(vm, p): (&VmId, &Peer)| Member {
+            vm: vm.clone(),
+            data_hall: p.hall.clone(),
+            state: match () {
+                () if p.stopping => MemberState::Stopping,
+                () if self.is_heard(now, p) => MemberState::Alive,
+                () => MemberState::Dead,
+            },
+            silent_ms: now.since(p.heard).as_millis() as u64,
+        };
+        self.heard.iter().map(member).collect()
+    }
+
+    /// Where the other routers are that live.
+    pub fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        self.living(now).map(|p| p.address).collect()
     }
 
     /// Whether this router is one of those that read the store for all.
--- /dev/null
+++ b/src/openai.rs
@@ -0,0 +1,271 @@
+//! The product's own way to speak: OpenAI-shaped chats, the models, plain services below
+//! `/services/`, and health.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    header::{self, HeaderName, HeaderValue},
+    http::request,
+};
+use serde::Deserialize;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use crate::{
+    ResultCode,
+    config::{
+        routes::{SERVICE_PREFIX, chat_path},
+        serving::Asked,
+    },
+    dialect::{AnswerFacts, CallFacts, Dialect, Handover, Page, Refusal, Refused},
+    ids::{AttemptId, ConversationKey, ModelName, RequestId},
+    prompt_cache::{PartId, PromptPart},
+    reply,
+    units::{Priority, Rank, Tokens},
+};
+
+/// Characters that make a token, about.
+const CHARS_PER_TOKEN: usize = 4;
+
+/// The path of chats.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// By which a caller names its chat.
+const CHAT: HeaderName = HeaderName::from_static("x-conversation-id");
+/// How urgent a call is: by a caller a wish, to a target an order.
+const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+/// The caller's name for a call that must not run twice.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// The attempt, as a target is told.
+const ATTEMPT: HeaderName = HeaderName::from_static("x-request-attempt");
+/// By which a target says that it did not run a call.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+
+/// Headers of callers that no target needs to see.
+const PRIVATE: [HeaderName; 3] = [
+    header::AUTHORIZATION,
+    header::COOKIE,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// Headers that concern one connection only.
+const CONNECTION_ONLY: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+    "te",
+    "trailer",
+];
+
+/// The product's own way to speak.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OpenAiDialect;
+
+/// What matters of a chat's body; the rest goes to the target untouched.
+#[derive(Deserialize)]
+struct WireChat {
+    model: Option<String>,
+    #[serde(default)]
+    messages: Vec<WireMessage>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    prompt_cache_key: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct WireMessage {
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+impl Dialect for OpenAiDialect {
+    fn page(&self, head: &request::Parts) -> Option<Page> {
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/healthz") => Some(Page::Alive),
+            (&Method::GET, "/readyz") => Some(Page::Ready),
+            (&Method::GET, "/v1/models") => Some(Page::Models),
+            _ => None,
+        }
+    }
+
+    fn call_id(&self, _headers: &HeaderMap) -> Option<String> {
+        Some(RequestId::random().to_string())
+    }
+
+    fn read_call(
+        &self,
+        head: &request::Parts,
+        body: &Bytes,
+        id: Option<&str>,
+    ) -> Result<CallFacts, Refusal> {
+        let path = head.uri.path();
+        let facts = CallFacts {
+            asked: Asked {
+                host: String::new(),
+                method: head.method.clone(),
+                path: path.to_owned(),
+            },
+            key: key(&head.headers).map(str::to_owned),
+            rank: asked_rank(&head.headers),
+            claim: text(&head.headers, &IDEMPOTENCY_KEY).map(str::to_owned),
+            ..CallFacts::default()
+        };
+        match (&head.method, path) {
+            (&Method::POST, CHAT_PATH) => {
+                let chat = read_chat(body)?;
+                with_chat(facts, chat, &head.headers, id)
+            }
+            (_, path) if path.starts_with(SERVICE_PREFIX) => Ok(CallFacts {
+                unknown: Refusal::new(ResultCode::UnknownService, "no such service"),
+                ..facts
+            }),
+            _ => Ok(facts),
+        }
+    }
+
+    fn write_handover(&self, headers: &mut HeaderMap, handover: &Handover<'_>) {
+        for name in CONNECTION_ONLY {
+            headers.remove(name);
+        }
+        for name in PRIVATE {
+            headers.remove(name);
+        }
+        let request = handover.id.and_then(|id| id.parse().ok());
+        let attempt = request.map(|request| AttemptId {
+            request,
+            number: handover.attempt,
+        });
+        if let Some(attempt) = attempt {
+            set(headers, ATTEMPT, &attempt.to_string());
+        }
+        if let Some(rank) = handover.rank {
+            set(headers, PRIORITY, &Priority::of_rank(rank).to_string());
+        }
+    }
+
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+        let says_not_run = status.as_u16() >= 400 && headers.contains_key(&NOT_RUN);
+        let closing = headers.get(header::CONNECTION);
+        AnswerFacts {
+            sealed: true,
+            refused: says_not_run.then_some(Refused::ByTarget),
+            closing: closing.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close")),
+            ..AnswerFacts::default()
+        }
+    }
+
+    fn name_answer(&self, headers: &mut HeaderMap, id: &str) {
+        set(headers, HeaderName::from_static(reply::REQUEST_HEADER), id);
+    }
+
+    /// Whole seconds, as callers of any kind understand.
+    fn retry_after(&self, pause: Duration) -> String {
+        let seconds = pause.as_secs_f64().ceil().max(1.0);
+        format!("{seconds:.0}")
+    }
+}
+
+fn read_chat(body: &[u8]) -> Result<WireChat, Refusal> {
+    serde_json::from_slice(body).map_err(|e| Refusal {
+        why: e.to_string().into(),
+        ..Refusal::new(ResultCode::BadJson, "")
+    })
+}
+
+fn with_chat(
+    facts: CallFacts,
+    chat: WireChat,
+    headers: &HeaderMap,
+    id: Option<&str>,
+) -> Result<CallFacts, Refusal> {
+    let name = chat.model.as_deref().filter(|m| !m.is_empty());
+    let missing = Refusal::new(ResultCode::MissingModel, "the request names no model");
+    let name = name.ok_or(missing)?;
+    let unknown = Refusal {
+        why: format!("no model {name:?}").into(),
+        ..Refusal::new(ResultCode::UnknownModel, "")
+    };
+    let model: ModelName = name.parse().map_err(|_| unknown.clone())?;
+    let answer = chat.max_completion_tokens.or(chat.max_tokens).map(Tokens);
+    let named = chat.prompt_cache_key.as_deref();
+    let named = named.or_else(|| text(headers, &CHAT));
+    Ok(CallFacts {
+        asked: Asked {
+            path: chat_path(&model, chat.stream),
+            ..facts.asked
+        },
+        unknown,
+        prompt: prompt(&chat.messages, id),
+        shared_parts: chat
+            .messages
+            .iter()
+            .take_while(|m| m.role != "user")
+            .count(),
+        chat: Some(conversation(named, &chat.messages)),
+        answer,
+        ..facts
+    })
+}
+
+/// A part for each message, and an empty one of the request's own.
+fn prompt(messages: &[WireMessage], id: Option<&str>) -> Vec<PromptPart> {
+    let mut hash = Xxh3::new();
+    let part = |m: &WireMessage| {
+        let content = m.content.to_string();
+        hash.update(m.role.as_bytes());
+        hash.update(content.as_bytes());
+        PromptPart {
+            id: PartId(hash.digest()),
+            tokens: Tokens((content.len() / CHARS_PER_TOKEN) as u64 + 1),
+        }
+    };
+    let mut parts: Vec<PromptPart> = messages.iter().map(part).collect();
+    parts.push(PromptPart {
+        id: PartId(xxh3_64(id.unwrap_or_default().as_bytes())),
+        tokens: Tokens(0),
+    });
+    parts
+}
+
+/// An explicit name, or else the messages up to the first one of the user, which stay the same
+/// when the chat returns.
+fn conversation(named: Option<&str>, messages: &[WireMessage]) -> ConversationKey {
+    if let Some(name) = named {
+        return ConversationKey(xxh3_64(name.as_bytes()));
+    }
+    let mut hash = Xxh3::new();
+    for m in messages {
+        hash.update(m.role.as_bytes());
+        hash.update(m.content.to_string().as_bytes());
+        if m.role == "user" {
+            break;
+        }
+    }
+    ConversationKey(hash.digest())
+}
+
+fn key(headers: &HeaderMap) -> Option<&str> {
+    text(headers, &header::AUTHORIZATION)?.strip_prefix("Bearer ")
+}
+
+fn asked_rank(headers: &HeaderMap) -> Option<Rank> {
+    let asked: Priority = text(headers, &PRIORITY)?.parse().ok()?;
+    Some(asked.rank())
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Sets a header; a text that no header can hold is left out.
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -27,9 +27,9 @@
 /// What a target in another data hall costs, in calls: it decides between equals only.
 const FAR_CALLS: f64 = 0.25;
 
-/// The part of the bound on a target's calls that is used; the rest covers counts of other
+/// The part of the bound's distance from the mean that is used; the rest covers counts of other
 /// routers that are a little old.
-const BOUND_PART: f64 = 0.7;
+const BOUND_PART: f64 = 0.4;
 
 /// Calls above the bound that are always allowed: a bound on few calls says little.
 const BOUND_SLACK: f64 = 2.5;
@@ -68,6 +68,8 @@
     pub kept: Tokens,
     /// Calls that it works on at once.
     pub slots: u32,
+    /// Tokens that it may have in progress, where that is limited.
+    pub most_tokens: Option<Tokens>,
     /// Whether it stands in this router's data hall.
     pub near: bool,
     /// Whether this call was sent there before.
@@ -107,11 +109,8 @@
     let standing = best_standing(&open, wanted.repeatable);
     let fits = |o: &&(usize, &Offer)| o.1.standing <= standing;
     let sound: Vec<(usize, &Offer)> = open.iter().filter(fits).copied().collect();
-    let mean = options.iter().map(|o| f64::from(o.calls)).sum::<f64>() / options.len() as f64;
-    let bound = mean * wanted.cap_factor * BOUND_PART + BOUND_SLACK;
-    let below = |o: &&(usize, &Offer)| {
-        f64::from(o.1.calls) < bound && o.1.calls < o.1.slots.saturating_mul(FULL_FACTOR)
-    };
+    let bound = Bound::new(options, wanted.cap_factor);
+    let below = |o: &&(usize, &Offer)| bound.has_room(o.1);
     let roomy: Vec<(usize, &Offer)> = sound.iter().filter(below).copied().collect();
     // Where the sound ones have no room a suspect one is better than a refusal.
     let roomy = match roomy.is_empty() {
@@ -124,6 +123,31 @@
     }
 }
 
+/// How much each target may carry beside the others.
+struct Bound {
+    calls_a_slot: f64,
+}
+
+impl Bound {
+    fn new(options: &[Offer], cap_factor: f64) -> Self {
+        let calls: f64 = options.iter().map(|o| f64::from(o.calls)).sum();
+        let slots: f64 = options.iter().map(|o| f64::from(o.slots)).sum();
+        let factor = 1.0 + (cap_factor - 1.0) * BOUND_PART;
+        Self {
+            calls_a_slot: calls / slots.max(1.0) * factor,
+        }
+    }
+
+    fn has_room(&self, o: &Offer) -> bool {
+        let most = self.calls_a_slot * f64::from(o.slots) + BOUND_SLACK;
+        let work = Tokens(o.backlog.0 + o.missing.0);
+        f64::from(o.calls) < most
+            && o.calls < o.slots.saturating_mul(FULL_FACTOR)
+            // One call may always run.
+            && (o.calls == 0 || o.most_tokens.is_none_or(|most| work <= most))
+    }
+}
+
 /// The best standing that any has, or one step below it for calls that may try a suspect.
 fn best_standing(open: &[(usize, &Offer)], repeatable: bool) -> Standing {
     let best = open.iter().map(|o| o.1.standing).min();
@@ -187,6 +211,7 @@
         + (f64::from(option.calls) + far) * CALL_TOKENS
 }
 
-fn draw(key: u64, target: &TargetId) -> u64 {
+/// A draw of a target for a key; the highest one is the key's first choice.
+pub(crate) fn draw(key: u64, target: &TargetId) -> u64 {
     xxh3_64_with_seed(target.as_str().as_bytes(), key)
 }
--- a/src/prompt_cache.rs
+++ b/src/prompt_cache.rs
@@ -3,7 +3,7 @@
 //! Each router notes where it sent prompts and tells its peers of parts that are new at a target.
 //! An engine drops what is unused longest, so each target's parts are kept within its memory.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use lru::LruCache;
 
@@ -31,6 +31,10 @@
 /// The most parts that are remembered of one target: sessions' own parts come and go.
 const PARTS_LIMIT: usize = 4_096;
 
+/// Parts that may wait to be told; beyond it the oldest are left untold, and are read again where
+/// nobody knows of them. Some seconds of what a busy router tells.
+const NEWS_LIMIT: usize = 4_096;
+
 #[derive(Debug, Clone, Copy)]
 struct Held {
     tokens: Tokens,
@@ -47,7 +51,7 @@
 #[derive(Debug, Default)]
 pub struct PromptCache {
     targets: HashMap<TargetId, Memory>,
-    news: Vec<(PartId, Tokens, TargetId)>,
+    news: VecDeque<(PartId, Tokens, TargetId)>,
     unsaved: bool,
     unlisted: HashSet<TargetId>,
 }
@@ -71,24 +75,27 @@
         memory.is_some_and(|m| m.parts.contains(&part))
     }
 
-    /// A prompt was sent to a target; `shared` of its parts are worth telling the peers.
+    /// A prompt was sent to a target; the first `told` of its parts are worth telling the peers.
     pub fn on_send(
         &mut self,
         target: &TargetId,
         prompt: &[PromptPart],
-        shared: usize,
+        told: usize,
         memory_tokens: u64,
     ) {
         let memory = self.targets.entry(target.clone()).or_default();
         for (i, part) in prompt.iter().enumerate() {
-            let is_shared = i < shared;
-            let is_new = memory.hold(*part, is_shared);
-            if is_new && is_shared {
-                self.news.push((part.id, part.tokens, target.clone()));
+            let is_told = i < told;
+            let is_new = memory.hold(*part, is_told);
+            if is_new && is_told {
+                self.news.push_back((part.id, part.tokens, target.clone()));
                 self.unsaved = true;
             }
         }
         memory.trim(memory_tokens);
+        while self.news.len() > NEWS_LIMIT {
+            self.news.pop_front();
+        }
     }
 
     /// A peer sent a part to a target; `passed_on` where other peers have to be told by us.
@@ -97,7 +104,7 @@
         let is_new = memory.hold(part, true);
         self.unsaved |= is_new;
         if is_new && passed_on {
-            self.news.push((part.id, part.tokens, target.clone()));
+            self.news.push_back((part.id, part.tokens, target.clone()));
         }
     }
 
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -18,11 +18,16 @@
     MayHaveRun,
 }
 
+/// Proof that no target ran a call, nor ever will.
+#[derive(Debug, Clone, Copy)]
+pub struct NotRun(());
+
 /// All attempts of one call, as far as they bind what may be done and said.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Attempts {
     sent: u32,
     may_have_run: bool,
+    begun: bool,
 }
 
 impl Attempts {
@@ -36,19 +41,28 @@
         self.may_have_run |= fate != Fate::NotRun;
     }
 
+    /// The caller has a part of the answer.
+    pub fn on_begun(&mut self) {
+        self.begun = true;
+    }
+
     /// Targets that the call was sent to.
     pub fn sent(self) -> u32 {
         self.sent
     }
 
-    /// Whether the caller may be told that the call has not run.
-    pub fn is_not_run(self) -> bool {
-        !self.may_have_run
+    /// What is needed to tell the caller that the call has not run.
+    pub fn not_run(self) -> Option<NotRun> {
+        (!self.may_have_run).then_some(NotRun(()))
     }
 
     /// Whether another target may be tried.
     pub fn may_go_on(self, kind: CallKind, max_attempts: u32) -> bool {
-        self.sent < max_attempts.max(1) && (!self.may_have_run || kind.is_repeatable())
+        let again = match self.begun {
+            true => kind.is_resumable(),
+            false => kind.is_repeatable(),
+        };
+        self.sent < max_attempts.max(1) && (!self.may_have_run || again)
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,52 +4,14 @@
 
 use crate::{
     Error, Result, ResultCode,
+    config::{routes::CallerRules, serving::CallerLimits},
+    edge::{GatewayConfig, Rules},
     ids::{DataHall, Region, VmId},
+    membership::datagram::Strength,
+    retry::BudgetRule,
     units::{ByteCount, LoadBound},
 };
 
-/// Another router, as named by settings or by the platform's VM list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct VmInfo {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its region.
-    pub region: Region,
-    /// Its data hall.
-    pub data_hall: DataHall,
-    /// Where its peers reach it, over TCP and UDP.
-    pub address: SocketAddr,
-}
-
-impl FromStr for VmInfo {
-    type Err = String;
-
-    fn from_str(s: &str) -> Result<Self, String> {
-        let fields: Vec<&str> = s.split('/').collect();
-        let [vm, region, hall, address] = fields[..] else {
-            return Err("expected VM/REGION/HALL/IP:PORT".to_owned());
-        };
-        Ok(Self {
-            vm: vm.parse().map_err(|e| format!("{e}"))?,
-            region: region.parse().map_err(|e| format!("{e}"))?,
-            data_hall: hall.parse().map_err(|e| format!("{e}"))?,
-            address: address.parse().map_err(|e| format!("{e}"))?,
-        })
-    }
-}
-
-impl fmt::Display for VmInfo {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            vm,
-            region,
-            data_hall,
-            address,
-        } = self;
-        write!(f, "{vm}/{region}/{data_hall}/{address}")
-    }
-}
-
 /// A value that must not be shown.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(String);
@@ -116,11 +78,9 @@
 /// A fault of one setting, with all that is needed to mend it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
-    /// The flag.
-    pub flag: String,
-    /// The environment variable.
-    pub variable: String,
-    /// The value as it was given, if any; a secret one is masked.
+    /// The setting, by the names under which it may be given.
+    pub setting: String,
+    /// The value as it was given, quoted, if any; a secret one is masked.
     pub seen: Option<String>,
     /// What is expected.
     pub expected: String,
@@ -129,19 +89,16 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
-            flag,
-            variable,
-            expected,
-            ..
+            setting, expected, ..
         } = self;
         let seen = match &self.seen {
-            Some(v) => format!("{v:?}"),
-            None => "nothing".to_owned(),
+            Some(v) => v.as_str(),
+            None => "nothing",
         };
         let code = ResultCode::BadSettings;
         write!(
             f,
-            "error {code}: {flag} ({variable}): got {seen}, expected {expected}"
+            "error {code}: {setting}: got {seen}, expected {expected}"
         )
     }
 }
@@ -248,10 +205,10 @@
     operator_listen: SocketAddr = None, false, "IP:PORT";
     /// Whether to listen beyond loopback without TLS.
     allow_plain: bool = Some("false"), false, "true or false";
-    /// The platform's service.
+    /// The platform's metadata store.
     platform: SocketAddr = None, false, "IP:PORT";
-    /// The other routers; where empty, the platform's VM list names them.
-    peers: List<VmInfo> = Some(""), false, "VM/REGION/HALL/IP:PORT, separated by commas";
+    /// Where some other routers listen for peers; where empty, they are found through the store.
+    peers: List<SocketAddr> = Some(""), false, "IP:PORT, separated by commas";
     /// The tokens that operators show, each with the operator's name.
     operator_tokens: List<OperatorToken> = None, true, "NAME:TOKEN, separated by commas, TOKEN of 8 characters or more";
     /// How far above its pool's mean a target may be loaded.
@@ -274,14 +231,73 @@
     drain_wait_ms: Millis = Some("5000"), false, "milliseconds";
     /// How long a planned stop waits for requests in progress.
     drain_limit_ms: Millis = Some("600000"), false, "milliseconds";
-    /// Where StatsD listens; nothing is sent where empty.
-    statsd: List<SocketAddr> = Some(""), false, "IP:PORT or nothing";
+    /// Where counters and histograms are read; nowhere where empty.
+    metrics_listen: List<SocketAddr> = Some(""), false, "IP:PORT or nothing";
     /// The OTLP endpoint for spans; none are sent where empty.
     otlp: OtlpEndpoint = Some(""), false, "http://IP:PORT/v1/traces or nothing";
     /// The lowest level that is logged.
     log_level: LogLevel = Some("info"), false, "trace, debug, info, warning, error or critical";
 }
 
+/// Decisions that a router keeps for `explain`: those of some thousand calls, a few megabytes.
+const EXPLAIN_KEPT: usize = 16_384;
+
+/// The fleet's budget of repeats: a fifth of the calls of ten seconds, and some beyond, as on the
+/// users' sites.
+const BUDGET: BudgetRule = BudgetRule {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    extra: 50.0,
+};
+
+/// What a VM is taken to bear, so that all routers of a fleet count as alike.
+const STRENGTH: (f64, f64) = (1_000.0, 1.0);
+
+impl Settings {
+    /// What a gateway is told, for the product's own interface.
+    pub fn gateway(&self) -> GatewayConfig {
+        let drain = self.drain_wait_ms.duration() + self.drain_limit_ms.duration();
+        GatewayConfig {
+            vm: self.vm.clone(),
+            region: Some(self.region.clone()),
+            data_hall: self.data_hall.clone(),
+            strength: Strength::new(STRENGTH.0, STRENGTH.1),
+            callers: self.listen,
+            ready: None,
+            metrics: self.metrics_listen.0.first().copied(),
+            operators: Some((self.operator_listen, self.operator_tokens.0.clone())),
+            peers: self.peer_listen,
+            seeds: self.peers.0.clone(),
+            max_connections: self.concurrency_limit,
+            max_calls: self.concurrency_limit,
+            own_config: true,
+            callers_rules: CallerRules {
+                limits: self.caller_limits(),
+                chat_timeout: self.request_timeout_ms.duration(),
+                longest_silence: self.idle_timeout_ms.duration(),
+            },
+            explain_kept: EXPLAIN_KEPT,
+            rules: Rules {
+                revoke_bound: None,
+                cap_factor: self.load_bound.factor(),
+                budget: BUDGET,
+                serve_on: self.drain_wait_ms.duration(),
+                stop_time: drain,
+            },
+        }
+    }
+
+    fn caller_limits(&self) -> CallerLimits {
+        CallerLimits {
+            header_bytes: self.header_limit.0,
+            body_bytes: self.body_limit.0,
+            header_time: self.header_timeout_ms.duration(),
+            body_time: self.body_timeout_ms.duration(),
+            idle_time: self.idle_timeout_ms.duration(),
+        }
+    }
+}
+
 /// An OTLP endpoint, or none.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OtlpEndpoint(pub Option<String>);
@@ -308,6 +324,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogLevel(pub slog::Level);
 
+impl Default for LogLevel {
+    fn default() -> Self {
+        Self(slog::Level::Info)
+    }
+}
+
 impl FromStr for LogLevel {
     type Err = String;
 
@@ -359,9 +381,8 @@
 
 fn fault(name: &str, seen: Option<String>, expected: &str) -> Fault {
     Fault {
-        flag: flag_name(name),
-        variable: variable_name(name),
-        seen,
+        setting: format!("{} ({})", flag_name(name), variable_name(name)),
+        seen: seen.map(|s| format!("{s:?}")),
         expected: expected.to_owned(),
     }
 }
--- /dev/null
+++ b/src/spans.rs
@@ -0,0 +1,135 @@
+//! A span for each hop of a call, told to an OTLP collector and to the next hop.
+
+use std::cell::Cell;
+
+use hyper::{
+    HeaderMap,
+    header::{HeaderName, HeaderValue},
+};
+use opentelemetry::{
+    Context, KeyValue,
+    propagation::{Extractor, Injector, TextMapPropagator},
+    trace::{SpanKind, TraceContextExt, Tracer, TracerProvider},
+};
+use opentelemetry_otlp::{Protocol, SpanExporter, WithExportConfig};
+use opentelemetry_sdk::{
+    propagation::TraceContextPropagator,
+    trace::{SdkTracer, SdkTracerProvider},
+};
+
+use crate::{Error, Result};
+
+/// A router's spans; off, it costs nothing and leaves callers' trace headers as they are.
+#[derive(Default)]
+pub struct Spans {
+    on: Option<(SdkTracerProvider, SdkTracer)>,
+    begun: Cell<u64>,
+}
+
+/// A span of one hop of a call; ends when dropped.
+pub struct HopSpan {
+    cx: Option<Context>,
+}
+
+impl HopSpan {
+    /// Writes the span's trace parent into headers that go to the next hop.
+    pub fn inject(&self, headers: &mut HeaderMap) {
+        if let Some(cx) = &self.cx {
+            TraceContextPropagator::new().inject_context(cx, &mut HeaderWriter(headers));
+        }
+    }
+
+    /// Notes how the hop ended.
+    pub fn note(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+        if let Some(cx) = &self.cx {
+            cx.span().set_attribute(KeyValue::new(key, value));
+        }
+    }
+}
+
+impl Drop for HopSpan {
+    fn drop(&mut self) {
+        if let Some(cx) = &self.cx {
+            cx.span().end();
+        }
+    }
+}
+
+struct HeaderWriter<'a>(&'a mut HeaderMap);
+
+impl Injector for HeaderWriter<'_> {
+    fn set(&mut self, key: &str, value: String) {
+        let name = HeaderName::try_from(key);
+        // The propagator writes names and values that headers can hold.
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value)) {
+            self.0.insert(name, value);
+        }
+    }
+}
+
+struct HeaderReader<'a>(&'a HeaderMap);
+
+impl Extractor for HeaderReader<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key)?.to_str().ok()
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(HeaderName::as_str).collect()
+    }
+}
+
+impl Spans {
+    /// Spans that are told to the targets, and to an OTLP endpoint if there is one.
+    pub fn on(endpoint: Option<&str>) -> Result<Self> {
+        let builder = SdkTracerProvider::builder();
+        let provider = match endpoint {
+            None => builder.build(),
+            Some(endpoint) => {
+                let exporter = SpanExporter::builder()
+                    .with_http()
+                    .with_endpoint(endpoint)
+                    .with_protocol(Protocol::HttpBinary)
+                    .build()
+                    .map_err(|e| Error::Protocol(format!("otlp: {e}")))?;
+                builder.with_batch_exporter(exporter).build()
+            }
+        };
+        let tracer = provider.tracer("scaleford");
+        Ok(Self {
+            on: Some((provider, tracer)),
+            begun: Cell::new(0),
+        })
+    }
+
+    /// Begins a hop's span below the trace parent in the headers, if there is one.
+    pub fn hop(&self, name: &'static str, call: &str, headers: &HeaderMap) -> HopSpan {
+        let Some((_, tracer)) = &self.on else {
+            return HopSpan { cx: None };
+        };
+        let parent = TraceContextPropagator::new().extract(&HeaderReader(headers));
+        let builder = tracer
+            .span_builder(name)
+            .with_kind(SpanKind::Server)
+            .with_attributes([KeyValue::new("request", call.to_owned())]);
+        let span = tracer.build_with_context(builder, &parent);
+        self.begun.set(self.begun.get() + 1);
+        HopSpan {
+            cx: Some(parent.with_span(span)),
+        }
+    }
+
+    /// The spans of hops that were begun.
+    pub fn begun(&self) -> u64 {
+        self.begun.get()
+    }
+
+    /// Sends the spans that wait.
+    pub fn flush(&self) -> Result<()> {
+        let Some((provider, _)) = &self.on else {
+            return Ok(());
+        };
+        let flushed = provider.shutdown();
+        flushed.map_err(|e| Error::Protocol(format!("otlp: {e}")))
+    }
+}
