--- a/src/units.rs
+++ b/src/units.rs
@@ -153,17 +153,6 @@
     pub fn factor(self) -> f64 {
         self.0
     }
-
-    /// The factor up to which a chat is admitted whose cached work is at the target: short of the
-    /// bound, so that what the mean loses afterwards does not carry the engine above it.
-    pub fn returning_factor(self) -> f64 {
-        1.0 + (self.0 - 1.0) * 0.55
-    }
-
-    /// The factor up to which anything else is admitted.
-    pub fn other_factor(self) -> f64 {
-        1.0 + (self.0 - 1.0) * 0.05
-    }
 }
 
 impl Default for LoadBound {
@@ -239,14 +228,14 @@
     /// All priorities, the most urgent first.
     pub const ALL: [Self; 3] = [Self::Urgent, Self::Live, Self::Patient];
 
-    /// The priority's number on the wire, 0 for the most urgent.
-    pub fn rank(self) -> i32 {
-        self as i32
+    /// How urgent that is to an engine.
+    pub fn rank(self) -> Rank {
+        Rank(self as u8)
     }
 
-    /// The priority with this number; an unknown one is the least urgent.
-    pub fn from_rank(n: i32) -> Self {
-        match n {
+    /// The priority of a rank; an unknown one is the least urgent.
+    pub fn of_rank(rank: Rank) -> Self {
+        match rank.0 {
             0 => Self::Urgent,
             1 => Self::Live,
             _ => Self::Patient,
@@ -254,6 +243,18 @@
     }
 }
 
+impl FromStr for Priority {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        let named = Self::ALL.into_iter().find(|p| p.to_string() == s);
+        named.ok_or_else(|| IdError {
+            expected: "urgent, live or patient",
+            got: s.to_owned(),
+        })
+    }
+}
+
 impl fmt::Display for Priority {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- /dev/null
+++ b/tests/decisions/changes.rs
@@ -0,0 +1,56 @@
+//! The order of accepted changes.
+
+use proptest::prelude::*;
+use scaleford::{
+    config::{Change, ChangeOutcome, ConfigLog, Edit, Model, Update},
+    ids::{ChangeId, Revision},
+};
+
+proptest! {
+    /// Changes arrive in any order, twice, from relays that lag or lie, or from a store that
+    /// was set back and went on differently.
+    #[test]
+    fn a_configuration_never_reverts(steps in prop::collection::vec((0usize..24, any::<bool>()), 1..120)) {
+        let (mut truth, mut other) = (ConfigLog::default(), ConfigLog::default());
+        let (mut changes, mut lies) = (Vec::new(), Vec::new());
+        for n in 0..24 {
+            let change = next_change(&truth, &format!("chg-{n}"));
+            truth.on_change(change.clone());
+            changes.push(change);
+            let lie = next_change(&other, &format!("lie-{n}"));
+            other.on_change(lie.clone());
+            lies.push(lie);
+        }
+        let mut log = ConfigLog::default();
+        log.on_change(changes[0].clone());
+        for (n, lie) in steps {
+            let before = (log.revision(), log.digest());
+            let offered = if lie { lies[n].clone() } else { changes[n].clone() };
+            let outcome = log.on_change(offered);
+            prop_assert!(log.revision() >= before.0);
+            prop_assert!(outcome == ChangeOutcome::Applied || (log.revision(), log.digest()) == before);
+            prop_assert!(!lie || outcome != ChangeOutcome::Applied);
+        }
+        match truth.update_since(log.revision(), log.digest()) {
+            Update::Changes(missing) => missing.iter().for_each(|c| { log.on_change((**c).clone()); }),
+            Update::Current => {}
+            Update::Whole(_) => prop_assert!(false, "the ring holds all"),
+        }
+        prop_assert_eq!(log.digest(), truth.digest());
+    }
+}
+
+fn next_change(log: &ConfigLog, id: &str) -> Change {
+    let id: ChangeId = id.parse().unwrap();
+    Change {
+        revision: Revision(log.revision().0 + 1),
+        author: "night-watch".to_owned(),
+        reason: "test".to_owned(),
+        previous: log.digest(),
+        edits: vec![Edit::PutModel {
+            id: id.as_str().parse().unwrap(),
+            model: Model::default(),
+        }],
+        id,
+    }
+}
--- /dev/null
+++ b/tests/decisions/health.rs
@@ -0,0 +1,90 @@
+//! Which targets are left alone.
+
+use scaleford::{
+    config::serving::CallKind,
+    health::{Health, Outcome, Standing},
+    ids::TargetId,
+};
+
+use crate::{at, dispatcher, plan, record};
+
+#[test]
+fn a_target_that_fails_is_left_alone_and_tried_again_with_one_call() {
+    let mut health = Health::default();
+    let target: TargetId = "t1".parse().unwrap();
+    for _ in 0..3 {
+        health.on_outcome(at(0), &target, Outcome::Broken);
+    }
+    assert_eq!(health.standing(at(100), &target), Standing::Paused);
+    assert_eq!(health.standing(at(500), &target), Standing::OnTrial);
+    health.on_send(at(500), &target, false);
+    assert_eq!(
+        health.standing(at(501), &target),
+        Standing::Paused,
+        "one at a time"
+    );
+    health.on_outcome(at(520), &target, Outcome::Good);
+    assert_eq!(health.standing(at(521), &target), Standing::Well);
+}
+
+#[test]
+fn errors_that_a_well_target_answers_now_and_then_do_not_count_against_it() {
+    let mut health = Health::default();
+    let target: TargetId = "t1".parse().unwrap();
+    for i in 0..200 {
+        let outcome = if i % 7 == 0 {
+            Outcome::Error
+        } else {
+            Outcome::Good
+        };
+        health.on_outcome(at(i * 10), &target, outcome);
+        assert_eq!(health.standing(at(i * 10), &target), Standing::Well);
+    }
+}
+
+#[test]
+fn a_trial_that_nobody_waited_for_does_not_block_the_next_one() {
+    let mut health = Health::default();
+    let target: TargetId = "t1".parse().unwrap();
+    for _ in 0..3 {
+        health.on_outcome(at(0), &target, Outcome::Broken);
+    }
+    health.on_send(at(500), &target, false);
+    health.on_abandon(&target);
+    assert_eq!(health.standing(at(501), &target), Standing::OnTrial);
+}
+
+/// Incidents of both sites: each router sent several calls to a target that had gone dark before
+/// the first one's time was up.
+#[test]
+fn a_target_that_gives_no_sign_of_life_gets_no_further_call() {
+    let mut d = dispatcher(3);
+    let call = |n| plan(CallKind::Unsafe, Vec::new(), n);
+    let dark = d.choose(at(0), &call(1)).unwrap();
+    for n in 2..30 {
+        let ticket = d.choose(at(300 + n), &call(n)).unwrap();
+        assert_ne!(ticket.target.id, dark.target.id);
+        d.on_end(at(301 + n), &ticket, Some(Outcome::Good));
+    }
+    d.on_end(at(600), &dark, Some(Outcome::Good));
+    assert_eq!(d.health.standing(at(600), &dark.target.id), Standing::Well);
+}
+
+#[test]
+fn a_target_that_two_peers_doubt_is_the_last_choice_and_one_peer_alone_changes_nothing() {
+    let mut d = dispatcher(2);
+    let doubted = record(0).id;
+    let told = vec![(&doubted).into()];
+    d.health
+        .on_doubts(at(0), "vm-1".parse().unwrap(), told.clone());
+    assert_eq!(d.health.standing(at(1), &doubted), Standing::Well);
+    d.health.on_doubts(at(0), "vm-2".parse().unwrap(), told);
+    assert_eq!(d.health.standing(at(1), &doubted), Standing::Doubted);
+    for n in 0..10 {
+        let call = plan(CallKind::Unsafe, Vec::new(), n);
+        let ticket = d.choose(at(2), &call).unwrap();
+        assert_ne!(ticket.target.id, doubted);
+        d.on_end(at(3), &ticket, Some(Outcome::Good));
+    }
+    assert_eq!(d.health.standing(at(5_000), &doubted), Standing::Well);
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,98 @@
+//! What the library decides, without a clock or a socket.
+
+mod calls;
+mod changes;
+mod claims;
+mod health;
+mod limits;
+mod placement;
+mod routes;
+mod streams;
+mod targets;
+mod trust;
+
+use std::{net::SocketAddr, time::Duration};
+
+use scaleford::{
+    config::serving::{CallKind, EngineSpec, StreamRepeats},
+    discovery::{TargetRecord, TargetState},
+    dispatcher::{Dispatcher, Plan},
+    edge::Rules,
+    ids::DataHall,
+    prompt_cache::{PartId, PromptPart},
+    retry::BudgetRule,
+    units::{Instant, StoreRevision, Tokens},
+};
+
+const REVOKE: Duration = Duration::from_secs(5);
+
+const RESUMABLE: CallKind = CallKind::Stream(StreamRepeats::Resumed);
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn rules() -> Rules {
+    Rules {
+        revoke_bound: Some(REVOKE),
+        cap_factor: 2.0,
+        budget: BudgetRule {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            extra: 10.0,
+        },
+        serve_on: Duration::from_secs(3),
+        stop_time: Duration::from_secs(8),
+    }
+}
+
+fn hall(name: &str) -> DataHall {
+    name.parse().unwrap()
+}
+
+fn record(n: usize) -> TargetRecord {
+    TargetRecord {
+        id: format!("t{n}").parse().unwrap(),
+        service: "writer".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9000 + n as u16)),
+        data_hall: hall("yard"),
+        slots: 64,
+        most_tokens: None,
+        state: TargetState::Ready,
+    }
+}
+
+fn part(id: u64, tokens: u64) -> PromptPart {
+    PromptPart {
+        id: PartId(id),
+        tokens: Tokens(tokens),
+    }
+}
+
+fn plan(kind: CallKind, prompt: Vec<PromptPart>, hash: u64) -> Plan {
+    Plan {
+        service: "writer".parse().unwrap(),
+        kind,
+        shared_parts: prompt.len().saturating_sub(1),
+        prompt,
+        chat: None,
+        answer: Tokens(0),
+        hash,
+        engine: Some(EngineSpec {
+            slots: 64,
+            memory_tokens: 400_000,
+            moves: true,
+            usual_answer: None,
+        }),
+        tried: Vec::new(),
+    }
+}
+
+fn dispatcher(targets: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(hall("yard"), &rules());
+    let list = (0..targets)
+        .map(|n| (record(n), StoreRevision(1)))
+        .collect();
+    dispatcher.discovery.on_list(at(0), list, StoreRevision(1));
+    dispatcher
+}
--- /dev/null
+++ b/tests/decisions/placement.rs
@@ -0,0 +1,302 @@
+//! Load, prompts and where calls go.
+
+use std::collections::HashMap;
+
+use proptest::prelude::*;
+use scaleford::{
+    config::serving::CallKind,
+    discovery::{ListChange, TargetRecord, TargetState},
+    dispatcher::Plan,
+    health::Outcome,
+    ids::{ConversationKey, TargetId, VmId},
+    load_account::{InProgress, LoadAccount},
+    placement::choice::NoChoice,
+    prompt_cache::{PartId, PromptCache},
+    units::{StoreRevision, Tokens},
+};
+
+use crate::{RESUMABLE, at, dispatcher, hall, part, plan, record};
+
+#[test]
+fn counts_of_peers_are_added_up_once_whether_they_come_singly_or_as_a_sum() {
+    let target: TargetId = "t1".parse().unwrap();
+    let mut near = LoadAccount::new(hall("yard"));
+    let mut other = LoadAccount::new(hall("yard"));
+    other.on_send(&target, InProgress::one(Tokens(10)));
+    other.on_send(&target, InProgress::one(Tokens(5)));
+    let me: VmId = "me".parse().unwrap();
+    let peer: VmId = "peer".parse().unwrap();
+    near.on_send(&target, InProgress::one(Tokens(1)));
+    near.on_peer(at(0), peer.clone(), hall("yard"), other.own_counts());
+    assert_eq!(near.total(&target).calls, 3);
+    // The peer adds up for the hall, without what we told it ourselves.
+    other.on_peer(at(0), me.clone(), hall("yard"), near.own_counts());
+    near.on_hall(at(10), hall("yard"), other.hall_counts(Some(&me)));
+    assert_eq!(
+        near.total(&target),
+        InProgress {
+            calls: 3,
+            tokens: Tokens(16)
+        }
+    );
+    // Once the sums stop to come, the peers' own counts are used again.
+    near.on_tick(at(1_500));
+    assert_eq!(near.total(&target).calls, 3);
+    near.on_tick(at(9_000));
+    assert_eq!(near.total(&target).calls, 1);
+}
+
+#[test]
+fn a_call_returns_to_the_target_that_read_its_prompt() {
+    let mut d = dispatcher(9);
+    let prompt = |own| vec![part(1, 500), part(2, 10_000), part(own, 100)];
+    let first = d.choose(at(0), &plan(RESUMABLE, prompt(100), 1)).unwrap();
+    d.on_end(at(50), &first, Some(Outcome::Good));
+    for own in 101..120 {
+        let ticket = d
+            .choose(at(own), &plan(RESUMABLE, prompt(own), own))
+            .unwrap();
+        assert_eq!(ticket.target.id, first.target.id);
+        assert!(ticket.holds);
+        d.on_end(at(own), &ticket, Some(Outcome::Good));
+    }
+}
+
+/// Puente, releases: prompts of targets that left were read again by others though the first
+/// target still had them.
+#[test]
+fn a_prompt_is_taken_from_the_memory_of_a_target_that_leaves() {
+    let mut d = dispatcher(3);
+    let prompt = vec![part(1, 500), part(2, 10_000), part(3, 100)];
+    let first = d
+        .choose(at(0), &plan(RESUMABLE, prompt.clone(), 1))
+        .unwrap();
+    d.on_end(at(50), &first, Some(Outcome::Good));
+    let leaving = TargetRecord {
+        state: TargetState::Leaving,
+        ..(*first.target).clone()
+    };
+    let put = ListChange::Put(leaving);
+    d.discovery.on_change(at(100), put, StoreRevision(2));
+    let second = d.choose(at(200), &plan(RESUMABLE, prompt, 2)).unwrap();
+    assert_ne!(second.target.id, first.target.id);
+    let source = second.fetch_from.map(|t| t.id.clone());
+    assert_eq!(source, Some(first.target.id.clone()));
+}
+
+/// Grown puente, seconds 1 to 6: 209 of 2,180 calls reached targets with twice the mean load, as
+/// all prompts with the same beginning met at one target before routers heard of one another.
+#[test]
+fn prompts_with_the_same_beginning_spread_before_anyone_hears_of_them() {
+    let mut chosen = HashMap::new();
+    for child in 0..60_u64 {
+        // Each router knows nothing but its own first call.
+        let mut d = dispatcher(20);
+        let prompt = vec![part(1, 500), part(1_000 + child, 10_000), part(child, 50)];
+        let ticket = d.choose(at(0), &plan(RESUMABLE, prompt, child)).unwrap();
+        *chosen.entry(ticket.target.id.clone()).or_insert(0) += 1;
+    }
+    let most = chosen.values().max().unwrap();
+    assert!(*most <= 12, "{most} of 60 met at one of 20 targets");
+}
+
+#[test]
+fn no_target_gets_far_more_than_the_mean() {
+    let mut d = dispatcher(10);
+    let prompt = |n| vec![part(1, 500), part(2, 10_000), part(n, 50)];
+    let mut full = 0;
+    for n in 100..300 {
+        match d.choose(at(n), &plan(RESUMABLE, prompt(n), n)) {
+            Ok(ticket) => {
+                let all: u32 = (0..10).map(|i| d.load.calls(at(n), &record(i).id)).sum();
+                let here = f64::from(ticket.calls);
+                assert!(here <= 2.0 * f64::from(all) / 10.0 + 3.0);
+            }
+            Err(no) => {
+                assert_eq!(no, NoChoice::AllFull);
+                full += 1;
+            }
+        }
+    }
+    assert_eq!(full, 0, "there is room elsewhere");
+}
+
+#[test]
+fn a_call_that_was_sent_everywhere_has_nowhere_left() {
+    let mut d = dispatcher(2);
+    let mut call = plan(CallKind::Safe, Vec::new(), 1);
+    call.tried = vec![record(0).id, record(1).id];
+    assert_eq!(d.choose(at(0), &call).unwrap_err(), NoChoice::NoTarget);
+}
+
+#[test]
+fn targets_that_all_fail_still_get_calls() {
+    let mut d = dispatcher(2);
+    for n in 0..2 {
+        for _ in 0..5 {
+            d.health.on_outcome(at(0), &record(n).id, Outcome::Broken);
+        }
+    }
+    assert!(
+        d.choose(at(10), &plan(CallKind::Unsafe, Vec::new(), 1))
+            .is_ok()
+    );
+}
+
+#[test]
+fn a_suspect_target_is_better_than_a_refusal() {
+    let mut d = dispatcher(2);
+    for _ in 0..3 {
+        d.health.on_outcome(at(0), &record(0).id, Outcome::Broken);
+    }
+    // More than one target may carry while the other one is paused.
+    for n in 0..40 {
+        let call = plan(CallKind::Unsafe, Vec::new(), n);
+        assert!(d.choose(at(1), &call).is_ok(), "call {n}");
+    }
+}
+
+#[test]
+fn prompts_of_targets_that_are_missing_for_a_moment_are_remembered() {
+    let mut cache = PromptCache::default();
+    let target: TargetId = "t1".parse().unwrap();
+    cache.on_peer(&target, part(1, 100), false);
+    cache.sweep(|_| false);
+    assert!(cache.holds(&target, PartId(1)), "missing once");
+    cache.sweep(|_| true);
+    cache.sweep(|_| false);
+    assert!(cache.holds(&target, PartId(1)), "it was back between");
+    cache.sweep(|_| false);
+    assert!(!cache.holds(&target, PartId(1)));
+}
+
+#[test]
+fn a_prompt_counts_as_read_only_up_to_its_first_missing_part() {
+    let mut cache = PromptCache::default();
+    let target: TargetId = "t1".parse().unwrap();
+    cache.on_peer(&target, part(2, 1_000), false);
+    let prompt = [part(1, 10), part(2, 1_000), part(3, 5)];
+    assert_eq!(cache.missing(&target, &prompt), Tokens(1_015));
+    cache.on_peer(&target, part(1, 10), false);
+    assert_eq!(cache.missing(&target, &prompt), Tokens(5));
+}
+
+/// A turn of a chat: a system prompt that others share, what was said before, and a new question.
+fn turn(chat: u64, turns: u64) -> Plan {
+    let mut prompt = vec![part(1, 400)];
+    prompt.extend((0..=turns).map(|n| part(chat * 1_000 + n, 150)));
+    prompt.push(part(chat * 1_000 + 900 + turns, 0));
+    Plan {
+        shared_parts: 1,
+        chat: Some(ConversationKey(chat)),
+        answer: Tokens(100),
+        ..plan(RESUMABLE, prompt, chat)
+    }
+}
+
+#[test]
+fn a_chat_that_returns_through_another_router_finds_its_target_without_a_word() {
+    for chat in 2..60 {
+        let first = dispatcher(9).choose(at(0), &turn(chat, 0)).unwrap();
+        let again = dispatcher(9).choose(at(0), &turn(chat, 5)).unwrap();
+        assert_eq!(again.target.id, first.target.id, "chat {chat}");
+        // What was said before is there; the new question is not.
+        assert_eq!(again.missing, Tokens(150));
+    }
+}
+
+#[test]
+fn a_chat_whose_first_choice_is_busy_goes_elsewhere_and_the_peers_are_told() {
+    let mut d = dispatcher(3);
+    let chat = turn(7, 3);
+    let first = d.choose(at(0), &chat).unwrap();
+    while d.load.calls(at(0), &first.target.id) < 20 {
+        d.load.on_send(&first.target.id, InProgress::one(Tokens(0)));
+    }
+    d.cache.take_news(1_000);
+    let moved = d.choose(at(1), &chat).unwrap();
+    assert_ne!(moved.target.id, first.target.id);
+    let told = d.cache.take_news(1_000);
+    let of_chat = told.iter().filter(|(_, _, t)| *t == moved.target.id);
+    assert_eq!(of_chat.count(), 5, "all parts but the request's own");
+    // A peer that was told finds it there.
+    let mut peer = dispatcher(3);
+    for (id, tokens, target) in told {
+        let part = scaleford::prompt_cache::PromptPart { id, tokens };
+        peer.cache.on_peer(&target, part, false);
+    }
+    while peer.load.calls(at(0), &first.target.id) < 20 {
+        peer.load
+            .on_send(&first.target.id, InProgress::one(Tokens(0)));
+    }
+    let again = peer.choose(at(2), &turn(7, 4)).unwrap();
+    assert_eq!(again.target.id, moved.target.id);
+}
+
+proptest! {
+    #[test]
+    fn only_the_chats_of_a_leaving_target_move(seed in 2_u64..1_000_000, gone in 0_usize..20) {
+        for chat in seed..seed + 20 {
+            let mut all = dispatcher(20);
+            let before = all.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
+            let mut fewer = dispatcher(20);
+            let left = ListChange::Removed(record(gone).id);
+            fewer.discovery.on_change(at(0), left, StoreRevision(2));
+            let after = fewer.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
+            prop_assert!(before == after || before == record(gone).id);
+        }
+    }
+}
+
+#[test]
+fn a_target_of_half_the_weight_carries_half_as_much() {
+    let mut d = dispatcher(0);
+    let list = (0..4).map(|n| TargetRecord {
+        slots: if n == 0 { 32 } else { 64 },
+        ..record(n)
+    });
+    let list = list.map(|r| (r, StoreRevision(2))).collect();
+    d.discovery.on_list(at(0), list, StoreRevision(2));
+    let mut calls = [0_u32; 4];
+    for n in 0..140 {
+        let ticket = d.choose(at(0), &turn(n + 2, 0)).unwrap();
+        let target = (0..4).find(|i| record(*i).id == ticket.target.id).unwrap();
+        calls[target] += 1;
+    }
+    // Fourteen calls to each 64 slots on average, two times 0.4 above it at the most, and three.
+    assert!(f64::from(calls[0]) <= 20.0 * 1.4 + 3.0, "{calls:?}");
+    assert!(calls[1..].iter().all(|c| *c > calls[0]), "{calls:?}");
+}
+
+#[test]
+fn a_target_with_little_room_for_tokens_gets_one_call_and_then_only_what_fits() {
+    let mut d = dispatcher(0);
+    let list = (0..2).map(|n| TargetRecord {
+        most_tokens: (n == 0).then_some(Tokens(1_000)),
+        ..record(n)
+    });
+    let list = list.map(|r| (r, StoreRevision(2))).collect();
+    d.discovery.on_list(at(0), list, StoreRevision(2));
+    let mut at_small = 0;
+    for n in 0..12 {
+        let ticket = d.choose(at(0), &turn(n + 2, 0)).unwrap();
+        at_small += u32::from(ticket.target.id == record(0).id);
+    }
+    let work = d.load.total(&record(0).id).tokens;
+    assert!(at_small >= 1);
+    assert!(at_small == 1 || work <= Tokens(1_000), "{work}");
+}
+
+/// Two routers that do not hear of one another yet stay inside twice the mean together.
+#[test]
+fn routers_that_do_not_know_of_one_another_stay_near_the_mean() {
+    let mut routers = [dispatcher(10), dispatcher(10)];
+    let mut calls: HashMap<TargetId, u32> = HashMap::new();
+    for n in 0..400_u64 {
+        let router = &mut routers[n as usize % 2];
+        let ticket = router.choose(at(0), &turn(n + 2, 0)).unwrap();
+        *calls.entry(ticket.target.id.clone()).or_default() += 1;
+    }
+    let most = calls.values().max().unwrap();
+    assert!(*most <= 2 * 40 + 3, "{calls:?}");
+}
--- /dev/null
+++ b/tests/decisions/routes.rs
@@ -0,0 +1,199 @@
+//! Which route and which account a call belongs to.
+
+use std::time::Duration;
+
+use scaleford::config::{
+    KeyHash,
+    serving::{Asked, CallKind, CallerLimits, Denied, KeyHolder, Route, ServingConfig},
+};
+use scaleford::units::{Rank, StoreRevision};
+
+fn route(host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: CallKind::Safe,
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_millis(100),
+        gap_goal: None,
+        max_attempts: 2,
+        rank: Rank(0),
+        split: split
+            .iter()
+            .map(|(s, w)| (s.parse().unwrap(), *w))
+            .collect(),
+        ..Route::default()
+    }
+}
+
+#[test]
+fn the_longest_fitting_prefix_and_the_key_decide() {
+    let mut config = ServingConfig::new(StoreRevision(1), 1, CallerLimits::default());
+    config.keyed = true;
+    config.add_route(route("a.example", "/x/", &[("one", 1)]));
+    config.add_route(route("a.example", "/x/y/", &[("two", 1)]));
+    let holder = KeyHolder {
+        account: "farm".parse().unwrap(),
+        rank: None,
+        limits: None,
+    };
+    config.add_key(KeyHash::of("secret"), holder.clone());
+    let found = |path: &str, key| {
+        let asked = Asked {
+            host: "A.example:80".to_owned(),
+            path: path.to_owned(),
+            ..Asked::default()
+        };
+        config
+            .admit(&asked, key)
+            .map(|(r, h)| (r.path_prefix.clone(), h))
+    };
+    assert_eq!(
+        found("/x/y/z", Some("secret")),
+        Ok(("/x/y/".to_owned(), Some(holder)))
+    );
+    assert_eq!(found("/x/yy", Some("wrong")), Err(Denied::WrongKey));
+    assert_eq!(found("/x/yy", None), Err(Denied::WrongKey));
+    assert_eq!(found("/z", Some("secret")), Err(Denied::NoRoute));
+}
+
+#[test]
+fn a_split_is_kept_and_each_repeat_of_a_call_goes_to_the_same_service() {
+    let route = route("a", "/", &[("one", 90), ("two", 10), ("none", 0)]);
+    let name = |hash| route.service_for(hash).unwrap().to_string();
+    let twos = (0..1_000).filter(|h| name(*h) == "two").count();
+    assert_eq!(twos, 100);
+    assert!((0..1_000).all(|h| name(h) != "none"));
+}
+
+/// The operators' own configuration as calls see it.
+mod own {
+    use scaleford::{
+        config::{
+            ClientAccount, FleetConfig, KeyHash, Model, RouteRule, Service,
+            routes::{CallerRules, serving},
+            serving::{Asked, CallKind, CallerLimits, Denied, ServingConfig, StreamRepeats},
+        },
+        dialect::{CallFacts, Dialect},
+        ids::Revision,
+        openai::OpenAiDialect,
+        units::Priority,
+    };
+    use std::time::Duration;
+
+    fn config() -> ServingConfig {
+        let mut fleet = FleetConfig::default();
+        let account = ClientAccount {
+            key_hashes: vec![KeyHash::of("secret")],
+            priority: Priority::Live,
+            requests_per_s: 7,
+            concurrency: 3,
+        };
+        fleet.accounts.insert("farm".parse().unwrap(), account);
+        // A model and a service of one name are two pools.
+        fleet
+            .models
+            .insert("desk".parse().unwrap(), Model::default());
+        let service = Service {
+            unrepeatable: vec![RouteRule {
+                method: "POST".to_owned(),
+                path_prefix: "/confirm".to_owned(),
+            }],
+            timeout_ms: 700,
+        };
+        fleet.services.insert("desk".parse().unwrap(), service);
+        let rules = CallerRules {
+            limits: CallerLimits::default(),
+            chat_timeout: Duration::from_secs(300),
+            longest_silence: Duration::from_secs(60),
+        };
+        serving(&fleet, Revision(4), &rules)
+    }
+
+    fn read(method: &str, path: &str, body: &str) -> CallFacts {
+        let req = hyper::Request::builder().method(method).uri(path);
+        let (head, ()) = req
+            .header("authorization", "Bearer secret")
+            .body(())
+            .unwrap()
+            .into_parts();
+        let body = body.to_owned().into();
+        OpenAiDialect.read_call(&head, &body, Some("a1")).unwrap()
+    }
+
+    #[test]
+    fn a_chat_is_repeated_until_its_first_event_and_never_resumed() {
+        let chat = r#"{"model": "desk", "stream": true, "messages": [
+            {"role": "system", "content": "Be kind."}, {"role": "user", "content": "Hello?"}]}"#;
+        let facts = read("POST", "/v1/chat/completions", chat);
+        assert_eq!((facts.prompt.len(), facts.shared_parts), (3, 1));
+        let (route, holder) = config().admit(&facts.asked, facts.key.as_deref()).unwrap();
+        assert_eq!(route.kind, CallKind::Stream(StreamRepeats::UntilFirstEvent));
+        assert!(route.kind.is_repeatable() && !route.kind.is_resumable());
+        assert_eq!(holder.unwrap().limits.unwrap().concurrency, 3);
+        let whole = chat.replace("true", "false");
+        let facts = read("POST", "/v1/chat/completions", &whole);
+        let (route, _) = config().admit(&facts.asked, Some("secret")).unwrap();
+        assert_eq!(route.kind, CallKind::Safe);
+    }
+
+    #[test]
+    fn a_chat_keeps_its_name_as_it_grows() {
+        let turn = |more: &str| {
+            let body = format!(
+                r#"{{"model": "desk", "messages": [{{"role": "user", "content": "One?"}}{more}]}}"#
+            );
+            read("POST", "/v1/chat/completions", &body)
+        };
+        let first = turn("");
+        let more =
+            r#", {"role": "assistant", "content": "Two."}, {"role": "user", "content": "Three?"}"#;
+        let later = turn(more);
+        assert_eq!(first.chat, later.chat);
+        assert_eq!(
+            first.prompt[0], later.prompt[0],
+            "the beginning is the same"
+        );
+        let named = later.chat.unwrap();
+        let account = |name: &str| name.parse().unwrap();
+        assert_ne!(
+            named.within(&account("farm")),
+            named.within(&account("school"))
+        );
+    }
+
+    #[test]
+    fn what_must_not_be_repeated_is_claimed_and_what_may_be_is_not() {
+        let found = |method: &str, path: &str| {
+            let facts = read(method, path, "");
+            let admitted = config().admit(&facts.asked, facts.key.as_deref());
+            admitted.map(|(route, _)| (route.kind, route.claimed, route.timeout.as_millis()))
+        };
+        let claimed = Ok((CallKind::Unsafe, true, 700));
+        let usual = Ok((CallKind::Safe, false, 700));
+        assert_eq!(found("POST", "/services/desk/confirm?lot=1"), claimed);
+        assert_eq!(found("GET", "/services/desk/confirm"), usual);
+        assert_eq!(found("POST", "/services/desk/notice"), usual);
+        assert_eq!(found("GET", "/services/other/x"), Err(Denied::NoRoute));
+        assert_eq!(found("GET", "/elsewhere"), Err(Denied::NoRoute));
+    }
+
+    #[test]
+    fn a_path_that_looks_like_a_route_of_a_model_reaches_none() {
+        for path in [
+            "model desk whole",
+            "/model desk whole",
+            "model%20desk%20whole",
+        ] {
+            let asked = Asked {
+                path: path.to_owned(),
+                ..Asked::default()
+            };
+            let is_model = config().route(&asked).is_some();
+            // The first is what chats are looked up by; no request line can hold it.
+            assert_eq!(is_model, path == "model desk whole");
+            assert!(!is_model || path.parse::<hyper::Uri>().is_err());
+        }
+    }
+}
--- /dev/null
+++ b/tests/decisions/trust.rs
@@ -0,0 +1,161 @@
+//! How old may what is known be, and how is it passed on.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use scaleford::{
+    config::freshness::{Freshness, Vouch},
+    store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
+    units::StoreRevision,
+};
+
+use crate::{REVOKE, at};
+
+/// Sapporo and puente, outages of the store: calls were refused 2.3 s into one, though nothing is
+/// refused for it before 3 s.
+#[test]
+fn a_proof_is_relied_on_for_three_seconds_and_more_but_never_for_the_whole_bound() {
+    let mut fresh = Freshness::default();
+    assert!(!fresh.may_use_keys(at(0), REVOKE));
+    fresh.on_applied(StoreRevision(7));
+    fresh.on_confirmed(at(1_000), StoreRevision(7));
+    assert!(fresh.may_use_keys(at(4_600), REVOKE));
+    // A watch may hear nothing for a second: with that second the bound must still be kept.
+    assert!(!fresh.may_use_keys(at(1_000 + 4_000), REVOKE));
+}
+
+/// DESIGN.md's trial: revoked keys ran as a plain sign of life was taken for a proof.
+#[test]
+fn a_peer_vouches_only_for_what_it_knows_and_only_since_it_was_asked() {
+    let mut fresh = Freshness::default();
+    fresh.on_applied(StoreRevision(7));
+    let vouch = |echo, age, revision| Vouch {
+        echo: at(echo),
+        age: Duration::from_millis(age),
+        revision: StoreRevision(revision),
+    };
+    fresh.on_vouch(vouch(5_000, 100, 8));
+    assert_eq!(fresh.age(at(5_000)), None, "it knows a later revision");
+    fresh.on_vouch(vouch(5_000, 400, 7));
+    assert_eq!(fresh.age(at(6_000)), Some(Duration::from_millis(1_400)));
+    fresh.on_vouch(vouch(5_000, 2_000, 7));
+    assert_eq!(
+        fresh.age(at(6_000)),
+        Some(Duration::from_millis(1_400)),
+        "an older proof"
+    );
+    fresh.on_applied(StoreRevision(9));
+    fresh.on_vouch(vouch(6_000, 0, 8));
+    assert_eq!(
+        fresh.age(at(6_000)),
+        Some(Duration::ZERO),
+        "nine holds all of eight"
+    );
+}
+
+proptest! {
+    /// Whatever is told in whatever order, a key is never relied on by a proof as old as the bound.
+    #[test]
+    fn no_order_of_proofs_outlives_the_bound(
+        steps in prop::collection::vec((0_u64..20_000, 0_u64..8_000, 0_u64..4, any::<bool>()), 1..40),
+        now in 0_u64..40_000,
+    ) {
+        let mut fresh = Freshness::default();
+        let mut youngest: Option<u64> = None;
+        for (echo, age, revision, vouched) in steps {
+            let revision = StoreRevision(revision);
+            if vouched {
+                if revision <= fresh.revision() {
+                    youngest = youngest.max(Some(echo.saturating_sub(age)));
+                }
+                let vouch = Vouch { echo: at(echo), age: Duration::from_millis(age), revision };
+                fresh.on_vouch(vouch);
+            } else {
+                fresh.on_applied(revision);
+                fresh.on_confirmed(at(echo), fresh.revision());
+                youngest = youngest.max(Some(echo));
+            }
+        }
+        if fresh.may_use_keys(at(now), REVOKE) {
+            let proof = youngest.unwrap();
+            prop_assert!(now < proof + REVOKE.as_millis() as u64);
+        }
+    }
+}
+
+fn item(key: &str, revision: u64, value: Option<&str>) -> StoreItem {
+    StoreItem {
+        key: key.to_owned(),
+        value: value.map(|v| PackedValue::pack(v.as_bytes())),
+        revision: StoreRevision(revision),
+    }
+}
+
+fn news(items: Vec<StoreItem>, revision: u64) -> StoreNews {
+    StoreNews {
+        items,
+        revision: StoreRevision(revision),
+    }
+}
+
+proptest! {
+    /// A router that asks another one, however seldom, ends with the same entries.
+    #[test]
+    fn a_mirror_of_a_mirror_is_the_same(
+        writes in prop::collection::vec((0_u8..6, any::<bool>(), any::<bool>()), 1..1200),
+    ) {
+        let mut first = StoreMirror::default();
+        let mut second = StoreMirror::default();
+        first.on_list(&news(vec![item("a", 1, Some("1"))], 1));
+        for (i, (key, removed, asks)) in writes.iter().enumerate() {
+            let revision = i as u64 + 2;
+            let value = revision.to_string();
+            let value = (!removed).then_some(value.as_str());
+            let change = item(&format!("k{key}"), revision, value);
+            first.on_changes(&news(vec![change], revision));
+            if *asks {
+                pass_on(&first, &mut second);
+            }
+        }
+        pass_on(&first, &mut second);
+        prop_assert_eq!(first.since(StoreRevision(0)), second.since(StoreRevision(0)));
+        prop_assert_eq!(first.since(first.revision()), None);
+    }
+}
+
+fn pass_on(from: &StoreMirror, to: &mut StoreMirror) {
+    match from.since(to.revision()) {
+        Some(Mirrored::List(news)) => to.on_list(&news),
+        Some(Mirrored::Changes(news)) => to.on_changes(&news),
+        _ => {}
+    }
+}
+
+/// Grown sapporo trouble-1: each router was told each of several configurations in full, 75 KB a
+/// time over links of 10 megabits, and had them seconds too late.
+#[test]
+fn a_router_that_lags_is_told_only_the_last_of_several_configurations_and_that_packed() {
+    let routes =
+        r#"{"name":"r-1","host":"a.example","pathPrefix":"/x/","type":"safe"},"#.repeat(900);
+    let mut mirror = StoreMirror::default();
+    mirror.on_list(&news(vec![item("config", 1, Some(&routes))], 1));
+    for revision in 2..10 {
+        let text = format!("{revision}{routes}");
+        mirror.on_changes(&news(vec![item("config", revision, Some(&text))], revision));
+    }
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(1)) else {
+        panic!("the changes are known");
+    };
+    assert_eq!(told.items.len(), 1);
+    let value = told.items[0].value.as_ref().unwrap();
+    assert!(value.unpack().unwrap().starts_with(b"9"));
+    assert!(value.packed_len() * 10 < routes.len());
+}
+
+#[test]
+fn an_older_list_never_takes_a_mirror_back() {
+    let mut mirror = StoreMirror::default();
+    mirror.on_list(&news(vec![item("a", 5, Some("new"))], 5));
+    mirror.on_list(&news(vec![item("a", 3, Some("old"))], 3));
+    assert_eq!(mirror.revision(), StoreRevision(5));
+}
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -7,12 +7,13 @@
 use futures::future::join_all;
 use hyper::Method;
 use rstest::rstest;
+use scaleford::store::own::CHANGE_PREFIX;
 use serde_json::{Value, json};
 use support::{
     caller::{Caller, Outcome, TOKEN, chat_body, finish},
     engine::{Fault, expected},
     fleet::{Fleet, MODEL, Plan, SERVICE, change_at, confirm_at, plan_at, status},
-    platform::PlatformFault,
+    store::StoreFault,
 };
 
 /// Waits until something holds, however long that takes.
@@ -103,9 +104,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_to_a_claim_runs_the_call_once() {
     let fleet = Fleet::start(Plan::default()).await;
-    fleet.platform.set_fault(PlatformFault {
-        down: false,
+    fleet.store.set_fault(StoreFault {
         lose_answers: 1,
+        ..StoreFault::default()
     });
     let outcome = confirm(&fleet, 0, "bid-2").await;
     assert_eq!(outcome.status, 200, "{outcome:?}");
@@ -118,9 +119,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn without_the_store_a_call_is_honestly_not_run_and_runs_later() {
     let fleet = Fleet::start(Plan::default()).await;
-    fleet.platform.set_fault(PlatformFault {
+    fleet.store.set_fault(StoreFault {
         down: true,
-        lose_answers: 0,
+        ..StoreFault::default()
     });
     let outcome = confirm(&fleet, 0, "bid-3").await;
     assert_eq!(
@@ -130,7 +131,7 @@
     );
     assert!(outcome.retry_after);
     assert_eq!(executions(&fleet, "bid-3"), 0);
-    fleet.platform.set_fault(PlatformFault::default());
+    fleet.store.set_fault(StoreFault::default());
     until(async || confirm(&fleet, 1, "bid-3").await.status == 200).await;
     assert_eq!(executions(&fleet, "bid-3"), 1);
 }
@@ -357,9 +358,9 @@
     let fleet = Fleet::start(Plan::default()).await;
     let at = fleet.operators_at(0);
     let (_, plan) = plan_at(at, "lost", vec![account_edit("lost", 1)]).await;
-    fleet.platform.set_fault(PlatformFault {
-        down: false,
+    fleet.store.set_fault(StoreFault {
         lose_answers,
+        ..StoreFault::default()
     });
     let (status, accepted) = confirm_at(at, &plan).await;
     assert_eq!(status, 200, "{accepted}");
@@ -387,9 +388,9 @@
     let at = fleet.operators_at(0);
     let (_, plan) = plan_at(at, "outage", vec![account_edit("outage", 1)]).await;
     let before = fleet.live().next().unwrap().revision().0;
-    fleet.platform.set_fault(PlatformFault {
+    fleet.store.set_fault(StoreFault {
         down: true,
-        lose_answers: 0,
+        ..StoreFault::default()
     });
     let (status, body) = confirm_at(at, &plan).await;
     assert_eq!(
@@ -397,7 +398,7 @@
         (202, &json!(6004)),
         "{body}"
     );
-    fleet.platform.set_fault(PlatformFault::default());
+    fleet.store.set_fault(StoreFault::default());
     let (status, accepted) = confirm_at(at, &plan).await;
     assert_eq!(status, 200, "{accepted}");
     assert_eq!(accepted["revision"], before + 1);
@@ -407,24 +408,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_set_back_reverts_no_router_and_is_mended() {
     let fleet = Fleet::start(Plan::default()).await;
-    let old = fleet.platform.backup();
+    let old = fleet.store.backup();
     let newest = fleet.change("newer", vec![account_edit("newer", 1)]).await;
     until(async || fleet.live().all(|r| r.revision().0 == newest)).await;
-    fleet.platform.restore(old);
+    fleet.store.restore(old);
     until(async || fleet.live().any(|r| r.reverts_refused() > 0)).await;
     assert!(fleet.live().all(|r| r.revision().0 == newest));
     // What the store lost is written back, and changes go on from there.
     let next = fleet.change("next", vec![account_edit("next", 1)]).await;
     assert_eq!(next, newest + 1);
-    let keys = || fleet.platform.backup().entries;
-    until(async || {
-        keys()
-            .keys()
-            .filter(|k| k.starts_with("config/change/"))
-            .count() as u64
-            == next
-    })
-    .await;
+    let kept = || fleet.store.keys_below(CHANGE_PREFIX).len() as u64;
+    until(async || kept() == next).await;
     until(async || fleet.live().all(|r| r.revision().0 == next)).await;
 }
 
@@ -438,13 +432,13 @@
         "peers",
         fleet
             .live()
-            .map(|r| r.vm_info().to_string())
+            .map(|r| r.addresses().peers.to_string())
             .collect::<Vec<_>>()
             .join(","),
     )];
-    fleet.platform.set_fault(PlatformFault {
+    fleet.store.set_fault(StoreFault {
         down: true,
-        lose_answers: 0,
+        ..StoreFault::default()
     });
     let router = fleet.start_router(3).await;
     until(async || router.is_ready()).await;
@@ -458,7 +452,7 @@
 async fn a_compacted_history_is_listed_anew() {
     let fleet = Fleet::start(Plan::default()).await;
     for i in 0..5 {
-        fleet.platform.compact();
+        fleet.store.compact();
         let newest = fleet
             .change("compacted", vec![account_edit("compacted", i + 1)])
             .await;
@@ -484,7 +478,7 @@
             .iter()
             .map(|d| d["event"].clone());
         let events: Vec<_> = events.collect();
-        for event in ["received", "tried", "admitted", "answered"] {
+        for event in ["received", "tried", "answered", "ended"] {
             assert!(events.contains(&json!(event)), "{events:?}");
         }
         let seen = status(fleet.operators_at(i)).await;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,22 +1,17 @@
-//! A whole small fleet in one process: routers, engines, services and the platform.
+//! A whole small fleet in one process: routers, engines, services and the store.
 
 use std::{net::SocketAddr, time::Duration};
 
 use hyper::Method;
-use scaleford::{
-    Router, Settings,
-    config::KeyHash,
-    router::StopReport,
-    settings::{Source, VmInfo},
-};
+use scaleford::{Settings, config::KeyHash, settings::Source};
 use serde_json::{Value, json};
-use tokio::runtime::Runtime;
 
 use super::{
     caller::{Caller, KEY, TOKEN},
     engine::{Engine, EngineConfig},
-    platform::Platform,
+    hosted::Hosted,
     service::Service,
+    store::Store,
 };
 
 pub const MODEL: &str = "lot-writer";
@@ -56,55 +51,9 @@
     }
 }
 
-/// A router on a runtime of its own, so that killing it ends all it does at once.
-pub struct Hosted {
-    router: Option<Router>,
-    runtime: Option<Runtime>,
-}
-
-impl std::ops::Deref for Hosted {
-    type Target = Router;
-
-    fn deref(&self) -> &Router {
-        self.router.as_ref().expect("router runs")
-    }
-}
-
-impl Drop for Hosted {
-    fn drop(&mut self) {
-        drop(self.router.take());
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
-impl Hosted {
-    async fn start(cfg: Settings) -> Self {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()
-            .expect("runtime");
-        let router = runtime.spawn(Router::builder(cfg).start());
-        let router = router.await.expect("start").expect("router starts");
-        Self {
-            router: Some(router),
-            runtime: Some(runtime),
-        }
-    }
-
-    /// Stops as planned.
-    pub async fn stop(mut self) -> StopReport {
-        let router = self.router.take().expect("router runs");
-        let runtime = self.runtime.as_ref().expect("runtime");
-        runtime.spawn(router.stop()).await.expect("stop")
-    }
-}
-
 pub struct Fleet {
     pub plan: Plan,
-    pub platform: Platform,
+    pub store: Store,
     pub routers: Vec<Option<Hosted>>,
     pub engines: Vec<Engine>,
     pub services: Vec<Service>,
@@ -114,9 +63,9 @@
 
 impl Fleet {
     pub async fn start(plan: Plan) -> Self {
-        let platform = Platform::start("127.0.0.1:0").await;
+        let store = Store::start("127.0.0.1:0").await;
         let mut fleet = Self {
-            platform,
+            store,
             routers: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
@@ -136,14 +85,13 @@
             let router = fleet.start_router(i).await;
             fleet.routers.push(Some(router));
         }
-        fleet.list_vms();
         let edits = fleet.first_edits();
         fleet.change("first configuration", edits).await;
         fleet.wait_ready().await;
         fleet
     }
 
-    /// Starts a router on a VM of its own name; the platform does not list it yet.
+    /// Starts a router on a VM of its own name.
     pub async fn start_router(&mut self, i: usize) -> Hosted {
         self.started += 1;
         let mut values: Vec<(String, String)> = [
@@ -153,7 +101,7 @@
             ("listen", "127.0.0.1:0".to_owned()),
             ("peer_listen", "127.0.0.1:0".to_owned()),
             ("operator_listen", "127.0.0.1:0".to_owned()),
-            ("platform", self.platform.server.address.to_string()),
+            ("platform", self.store.server.address.to_string()),
             ("operator_tokens", format!("night-watch:{TOKEN}")),
             ("drain_wait_ms", "0".to_owned()),
         ]
@@ -170,13 +118,6 @@
         Hosted::start(cfg).await
     }
 
-    /// Tells the platform's list which routers there are.
-    pub fn list_vms(&self) {
-        let infos = self.live().map(|r| r.vm_info());
-        self.platform
-            .set_vms(infos.map(|i: VmInfo| i.to_string()).collect());
-    }
-
     pub fn live(&self) -> impl Iterator<Item = &Hosted> {
         self.routers.iter().flatten()
     }
@@ -259,11 +200,11 @@
     }
 
     async fn all_see_all(&self) -> bool {
-        let mut live: Vec<_> = self.live().map(|r| r.vm_info().vm.to_string()).collect();
+        let mut live: Vec<_> = self.live().map(|r| r.vm.to_string()).collect();
         live.sort();
         for router in self.live() {
             let mut seen = self.seen_by(router).await;
-            seen.push(router.vm_info().vm.to_string());
+            seen.push(router.vm.to_string());
             seen.sort();
             if seen != live {
                 return false;
@@ -273,7 +214,7 @@
     }
 
     /// The other routers that one believes to live.
-    pub async fn seen_by(&self, router: &Router) -> Vec<String> {
+    pub async fn seen_by(&self, router: &Hosted) -> Vec<String> {
         let status = status(router.addresses().operators).await;
         let routers = status["routers"].as_array().cloned().unwrap_or_default();
         let alive = routers.iter().filter(|r| r["state"] == "alive");
--- /dev/null
+++ b/tests/support/hosted.rs
@@ -0,0 +1,159 @@
+//! A router on a thread of its own, so that killing it ends all it does at once.
+
+use std::{net::SocketAddr, rc::Rc, thread::JoinHandle};
+
+use scaleford::{
+    Settings,
+    edge::{Gateway, GatewayParts, Signals, StopReport},
+    ids::{Revision, VmId},
+    log,
+    openai::OpenAiDialect,
+    spans::Spans,
+};
+use scaleford_platform::{Follows, PlatformStore};
+use tokio::sync::{mpsc, oneshot};
+
+type Question = Box<dyn FnOnce(&Gateway) + Send>;
+
+/// Where a router listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+pub struct Hosted {
+    pub vm: VmId,
+    addresses: Addresses,
+    questions: mpsc::UnboundedSender<Question>,
+    stop: mpsc::Sender<()>,
+    stopped: Option<oneshot::Receiver<StopReport>>,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Hosted {
+    fn drop(&mut self) {
+        drop(self.kill.take());
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("the router's thread ends");
+        }
+    }
+}
+
+impl Hosted {
+    pub async fn start(cfg: Settings) -> Self {
+        let vm = cfg.vm.clone();
+        let (questions, asked) = mpsc::unbounded_channel();
+        let (stop, stop_rx) = mpsc::channel(1);
+        let (started_tx, started) = oneshot::channel();
+        let (stopped_tx, stopped) = oneshot::channel();
+        let (kill, killed) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("runtime");
+            let local = tokio::task::LocalSet::new();
+            let life = live(cfg, asked, stop_rx, started_tx, stopped_tx);
+            local.block_on(&runtime, async {
+                tokio::select! {
+                    () = life => {}
+                    _ = killed => {}
+                }
+            });
+        });
+        Self {
+            vm,
+            addresses: started.await.expect("router starts"),
+            questions,
+            stop,
+            stopped: Some(stopped),
+            kill: Some(kill),
+            thread: Some(thread),
+        }
+    }
+
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Asks the router something on its own thread.
+    fn ask<T: Send + 'static>(&self, question: impl FnOnce(&Gateway) -> T + Send + 'static) -> T {
+        let (tx, rx) = std::sync::mpsc::channel();
+        let asked = Box::new(move |g: &Gateway| drop(tx.send(question(g))));
+        assert!(self.questions.send(asked).is_ok(), "the router runs");
+        rx.recv().expect("the router answers")
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.ask(Gateway::is_ready)
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.ask(Gateway::revision)
+    }
+
+    pub fn reverts_refused(&self) -> u64 {
+        self.ask(Gateway::reverts_refused)
+    }
+
+    pub fn control_bytes(&self) -> u64 {
+        self.ask(Gateway::control_bytes)
+    }
+
+    pub fn claim_bytes(&self) -> u64 {
+        self.ask(Gateway::claim_bytes)
+    }
+
+    pub fn hop_spans(&self) -> u64 {
+        self.ask(Gateway::hop_spans)
+    }
+
+    /// Stops as planned.
+    pub async fn stop(mut self) -> StopReport {
+        self.stop.send(()).await.expect("the router runs");
+        let stopped = self.stopped.take().expect("not stopped before");
+        stopped.await.expect("the stop ends")
+    }
+}
+
+async fn live(
+    cfg: Settings,
+    mut asked: mpsc::UnboundedReceiver<Question>,
+    stop: mpsc::Receiver<()>,
+    started: oneshot::Sender<Addresses>,
+    stopped: oneshot::Sender<StopReport>,
+) {
+    let (log, flusher) = log::buffered(std::io::sink(), slog::Level::Error);
+    let listening = Gateway::listen(GatewayParts {
+        cfg: cfg.gateway(),
+        dialect: Rc::new(OpenAiDialect),
+        store: Rc::new(PlatformStore::new(cfg.platform, Follows::Own)),
+        spans: Spans::on(None).expect("spans"),
+        log,
+        flusher,
+    });
+    let listening = listening.await.expect("router listens");
+    let gateway = listening.gateway();
+    let cfg = gateway.config();
+    let addresses = Addresses {
+        callers: cfg.callers,
+        peers: cfg.peers,
+        operators: cfg.operators.as_ref().expect("operators").0,
+    };
+    started.send(addresses).expect("the test waits");
+    let (_reload, reload) = mpsc::channel(1);
+    let answering = async {
+        while let Some(question) = asked.recv().await {
+            question(&gateway);
+        }
+    };
+    let serving = listening.serve(Signals { stop, reload });
+    let serving = async {
+        // Nobody may wait for the report any more.
+        let _ = stopped.send(serving.await);
+    };
+    tokio::join!(serving, answering);
+}
