A new life of a router counts also after its clock was set back

Cause, found by reading: lives are numbered by the time of day, and a router restarted while its clock stood back was taken by its peers for its own past and passed over for a minute: its counts, its word on the configuration's age. Ruled out: the number of a datagram (kept for one life only). Change: an earlier number counts once the known life was silent for a second, and a life that was replaced never comes back. Test a_new_life_joins_also_after_its_clock_was_set_back failed first.

--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -26,6 +26,10 @@
 /// How long the address of a silent peer is still written to: it may only be cut off.
 const ADDRESS_KEPT: Duration = Duration::from_mins(1);
 
+/// Silence of a router's known life after which one that is numbered lower counts: twice what a
+/// router lets pass between two datagrams, also in a fleet of some hundred.
+const LIFE_SILENT: Duration = Duration::from_secs(1);
+
 /// Addresses that one datagram names.
 const KNOWN_TOLD: usize = 16;
 
@@ -52,6 +56,8 @@
     pub(super) strength: Strength,
     pub(super) heard: Instant,
     stamp: Stamp,
+    /// The life before this one, of which datagrams may still be on their way.
+    former_life: Option<Incarnation>,
     number: u64,
     calls: u32,
     stopping: bool,
@@ -60,6 +66,15 @@
     store_word: Option<Instant>,
 }
 
+impl Peer {
+    /// Whether a life is over that is not this one. Lives are numbered by the time of day, which
+    /// may have been set back: an earlier number counts once the known life is silent.
+    fn is_of_the_past(&self, now: Instant, life: Incarnation) -> bool {
+        let speaks = now.since(self.heard) < LIFE_SILENT;
+        self.former_life == Some(life) || (self.stamp.life > life && speaks)
+    }
+}
+
 /// A peer to send to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Receiver {
@@ -164,19 +179,24 @@
             Some(p) if p.stamp.life == told.sent.life && p.number >= told.number => {
                 return Heard::Outdated;
             }
-            Some(p) if p.stamp.life > told.sent.life => return Heard::Outdated,
+            Some(p) if p.is_of_the_past(now, told.sent.life) => return Heard::Outdated,
             // One that stops is still the same life, and needs nothing told.
             Some(p) if p.stamp.life == told.sent.life && self.is_heard(now, p) => Heard::Known,
             _ if told.stopping => Heard::Known,
             _ => Heard::Joined,
         };
         let store_word = before.and_then(|p| p.store_word);
+        let former_life = before.and_then(|p| match p.stamp.life == told.sent.life {
+            true => p.former_life,
+            false => Some(p.stamp.life),
+        });
         let peer = Peer {
             address: from,
             hall: told.hall.clone(),
             strength: told.strength,
             heard: now,
             stamp: told.sent,
+            former_life,
             number: told.number,
             calls: told.calls,
             stopping: told.stopping,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -249,3 +249,24 @@
     assert_eq!(adding.len(), 3);
     assert!(adding.iter().all(|i| i % 5 == 0), "{adding:?}");
 }
+
+/// A VM whose time of day was set back names its next life by an earlier moment: its peers took it
+/// for the old one and passed it over for a minute.
+#[test]
+fn a_new_life_joins_also_after_its_clock_was_set_back() {
+    let mut seen = peers(0);
+    let mut old = datagram(1, 9);
+    old.sent.life = Incarnation(20_000);
+    hear(&mut seen, at(0), &old);
+    let mut reborn = datagram(1, 1);
+    reborn.sent.life = Incarnation(5_000);
+    // One of the old life's datagrams may still be on its way, so the new one waits a moment.
+    assert_eq!(hear(&mut seen, at(100), &reborn), Heard::Outdated);
+    reborn.number = 2;
+    assert_eq!(hear(&mut seen, at(1_100), &reborn), Heard::Joined);
+    // A late datagram of the old life takes nothing back.
+    old.number = 10;
+    assert_eq!(hear(&mut seen, at(1_200), &old), Heard::Outdated);
+    reborn.number = 3;
+    assert_eq!(hear(&mut seen, at(1_300), &reborn), Heard::Known);
+}
