Soak: a link to the store for each VM, more faults of the store, configuration and budget checked

New checks: a router never serves by an older configuration than it was seen to have in force, and all routers together keep the budget of repeats. New faults: a store that is down, slow, loses answers, or is lost to single VMs. Up to 200 VMs.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -98,6 +98,7 @@
                 Rc::clone(vm),
                 Rc::clone(&world.promises),
                 Rc::clone(&over),
+                world.version(),
                 rng,
                 name,
             );
@@ -115,6 +116,7 @@
     vm: Rc<Vm>,
     promises: Rc<Promises>,
     over: Rc<Cell<bool>>,
+    version: Rc<Cell<u64>>,
     mut rng: Pcg64,
     name: String,
 ) {
@@ -123,7 +125,10 @@
     while !over.get() {
         n += 1;
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
-        let kind = ["safe", "once", "stream"][rng.random_range(0..3)];
+        // Each version has a route of its own, which shows what is in force.
+        let asked = version.get().saturating_sub(rng.random_range(0..3));
+        let only = format!("only-{asked}");
+        let kind = ["safe", "once", "stream", only.as_str()][rng.random_range(0..4)];
         let old_key = rng.random_bool(0.2);
         let id = format!("{kind}-{name}-{n}");
         let mut caller = match kept.take().filter(|c| c.sender.is_ready()) {
@@ -134,9 +139,16 @@
             },
         };
         let stopping = vm.stopping.get();
+        let seen = vm.seen_version.get();
         let sent = Instant::now();
         let end = caller.call(kind, &id, KEYS[usize::from(old_key)]).await;
         promises.on_end(&id, &end, sent, old_key);
+        if kind == only && matches!(end, End::Answer(200, ..)) && vm.seen_version.get() >= seen {
+            vm.seen_version.set(vm.seen_version.get().max(asked));
+            if asked < seen {
+                promises.break_(Promise::ConfigNeverBack, format!("{id} after {seen}"));
+            }
+        }
         let cut = matches!(end, End::Answer(200, _, false));
         if cut && stopping && !vm.harmed.get() && !vm.runs() {
             promises.break_(Promise::StopCutsNothing, id);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -51,7 +51,10 @@
 }
 
 fn is_settled(world: &World) -> bool {
-    let reached = world.store_link.fault.get() == Fault::None;
+    let reached = world
+        .vms
+        .iter()
+        .all(|vm| vm.store_link.fault.get() == Fault::None);
     let well = world.store.fault() == StoreFault::default();
     reached && well && !world.vms.iter().any(|vm| vm.paused.get())
 }
@@ -115,8 +118,9 @@
 }
 
 fn change_link(world: &World, rng: &mut Pcg64) {
-    let links = world.targets.iter().map(|(_, link)| link);
-    let links: Vec<_> = links.chain([&world.store_link]).collect();
+    let to_targets = world.targets.iter().map(|(_, link)| link);
+    let to_store = world.vms.iter().map(|vm| &vm.store_link);
+    let links: Vec<_> = to_targets.chain(to_store).collect();
     if let Some(link) = links.choose(rng) {
         link.fault.set(fault(rng));
     }
@@ -135,15 +139,25 @@
     faults.choose(rng).copied().unwrap_or_default()
 }
 
+/// The store forgets its history, turns all away, is down, slow, or loses answers to writes; or it
+/// is well again.
 fn change_store(world: &World, rng: &mut Pcg64) {
-    match rng.random_range(0..4) {
-        0 => world.store.compact(),
-        1 => world.store.set_fault(StoreFault {
-            busy: true,
-            ..StoreFault::default()
-        }),
-        _ => world.store.set_fault(StoreFault::default()),
-    }
+    let well = StoreFault::default();
+    let fault = match rng.random_range(0..8) {
+        0 => return world.store.compact(),
+        1 => StoreFault { busy: true, ..well },
+        2 => StoreFault { down: true, ..well },
+        3 => StoreFault {
+            slow: Duration::from_millis(rng.random_range(DELAY_MS)),
+            ..well
+        },
+        4 => StoreFault {
+            lose_answers: rng.random_range(1..6),
+            ..well
+        },
+        _ => well,
+    };
+    world.store.set_fault(fault);
 }
 
 /// A target leaves, or is back.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -33,7 +33,7 @@
             optional --seed seed: u64
             /// How long faults go on, in seconds; 10 if not given.
             optional --seconds seconds: u64
-            /// How many gateways; 4 if not given, 40 at the most.
+            /// How many gateways; 4 if not given, 200 at the most.
             optional --vms vms: usize
             /// The gateway's program, if it is not beside this one.
             optional --program program: PathBuf
@@ -52,8 +52,8 @@
     program: PathBuf,
 }
 
-/// Gateways at the most: with their links a few hundred descriptors and some 400 MB.
-const MOST_VMS: usize = 40;
+/// Gateways at the most: each takes some 10 MB, and an address of one network of 250.
+const MOST_VMS: usize = 200;
 
 fn main() -> ExitCode {
     let flags = match flags::Soak::from_env() {
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     time::Duration,
 };
 
@@ -38,10 +38,19 @@
     Unchanged,
     /// A planned stop cuts off no call.
     StopCutsNothing,
+    /// A router that had a configuration in force serves by no older one.
+    ConfigNeverBack,
+    /// All routers together repeat no more than the budget allows.
+    RetryBudget,
     /// After the faults, calls are served again.
     Recovery,
 }
 
+/// The budget of repeats: this part of the calls of the window, and some beyond.
+const BUDGET_PART: f64 = 0.2;
+const BUDGET_EXTRA: f64 = 54.0;
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
 /// How a call ended for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum End {
@@ -53,6 +62,7 @@
 
 #[derive(Debug, Default)]
 struct Call {
+    arrivals: u32,
     runs: u32,
     not_run: bool,
 }
@@ -67,6 +77,9 @@
     settled_at: Cell<Option<Instant>>,
     asked: Cell<u64>,
     served: Cell<u64>,
+    /// When calls arrived at a target for the first time, and when again.
+    firsts: RefCell<VecDeque<Instant>>,
+    again: RefCell<VecDeque<Instant>>,
 }
 
 impl Promises {
@@ -96,6 +109,32 @@
         self.revoked_at.set(Some(Instant::now()));
     }
 
+    /// A call arrives at some target, which may refuse it.
+    pub fn on_arrival(&self, call: &str) {
+        let mut calls = self.calls.borrow_mut();
+        let book = calls.entry(call.to_owned()).or_default();
+        book.arrivals += 1;
+        let times = match book.arrivals {
+            1 => &self.firsts,
+            _ => &self.again,
+        };
+        times.borrow_mut().push_back(Instant::now());
+        let recent = |times: &RefCell<VecDeque<Instant>>, within: Duration| {
+            let mut times = times.borrow_mut();
+            while times.front().is_some_and(|at| at.elapsed() > within) {
+                times.pop_front();
+            }
+            times.len() as f64
+        };
+        // Calls count that were sent up to a window before the repeats.
+        let allowed = recent(&self.firsts, BUDGET_WINDOW * 2) * BUDGET_PART + BUDGET_EXTRA;
+        let again = recent(&self.again, BUDGET_WINDOW);
+        if again > allowed {
+            let how = format!("{again} repeats where {allowed:.0} were allowed");
+            self.break_(Promise::RetryBudget, how);
+        }
+    }
+
     /// A target begins to run a call.
     pub fn on_run(&self, target: &str, call: &str, headers: &HeaderMap, body: &[u8]) {
         let mut calls = self.calls.borrow_mut();
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -65,6 +65,7 @@
         let Ok(body) = body.collect().await else {
             return coded(400);
         };
+        self.promises.on_arrival(&call);
         let expected = text(&head.headers, "x-expect-instance");
         let mood = self.mood.get();
         let mut res = match () {
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -43,6 +43,10 @@
     pub ending: Cell<bool>,
     /// It was paused and not resumed.
     pub paused: Cell<bool>,
+    /// Its own way to the store.
+    pub store_link: Rc<Link>,
+    /// The newest configuration that this life of it was seen to have in force.
+    pub seen_version: Cell<u64>,
     /// It was killed or paused since the last planned stop began.
     pub harmed: Cell<bool>,
 }
@@ -52,9 +56,8 @@
     pub vms: Vec<Rc<Vm>>,
     pub targets: Vec<(Rc<Target>, Rc<Link>)>,
     pub store: Rc<Store>,
-    pub store_link: Rc<Link>,
     pub promises: Rc<Promises>,
-    version: Cell<u64>,
+    version: Rc<Cell<u64>>,
     dir: PathBuf,
 }
 
@@ -65,7 +68,6 @@
     pub async fn start(plan: &Plan) -> Self {
         let promises = Rc::new(Promises::default());
         let store = Rc::new(Store::start("127.0.0.1:0").await);
-        let store_link = Link::start(store.server.address).await.expect("a port");
         let mut targets = Vec::new();
         for n in 0..TARGETS {
             let (target, address) = Target::start(&format!("i-{n}"), &promises).await;
@@ -75,14 +77,17 @@
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir).expect("a folder for settings and logs");
         let ports = free_ports();
-        let vms = (0..plan.vms).map(|n| vm(plan, n, ports, store_link.address, &dir));
+        let mut vms = Vec::new();
+        for n in 0..plan.vms {
+            let link = Link::start(store.server.address).await.expect("a port");
+            vms.push(vm(plan, n, ports, link, &dir));
+        }
         let world = Self {
-            vms: vms.collect(),
+            vms,
             targets,
             store,
-            store_link,
             promises,
-            version: Cell::new(0),
+            version: Rc::default(),
             dir,
         };
         for (target, _) in &world.targets {
@@ -111,12 +116,18 @@
         };
         let config = json!({"version": self.version.get(),
             "routes": [route("safe", false, "safe"), route("unsafe", false, "once"),
-                route("streaming", true, "stream")],
+                route("streaming", true, "stream"),
+                route("safe", false, &format!("only-{}", self.version.get()))],
             "services": [{"name": "desk", "maxConns": 400}],
             "tenants": [{"name": "farm", "apiKeys": keys}]});
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
+    /// The version of the configuration that was written last.
+    pub fn version(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.version)
+    }
+
     /// Writes a target's entry.
     pub fn write_entry(&self, id: &str, state: &str) {
         let found = self.targets.iter().find(|(t, _)| t.id == id);
@@ -131,13 +142,13 @@
     /// Ends all faults, and starts what is not running.
     pub async fn heal(&self) {
         self.store.set_fault(StoreFault::default());
-        self.store_link.fault.set(crate::link::Fault::None);
         for (target, link) in &self.targets {
             target.mood.set(crate::target::Mood::Well);
             link.fault.set(crate::link::Fault::None);
             self.write_entry(&target.id, "ready");
         }
         for vm in &self.vms {
+            vm.store_link.fault.set(crate::link::Fault::None);
             vm.resume();
             vm.ensure_runs().await;
         }
@@ -168,7 +179,13 @@
     })
 }
 
-fn vm(plan: &Plan, n: usize, ports: [u16; 4], store: SocketAddr, dir: &std::path::Path) -> Rc<Vm> {
+fn vm(
+    plan: &Plan,
+    n: usize,
+    ports: [u16; 4],
+    store_link: Rc<Link>,
+    dir: &std::path::Path,
+) -> Rc<Vm> {
     // Runs beside one another have networks of their own.
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ip = |n: usize| Ipv4Addr::new(127, high.max(1), low, n as u8 + 1);
@@ -183,7 +200,7 @@
         "limits": {"maxFds": 4_100, "linkMbps": 1_000.0, "cpuShare": 0.25},
         "bounds": {"revokeMs": 5_000, "capFactor": 2, "budgetRatio": 0.2, "budgetWindowS": 10,
             "budgetExtra": 54, "graceS": 8},
-        "platform": {"address": store.to_string()}});
+        "platform": {"address": store_link.address.to_string()}});
     let path = dir.join(format!("front-{n}.json"));
     std::fs::write(&path, settings.to_string()).expect("a settings file");
     Rc::new(Vm {
@@ -197,6 +214,8 @@
         harmed: Cell::default(),
         paused: Cell::default(),
         ending: Cell::default(),
+        store_link,
+        seen_version: Cell::default(),
     })
 }
 
@@ -216,6 +235,7 @@
         self.stopping.set(false);
         self.ending.set(false);
         self.harmed.set(false);
+        self.seen_version.set(0);
     }
 
     /// Sends a signal to the process, if it runs.
--- a/src/edge/once.rs
+++ b/src/edge/once.rs
@@ -155,8 +155,11 @@
     if let Some(address) = keeper {
         match peer_calls::claim(cx, address, step).await {
             Ok(verdict) => return verdict,
-            Err(e) => info!(cx.log, "keeper of a claim not reached"; "id" => %step.request,
-                "keeper" => %address, "why" => %e),
+            Err(e) => {
+                cx.peers.borrow_mut().on_unreachable(cx.now(), address);
+                info!(cx.log, "keeper of a claim not reached"; "id" => %step.request,
+                    "keeper" => %address, "why" => %e);
+            }
         }
     }
     cx.claims.step(step).await
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -30,8 +30,12 @@
 /// router lets pass between two datagrams, also in a fleet of some hundred.
 const LIFE_SILENT: Duration = Duration::from_secs(1);
 
-/// Addresses that one datagram names.
+/// Addresses that one datagram names, and in a fleet where most are known.
 const KNOWN_TOLD: usize = 16;
+const KNOWN_TOLD_LARGE: usize = 4;
+
+/// Peers from which on few addresses are told.
+const MOST_ARE_KNOWN: usize = 48;
 
 /// Routers that tell a peer that joined what it missed; two, as one may be about to go.
 const TEACHERS: usize = 2;
@@ -100,6 +104,13 @@
     Dead,
 }
 
+impl MemberState {
+    /// Whether it counts.
+    pub fn is_alive(self) -> bool {
+        self == Self::Alive
+    }
+}
+
 /// Another router, for operators.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct Member {
@@ -218,6 +229,15 @@
         heard
     }
 
+    /// A call to a router brought no answer: it counts as gone until it is heard of again.
+    pub fn on_unreachable(&mut self, now: Instant, address: SocketAddr) {
+        let silent = self.alive_for();
+        let heard = Instant(now.0.saturating_sub(silent));
+        for peer in self.heard.values_mut().filter(|p| p.address == address) {
+            peer.heard = peer.heard.min(heard);
+        }
+    }
+
     /// What a datagram vouches for, if it answers one of this life.
     pub fn vouch(&self, told: &Datagram) -> Option<Vouch> {
         let echo = told.echo.filter(|stamp| stamp.life == self.life)?;
@@ -257,9 +277,13 @@
     /// Addresses to tell, other ones each time.
     pub fn known(&self, turn: u64) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.heard.values().map(|p| p.address).collect();
-        let skip = (turn as usize * KNOWN_TOLD) % all.len().max(1);
+        let told = match all.len() {
+            n if n >= MOST_ARE_KNOWN => KNOWN_TOLD_LARGE,
+            n => KNOWN_TOLD.min(n),
+        };
+        let skip = (turn as usize * told) % all.len().max(1);
         let turned = all.iter().cycle().skip(skip);
-        turned.take(KNOWN_TOLD.min(all.len())).copied().collect()
+        turned.take(told).copied().collect()
     }
 
     /// Forgets peers that are silent for long, and those that stopped.
