Counts of targets travel packed, sums go to one hub per other hall, first confirmations wait longer in large fleets

Cause: on the grown sites the largest part of the bytes between zones were the hubs' sums: each target's counts spelled as field names and full integers, and told to all three hubs of each hall. Listing the store's readers first also lost part of its sense where a hundred routers confirm at once.

Ruled out: telling sums less often (load then goes stale and refusals grow).

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -38,6 +38,10 @@
 /// store itself. Routers that start together do not know one another yet.
 const FIRST_WAIT: Duration = Duration::from_millis(700);
 
+/// What each router that it has heard of adds to that wait: the readers of a fleet that starts
+/// together must have listed all targets, and told some of the others, before all go there at once.
+const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
+
 /// The pause after a reader that had nothing or failed, before another one is asked.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -72,6 +76,8 @@
         let now = self.cx.now();
         let is_reader = self.cx.peers.borrow().is_reader(now);
         let link_lost = self.cx.store_lost_at.get().is_some();
+        let routers = self.cx.peers.borrow().alive(now) as u32;
+        let first_wait = FIRST_WAIT + FIRST_WAIT_PER_ROUTER * routers;
         let reader = {
             let peers = self.cx.peers.borrow();
             let revision = self.cx.mirror.borrow().revision();
@@ -82,7 +88,7 @@
         };
         match reader {
             Some(reader) if !is_reader || link_lost => self.ask(reader).await,
-            None if !is_reader && now.0 < FIRST_WAIT => tokio::time::sleep(ASK_AGAIN).await,
+            None if !is_reader && now.0 < first_wait => tokio::time::sleep(ASK_AGAIN).await,
             _ => self.read(is_reader).await,
         }
     }
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -42,8 +42,64 @@
     }
 }
 
-/// Work in progress by target, as it is sent: calls, and tokens yet to be read.
-pub type TargetCounts = Vec<(TargetHash, u32, Tokens)>;
+/// Work in progress by target, as it is told.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<PackedCount>", into = "Vec<PackedCount>")]
+pub struct TargetCounts(Vec<(TargetHash, InProgress)>);
+
+/// One count as it travels: small numbers, which the codec writes in few bytes.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct PackedCount {
+    /// How far the target's hash is from the one before it, in order.
+    step: u32,
+    calls: u32,
+    /// Tokens, in blocks.
+    blocks: u32,
+}
+
+/// Tokens that are told as one: what decides is thousands of them.
+const TOKENS_A_BLOCK: u64 = 64;
+
+impl From<TargetCounts> for Vec<PackedCount> {
+    fn from(counts: TargetCounts) -> Self {
+        let mut sorted = counts.0;
+        sorted.sort_unstable_by_key(|(target, _)| *target);
+        let mut before = 0;
+        let pack = |(target, work): (TargetHash, InProgress)| {
+            let step = target.0 - before;
+            before = target.0;
+            PackedCount {
+                step,
+                calls: work.calls,
+                blocks: work.tokens.0.div_ceil(TOKENS_A_BLOCK) as u32,
+            }
+        };
+        sorted.into_iter().map(pack).collect()
+    }
+}
+
+impl From<Vec<PackedCount>> for TargetCounts {
+    fn from(packed: Vec<PackedCount>) -> Self {
+        let mut target = 0_u32;
+        let unpack = |p: PackedCount| {
+            // A sum beyond the last hash is of no target that we know.
+            target = target.wrapping_add(p.step);
+            let work = InProgress {
+                calls: p.calls,
+                tokens: Tokens(u64::from(p.blocks) * TOKENS_A_BLOCK),
+            };
+            (TargetHash(target), work)
+        };
+        Self(packed.into_iter().map(unpack).collect())
+    }
+}
+
+impl TargetCounts {
+    /// Calls at all targets.
+    pub fn calls(&self) -> u32 {
+        self.0.iter().map(|(_, work)| work.calls).sum()
+    }
+}
 
 /// Work in progress at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -243,16 +299,12 @@
 }
 
 fn add_counts(sum: &mut Counts, counts: &TargetCounts) {
-    for (target, calls, tokens) in counts {
-        let work = InProgress {
-            calls: *calls,
-            tokens: *tokens,
-        };
-        sum.entry(*target).or_default().add(work);
+    for (target, work) in &counts.0 {
+        sum.entry(*target).or_default().add(*work);
     }
 }
 
 fn listed(counts: &Counts) -> TargetCounts {
     let in_progress = counts.iter().filter(|(_, w)| w.calls > 0);
-    in_progress.map(|(t, w)| (*t, w.calls, w.tokens)).collect()
+    TargetCounts(in_progress.map(|(t, w)| (*t, *w)).collect())
 }
--- a/src/membership/hubs.rs
+++ b/src/membership/hubs.rs
@@ -36,13 +36,14 @@
     /// data hall that hall's routers.
     pub fn close_ones(&self, now: Instant) -> Vec<Receiver> {
         let adds_up = self.adds_up(now);
-        let hubs: HashSet<&VmId> = self.all_hubs(now).into_iter().collect();
-        let is_close = |vm: &VmId, p: &Peer| {
-            let is_hub = hubs.contains(vm);
-            match p.hall == self.hall {
-                true => adds_up || is_hub,
-                false => adds_up && is_hub,
-            }
+        let own_hubs = self.hubs_of(now, &self.hall);
+        let far_hubs: HashSet<&VmId> = match adds_up {
+            true => self.far_hubs(now).into_iter().collect(),
+            false => HashSet::new(),
+        };
+        let is_close = |vm: &VmId, p: &Peer| match p.hall == self.hall {
+            true => adds_up || own_hubs.contains(&vm),
+            false => far_hubs.contains(vm),
         };
         let living = self.heard.iter().filter(|(_, p)| self.is_alive(now, p));
         living
@@ -55,17 +56,18 @@
     /// while the first one is silent.
     pub fn adds_up(&self, now: Instant) -> bool {
         let hubs = self.hubs_of(now, &self.hall);
-        let silent = |vm: &VmId| {
-            let peer = self.heard.get(vm);
-            peer.is_none_or(|p| now.since(p.heard) >= HUB_SILENT)
-        };
         match hubs.as_slice() {
             [first, ..] if *first == &self.me => true,
-            [first, second, ..] if *second == &self.me => silent(first),
+            [first, second, ..] if *second == &self.me => self.is_silent(now, first),
             _ => false,
         }
     }
 
+    fn is_silent(&self, now: Instant, hub: &VmId) -> bool {
+        let peer = self.heard.get(hub);
+        peer.is_none_or(|p| now.since(p.heard) >= HUB_SILENT)
+    }
+
     /// The routers that keep a thing together, of the stronger ones: those that bear at least half
     /// of what the strongest bears, unless they are too few.
     pub(super) fn strong_keepers<'a>(
@@ -85,14 +87,20 @@
         keepers(thing, all.into_iter(), n)
     }
 
-    fn all_hubs(&self, now: Instant) -> Vec<&VmId> {
+    /// The hubs that add up for the other data halls: the first one of each, and the second as well
+    /// while that is silent.
+    fn far_hubs(&self, now: Instant) -> Vec<&VmId> {
         let living = self.heard.values().filter(|p| self.is_alive(now, p));
         let mut halls: Vec<&DataHall> = living.map(|p| &p.hall).collect();
-        halls.push(&self.hall);
         halls.sort();
         halls.dedup();
-        let hubs = halls.into_iter().map(|hall| self.hubs_of(now, hall));
-        hubs.flatten().collect()
+        halls.retain(|hall| **hall != self.hall);
+        let adding = |hall| {
+            let hubs = self.hubs_of(now, hall);
+            let first_speaks = hubs.first().is_some_and(|hub| !self.is_silent(now, hub));
+            hubs.into_iter().take(if first_speaks { 1 } else { HUBS })
+        };
+        halls.into_iter().flat_map(adding).collect()
     }
 
     fn hubs_of(&self, now: Instant, hall: &DataHall) -> Vec<&VmId> {
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -32,7 +32,7 @@
     // The peer adds up for the hall, with what we told it ourselves.
     other.on_peer(at(0), me.clone(), hall("yard"), near.own_counts());
     let (_, sum) = other.own_hall();
-    assert_eq!(sum.iter().map(|(_, calls, _)| calls).sum::<u32>(), 3);
+    assert_eq!(sum.calls(), 3);
     near.on_halls(at(10), other.all_halls());
     assert_eq!(
         near.total(&target),
