Hubs tell whom they hear of; a few stand-ins go on reading the store

Ruled out: a longer patience (32 s already) and shorter intervals (bytes). Change: a hub tells once a second whom it hears of; with that a router counts for 5.5 s. Peers are kept in order, so the test repeats. Ordered peers all told the same addresses at the same time and 380 routers did not find one another in 60 s: each now begins elsewhere.

Change: of those that have word, the first three go on reading, and the others ask only those. Test: where_no_named_reader_has_word_a_few_of_the_others_go_on_reading.

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -74,7 +74,10 @@
     /// One question, to the store or to a reader, and what follows from the answer.
     async fn step(&mut self) {
         let now = self.cx.now();
-        let is_reader = self.cx.peers.borrow().is_reader(now);
+        let is_reader = {
+            let peers = self.cx.peers.borrow();
+            peers.is_reader(now) || (self.cx.reads_store() && peers.stands_in(now))
+        };
         let link_lost = self.cx.store_lost_at.get().is_some();
         let routers = self.cx.peers.borrow().alive(now) as u32;
         let first_wait = FIRST_WAIT + FIRST_WAIT_PER_ROUTER * routers;
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -14,6 +14,7 @@
     membership::{
         datagram::{Datagram, HallSums, Message, Stamp},
         peers::Heard,
+        signs::{SIGNS_EVERY, ToldSigns},
     },
     prompt_cache::{PartId, PromptPart},
     units::{Instant, Tokens},
@@ -50,6 +51,7 @@
 struct Told {
     close: Instant,
     everyone: Instant,
+    signs: Instant,
     calls_halved: Instant,
     shares: Instant,
 }
@@ -61,6 +63,7 @@
     let mut last = Told {
         close: now,
         everyone: now,
+        signs: now,
         calls_halved: now,
         shares: now,
     };
@@ -91,7 +94,11 @@
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
-                send_to_close_ones(&cx, &udp);
+                let tells_signs = cx.adds_up.get() && now.since(last.signs) >= SIGNS_EVERY;
+                if tells_signs {
+                    last.signs = now;
+                }
+                send_to_close_ones(&cx, &udp, tells_signs);
             }
             _ => {}
         }
@@ -114,8 +121,9 @@
     }
 }
 
-/// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them.
-fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket) {
+/// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, and
+/// now and then whom it hears of.
+fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, tells_signs: bool) {
     let mut told = datagram(cx, news_of_prompts(cx));
     told.known.clear();
     let sums = match cx.adds_up.get() {
@@ -123,13 +131,21 @@
         false => Sums::default(),
     };
     told.load = Some(cx.dispatcher.borrow_mut().load.own_counts());
-    for to in cx.peers.borrow().close_ones(cx.now()) {
+    let now = cx.now();
+    let told_signs = match tells_signs {
+        true => cx.peers.borrow_mut().tell_signs(now),
+        false => ToldSigns::default(),
+    };
+    let peers = cx.peers.borrow();
+    for to in peers.close_ones(now) {
         told.echo = to.echo;
-        told.halls
-            .clone_from(match to.hall.as_ref() == Some(&cx.cfg.data_hall) {
-                true => &sums.all,
-                false => &sums.own,
-            });
+        let is_near = to.hall.as_ref() == Some(&cx.cfg.data_hall);
+        let (halls, signs) = match is_near {
+            true => (&sums.all, &told_signs.near),
+            false => (&sums.own, &told_signs.far),
+        };
+        told.halls.clone_from(halls);
+        told.signs.clone_from(signs);
         send_to(cx, udp, &told, to.address);
     }
 }
@@ -225,6 +241,7 @@
         readers,
         doubted: cx.dispatcher.borrow().health.doubted_here(now),
         halls: Vec::new(),
+        signs: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
             .store_back_at
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -12,6 +12,8 @@
     units::{StoreRevision, Tokens},
 };
 
+use super::signs::HallSigns;
+
 /// A moment of one router's clock, as it is sent and echoed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
@@ -100,6 +102,8 @@
     /// What all routers of some data halls have in progress, as [`HallSums`] that are encoded
     /// once for all receivers; empty where the sender does not add up.
     pub halls: Vec<u8>,
+    /// Routers that hubs hear of, by data hall; empty where the sender is no hub, and most times.
+    pub signs: Vec<HallSigns>,
     /// Targets that give the sender no answers.
     pub doubted: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -2,16 +2,15 @@
 //!
 //! In a small fleet each router tells all others, some times a second, what it has in progress and
 //! how old its knowledge is. In a large one it tells that two hubs of its data hall; one of them
-//! adds up and tells the hall's routers and the other halls' hubs. All tell all only seldom, as a
-//! sign of life. Whoever is silent for long counts as gone.
+//! adds up and tells the hall's routers and the other halls' hubs, also whom it hears of. All tell
+//! all only seldom. Whoever is silent for long counts as gone.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use super::datagram::{Datagram, Stamp, Strength};
+use super::{
+    datagram::{Datagram, Stamp, Strength},
+    signs::{HallWord, VmHash},
+};
 use crate::{
     config::freshness::Vouch,
     ids::{DataHall, Incarnation, VmId},
@@ -40,34 +39,27 @@
 /// Routers that tell a peer that joined what it missed; two, as one may be about to go.
 const TEACHERS: usize = 2;
 
-/// Routers that read the store for all: with a third of the routers cut off from it, one of three
-/// still reaches it nearly always, and then the others read for themselves.
-const READERS: usize = 3;
-
-/// What readers are chosen by.
-const READERS_KEY: &str = "store readers";
-
-/// How old a reader's word from the store may be for others to rely on that reader: a watch, its
-/// pause and a datagram. Two seconds after a change all have to know it, also where it came right
-/// after all readers were cut off.
-const READER_FRESH: Duration = Duration::from_millis(1_500);
-
 /// One other router.
 #[derive(Debug)]
 pub(super) struct Peer {
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     pub(super) hall: DataHall,
     pub(super) strength: Strength,
+    pub(super) hash: VmHash,
     pub(super) heard: Instant,
+    /// The youngest sign of its life that a hub told of.
+    pub(super) told_of: Option<Instant>,
+    /// A call to it brought no answer since it was last heard of.
+    unreachable: bool,
     stamp: Stamp,
     /// The life before this one, of which datagrams may still be on their way.
     former_life: Option<Incarnation>,
     number: u64,
     calls: u32,
-    stopping: bool,
-    mirror: StoreRevision,
+    pub(super) stopping: bool,
+    pub(super) mirror: StoreRevision,
     /// When the peer last had word from the store, if it reads it.
-    store_word: Option<Instant>,
+    pub(super) store_word: Option<Instant>,
 }
 
 impl Peer {
@@ -77,6 +69,11 @@
         let speaks = now.since(self.heard) < LIFE_SILENT;
         self.former_life == Some(life) || (self.stamp.life > life && speaks)
     }
+
+    /// The last sign of its life.
+    fn last_sign(&self) -> Instant {
+        self.told_of.map_or(self.heard, |at| at.max(self.heard))
+    }
 }
 
 /// A peer to send to.
@@ -143,8 +140,10 @@
     pub(super) strength: Strength,
     life: Incarnation,
     own_address: SocketAddr,
-    pub(super) heard: HashMap<VmId, Peer>,
-    unheard: HashMap<SocketAddr, Instant>,
+    pub(super) heard: BTreeMap<VmId, Peer>,
+    unheard: BTreeMap<SocketAddr, Instant>,
+    /// What hubs said last of each data hall's routers.
+    pub(super) words: BTreeMap<DataHall, HallWord>,
 }
 
 impl Peers {
@@ -163,8 +162,9 @@
             strength,
             life,
             own_address,
-            heard: HashMap::new(),
-            unheard: HashMap::new(),
+            heard: BTreeMap::new(),
+            unheard: BTreeMap::new(),
+            words: BTreeMap::new(),
         };
         for seed in seeds {
             peers.on_address(Instant::default(), *seed);
@@ -205,7 +205,10 @@
             address: from,
             hall: told.hall.clone(),
             strength: told.strength,
+            hash: VmHash::from(&told.vm),
             heard: now,
+            told_of: None,
+            unreachable: false,
             stamp: told.sent,
             former_life,
             number: told.number,
@@ -215,13 +218,8 @@
             store_word,
         };
         self.heard.insert(told.vm.clone(), peer);
-        for (reader, age_ms) in &told.readers {
-            let age = Duration::from_millis(u64::from(*age_ms));
-            let word = Instant(now.0.saturating_sub(age));
-            if let Some(peer) = self.heard.get_mut(reader) {
-                peer.store_word = peer.store_word.max(Some(word));
-            }
-        }
+        self.on_store_words(now, &told.readers);
+        self.on_signs(now, &told.signs);
         self.unheard.remove(&from);
         for address in &told.known {
             self.on_address(now, *address);
@@ -230,11 +228,9 @@
     }
 
     /// A call to a router brought no answer: it counts as gone until it is heard of again.
-    pub fn on_unreachable(&mut self, now: Instant, address: SocketAddr) {
-        let silent = self.alive_for();
-        let heard = Instant(now.0.saturating_sub(silent));
+    pub fn on_unreachable(&mut self, address: SocketAddr) {
         for peer in self.heard.values_mut().filter(|p| p.address == address) {
-            peer.heard = peer.heard.min(heard);
+            peer.unreachable = true;
         }
     }
 
@@ -261,27 +257,15 @@
         heard.chain(unheard).collect()
     }
 
-    /// How old the word from the store is, in milliseconds, of peers that read it.
-    pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
-        let fresh = self
-            .heard
-            .iter()
-            .filter(|(_, p)| self.is_fresh_reader(now, p));
-        let age = |p: &Peer| {
-            p.store_word
-                .map_or(u32::MAX, |at| now.since(at).as_millis() as u32)
-        };
-        fresh.map(|(vm, p)| (vm.clone(), age(p))).collect()
-    }
-
-    /// Addresses to tell, other ones each time.
+    /// Addresses to tell, other ones each time, and other ones than the peers tell at the time.
     pub fn known(&self, turn: u64) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.heard.values().map(|p| p.address).collect();
         let told = match all.len() {
             n if n >= MOST_ARE_KNOWN => KNOWN_TOLD_LARGE,
             n => KNOWN_TOLD.min(n),
         };
-        let skip = (turn as usize * told) % all.len().max(1);
+        let first = VmHash::from(&self.me).spread();
+        let skip = (turn as usize * told + first) % all.len().max(1);
         let turned = all.iter().cycle().skip(skip);
         turned.take(told).copied().collect()
     }
@@ -289,9 +273,9 @@
     /// Forgets peers that are silent for long, and those that stopped.
     pub fn on_tick(&mut self, now: Instant) {
         let keep = |since: Instant| now.since(since) < ADDRESS_KEPT;
-        let alive_for = self.alive_for();
+        let alive_for = self.alive_by_mesh();
         let gone = |p: &Peer| p.stopping && now.since(p.heard) >= alive_for;
-        self.heard.retain(|_, p| keep(p.heard) && !gone(p));
+        self.heard.retain(|_, p| keep(p.last_sign()) && !gone(p));
         self.unheard.retain(|_, since| keep(*since));
     }
 
@@ -322,7 +306,7 @@
                 () if self.is_heard(now, p) => MemberState::Alive,
                 () => MemberState::Dead,
             },
-            silent_ms: now.since(p.heard).as_millis() as u64,
+            silent_ms: now.since(p.last_sign()).as_millis() as u64,
         };
         self.heard.iter().map(member).collect()
     }
@@ -332,29 +316,6 @@
         self.living(now).map(|p| p.address).collect()
     }
 
-    /// Whether this router is one of those that read the store for all.
-    pub fn is_reader(&self, now: Instant) -> bool {
-        self.strong_keepers(READERS_KEY, self.names(now), READERS)
-            .contains(&&self.me)
-    }
-
-    /// A peer that reads the store and heard from it a moment ago; routers spread over them.
-    pub fn reader(&self, now: Instant) -> Option<SocketAddr> {
-        let readers: BTreeMap<&VmId, &Peer> = self
-            .heard
-            .iter()
-            .filter(|(_, p)| self.is_fresh_reader(now, p))
-            .collect();
-        let chosen = keeper(self.me.as_str(), readers.keys().copied())?;
-        readers.get(chosen).map(|p| p.address)
-    }
-
-    /// A peer that knows more of the store than up to a revision.
-    pub fn ahead(&self, now: Instant, revision: StoreRevision) -> Option<SocketAddr> {
-        let ahead = self.living(now).filter(|p| p.mirror > revision);
-        ahead.max_by_key(|p| p.mirror).map(|p| p.address)
-    }
-
     /// The names of all that live, this router's included.
     pub(super) fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
         let living = self
@@ -380,24 +341,21 @@
         }
     }
 
-    fn alive_for(&self) -> Duration {
+    /// How long a silent router still counts where no hub tells of it.
+    pub(super) fn alive_by_mesh(&self) -> Duration {
         ALIVE_FOR.max(self.mesh_interval() * 7 / 2)
     }
 
     fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
-        now.since(peer.heard) < self.alive_for()
+        let alive_for = self.alive_for(now, &peer.hall);
+        !peer.unreachable && now.since(peer.last_sign()) < alive_for
     }
 
     pub(super) fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
         self.is_heard(now, peer) && !peer.stopping
     }
 
-    fn is_fresh_reader(&self, now: Instant, peer: &Peer) -> bool {
-        let fresh = |at| now.since(at) < READER_FRESH;
-        self.is_alive(now, peer) && peer.store_word.is_some_and(fresh)
-    }
-
-    fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+    pub(super) fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.heard.values().filter(move |p| self.is_alive(now, p))
     }
 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -51,6 +51,7 @@
         stopping: false,
         load: None,
         halls: Vec::new(),
+        signs: Vec::new(),
         doubted: Vec::new(),
         parts: Vec::new(),
         known: Vec::new(),
@@ -149,6 +150,34 @@
     );
 }
 
+/// Grown puente scale-2: when the store turned all named readers away, each of the others read it
+/// once, and then they asked one another for three seconds while targets left.
+#[test]
+fn where_no_named_reader_has_word_a_few_of_the_others_go_on_reading() {
+    let n = 12;
+    let fleet = fleet(n, at(0));
+    let others: Vec<usize> = (0..n).filter(|i| !fleet[*i].is_reader(at(0))).collect();
+    assert_eq!(others.len(), n - 3);
+    let words: Vec<(VmId, u32)> = others.iter().map(|i| (vm(*i), 100)).collect();
+    let mut standing_in = Vec::new();
+    let mut asked = Vec::new();
+    for (me, mut seen) in fleet.into_iter().enumerate() {
+        for other in (0..n).filter(|o| *o != me) {
+            let told = Datagram {
+                readers: words.clone(),
+                ..datagram(other, 2)
+            };
+            hear(&mut seen, at(1_000), &told);
+        }
+        match others.contains(&me) && seen.stands_in(at(1_000)) {
+            true => standing_in.push(address(me)),
+            false => asked.push(seen.reader(at(1_000)).unwrap()),
+        }
+    }
+    assert_eq!(standing_in.len(), 3);
+    assert!(asked.iter().all(|a| standing_in.contains(a)), "{asked:?}");
+}
+
 #[test]
 fn one_router_of_each_hall_adds_up_and_another_stands_in_when_it_is_silent() {
     let n = 30;
