A router that waits for the store asks a reader as soon as one has word

Cause: when the store answers nobody (a compaction: 6.5 to 8.2 s), the readers have word again at 8.46 s; the others had tried the store themselves and slept their pause of 0.75 to 2.25 s, deaf to the readers: half of the fleet had the configuration 1.77 s after the first router, where the bound is 3 s from its acceptance.

Change: whom to ask next is a decision of its own (Peers::next_read); the pause bounds only calls to the store.

Test: a_router_that_waits_for_the_store_asks_a_reader_as_soon_as_one_has_word.

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -13,6 +13,7 @@
     config::{Change, serving::ServingConfig},
     discovery::{ListChange, Verdict},
     ids::{Revision, TargetId},
+    membership::readers::{Follows, NextRead},
     store::{
         Mirrored, StoreChange, StoreError, StoreItem, StoreNews,
         own::{self, OwnEntry},
@@ -31,17 +32,9 @@
 const LONGEST_BACKOFF: Duration = Duration::from_millis(300);
 
 /// The pause of a router that is no reader between its own calls to a store that does not answer:
-/// each call has its price, and the readers will tell.
+/// each call has its price, and the readers will tell. Meanwhile it asks any reader that turns up.
 const BYSTANDER_BACKOFF: Duration = Duration::from_millis(1_500);
 
-/// How long after its start a router still waits for word from a reader before it goes to the
-/// store itself. Routers that start together do not know one another yet.
-const FIRST_WAIT: Duration = Duration::from_millis(700);
-
-/// What each router that it has heard of adds to that wait: the readers of a fleet that starts
-/// together must have listed all targets, and told some of the others, before all go there at once.
-const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
-
 /// The pause after a reader that had nothing or failed, before another one is asked.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -55,6 +48,8 @@
     upstream: Option<PeerConn>,
     listed: bool,
     backoff: Duration,
+    /// When the store may be called again.
+    retry_at: Instant,
 }
 
 /// Follows the store for ever.
@@ -64,6 +59,7 @@
         upstream: None,
         listed: false,
         backoff: FIRST_BACKOFF,
+        retry_at: Instant::default(),
     };
     loop {
         follower.step().await;
@@ -73,26 +69,24 @@
 impl Follower {
     /// One question, to the store or to a reader, and what follows from the answer.
     async fn step(&mut self) {
-        let now = self.cx.now();
-        let is_reader = {
-            let peers = self.cx.peers.borrow();
-            peers.is_reader(now) || (self.cx.reads_store() && peers.stands_in(now))
-        };
-        let link_lost = self.cx.store_lost_at.get().is_some();
-        let routers = self.cx.peers.borrow().alive(now) as u32;
-        let first_wait = FIRST_WAIT + FIRST_WAIT_PER_ROUTER * routers;
-        let reader = {
+        let next = {
             let peers = self.cx.peers.borrow();
-            let revision = self.cx.mirror.borrow().revision();
-            // Without the store, what any peer still knows is better than nothing.
-            let ahead = peers.ahead(now, revision);
-            let ahead = ahead.filter(|_| self.listed || link_lost);
-            ahead.or_else(|| peers.reader(now))
+            peers.next_read(self.cx.now(), &self.follows())
         };
-        match reader {
-            Some(reader) if !is_reader || link_lost => self.ask(reader).await,
-            None if !is_reader && now.0 < first_wait => tokio::time::sleep(ASK_AGAIN).await,
-            _ => self.read(is_reader).await,
+        match next {
+            NextRead::Ask(reader) => self.ask(reader).await,
+            NextRead::Store => self.read().await,
+            NextRead::Wait => tokio::time::sleep(ASK_AGAIN).await,
+        }
+    }
+
+    fn follows(&self) -> Follows {
+        Follows {
+            listed: self.listed,
+            store_lost: self.cx.store_lost_at.get().is_some(),
+            reads_store: self.cx.reads_store(),
+            revision: self.cx.mirror.borrow().revision(),
+            retry_at: self.retry_at,
         }
     }
 
@@ -117,9 +111,11 @@
             Err(e) => Err(e),
         };
         // A reader itself retries the store now and then, or it would never be one again.
-        if self.cx.store_lost_at.get().is_some() && self.cx.peers.borrow().is_reader(self.cx.now())
-        {
-            self.read(true).await;
+        let follows = self.follows();
+        let now = self.cx.now();
+        let is_reader = self.cx.peers.borrow().is_reader(now);
+        if follows.store_lost && is_reader && now >= self.retry_at {
+            self.read().await;
         }
         match told {
             Ok(Mirrored::Changes(news)) => take_news(&self.cx, &news, false, reader),
@@ -150,7 +146,7 @@
     }
 
     /// Asks the store itself.
-    async fn read(&mut self, is_reader: bool) {
+    async fn read(&mut self) {
         let sent = self.cx.now();
         let at = self.cx.mirror.borrow().revision();
         let unseen = match self.cx.cfg.own_config {
@@ -171,7 +167,7 @@
             }
             Err(e) => {
                 self.cx.metrics.on_store_call("failed");
-                self.on_failure(&e, is_reader).await;
+                self.on_failure(&e);
             }
         }
     }
@@ -221,21 +217,21 @@
         }
     }
 
-    async fn on_failure(&mut self, e: &StoreError, is_reader: bool) {
+    fn on_failure(&mut self, e: &StoreError) {
         let cx = &self.cx;
+        let now = cx.now();
         if cx.store_lost_at.get().is_none() {
-            let now = cx.now();
             cx.store_lost_at.set(Some(now));
             let age = cx.freshness.borrow().age(now);
             warn!(cx.log, "dependency lost"; "dependency" => "store", "why" => %e,
                 "config_age_ms" => age.map(|a| a.as_millis() as u64));
         }
         let jitter = rand::rng().random_range(0.5..1.5);
-        let pause = match is_reader {
+        let pause = match cx.peers.borrow().is_reader(now) {
             true => self.backoff,
             false => BYSTANDER_BACKOFF,
         };
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        self.retry_at = now + pause.mul_f64(jitter);
         self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,5 +3,5 @@
 pub mod datagram;
 mod hubs;
 pub mod peers;
-mod readers;
+pub mod readers;
 pub mod signs;
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -21,7 +21,61 @@
 /// after all readers were cut off.
 const READER_FRESH: Duration = Duration::from_millis(1_500);
 
+/// How long after its start a router still waits for word from a reader before it goes to the
+/// store itself. Routers that start together do not know one another yet.
+const FIRST_WAIT: Duration = Duration::from_millis(700);
+
+/// What each router that it has heard of adds to that wait: the readers of a fleet that starts
+/// together must have listed all targets, and told some of the others, before all go there at once.
+const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
+
+/// How a router stands to the store.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Follows {
+    /// It has listed the store's entries once, or was told them.
+    pub listed: bool,
+    /// The store did not answer its last call.
+    pub store_lost: bool,
+    /// It had word from the store itself a moment ago.
+    pub reads_store: bool,
+    /// The revision up to which it knows all.
+    pub revision: StoreRevision,
+    /// When it may call the store again.
+    pub retry_at: Instant,
+}
+
+/// Whom a router asks next for what is new in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextRead {
+    /// A peer.
+    Ask(SocketAddr),
+    /// The store itself.
+    Store,
+    /// Nobody yet; a reader may turn up any moment.
+    Wait,
+}
+
 impl Peers {
+    /// Whom to ask next.
+    pub fn next_read(&self, now: Instant, at: &Follows) -> NextRead {
+        let is_reader = self.reads_for_all(now, at);
+        let first_wait = FIRST_WAIT + FIRST_WAIT_PER_ROUTER * self.alive(now) as u32;
+        // Without the store, what any peer still knows is better than nothing.
+        let ahead = self.ahead(now, at.revision);
+        let ahead = ahead.filter(|_| at.listed || at.store_lost);
+        match ahead.or_else(|| self.reader(now)) {
+            Some(reader) if !is_reader || at.store_lost => NextRead::Ask(reader),
+            None if !is_reader && now.0 < first_wait => NextRead::Wait,
+            _ if now < at.retry_at => NextRead::Wait,
+            _ => NextRead::Store,
+        }
+    }
+
+    /// Whether this router reads the store for all, named or as a stand-in.
+    pub fn reads_for_all(&self, now: Instant, at: &Follows) -> bool {
+        self.is_reader(now) || (at.reads_store && self.stands_in(now))
+    }
+
     /// Whether this router is one of those that are named to read the store for all.
     pub fn is_reader(&self, now: Instant) -> bool {
         self.named(now).contains(&&self.me)
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -7,6 +7,7 @@
     membership::{
         datagram::{Datagram, Stamp, Strength},
         peers::{Heard, Peers},
+        readers::{Follows, NextRead},
     },
     units::{Instant, StoreRevision},
 };
@@ -178,6 +179,33 @@
     assert!(asked.iter().all(|a| standing_in.contains(a)), "{asked:?}");
 }
 
+/// Grown puente, a hunted scale-2: after the store had answered nobody, the readers had word again
+/// at once, and the others slept through it for up to two seconds.
+#[test]
+fn a_router_that_waits_for_the_store_asks_a_reader_as_soon_as_one_has_word() {
+    let n = 12;
+    let mut fleet = fleet(n, at(1_000));
+    let is_reader = |p: &Peers| p.is_reader(at(1_000));
+    let reader = fleet.iter().position(is_reader).unwrap();
+    let other = fleet.iter().position(|p| !is_reader(p)).unwrap();
+    let follows = Follows {
+        listed: true,
+        store_lost: true,
+        retry_at: at(4_000),
+        ..Follows::default()
+    };
+    let seen = &mut fleet[other];
+    assert_eq!(seen.next_read(at(2_000), &follows), NextRead::Wait);
+    assert_eq!(seen.next_read(at(4_000), &follows), NextRead::Store);
+    let told = Datagram {
+        readers: vec![(vm(reader), 10)],
+        ..datagram(reader, 2)
+    };
+    hear(seen, at(2_000), &told);
+    let next = seen.next_read(at(2_000), &follows);
+    assert_eq!(next, NextRead::Ask(address(reader)));
+}
+
 #[test]
 fn one_router_of_each_hall_adds_up_and_another_stands_in_when_it_is_silent() {
     let n = 30;
