A target that breaks a call off at once is left alone by all routers

The broken connections were new ones.

Change: a connection that breaks without an answer within 15 ms puts the target behind all others for 0.8 s, here and, told in datagrams and passed on by hubs with its age, at all peers.

Tests: a_target_that_breaks_a_call_off_at_once_is_left_alone_by_all_routers, a_connection_that_breaks_late_is_no_outage.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -218,6 +218,7 @@
         let discovery = &self.discovery;
         let listed = |id: &TargetId| discovery.get(id).is_some();
         self.health.retain(listed);
+        self.health.outages.on_tick(now);
         if now.since(self.swept) >= SWEEP_EVERY {
             self.swept = now;
             self.cache.sweep(listed);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -280,6 +280,7 @@
             if let Some(rested) = conn.rested() {
                 cx.conns.on_broke_after(cx.now(), rested);
             }
+            on_broke(cx, place.target(), now);
             let why = if unsent {
                 "connection closed before"
             } else {
@@ -316,6 +317,14 @@
     judge(call, begun)
 }
 
+/// A connection broke without an answer to a call that was sent on it at `sent`.
+fn on_broke(cx: &Gateway, target: &TargetId, sent: Instant) {
+    let now = cx.now();
+    let mut dispatcher = cx.dispatcher.borrow_mut();
+    let outages = &mut dispatcher.health.outages;
+    outages.on_broke(now, target.into(), now.since(sent));
+}
+
 /// Whether the head is that of an answer to this very call.
 fn judge(call: &Call, begun: Begun) -> Result<Begun, Failed> {
     let facts = &begun.facts;
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -251,6 +251,7 @@
         readers,
         doubted: cx.dispatcher.borrow().health.doubted_here(now),
         halls: Vec::new(),
+        outages: cx.dispatcher.borrow().health.outages.told(now),
         signs: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
@@ -322,6 +323,7 @@
         dispatcher.discovery.on_store_back(Instant(at));
     }
     let peer = told.vm.clone();
+    dispatcher.health.outages.on_told(now, &told.outages);
     dispatcher.health.on_doubts(now, peer, told.doubted);
     if let Some(load) = told.load {
         dispatcher.load.on_peer(now, told.vm, told.hall, load);
--- a/src/health.rs
+++ b/src/health.rs
@@ -9,6 +9,7 @@
 use crate::{
     ids::{TargetId, VmId},
     load_account::TargetHash,
+    outages::Outages,
     units::Instant,
 };
 
@@ -76,7 +77,7 @@
     Well,
     /// It refused a call a moment ago.
     Full,
-    /// Several peers get no answers from it.
+    /// Several peers get no answers from it, or it broke off a call at once.
     Doubted,
     /// One call may be tried there, if it can be repeated elsewhere.
     OnTrial,
@@ -113,6 +114,8 @@
     records: HashMap<TargetId, Record>,
     waiting: HashMap<TargetId, Waiting>,
     doubts: HashMap<VmId, (Instant, Vec<TargetHash>)>,
+    /// Which broke off a call at once.
+    pub outages: Outages,
 }
 
 impl Health {
@@ -138,6 +141,9 @@
 
     fn is_doubted(&self, now: Instant, target: &TargetId) -> bool {
         let hash = TargetHash::from(target);
+        if self.outages.is_out(now, hash) {
+            return true;
+        }
         let doubts = |(at, targets): &&(Instant, Vec<TargetHash>)| {
             now.since(*at) < DOUBT_EXPIRES && targets.contains(&hash)
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod log;
 pub mod membership;
 pub mod openai;
+pub mod outages;
 pub mod placement;
 pub mod prompt_cache;
 mod reply;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -8,6 +8,7 @@
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     load_account::{TargetCounts, TargetHash},
+    outages::ToldOutage,
     prompt_cache::PartId,
     units::{StoreRevision, Tokens},
 };
@@ -104,6 +105,8 @@
     pub halls: Vec<u8>,
     /// Routers that hubs hear of, by data hall; empty where the sender is no hub, and most times.
     pub signs: Vec<HallSigns>,
+    /// Targets that just broke off a call at once, at the sender or as it was told.
+    pub outages: Vec<ToldOutage>,
     /// Targets that give the sender no answers.
     pub doubted: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
--- a/tests/decisions/health.rs
+++ b/tests/decisions/health.rs
@@ -1,9 +1,12 @@
 //! Which targets are left alone.
 
+use std::time::Duration;
+
 use scaleford::{
     config::serving::CallKind,
     health::{Health, Outcome, Standing},
     ids::TargetId,
+    load_account::TargetHash,
 };
 
 use crate::{at, dispatcher, plan, record};
@@ -88,3 +91,49 @@
     }
     assert_eq!(d.health.standing(at(5_000), &doubted), Standing::Well);
 }
+
+/// Grown sapporo, incident bc0b: each of 85 routers lost calls to a target that went down and up,
+/// one after the other.
+#[test]
+fn a_target_that_breaks_a_call_off_at_once_is_left_alone_by_all_routers() {
+    let target: TargetId = "t1".parse().unwrap();
+    let hash = TargetHash::from(&target);
+    let (mut first, mut hub, mut other) = <(Health, Health, Health)>::default();
+    first
+        .outages
+        .on_broke(at(1_000), hash, Duration::from_millis(4));
+    assert_eq!(first.standing(at(1_000), &target), Standing::Doubted);
+    hub.outages
+        .on_told(at(1_100), &first.outages.told(at(1_100)));
+    other
+        .outages
+        .on_told(at(1_200), &hub.outages.told(at(1_200)));
+    assert_eq!(other.standing(at(1_200), &target), Standing::Doubted);
+    // What comes back to where it began makes it last no longer.
+    first
+        .outages
+        .on_told(at(1_300), &other.outages.told(at(1_300)));
+    for health in [&first, &hub, &other] {
+        assert_eq!(health.standing(at(1_900), &target), Standing::Well);
+    }
+    assert!(first.outages.told(at(1_900)).is_empty());
+    // The next time it goes down is another outage.
+    hub.outages
+        .on_broke(at(4_000), hash, Duration::from_millis(4));
+    other
+        .outages
+        .on_told(at(4_100), &hub.outages.told(at(4_100)));
+    assert_eq!(other.standing(at(4_100), &target), Standing::Doubted);
+}
+
+/// An answer that is lost after the call ran is no outage.
+#[test]
+fn a_connection_that_breaks_late_is_no_outage() {
+    let target: TargetId = "t1".parse().unwrap();
+    let mut health = Health::default();
+    let late = Duration::from_millis(40);
+    health
+        .outages
+        .on_broke(at(1_000), TargetHash::from(&target), late);
+    assert_eq!(health.standing(at(1_000), &target), Standing::Well);
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -128,6 +128,7 @@
             stopping: router.stopping,
             load: None,
             halls: Vec::new(),
+            outages: Vec::new(),
             signs: Vec::new(),
             doubted: Vec::new(),
             parts: Vec::new(),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -52,6 +52,7 @@
         stopping: false,
         load: None,
         halls: Vec::new(),
+        outages: Vec::new(),
         signs: Vec::new(),
         doubted: Vec::new(),
         parts: Vec::new(),
