--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -280,7 +280,7 @@
             if let Some(rested) = conn.rested() {
                 cx.conns.on_broke_after(cx.now(), rested);
             }
-            on_broke(cx, place.target(), now);
+            on_broke(cx, call, place.target(), now);
             let why = if unsent {
                 "connection closed before"
             } else {
@@ -318,11 +318,15 @@
 }
 
 /// A connection broke without an answer to a call that was sent on it at `sent`.
-fn on_broke(cx: &Gateway, target: &TargetId, sent: Instant) {
+fn on_broke(cx: &Gateway, call: &Call, target: &TargetId, sent: Instant) {
     let now = cx.now();
+    let after = now.since(sent);
     let mut dispatcher = cx.dispatcher.borrow_mut();
     let outages = &mut dispatcher.health.outages;
-    outages.on_broke(now, target.into(), now.since(sent));
+    if outages.on_broke(now, target.into(), after) {
+        info!(cx.log, "outage"; "id" => call.id(), "target" => %target,
+            "broke_after_ms" => after.as_millis() as u64);
+    }
 }
 
 /// Whether the head is that of an answer to this very call.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -324,7 +324,10 @@
         dispatcher.discovery.on_store_back(Instant(at));
     }
     let peer = told.vm.clone();
-    dispatcher.health.outages.on_told(now, &told.outages);
+    let outages = dispatcher.health.outages.on_told(now, &told.outages);
+    if outages > 0 {
+        info!(cx.log, "outages told"; "peer" => %told.vm, "targets" => outages);
+    }
     dispatcher.health.on_doubts(now, peer, told.doubted);
     if let Some(load) = told.load {
         dispatcher.load.on_peer(now, told.vm, told.hall, load);
--- a/src/outages.rs
+++ b/src/outages.rs
@@ -37,23 +37,29 @@
 }
 
 impl Outages {
-    /// A connection broke without an answer, so long after a call was sent on it.
-    pub fn on_broke(&mut self, now: Instant, target: TargetHash, after: Duration) {
-        if after <= AT_ONCE {
+    /// A connection broke without an answer, so long after a call was sent on it. Returns whether
+    /// the target is out for it.
+    pub fn on_broke(&mut self, now: Instant, target: TargetHash, after: Duration) -> bool {
+        let is_out = after <= AT_ONCE;
+        if is_out {
             self.found.insert(target, now);
         }
+        is_out
     }
 
-    /// A peer told of outages, its own ones or others'.
-    pub fn on_told(&mut self, now: Instant, told: &[ToldOutage]) {
+    /// A peer told of outages, its own ones or others'. Returns how many are new here.
+    pub fn on_told(&mut self, now: Instant, told: &[ToldOutage]) -> usize {
+        let mut new = 0;
         for ToldOutage { target, age_ms } in told {
             let age = Duration::from_millis(u64::from(*age_ms));
             let at = Instant(now.0.saturating_sub(age));
             let known = self.found.get(target);
             if known.is_none_or(|before| at.since(*before) > SAME_OUTAGE) {
                 self.found.insert(*target, at);
+                new += 1;
             }
         }
+        new
     }
 
     /// Whether a target is left alone.
