Reading state and signs read better: one name for one thing

Cause: read as a newcomer, Follows named two types, and the gossip loop decided what hubs tell in the middle.

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -13,7 +13,7 @@
     config::{Change, serving::ServingConfig},
     discovery::{ListChange, Verdict},
     ids::{Revision, TargetId},
-    membership::readers::{Follows, NextRead},
+    membership::readers::{NextRead, ReadState},
     store::{
         Mirrored, StoreChange, StoreError, StoreItem, StoreNews,
         own::{self, OwnEntry},
@@ -71,7 +71,7 @@
     async fn step(&mut self) {
         let next = {
             let peers = self.cx.peers.borrow();
-            peers.next_read(self.cx.now(), &self.follows())
+            peers.next_read(self.cx.now(), &self.read_state())
         };
         match next {
             NextRead::Ask(reader) => self.ask(reader).await,
@@ -80,8 +80,8 @@
         }
     }
 
-    fn follows(&self) -> Follows {
-        Follows {
+    fn read_state(&self) -> ReadState {
+        ReadState {
             listed: self.listed,
             store_lost: self.cx.store_lost_at.get().is_some(),
             reads_store: self.cx.reads_store(),
@@ -112,10 +112,10 @@
             Err(e) => Err(e),
         };
         // A reader itself retries the store now and then, or it would never be one again.
-        let follows = self.follows();
+        let state = self.read_state();
         let now = self.cx.now();
         let is_reader = self.cx.peers.borrow().is_reader(now);
-        if follows.store_lost && is_reader && now >= self.retry_at {
+        if state.store_lost && is_reader && now >= self.retry_at {
             self.read().await;
         }
         match told {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -59,6 +59,21 @@
     shares: Instant,
 }
 
+impl Told {
+    /// What this router tells as a hub of whom it hears of, if that is due.
+    fn take_signs(&mut self, cx: &Gateway, now: Instant) -> ToldSigns {
+        let mut peers = cx.peers.borrow_mut();
+        let is_due = now.since(self.signs) >= peers.signs_every();
+        match cx.adds_up.get() && is_due {
+            true => {
+                self.signs = now;
+                peers.tell_signs(now)
+            }
+            false => ToldSigns::default(),
+        }
+    }
+}
+
 /// Sends counts, news of prompts and the age of the configuration, over and over: as they change
 /// to all peers of a small fleet or to the hubs of a large one, and seldom to everyone.
 pub(super) async fn tell(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
@@ -102,12 +117,8 @@
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
-                let signs_every = cx.peers.borrow().signs_every();
-                let tells_signs = cx.adds_up.get() && now.since(last.signs) >= signs_every;
-                if tells_signs {
-                    last.signs = now;
-                }
-                send_to_close_ones(&cx, &udp, tells_signs);
+                let signs = last.take_signs(&cx, now);
+                send_to_close_ones(&cx, &udp, &signs);
             }
             _ => {}
         }
@@ -132,7 +143,7 @@
 
 /// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, and
 /// now and then whom it hears of.
-fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, tells_signs: bool) {
+fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, told_signs: &ToldSigns) {
     let mut told = datagram(cx, news_of_prompts(cx));
     told.known.clear();
     let sums = match cx.adds_up.get() {
@@ -140,13 +151,7 @@
         false => Sums::default(),
     };
     told.load = Some(cx.dispatcher.borrow_mut().load.own_counts());
-    let now = cx.now();
-    let told_signs = match tells_signs {
-        true => cx.peers.borrow_mut().tell_signs(now),
-        false => ToldSigns::default(),
-    };
-    let peers = cx.peers.borrow();
-    for to in peers.close_ones(now) {
+    for to in cx.peers.borrow().close_ones(cx.now()) {
         told.echo = to.echo;
         let is_near = to.hall.as_ref() == Some(&cx.cfg.data_hall);
         let (halls, signs) = match is_near {
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -25,6 +25,10 @@
 /// store itself. Routers that start together do not know one another yet.
 const FIRST_WAIT: Duration = Duration::from_millis(700);
 
+/// What each router that it has heard of adds to that wait: the readers of a fleet that starts
+/// together must have listed all targets, and told some of the others, before all go there at once.
+const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
+
 /// How long routers of a fleet that starts for the first time let one another be found: processes
 /// start within 0.3 s (users' pages), and it takes some rounds of datagrams from the few addresses
 /// that are known.
@@ -34,10 +38,6 @@
 /// hundred routers have told all by then (bench).
 const FIRST_START_WAIT: Duration = Duration::from_millis(2_500);
 
-/// What each router that it has heard of adds to that wait: the readers of a fleet that starts
-/// together must have listed all targets, and told some of the others, before all go there at once.
-const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
-
 /// Whether the whole fleet starts for the first time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FleetStart {
@@ -50,7 +50,7 @@
 
 /// How a router stands to the store.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Follows {
+pub struct ReadState {
     /// It has listed the store's entries once, or was told them.
     pub listed: bool,
     /// The store did not answer its last call.
@@ -78,29 +78,29 @@
 
 impl Peers {
     /// Whom to ask next.
-    pub fn next_read(&self, now: Instant, at: &Follows) -> NextRead {
-        if at.start == FleetStart::First && now.0 < FIND_ONE_ANOTHER {
+    pub fn next_read(&self, now: Instant, state: &ReadState) -> NextRead {
+        if state.start == FleetStart::First && now.0 < FIND_ONE_ANOTHER {
             return NextRead::Wait;
         }
-        let is_reader = self.reads_for_all(now, at);
-        let first_wait = match at.start {
+        let is_reader = self.reads_for_all(now, state);
+        let first_wait = match state.start {
             FleetStart::First => FIRST_START_WAIT,
             FleetStart::Later => FIRST_WAIT + FIRST_WAIT_PER_ROUTER * self.alive(now) as u32,
         };
         // Without the store, what any peer still knows is better than nothing.
-        let ahead = self.ahead(now, at.revision);
-        let ahead = ahead.filter(|_| at.listed || at.store_lost);
+        let ahead = self.ahead(now, state.revision);
+        let ahead = ahead.filter(|_| state.listed || state.store_lost);
         match ahead.or_else(|| self.reader(now)) {
-            Some(reader) if !is_reader || at.store_lost => NextRead::Ask(reader),
+            Some(reader) if !is_reader || state.store_lost => NextRead::Ask(reader),
             None if !is_reader && now.0 < first_wait => NextRead::Wait,
-            _ if now < at.retry_at => NextRead::Wait,
+            _ if now < state.retry_at => NextRead::Wait,
             _ => NextRead::Store,
         }
     }
 
     /// Whether this router reads the store for all, named or as a stand-in.
-    pub fn reads_for_all(&self, now: Instant, at: &Follows) -> bool {
-        self.is_reader(now) || (at.reads_store && self.stands_in(now))
+    fn reads_for_all(&self, now: Instant, state: &ReadState) -> bool {
+        self.is_reader(now) || (state.reads_store && self.stands_in(now))
     }
 
     /// Whether this router is one of those that are named to read the store for all.
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -7,7 +7,7 @@
     membership::{
         datagram::{Datagram, Stamp, Strength},
         peers::{Heard, Peers},
-        readers::{FleetStart, Follows, NextRead},
+        readers::{FleetStart, NextRead, ReadState},
     },
     units::{Instant, StoreRevision},
 };
@@ -189,21 +189,21 @@
     let is_reader = |p: &Peers| p.is_reader(at(1_000));
     let reader = fleet.iter().position(is_reader).unwrap();
     let other = fleet.iter().position(|p| !is_reader(p)).unwrap();
-    let follows = Follows {
+    let state = ReadState {
         listed: true,
         store_lost: true,
         retry_at: at(4_000),
-        ..Follows::default()
+        ..ReadState::default()
     };
     let seen = &mut fleet[other];
-    assert_eq!(seen.next_read(at(2_000), &follows), NextRead::Wait);
-    assert_eq!(seen.next_read(at(4_000), &follows), NextRead::Store);
+    assert_eq!(seen.next_read(at(2_000), &state), NextRead::Wait);
+    assert_eq!(seen.next_read(at(4_000), &state), NextRead::Store);
     let told = Datagram {
         readers: vec![(vm(reader), 10)],
         ..datagram(reader, 2)
     };
     hear(seen, at(2_000), &told);
-    let next = seen.next_read(at(2_000), &follows);
+    let next = seen.next_read(at(2_000), &state);
     assert_eq!(next, NextRead::Ask(address(reader)));
 }
 
@@ -212,14 +212,14 @@
 #[test]
 fn a_router_of_a_fleet_that_starts_for_the_first_time_finds_the_others_before_it_reads() {
     let alone = peers(0);
-    let first = Follows {
+    let first = ReadState {
         start: FleetStart::First,
-        ..Follows::default()
+        ..ReadState::default()
     };
     assert_eq!(alone.next_read(at(100), &first), NextRead::Wait);
     assert_eq!(alone.next_read(at(1_000), &first), NextRead::Store);
     // Where others may wait for it, a router that starts reads at once.
-    let later = Follows::default();
+    let later = ReadState::default();
     assert_eq!(alone.next_read(at(100), &later), NextRead::Store);
 }
 
