Heartbeats, suspicions, reports and notices by the field's names

Cause: members, standings and log lines spoke of signs of life, words, doubts and what was told; a newcomer knows heartbeats, suspicion, load reports and notices.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -12,7 +12,7 @@
     ResultCode,
     config::serving::Asked,
     ids::{ClientAccountId, ConversationKey, TargetId},
-    load_account::ToldLoad,
+    load_account::ReportedLoad,
     prompt_cache::PromptPart,
     units::{Rank, Tokens},
 };
@@ -125,8 +125,8 @@
     pub refused: Option<Refused>,
     /// The body is encoded, which no target does by itself.
     pub encoded: bool,
-    /// The target's load by its own word.
-    pub load: Option<ToldLoad>,
+    /// The target's load by its own report.
+    pub load: Option<ReportedLoad>,
     /// How long the target keeps the connection at rest.
     pub keep_alive: Option<Duration>,
     /// The target closes the connection after this answer.
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -235,7 +235,7 @@
     /// The target has read the prompt: its first event came.
     pub fn on_first_event(&mut self, now: Instant, ticket: &mut Ticket) {
         let target = &ticket.target.id;
-        self.health.on_sign(now, target);
+        self.health.on_activity(now, target);
         self.load.on_end(target, ticket.work);
         ticket.work = InProgress::one(ticket.answer);
         self.load.on_send(target, ticket.work);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -99,7 +99,7 @@
         let mut dispatcher = self.cx.dispatcher.borrow_mut();
         dispatcher
             .health
-            .on_sign(self.cx.now(), &self.ticket.target.id);
+            .on_activity(self.cx.now(), &self.ticket.target.id);
     }
 
     /// The target's name.
@@ -305,7 +305,7 @@
     let facts = cx.dialect.read_answer(head.status, &head.headers);
     if let Some(load) = facts.load {
         let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.load.on_told(cx.now(), place.target(), load);
+        dispatcher.load.on_report(cx.now(), place.target(), load);
     }
     let begun = Begun {
         head,
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -29,7 +29,7 @@
     ConnectionBroke,
     /// The call's time was over before the answer was.
     TimeUp,
-    /// The target gave no sign for too long.
+    /// The target sent nothing for too long.
     Silent,
     /// An answer to another call came.
     AnotherAnswer,
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -259,7 +259,7 @@
         self.dispatcher.borrow_mut().budget.on_call(now, service);
     }
 
-    /// How old this router's own word from the store is, if it reads the store itself.
+    /// How long ago this router itself heard from the store, if it reads the store itself.
     pub(crate) fn store_age(&self) -> Option<Duration> {
         let now = self.now();
         let age = self.store_proven_at.get().map(|at| now.since(at));
@@ -279,7 +279,7 @@
     }
 }
 
-/// How long after its last word from the store a router still counts as reading it: a watch that
+/// How long after it last heard from the store a router still counts as reading it: a watch that
 /// waits, its pause, and some delay.
 const READS_STORE: Duration = Duration::from_millis(1_400);
 
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -12,8 +12,8 @@
     limits::SHARE_EVERY,
     membership::{
         datagram::{Datagram, HallSums, Message, Stamp},
+        heartbeats::HubHeartbeats,
         peers::Heard,
-        signs::ToldSigns,
     },
     prompt_cache::{News, PromptPart},
     units::Instant,
@@ -28,7 +28,7 @@
 /// what is in progress. With 85 routers it is the same as without.
 const TELL_PER_ROUTER: Duration = Duration::from_micros(1_200);
 
-/// After so long without a change something is told all the same, as a sign of life.
+/// After so long without a change something is told all the same, as a heartbeat.
 const QUIET_TIME: Duration = Duration::from_millis(400);
 
 /// How often half of the counted calls is forgotten, so that the share of the retry budget follows
@@ -53,7 +53,7 @@
 struct Told {
     close: Instant,
     everyone: Instant,
-    signs: Instant,
+    heartbeats: Instant,
     is_young: bool,
     calls_halved: Instant,
     shares: Instant,
@@ -61,15 +61,15 @@
 
 impl Told {
     /// What this router tells as a hub of whom it hears of, if that is due.
-    fn take_signs(&mut self, cx: &Gateway, now: Instant) -> ToldSigns {
+    fn take_heartbeats(&mut self, cx: &Gateway, now: Instant) -> HubHeartbeats {
         let mut peers = cx.peers.borrow_mut();
-        let is_due = now.since(self.signs) >= peers.signs_every();
+        let is_due = now.since(self.heartbeats) >= peers.heartbeats_every();
         match cx.adds_up.get() && is_due {
             true => {
-                self.signs = now;
-                peers.tell_signs(now)
+                self.heartbeats = now;
+                peers.hub_heartbeats(now)
             }
-            false => ToldSigns::default(),
+            false => HubHeartbeats::default(),
         }
     }
 }
@@ -81,7 +81,7 @@
     let mut last = Told {
         close: now,
         everyone: now,
-        signs: now,
+        heartbeats: now,
         is_young: true,
         calls_halved: now,
         shares: now,
@@ -117,8 +117,8 @@
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
-                let signs = last.take_signs(&cx, now);
-                send_to_close_ones(&cx, &udp, &signs);
+                let heartbeats = last.take_heartbeats(&cx, now);
+                send_to_close_ones(&cx, &udp, &heartbeats);
             }
             _ => {}
         }
@@ -129,7 +129,7 @@
     }
 }
 
-/// Sends one datagram to each peer; in a large fleet it is only a sign of life, as counts go
+/// Sends one datagram to each peer; in a large fleet it is only a heartbeat, as counts go
 /// through hubs.
 pub(super) fn send_to_all(cx: &Gateway, udp: &UdpSocket) {
     let is_large = cx.peers.borrow().is_large(cx.now());
@@ -143,7 +143,7 @@
 
 /// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, and
 /// now and then whom it hears of.
-fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, told_signs: &ToldSigns) {
+fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, hub_heartbeats: &HubHeartbeats) {
     let mut told = datagram(cx, news_of_prompts(cx));
     told.known.clear();
     let sums = match cx.adds_up.get() {
@@ -154,12 +154,12 @@
     for to in cx.peers.borrow().close_ones(cx.now()) {
         told.echo = to.echo;
         let is_near = to.hall.as_ref() == Some(&cx.cfg.data_hall);
-        let (halls, signs) = match is_near {
-            true => (&sums.all, &told_signs.near),
-            false => (&sums.own, &told_signs.far),
+        let (halls, heartbeats) = match is_near {
+            true => (&sums.all, &hub_heartbeats.near),
+            false => (&sums.own, &hub_heartbeats.far),
         };
         told.halls.clone_from(halls);
-        told.signs.clone_from(signs);
+        told.heartbeats.clone_from(heartbeats);
         send_to(cx, udp, &told, to.address);
     }
 }
@@ -256,10 +256,10 @@
         hall: cx.cfg.data_hall.clone(),
         strength: cx.cfg.strength,
         readers,
-        doubted: cx.dispatcher.borrow().health.doubted_here(now),
+        suspected: cx.dispatcher.borrow().health.suspected_here(now),
         halls: Vec::new(),
-        outages: cx.dispatcher.borrow().health.outages.told(now),
-        signs: Vec::new(),
+        outages: cx.dispatcher.borrow().health.outages.notices(now),
+        heartbeats: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
             .store_back_at
@@ -330,11 +330,11 @@
         dispatcher.discovery.on_store_back(at);
     }
     let peer = told.vm.clone();
-    let outages = dispatcher.health.outages.on_told(now, &told.outages);
+    let outages = dispatcher.health.outages.on_notices(now, &told.outages);
     if outages > 0 {
-        info!(cx.log, "outages told"; "peer" => %told.vm, "targets" => outages);
+        info!(cx.log, "outage notices"; "peer" => %told.vm, "targets" => outages);
     }
-    dispatcher.health.on_doubts(now, peer, told.doubted);
+    dispatcher.health.on_suspicions(now, peer, told.suspected);
     if let Some(load) = told.load {
         dispatcher.load.on_peer(now, told.vm, told.hall, load);
     }
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,6 +1,6 @@
 //! Which targets to avoid for a while, learned from the outcomes of calls.
 //!
-//! A health check costs as much as a call, and says less: a target may be well by its own word and
+//! A health check costs as much as a call, and says less: a target may be well by its own report and
 //! fail calls, or the other way round. So no check is sent; a suspect target gets single calls
 //! that may be repeated elsewhere, at growing pauses.
 
@@ -34,7 +34,7 @@
 pub enum Outcome {
     /// A whole answer, or the first event of a stream.
     Good,
-    /// It refused the call as it was full; no sign of ill health.
+    /// It refused the call as it was full; that says nothing of its health.
     Full,
     /// It answered with an error of its own.
     Error,
@@ -78,33 +78,33 @@
     /// It refused a call a moment ago.
     Full,
     /// Several peers get no answers from it, or it broke off a call at once.
-    Doubted,
+    Suspected,
     /// One call may be tried there, if it can be repeated elsewhere.
     OnTrial,
-    /// It has calls of ours and gives no sign of life.
+    /// It has calls of ours and sends nothing.
     Stalled,
     /// It gets none.
     Paused,
 }
 
-/// How long a plain service's target may give no sign of life while it has calls of ours: its work
+/// How long a plain service's target may send nothing while it has calls of ours: its work
 /// takes 15 ms and seldom 110 (users' sheets).
 const PLAIN_STALLS: Duration = Duration::from_millis(220);
 
 /// The same for a model engine, which may have to read some long prompts first.
 const ENGINE_STALLS: Duration = Duration::from_millis(900);
 
-/// Peers that have to doubt a target for it to be doubted here: one may have a bad link itself.
-const DOUBTERS: usize = 2;
+/// Peers that have to suspicion a target for it to be suspected here: one may have a bad link itself.
+const SUSPECTING_PEERS: usize = 2;
 
-/// How long a peer's doubt counts after it was told.
-const DOUBT_EXPIRES: Duration = Duration::from_millis(1_200);
+/// How long a peer's suspicion counts after it was told.
+const SUSPICION_EXPIRES: Duration = Duration::from_millis(1_200);
 
 /// Calls of ours at one target.
 #[derive(Debug)]
 struct Waiting {
     calls: u32,
-    last_sign: Instant,
+    last_activity: Instant,
     stalls: Duration,
 }
 
@@ -113,7 +113,7 @@
 pub struct Health {
     records: HashMap<TargetId, Record>,
     waiting: HashMap<TargetId, Waiting>,
-    doubts: HashMap<VmId, (Instant, Vec<TargetHash>)>,
+    suspicions: HashMap<VmId, (Instant, Vec<TargetHash>)>,
     /// Which broke off a call at once.
     pub outages: Outages,
 }
@@ -128,7 +128,7 @@
             Some(true) => Standing::Paused,
             _ if self.is_stalled(now, target) => Standing::Stalled,
             Some(false) => Standing::OnTrial,
-            None if self.is_doubted(now, target) => Standing::Doubted,
+            None if self.is_suspected(now, target) => Standing::Suspected,
             None if is_full => Standing::Full,
             None => Standing::Well,
         }
@@ -136,34 +136,34 @@
 
     fn is_stalled(&self, now: Instant, target: &TargetId) -> bool {
         let waiting = self.waiting.get(target).filter(|w| w.calls > 0);
-        waiting.is_some_and(|w| now.since(w.last_sign) >= w.stalls)
+        waiting.is_some_and(|w| now.since(w.last_activity) >= w.stalls)
     }
 
-    fn is_doubted(&self, now: Instant, target: &TargetId) -> bool {
+    fn is_suspected(&self, now: Instant, target: &TargetId) -> bool {
         let hash = TargetHash::from(target);
         if self.outages.is_out(now, hash) {
             return true;
         }
-        let doubts = |(at, targets): &&(Instant, Vec<TargetHash>)| {
-            now.since(*at) < DOUBT_EXPIRES && targets.contains(&hash)
+        let suspicions = |(at, targets): &&(Instant, Vec<TargetHash>)| {
+            now.since(*at) < SUSPICION_EXPIRES && targets.contains(&hash)
         };
-        self.doubts.values().filter(doubts).count() >= DOUBTERS
+        self.suspicions.values().filter(suspicions).count() >= SUSPECTING_PEERS
     }
 
-    /// A target gave a sign of life: a part of an answer.
-    pub fn on_sign(&mut self, now: Instant, target: &TargetId) {
+    /// A target sent a part of an answer.
+    pub fn on_activity(&mut self, now: Instant, target: &TargetId) {
         if let Some(waiting) = self.waiting.get_mut(target) {
-            waiting.last_sign = now;
+            waiting.last_activity = now;
         }
     }
 
     /// A peer told which targets give it no answers.
-    pub fn on_doubts(&mut self, now: Instant, peer: VmId, targets: Vec<TargetHash>) {
-        self.doubts.insert(peer, (now, targets));
+    pub fn on_suspicions(&mut self, now: Instant, peer: VmId, targets: Vec<TargetHash>) {
+        self.suspicions.insert(peer, (now, targets));
     }
 
     /// Targets that give no answers here, to tell the peers.
-    pub fn doubted_here(&self, now: Instant) -> Vec<TargetHash> {
+    pub fn suspected_here(&self, now: Instant) -> Vec<TargetHash> {
         let silent = |t: &&TargetId| self.standing(now, t) >= Standing::Stalled;
         let known = self.records.keys().chain(self.waiting.keys());
         let mut all: Vec<TargetHash> = known.filter(silent).map(TargetHash::from).collect();
@@ -178,11 +178,11 @@
         }
     }
 
-    /// A call is sent to a target; engines may take longer than plain services to give a sign.
+    /// A call is sent to a target; engines may take longer than plain services to send anything.
     pub fn on_send(&mut self, now: Instant, target: &TargetId, is_engine: bool) {
         let waiting = self.waiting.entry(target.clone()).or_insert(Waiting {
             calls: 0,
-            last_sign: now,
+            last_activity: now,
             stalls: if is_engine {
                 ENGINE_STALLS
             } else {
@@ -190,7 +190,7 @@
             },
         });
         if waiting.calls == 0 {
-            waiting.last_sign = now;
+            waiting.last_activity = now;
         }
         waiting.calls += 1;
         if self.standing(now, target) == Standing::OnTrial
@@ -218,7 +218,7 @@
         let before = self.standing(now, target);
         self.on_gone(target);
         if matches!(outcome, Outcome::Good | Outcome::Full | Outcome::Error) {
-            self.on_sign(now, target);
+            self.on_activity(now, target);
         }
         let record = self.records.entry(target.clone()).or_default();
         record.trial = false;
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -27,9 +27,9 @@
 /// gone or cut off, and its calls have ended or soon will: three of its slowest heartbeats.
 pub const PEER_EXPIRES: Duration = Duration::from_secs(3);
 
-/// How long a target's own word is held against the counts: answers of engines come about this
+/// How long a target's own report is held against the counts: answers of engines come about this
 /// often under load.
-const TOLD_EXPIRES: Duration = Duration::from_millis(400);
+const REPORT_EXPIRES: Duration = Duration::from_millis(400);
 
 /// How long a data hall's sum is believed: until the second hub has taken the first one's place,
 /// and a sum or two of it may be lost.
@@ -134,7 +134,7 @@
 
 /// What a target said of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ToldLoad {
+pub struct ReportedLoad {
     /// Calls that run.
     pub running: u32,
     /// Calls that wait.
@@ -185,7 +185,7 @@
     others_counted: Instant,
     usual: HashMap<TargetHash, f64>,
     usual_at: Instant,
-    told: HashMap<TargetId, (Instant, ToldLoad)>,
+    reports: HashMap<TargetId, (Instant, ReportedLoad)>,
     changed: bool,
 }
 
@@ -237,7 +237,7 @@
             others_counted: Instant::default(),
             usual: HashMap::new(),
             usual_at: Instant::default(),
-            told: HashMap::new(),
+            reports: HashMap::new(),
             changed: false,
         }
     }
@@ -291,13 +291,14 @@
     pub fn on_tick(&mut self, now: Instant) {
         self.peers.retain(|_, p| now.since(p.at) < PEER_EXPIRES);
         self.halls.retain(|_, h| now.since(h.at) < HALL_EXPIRES);
-        self.told.retain(|_, (at, _)| now.since(*at) < TOLD_EXPIRES);
+        self.reports
+            .retain(|_, (at, _)| now.since(*at) < REPORT_EXPIRES);
         self.sum_others(now);
     }
 
     /// A target told its load in an answer.
-    pub fn on_told(&mut self, now: Instant, target: &TargetId, load: ToldLoad) {
-        self.told.insert(target.clone(), (now, load));
+    pub fn on_report(&mut self, now: Instant, target: &TargetId, load: ReportedLoad) {
+        self.reports.insert(target.clone(), (now, load));
     }
 
     /// What all routers together have in progress at a target.
@@ -308,7 +309,7 @@
         total
     }
 
-    /// The calls at a target, by the larger of the counts and of its own recent word.
+    /// The calls at a target, by the larger of the counts and of its own recent report.
     pub fn calls(&self, now: Instant, target: &TargetId) -> u32 {
         self.call_counts(now, target).all()
     }
@@ -318,9 +319,9 @@
         let hash = TargetHash::from(target);
         let own = self.own.get(&hash).map_or(0, |w| w.calls);
         let counted = self.total(target).calls;
-        let told = self.told.get(target);
-        let told = told.filter(|(at, _)| now.since(*at) < TOLD_EXPIRES);
-        let all = told.map_or(counted, |(_, t)| counted.max(t.running + t.waiting));
+        let report = self.reports.get(target);
+        let report = report.filter(|(at, _)| now.since(*at) < REPORT_EXPIRES);
+        let all = report.map_or(counted, |(_, t)| counted.max(t.running + t.waiting));
         CallCounts {
             own,
             others: all.saturating_sub(own),
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -8,12 +8,12 @@
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     load_account::{TargetCounts, TargetHash},
-    outages::ToldOutage,
+    outages::OutageNotice,
     prompt_cache::PartId,
     units::{StoreRevision, Tokens},
 };
 
-use super::signs::HallSigns;
+use super::heartbeats::HallHeartbeats;
 
 /// A moment of one router's clock, as it is sent and echoed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,7 +99,7 @@
     /// The revision of the configuration that the sender applies, and the age of its proof in
     /// milliseconds.
     pub config: Option<(StoreRevision, u32)>,
-    /// How old the word from the store is, in milliseconds, of routers that read it.
+    /// How long ago routers that read the store heard from it, in milliseconds.
     pub readers: Vec<(VmId, u32)>,
     /// The revision of the store up to which the sender knows all.
     pub mirror: StoreRevision,
@@ -115,11 +115,11 @@
     /// once for all receivers; empty where the sender does not add up.
     pub halls: Vec<u8>,
     /// Routers that hubs hear of, by data hall; empty where the sender is no hub, and most times.
-    pub signs: Vec<HallSigns>,
+    pub heartbeats: Vec<HallHeartbeats>,
     /// Targets that just broke off a call at once, at the sender or as it was told.
-    pub outages: Vec<ToldOutage>,
+    pub outages: Vec<OutageNotice>,
     /// Targets that give the sender no answers.
-    pub doubted: Vec<TargetHash>,
+    pub suspected: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
     pub parts: Vec<(PartId, Tokens, TargetId)>,
     /// Where other routers are reached.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,7 +1,7 @@
 //! Which other routers live, and who of them does what is done for all.
 
 pub mod datagram;
+pub mod heartbeats;
 mod hubs;
 pub mod peers;
 pub mod readers;
-pub mod signs;
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -9,7 +9,7 @@
 
 use super::{
     datagram::{Datagram, Stamp, Strength},
-    signs::{HallWord, VmHash},
+    heartbeats::{HallSnapshot, VmHash},
 };
 use crate::{
     config::freshness::Vouch,
@@ -47,8 +47,8 @@
     pub(super) strength: Strength,
     pub(super) hash: VmHash,
     pub(super) heard: Instant,
-    /// The youngest sign of its life that a hub told of.
-    pub(super) told_of: Option<Instant>,
+    /// The youngest heartbeat that a hub passed on.
+    pub(super) hub_heard: Option<Instant>,
     /// A call to it brought no answer since it was last heard of.
     unreachable: bool,
     stamp: Stamp,
@@ -58,8 +58,8 @@
     calls: u32,
     pub(super) stopping: bool,
     pub(super) mirror: StoreRevision,
-    /// When the peer last had word from the store, if it reads it.
-    pub(super) store_word: Option<Instant>,
+    /// When the peer last heard from the store, if it reads it.
+    pub(super) store_heard: Option<Instant>,
 }
 
 impl Peer {
@@ -70,9 +70,9 @@
         self.former_life == Some(life) || (self.stamp.life > life && speaks)
     }
 
-    /// The last sign of its life.
-    fn last_sign(&self) -> Instant {
-        self.told_of.map_or(self.heard, |at| at.max(self.heard))
+    /// Its last heartbeat.
+    fn last_heartbeat(&self) -> Instant {
+        self.hub_heard.map_or(self.heard, |at| at.max(self.heard))
     }
 }
 
@@ -143,7 +143,7 @@
     pub(super) heard: BTreeMap<VmId, Peer>,
     unheard: BTreeMap<SocketAddr, Instant>,
     /// What hubs said last of each data hall's routers.
-    pub(super) words: BTreeMap<DataHall, HallWord>,
+    pub(super) snapshots: BTreeMap<DataHall, HallSnapshot>,
 }
 
 impl Peers {
@@ -164,7 +164,7 @@
             own_address,
             heard: BTreeMap::new(),
             unheard: BTreeMap::new(),
-            words: BTreeMap::new(),
+            snapshots: BTreeMap::new(),
         };
         for seed in seeds {
             peers.on_address(Instant::default(), *seed);
@@ -196,7 +196,7 @@
             _ if told.stopping => Heard::Known,
             _ => Heard::Joined,
         };
-        let store_word = before.and_then(|p| p.store_word);
+        let store_heard = before.and_then(|p| p.store_heard);
         let former_life = before.and_then(|p| match p.stamp.life == told.sent.life {
             true => p.former_life,
             false => Some(p.stamp.life),
@@ -207,7 +207,7 @@
             strength: told.strength,
             hash: VmHash::from(&told.vm),
             heard: now,
-            told_of: None,
+            hub_heard: None,
             unreachable: false,
             stamp: told.sent,
             former_life,
@@ -215,11 +215,11 @@
             calls: told.calls,
             stopping: told.stopping,
             mirror: told.mirror,
-            store_word,
+            store_heard,
         };
         self.heard.insert(told.vm.clone(), peer);
-        self.on_store_words(now, &told.readers);
-        self.on_signs(now, &told.signs);
+        self.on_store_heards(now, &told.readers);
+        self.on_heartbeats(now, &told.heartbeats);
         self.unheard.remove(&from);
         for address in &told.known {
             self.on_address(now, *address);
@@ -275,7 +275,8 @@
         let keep = |since: Instant| now.since(since) < ADDRESS_KEPT;
         let alive_for = self.alive_by_mesh();
         let gone = |p: &Peer| p.stopping && now.since(p.heard) >= alive_for;
-        self.heard.retain(|_, p| keep(p.last_sign()) && !gone(p));
+        self.heard
+            .retain(|_, p| keep(p.last_heartbeat()) && !gone(p));
         self.unheard.retain(|_, since| keep(*since));
     }
 
@@ -306,7 +307,7 @@
                 () if self.is_heard(now, p) => MemberState::Alive,
                 () => MemberState::Dead,
             },
-            silent_ms: now.since(p.last_sign()).as_millis() as u64,
+            silent_ms: now.since(p.last_heartbeat()).as_millis() as u64,
         };
         self.heard.iter().map(member).collect()
     }
@@ -348,7 +349,7 @@
 
     fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
         let alive_for = self.alive_for(now, &peer.hall);
-        !peer.unreachable && now.since(peer.last_sign()) < alive_for
+        !peer.unreachable && now.since(peer.last_heartbeat()) < alive_for
     }
 
     pub(super) fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -16,12 +16,12 @@
 /// What readers are chosen by.
 const READERS_KEY: &str = "store readers";
 
-/// How old a reader's word from the store may be for others to rely on that reader: a watch, its
+/// How long ago a reader may have heard from the store for others to rely on that reader: a watch, its
 /// pause and a datagram. Two seconds after a change all have to know it, also where it came right
 /// after all readers were cut off.
 const READER_FRESH: Duration = Duration::from_millis(1_500);
 
-/// How long after its start a router still waits for word from a reader before it goes to the
+/// How long after its start a router still waits to hear from a reader before it goes to the
 /// store itself. Routers that start together do not know one another yet.
 const FIRST_WAIT: Duration = Duration::from_millis(700);
 
@@ -55,7 +55,7 @@
     pub listed: bool,
     /// The store did not answer its last call.
     pub store_lost: bool,
-    /// It had word from the store itself a moment ago.
+    /// It heard from the store itself a moment ago.
     pub reads_store: bool,
     /// The revision up to which it knows all.
     pub revision: StoreRevision,
@@ -121,11 +121,11 @@
         self.heard.get(chosen).map(|p| p.address)
     }
 
-    /// How old the word from the store is, in milliseconds, of the peers that read it.
+    /// How long ago the peers that read the store heard from it, in milliseconds.
     pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
         let age = |p: &Peer| {
-            let word = p.store_word.unwrap_or_default();
-            now.since(word).as_millis() as u32
+            let heard = p.store_heard.unwrap_or_default();
+            now.since(heard).as_millis() as u32
         };
         let acting = self.acting(now, None).into_iter();
         let told = acting.filter_map(|vm| self.heard.get(vm).map(|p| (vm.clone(), age(p))));
@@ -138,13 +138,13 @@
         ahead.max_by_key(|p| p.mirror).map(|p| p.address)
     }
 
-    /// A peer told when readers last had word from the store.
-    pub(super) fn on_store_words(&mut self, now: Instant, told: &[(VmId, u32)]) {
+    /// A peer announced when readers last heard from the store.
+    pub(super) fn on_store_heards(&mut self, now: Instant, told: &[(VmId, u32)]) {
         for (reader, age_ms) in told {
             let age = Duration::from_millis(u64::from(*age_ms));
-            let word = Instant(now.0.saturating_sub(age));
+            let heard = Instant(now.0.saturating_sub(age));
             if let Some(peer) = self.heard.get_mut(reader) {
-                peer.store_word = peer.store_word.max(Some(word));
+                peer.store_heard = peer.store_heard.max(Some(heard));
             }
         }
     }
@@ -153,7 +153,7 @@
         self.strong_keepers(READERS_KEY, self.names(now), READERS)
     }
 
-    /// Of the routers with fresh word from the store, `me` included if given: those that are named,
+    /// Of the routers that heard from the store a moment ago, `me` included if given: those that are named,
     /// or where none of these is among them, a few.
     fn acting<'a>(&'a self, now: Instant, me: Option<&'a VmId>) -> Vec<&'a VmId> {
         let fresh = |(_, p): &(&VmId, &Peer)| self.is_fresh_reader(now, p);
@@ -169,6 +169,6 @@
 
     fn is_fresh_reader(&self, now: Instant, peer: &Peer) -> bool {
         let fresh = |at| now.since(at) < READER_FRESH;
-        self.is_alive(now, peer) && peer.store_word.is_some_and(fresh)
+        self.is_alive(now, peer) && peer.store_heard.is_some_and(fresh)
     }
 }
--- a/src/outages.rs
+++ b/src/outages.rs
@@ -22,9 +22,9 @@
 /// An outage that was found so shortly before or after another one is the same.
 const SAME_OUTAGE: Duration = Duration::from_millis(200);
 
-/// An outage as it is told.
+/// An outage as routers announce it to one another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldOutage {
+pub struct OutageNotice {
     target: TargetHash,
     /// How long ago it was found.
     age_ms: u16,
@@ -47,10 +47,10 @@
         is_out
     }
 
-    /// A peer told of outages, its own ones or others'. Returns how many are new here.
-    pub fn on_told(&mut self, now: Instant, told: &[ToldOutage]) -> usize {
+    /// A peer announced outages, its own ones or others'. Returns how many are new here.
+    pub fn on_notices(&mut self, now: Instant, notices: &[OutageNotice]) -> usize {
         let mut new = 0;
-        for ToldOutage { target, age_ms } in told {
+        for OutageNotice { target, age_ms } in notices {
             let age = Duration::from_millis(u64::from(*age_ms));
             let at = Instant(now.0.saturating_sub(age));
             let known = self.found.get(target);
@@ -69,14 +69,14 @@
     }
 
     /// What to tell the peers.
-    pub fn told(&self, now: Instant) -> Vec<ToldOutage> {
+    pub fn notices(&self, now: Instant) -> Vec<OutageNotice> {
         let ages = self.found.iter().map(|(t, at)| (*t, now.since(*at)));
         let fresh = ages.filter(|(_, age)| *age < LEFT_ALONE);
-        let told = fresh.map(|(target, age)| ToldOutage {
+        let notices = fresh.map(|(target, age)| OutageNotice {
             target,
             age_ms: age.as_millis() as u16,
         });
-        told.collect()
+        notices.collect()
     }
 
     /// Forgets what is over.
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -3,7 +3,7 @@
 //! For a model engine the cost of a target is what it would have to read for the call, what it
 //! still has to read for others, and how many calls share its steps. A prompt that nobody has
 //! read yet goes to the target that rendezvous hashing names among those with room, so that
-//! routers that see the same choose the same without a word. Among targets that cost about the same,
+//! routers that see the same choose the same without a hint. Among targets that cost about the same,
 //! as far as counts of their age can tell, calls are spread ([`super::spread`]).
 
 use super::spread::{Estimate, Load, Spread, Survival};
--- a/tests/decisions/health.rs
+++ b/tests/decisions/health.rs
@@ -76,20 +76,20 @@
 #[test]
 fn a_target_that_two_peers_doubt_is_the_last_choice_and_one_peer_alone_changes_nothing() {
     let mut d = dispatcher(2);
-    let doubted = record(0).id;
-    let told = vec![(&doubted).into()];
+    let suspected = record(0).id;
+    let told = vec![(&suspected).into()];
     d.health
-        .on_doubts(at(0), "vm-1".parse().unwrap(), told.clone());
-    assert_eq!(d.health.standing(at(1), &doubted), Standing::Well);
-    d.health.on_doubts(at(0), "vm-2".parse().unwrap(), told);
-    assert_eq!(d.health.standing(at(1), &doubted), Standing::Doubted);
+        .on_suspicions(at(0), "vm-1".parse().unwrap(), told.clone());
+    assert_eq!(d.health.standing(at(1), &suspected), Standing::Well);
+    d.health.on_suspicions(at(0), "vm-2".parse().unwrap(), told);
+    assert_eq!(d.health.standing(at(1), &suspected), Standing::Suspected);
     for n in 0..10 {
         let call = plan(CallKind::Unsafe, Vec::new(), n);
         let ticket = d.choose(at(2), &call).unwrap();
-        assert_ne!(ticket.target.id, doubted);
+        assert_ne!(ticket.target.id, suspected);
         d.on_end(at(3), &ticket, Some(Outcome::Good));
     }
-    assert_eq!(d.health.standing(at(5_000), &doubted), Standing::Well);
+    assert_eq!(d.health.standing(at(5_000), &suspected), Standing::Well);
 }
 
 /// Grown sapporo, incident bc0b: each of 85 routers lost calls to a target that went down and up,
@@ -102,28 +102,28 @@
     first
         .outages
         .on_broke(at(1_000), hash, Duration::from_millis(4));
-    assert_eq!(first.standing(at(1_000), &target), Standing::Doubted);
+    assert_eq!(first.standing(at(1_000), &target), Standing::Suspected);
     hub.outages
-        .on_told(at(1_100), &first.outages.told(at(1_100)));
+        .on_notices(at(1_100), &first.outages.notices(at(1_100)));
     other
         .outages
-        .on_told(at(1_200), &hub.outages.told(at(1_200)));
-    assert_eq!(other.standing(at(1_200), &target), Standing::Doubted);
+        .on_notices(at(1_200), &hub.outages.notices(at(1_200)));
+    assert_eq!(other.standing(at(1_200), &target), Standing::Suspected);
     // What comes back to where it began makes it last no longer.
     first
         .outages
-        .on_told(at(1_300), &other.outages.told(at(1_300)));
+        .on_notices(at(1_300), &other.outages.notices(at(1_300)));
     for health in [&first, &hub, &other] {
         assert_eq!(health.standing(at(1_900), &target), Standing::Well);
     }
-    assert!(first.outages.told(at(1_900)).is_empty());
+    assert!(first.outages.notices(at(1_900)).is_empty());
     // The next time it goes down is another outage.
     hub.outages
         .on_broke(at(4_000), hash, Duration::from_millis(4));
     other
         .outages
-        .on_told(at(4_100), &hub.outages.told(at(4_100)));
-    assert_eq!(other.standing(at(4_100), &target), Standing::Doubted);
+        .on_notices(at(4_100), &hub.outages.notices(at(4_100)));
+    assert_eq!(other.standing(at(4_100), &target), Standing::Suspected);
 }
 
 /// An answer that is lost after the call ran is no outage.
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -24,7 +24,7 @@
     assert!(!fresh.may_use_keys(at(1_000 + 4_000), REVOKE));
 }
 
-/// DESIGN.md's trial: revoked keys ran as a plain sign of life was taken for a proof.
+/// DESIGN.md's trial: revoked keys ran as a plain heartbeat was taken for a proof.
 #[test]
 fn a_peer_vouches_only_for_what_it_knows_and_only_since_it_was_asked() {
     let mut fresh = Freshness::default();
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -487,7 +487,7 @@
         for sent in self.sent.values() {
             // Events come all the while.
             let health = &mut self.routers[sent.router].health;
-            health.on_sign(now, &sent.ticket.target.id);
+            health.on_activity(now, &sent.ticket.target.id);
         }
         let told: Vec<TargetCounts> = self
             .routers
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -13,13 +13,13 @@
     ids::{Incarnation, VmId},
     membership::{
         datagram::{Datagram, Message, Stamp, Strength},
+        heartbeats::HubHeartbeats,
         peers::{Heard, Peers, Receiver},
-        signs::ToldSigns,
     },
     units::{Instant, StoreRevision},
 };
 
-/// Steps in which datagrams travel and signs of life fall due.
+/// Steps in which datagrams travel and heartbeats fall due.
 const STEP: Duration = Duration::from_millis(50);
 
 /// How often routers of a large fleet tell their hubs, and what each router adds to that time.
@@ -35,7 +35,7 @@
     number: u64,
     told: Instant,
     told_hubs: Instant,
-    told_signs: Instant,
+    hub_heartbeats: Instant,
     stopping: bool,
 }
 
@@ -100,7 +100,7 @@
             number: 0,
             told: self.now,
             told_hubs: self.now,
-            told_signs: self.now,
+            hub_heartbeats: self.now,
             stopping: false,
         };
         self.routers.insert(i, router);
@@ -129,8 +129,8 @@
             load: None,
             halls: Vec::new(),
             outages: Vec::new(),
-            signs: Vec::new(),
-            doubted: Vec::new(),
+            heartbeats: Vec::new(),
+            suspected: Vec::new(),
             parts: Vec::new(),
             known: router.peers.known(router.number),
         }
@@ -151,16 +151,19 @@
         told.known.clear();
         let router = self.routers.get_mut(&i).unwrap();
         router.told_hubs = now;
-        let is_due = now.since(router.told_signs) >= router.peers.signs_every();
-        let mut signs = ToldSigns::default();
+        let is_due = now.since(router.hub_heartbeats) >= router.peers.heartbeats_every();
+        let mut heartbeats = HubHeartbeats::default();
         if is_due && router.peers.adds_up(now) {
-            router.told_signs = now;
-            signs = router.peers.tell_signs(now);
+            router.hub_heartbeats = now;
+            heartbeats = router.peers.hub_heartbeats(now);
         }
         for to in router.peers.close_ones(now) {
             let is_near = to.hall.as_ref() == Some(&told.hall);
-            told.signs
-                .clone_from(if is_near { &signs.near } else { &signs.far });
+            told.heartbeats.clone_from(if is_near {
+                &heartbeats.near
+            } else {
+                &heartbeats.far
+            });
             self.send(i, to, &told);
         }
     }
@@ -268,7 +271,7 @@
     }
 }
 
-/// What a router sends as signs of life does not grow with the fleet.
+/// What a router sends as heartbeats does not grow with the fleet.
 #[test]
 fn signs_of_life_take_the_same_however_large_the_fleet_is() {
     let a_second = |n: usize| {
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -53,8 +53,8 @@
         load: None,
         halls: Vec::new(),
         outages: Vec::new(),
-        signs: Vec::new(),
-        doubted: Vec::new(),
+        heartbeats: Vec::new(),
+        suspected: Vec::new(),
         parts: Vec::new(),
         known: Vec::new(),
     }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -291,7 +291,9 @@
     fn tell(&mut self, now: Instant) {
         for (router, _, ticket) in self.running.values() {
             // Its tokens come all the while.
-            self.routers[*router].health.on_sign(now, &ticket.target.id);
+            self.routers[*router]
+                .health
+                .on_activity(now, &ticket.target.id);
         }
         for from in 0..ROUTERS {
             let vm: VmId = format!("vm-{from}").parse().unwrap();
