A limit is kept exactly where counts are exact

Cause: the least deviation, which keeps a division sound, was also counted as slack of a target's limit: at exactly the limit one call more was taken, and so one more each time. Ruled out: what is expected of the target (its limit is 4 of 4). Change: a count without deviation has none. Test: a_limit_is_kept_exactly_where_counts_are_exact, which failed before.

--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -21,8 +21,8 @@
 /// count: the mean of the positive part of a normal distribution, 1 / sqrt(2 pi).
 const ROOM_AT_LEVEL: f64 = 0.4;
 
-/// The least deviation of a count, in calls; counts that are exact have none, and then the cheapest
-/// target is chosen.
+/// The least deviation that decides between targets, in calls; counts that are exact have none, and then
+/// the cheapest target is chosen.
 const LEAST_DEVIATION: f64 = 1e-6;
 
 /// The part of the calls counted by others that is still in progress.
@@ -78,7 +78,7 @@
         Self {
             survival,
             usual: usual / slots.max(1.0),
-            deviation: variance.sqrt().max(LEAST_DEVIATION),
+            deviation: variance.sqrt(),
         }
     }
 
@@ -143,8 +143,9 @@
 
     /// The logarithm of a target's chance, where it costs `excess` calls more than the cheapest.
     pub(super) fn chance(&self, load: Load, excess: f64) -> f64 {
-        let room = self.below(load).max(0.0) + ROOM_AT_LEVEL * self.estimate.deviation;
-        room.ln() - excess / self.estimate.deviation
+        let deviation = self.estimate.deviation.max(LEAST_DEVIATION);
+        let room = self.below(load).max(0.0) + ROOM_AT_LEVEL * deviation;
+        room.ln() - excess / deviation
     }
 
     fn below(&self, load: Load) -> f64 {
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -123,6 +123,20 @@
     assert_eq!(full, 0, "there is room elsewhere");
 }
 
+/// A router alone knows its calls exactly: none goes beyond the limit by chance.
+#[test]
+fn a_limit_is_kept_exactly_where_counts_are_exact() {
+    let mut d = dispatcher(1);
+    for n in 0..64 {
+        let call = plan(CallKind::Unsafe, Vec::new(), n);
+        assert!(d.choose(at(n), &call).is_ok(), "call {n}");
+    }
+    for n in 64..164 {
+        let call = plan(CallKind::Unsafe, Vec::new(), n);
+        assert_eq!(d.choose(at(n), &call).unwrap_err(), NoChoice::AllFull);
+    }
+}
+
 #[test]
 fn a_call_that_was_sent_everywhere_has_nowhere_left() {
     let mut d = dispatcher(2);
