Counts as they travel in a module of their own; the load model split by job

Moves only: TargetHash, TargetCounts, InProgress and CallCounts are target_counts; load, changes and telling are files of the model.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -12,13 +12,14 @@
     edge::Rules,
     health::{Health, Outcome, Standing},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
-    load_account::{InProgress, LoadAccount},
+    load_account::LoadAccount,
     placement::{
         choice::{NoChoice, Offer, Wanted, choose, draw},
         spread::Survival,
     },
     prompt_cache::{PromptCache, PromptPart},
     retry::RetryBudget,
+    target_counts::InProgress,
     units::{Instant, Tokens},
 };
 
--- a/src/health.rs
+++ b/src/health.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     ids::{TargetId, VmId},
-    load_account::TargetHash,
     outages::Outages,
+    target_counts::TargetHash,
     units::Instant,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod settings;
 pub mod spans;
 pub mod store;
+pub mod target_counts;
 pub mod units;
 
 pub use error::{Error, Result};
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -13,13 +13,11 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::{
     ids::{DataHall, TargetId, VmId},
     membership::datagram::{HallSum, HallSums},
     placement::spread::Survival,
+    target_counts::{CallCounts, InProgress, TargetCounts, TargetHash},
     units::{Instant, Tokens},
 };
 
@@ -35,103 +33,6 @@
 /// and a sum or two of it may be lost.
 const HALL_EXPIRES: Duration = Duration::from_millis(1_500);
 
-/// A target's name as a short hash: two of some thousand targets share one less than once in a
-/// thousand fleets, and then each counts for both.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct TargetHash(u32);
-
-impl From<&TargetId> for TargetHash {
-    fn from(id: &TargetId) -> Self {
-        Self(xxh3_64(id.as_str().as_bytes()) as u32)
-    }
-}
-
-/// Work in progress by target, as it is told.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Vec<PackedCount>", into = "Vec<PackedCount>")]
-pub struct TargetCounts(Vec<(TargetHash, InProgress)>);
-
-/// One count as it travels: small numbers, which the codec writes in few bytes.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct PackedCount {
-    /// How far the target's hash is from the one before it, in order.
-    step: u32,
-    calls: u32,
-    /// Tokens, in blocks.
-    blocks: u32,
-}
-
-/// Tokens that are told as one: what decides is thousands of them.
-const TOKENS_A_BLOCK: u64 = 64;
-
-impl From<TargetCounts> for Vec<PackedCount> {
-    fn from(counts: TargetCounts) -> Self {
-        let mut sorted = counts.0;
-        sorted.sort_unstable_by_key(|(target, _)| *target);
-        let mut before = 0;
-        let pack = |(target, work): (TargetHash, InProgress)| {
-            let step = target.0 - before;
-            before = target.0;
-            PackedCount {
-                step,
-                calls: work.calls,
-                blocks: work.tokens.0.div_ceil(TOKENS_A_BLOCK) as u32,
-            }
-        };
-        sorted.into_iter().map(pack).collect()
-    }
-}
-
-impl From<Vec<PackedCount>> for TargetCounts {
-    fn from(packed: Vec<PackedCount>) -> Self {
-        let mut target = 0_u32;
-        let unpack = |p: PackedCount| {
-            // A sum beyond the last hash is of no target that we know.
-            target = target.wrapping_add(p.step);
-            let work = InProgress {
-                calls: p.calls,
-                tokens: Tokens(u64::from(p.blocks) * TOKENS_A_BLOCK),
-            };
-            (TargetHash(target), work)
-        };
-        Self(packed.into_iter().map(unpack).collect())
-    }
-}
-
-impl TargetCounts {
-    /// Calls at all targets.
-    pub fn calls(&self) -> u32 {
-        self.0.iter().map(|(_, work)| work.calls).sum()
-    }
-}
-
-/// Work in progress at one target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct InProgress {
-    /// Calls.
-    pub calls: u32,
-    /// Prompt tokens that the target has yet to read for them, with those it has yet to write.
-    pub tokens: Tokens,
-}
-
-impl InProgress {
-    /// One call of so many tokens.
-    pub fn one(tokens: Tokens) -> Self {
-        Self { calls: 1, tokens }
-    }
-
-    fn add(&mut self, other: Self) {
-        self.calls += other.calls;
-        self.tokens += other.tokens;
-    }
-
-    fn take(&mut self, other: Self) {
-        self.calls = self.calls.saturating_sub(other.calls);
-        self.tokens = self.tokens.less(other.tokens);
-    }
-}
-
 /// What a target said of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -153,24 +54,6 @@
 
 type Counts = HashMap<TargetHash, InProgress>;
 
-/// Calls at one target, by who counted them.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct CallCounts {
-    /// This router's own, which are exact.
-    pub own: u32,
-    /// Those of others, as they were counted some time ago.
-    pub others: u32,
-    /// Those of others in the last seconds, on average.
-    pub usual: f64,
-}
-
-impl CallCounts {
-    /// All of them.
-    pub fn all(self) -> u32 {
-        self.own + self.others
-    }
-}
-
 /// The account of all targets.
 #[derive(Debug)]
 pub struct LoadAccount {
@@ -438,12 +321,12 @@
 }
 
 fn add_counts(sum: &mut Counts, counts: &TargetCounts) {
-    for (target, work) in &counts.0 {
+    for (target, work) in counts.iter() {
         sum.entry(*target).or_default().add(*work);
     }
 }
 
 fn listed(counts: &Counts) -> TargetCounts {
     let in_progress = counts.iter().filter(|(_, w)| w.calls > 0);
-    TargetCounts(in_progress.map(|(t, w)| (*t, *w)).collect())
+    in_progress.map(|(t, w)| (*t, *w)).collect()
 }
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -7,9 +7,9 @@
 use crate::{
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
-    load_account::{TargetCounts, TargetHash},
     outages::OutageNotice,
     prompt_cache::PartId,
+    target_counts::{TargetCounts, TargetHash},
     units::{StoreRevision, Tokens},
 };
 
--- a/src/outages.rs
+++ b/src/outages.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{load_account::TargetHash, units::Instant};
+use crate::{target_counts::TargetHash, units::Instant};
 
 /// How soon after a call was sent its connection breaks if the target is down: some round trips of
 /// a few milliseconds. One that runs the call and loses its answer takes longer (15 ms of work on
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -7,7 +7,7 @@
 //! as far as counts of their age can tell, calls are spread ([`super::spread`]).
 
 use super::spread::{Estimate, Load, Spread, Survival};
-use crate::{health::Standing, ids::TargetId, load_account::CallCounts, units::Tokens};
+use crate::{health::Standing, ids::TargetId, target_counts::CallCounts, units::Tokens};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -15,7 +15,7 @@
 
 use std::time::Duration;
 
-use crate::load_account::CallCounts;
+use crate::target_counts::CallCounts;
 
 /// The room expected at a target that is counted just at the level, in standard deviations of its
 /// count: the mean of the positive part of a normal distribution, 1 / sqrt(2 pi).
--- a/tests/decisions/health.rs
+++ b/tests/decisions/health.rs
@@ -6,7 +6,7 @@
     config::serving::CallKind,
     health::{Health, Outcome, Standing},
     ids::TargetId,
-    load_account::TargetHash,
+    target_counts::TargetHash,
 };
 
 use crate::{RESUMABLE, at, dispatcher, part, plan, record};
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -9,9 +9,10 @@
     dispatcher::Plan,
     health::Outcome,
     ids::{ConversationKey, TargetId, VmId},
-    load_account::{InProgress, LoadAccount},
+    load_account::LoadAccount,
     placement::choice::NoChoice,
     prompt_cache::{PartId, PromptCache},
+    target_counts::InProgress,
     units::{StoreRevision, Tokens},
 };
 
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -1,7 +1,10 @@
 //! A model of callers, routers and targets in virtual time.
 
+mod changes;
 mod figures;
+mod load;
 mod target;
+mod telling;
 
 use std::{
     cmp::Reverse,
@@ -12,6 +15,7 @@
 
 use figures::Figures;
 pub use figures::Outcome;
+pub use load::{Change, Load, Service};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
@@ -22,7 +26,6 @@
     edge::Rules,
     health::Outcome as Health,
     ids::{DataHall, ServiceName},
-    load_account::TargetCounts,
     membership::datagram::HallSums,
     placement::choice::NoChoice,
     prompt_cache::{PartId, PromptPart},
@@ -31,10 +34,6 @@
 };
 use target::{Run, Target};
 
-/// How often routers tell one another, and what each router adds to that, as in `edge::gossip`.
-const TELL: Duration = Duration::from_millis(100);
-const TELL_PER_ROUTER: Duration = Duration::from_micros(1_200);
-
 /// Tokens of the part of a prompt that calls share, and of a call's own.
 const SHARED_TOKENS: u64 = 5_000;
 const OWN_TOKENS: u64 = 300;
@@ -52,56 +51,12 @@
 const PLAIN_WORK: Duration = Duration::from_millis(30);
 const PLAIN_QUEUE: usize = 6;
 
-/// From when on a target that was lost is not listed any more.
-const LISTED_ON: Duration = Duration::from_secs(3);
-
 /// Targets that one call is sent to at the most.
 const ATTEMPTS: usize = 3;
 
 /// Accounts that send alike where none surges.
 const ACCOUNTS: usize = 10;
 
-/// A load to play.
-#[derive(Debug, Clone, Copy)]
-pub struct Load {
-    pub routers: usize,
-    pub targets: usize,
-    pub slots: u32,
-    /// Prompts that calls share.
-    pub prompts: usize,
-    pub calls_per_s: f64,
-    /// How many times as many calls come within the surge.
-    pub surge: f64,
-    /// How many times as many calls come of one account in ten within the surge.
-    pub account_surge: f64,
-    pub surge_from_s: u64,
-    pub surge_to_s: u64,
-    pub goal: Duration,
-    pub deadline: Duration,
-    pub seed: u64,
-    pub service: Service,
-    /// Whether counts go through hubs, and are told as seldom as in a fleet of this size.
-    pub hubs: bool,
-    pub change: Option<Change>,
-}
-
-/// What the targets are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Service {
-    /// Model engines, which read prompts.
-    Engines,
-    /// A plain service with short calls.
-    Plain,
-}
-
-/// Targets that come or go.
-#[derive(Debug, Clone, Copy)]
-pub struct Change {
-    pub at_s: u64,
-    pub added: usize,
-    pub lost: usize,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Call {
     /// When it was first tried.
@@ -215,7 +170,7 @@
         if let Some(change) = load.change {
             let at = Duration::from_secs(change.at_s);
             model.after(at, Event::TargetsChange);
-            model.after(at + LISTED_ON, Event::TargetsGo);
+            model.after(at + changes::LISTED_ON, Event::TargetsGo);
         }
         model
     }
@@ -233,15 +188,6 @@
         }
     }
 
-    fn tell_every(&self) -> Duration {
-        let paced = TELL_PER_ROUTER * self.load.routers as u32;
-        if self.load.hubs {
-            TELL.max(paced)
-        } else {
-            TELL
-        }
-    }
-
     fn figures_of(&mut self, call: &Call) -> &mut Figures {
         self.figures_at(call.at)
     }
@@ -408,47 +354,6 @@
         self.targets[target].calls() as f64 > 2.0 * mean + 3.0
     }
 
-    fn on_targets_change(&mut self) {
-        let change = self.load.change.expect("a change is due");
-        for n in 0..change.lost {
-            let runs = self.targets[n].on_loss();
-            for run in runs {
-                if let Some(sent) = self.sent.remove(&run) {
-                    let Sent {
-                        call,
-                        router,
-                        ticket,
-                        plan,
-                        ..
-                    } = sent;
-                    // Events of the run that was lost are still due under its number.
-                    self.count += 1;
-                    let n = self.count;
-                    self.send_on(n, call, router, &ticket, plan, Health::Broken);
-                }
-            }
-        }
-        let first = self.targets.len();
-        let added = (0..change.added).map(|_| new_target(&self.load));
-        self.targets.extend(added);
-        self.list(0..first + change.added, 2);
-    }
-
-    fn on_targets_go(&mut self) {
-        let lost = self.load.change.map_or(0, |c| c.lost);
-        self.list(lost..self.targets.len(), 3);
-    }
-
-    fn list(&mut self, targets: Range<usize>, revision: u64) {
-        let revision = StoreRevision(revision);
-        let records = targets.map(|n| (record(n, self.load.slots), revision));
-        let records: Vec<_> = records.collect();
-        for router in &mut self.routers {
-            let discovery = &mut router.discovery;
-            discovery.on_list(self.now, records.clone(), revision);
-        }
-    }
-
     fn begin(&mut self, run: Run) {
         self.after(run.to_first_event, Event::Begins(run.call));
     }
@@ -485,60 +390,6 @@
         }
     }
 
-    /// Each router learns of what all had in progress, as through a hub, and of prompts that were sent
-    /// somewhere first.
-    fn on_tell(&mut self) {
-        self.after(self.tell_every(), Event::RoutersTell);
-        let now = self.now;
-        for sent in self.sent.values() {
-            // Events come all the while.
-            let health = &mut self.routers[sent.router].health;
-            health.on_activity(now, &sent.ticket.target.id);
-        }
-        let told: Vec<TargetCounts> = self
-            .routers
-            .iter_mut()
-            .map(|d| d.load.own_counts())
-            .collect();
-        let mut hub = Dispatcher::new(hall(), &rules());
-        for (n, counts) in told.into_iter().enumerate() {
-            let vm = format!("vm-{n}").parse().unwrap();
-            hub.load.on_peer(now, vm, hall(), counts);
-        }
-        let sums = self.through_hubs(vec![hub.load.own_hall(now)]);
-        let notices = self.routers.iter().map(|d| d.health.outages.notices(now));
-        let notices: Vec<_> = notices.flatten().collect();
-        let news = self
-            .routers
-            .iter_mut()
-            .map(|d| d.cache.take_news(60, false));
-        let news: Vec<_> = news.flatten().collect();
-        for router in &mut self.routers {
-            router.load.on_halls(now, sums.clone());
-            router.health.outages.on_notices(now, &notices);
-            for (id, tokens, target) in &news {
-                let (id, tokens) = (*id, *tokens);
-                router
-                    .cache
-                    .on_peer(target, PromptPart { id, tokens }, false);
-            }
-            router.on_tick(now);
-        }
-    }
-
-    /// What routers are told now of what hubs learn now: where hubs tell at their own pace, what they
-    /// learned one round before, which is that much older.
-    fn through_hubs(&mut self, learned: HallSums) -> HallSums {
-        if !self.load.hubs {
-            return learned;
-        }
-        let mut told = self.at_hubs.replace(learned).unwrap_or_default();
-        for sum in &mut told {
-            sum.age_ms = self.tell_every().as_millis() as u16;
-        }
-        told
-    }
-
     fn plan(&self, call: &Call, n: u64, surges: bool) -> Plan {
         let part = |id, tokens| PromptPart {
             id: PartId(id),
--- /dev/null
+++ b/tests/load/model/changes.rs
@@ -0,0 +1,53 @@
+//! Targets that come or go.
+
+use std::{ops::Range, time::Duration};
+
+use scaleford::{health::Outcome, units::StoreRevision};
+
+use super::{Model, Sent, new_target, record};
+
+/// From when on a target that was lost is not listed any more.
+pub(super) const LISTED_ON: Duration = Duration::from_secs(3);
+
+impl Model {
+    pub(super) fn on_targets_change(&mut self) {
+        let change = self.load.change.expect("a change is due");
+        for n in 0..change.lost {
+            let runs = self.targets[n].on_loss();
+            for run in runs {
+                if let Some(sent) = self.sent.remove(&run) {
+                    let Sent {
+                        call,
+                        router,
+                        ticket,
+                        plan,
+                        ..
+                    } = sent;
+                    // Events of the run that was lost are still due under its number.
+                    self.count += 1;
+                    let n = self.count;
+                    self.send_on(n, call, router, &ticket, plan, Outcome::Broken);
+                }
+            }
+        }
+        let first = self.targets.len();
+        let added = (0..change.added).map(|_| new_target(&self.load));
+        self.targets.extend(added);
+        self.list(0..first + change.added, 2);
+    }
+
+    pub(super) fn on_targets_go(&mut self) {
+        let lost = self.load.change.map_or(0, |c| c.lost);
+        self.list(lost..self.targets.len(), 3);
+    }
+
+    fn list(&mut self, targets: Range<usize>, revision: u64) {
+        let revision = StoreRevision(revision);
+        let records = targets.map(|n| (record(n, self.load.slots), revision));
+        let records: Vec<_> = records.collect();
+        for router in &mut self.routers {
+            let discovery = &mut router.discovery;
+            discovery.on_list(self.now, records.clone(), revision);
+        }
+    }
+}
--- /dev/null
+++ b/tests/load/model/load.rs
@@ -0,0 +1,44 @@
+//! What is played.
+
+use std::time::Duration;
+
+/// A load to play.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    pub routers: usize,
+    pub targets: usize,
+    pub slots: u32,
+    /// Prompts that calls share.
+    pub prompts: usize,
+    pub calls_per_s: f64,
+    /// How many times as many calls come within the surge.
+    pub surge: f64,
+    /// How many times as many calls come of one account in ten within the surge.
+    pub account_surge: f64,
+    pub surge_from_s: u64,
+    pub surge_to_s: u64,
+    pub goal: Duration,
+    pub deadline: Duration,
+    pub seed: u64,
+    pub service: Service,
+    /// Whether counts go through hubs, and are told as seldom as in a fleet of this size.
+    pub hubs: bool,
+    pub change: Option<Change>,
+}
+
+/// What the targets are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    /// Model engines, which read prompts.
+    Engines,
+    /// A plain service with short calls.
+    Plain,
+}
+
+/// Targets that come or go.
+#[derive(Debug, Clone, Copy)]
+pub struct Change {
+    pub at_s: u64,
+    pub added: usize,
+    pub lost: usize,
+}
--- /dev/null
+++ b/tests/load/model/telling.rs
@@ -0,0 +1,79 @@
+//! What routers hear of one another.
+
+use std::time::Duration;
+
+use scaleford::{
+    dispatcher::Dispatcher, membership::datagram::HallSums, prompt_cache::PromptPart,
+    target_counts::TargetCounts,
+};
+
+use super::{Event, Model, hall, rules};
+
+/// How often routers tell one another, and what each router adds to that, as in `edge::gossip`.
+const TELL: Duration = Duration::from_millis(100);
+const TELL_PER_ROUTER: Duration = Duration::from_micros(1_200);
+
+impl Model {
+    pub(super) fn tell_every(&self) -> Duration {
+        let paced = TELL_PER_ROUTER * self.load.routers as u32;
+        if self.load.hubs {
+            TELL.max(paced)
+        } else {
+            TELL
+        }
+    }
+
+    /// Each router learns of what all had in progress, as through a hub, and of prompts that were sent
+    /// somewhere first.
+    pub(super) fn on_tell(&mut self) {
+        self.after(self.tell_every(), Event::RoutersTell);
+        let now = self.now;
+        for sent in self.sent.values() {
+            // Events come all the while.
+            let health = &mut self.routers[sent.router].health;
+            health.on_activity(now, &sent.ticket.target.id);
+        }
+        let told: Vec<TargetCounts> = self
+            .routers
+            .iter_mut()
+            .map(|d| d.load.own_counts())
+            .collect();
+        let mut hub = Dispatcher::new(hall(), &rules());
+        for (n, counts) in told.into_iter().enumerate() {
+            let vm = format!("vm-{n}").parse().unwrap();
+            hub.load.on_peer(now, vm, hall(), counts);
+        }
+        let sums = self.through_hubs(vec![hub.load.own_hall(now)]);
+        let notices = self.routers.iter().map(|d| d.health.outages.notices(now));
+        let notices: Vec<_> = notices.flatten().collect();
+        let news = self
+            .routers
+            .iter_mut()
+            .map(|d| d.cache.take_news(60, false));
+        let news: Vec<_> = news.flatten().collect();
+        for router in &mut self.routers {
+            router.load.on_halls(now, sums.clone());
+            router.health.outages.on_notices(now, &notices);
+            for (id, tokens, target) in &news {
+                let (id, tokens) = (*id, *tokens);
+                router
+                    .cache
+                    .on_peer(target, PromptPart { id, tokens }, false);
+            }
+            router.on_tick(now);
+        }
+    }
+
+    /// What routers are told now of what hubs learn now: where hubs tell at their own pace, what they
+    /// learned one round before, which is that much older.
+    fn through_hubs(&mut self, learned: HallSums) -> HallSums {
+        if !self.load.hubs {
+            return learned;
+        }
+        let mut told = self.at_hubs.replace(learned).unwrap_or_default();
+        for sum in &mut told {
+            sum.age_ms = self.tell_every().as_millis() as u16;
+        }
+        told
+    }
+}
