Routers that are no readers call a store that is down the slower the more of them there are

Ruled out: readers (3, at most every 0.3 s), saves (one in 2 s). Change: the pause follows the number of routers, 50 ms for each, from 1.5 to 5 s; small fleets as before. Test: a_store_that_is_down_is_called_no_faster_by_a_larger_fleet.

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -31,10 +31,6 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(40);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(300);
 
-/// The pause of a router that is no reader between its own calls to a store that does not answer:
-/// each call has its price, and the readers will tell. Meanwhile it asks any reader that turns up.
-const BYSTANDER_BACKOFF: Duration = Duration::from_millis(1_500);
-
 /// The pause after a reader that had nothing or failed, before another one is asked.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -230,7 +226,7 @@
         let jitter = rand::rng().random_range(0.5..1.5);
         let pause = match cx.peers.borrow().is_reader(now) {
             true => self.backoff,
-            false => BYSTANDER_BACKOFF,
+            false => cx.peers.borrow().bystander_backoff(now),
         };
         self.retry_at = now + pause.mul_f64(jitter);
         self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -38,6 +38,17 @@
 /// hundred routers have told all by then (bench).
 const FIRST_START_WAIT: Duration = Duration::from_millis(2_500);
 
+/// The pause of a router that is no reader between its own calls to a store that does not answer: each
+/// call has its price, and the readers will know first. Meanwhile it asks any reader that turns up.
+const BYSTANDER_LEAST: Duration = Duration::from_millis(1_500);
+
+/// What each router that lives adds to that pause, so that a fleet of hundreds does not call a store that
+/// is down 200 times a second: some of them find its return as soon as few that call often.
+const BYSTANDER_PER_ROUTER: Duration = Duration::from_millis(50);
+
+/// The longest such pause: a router whose peers are gone without its knowledge comes back by itself.
+const BYSTANDER_LONGEST: Duration = Duration::from_secs(5);
+
 /// Whether the whole fleet starts for the first time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FleetStart {
@@ -103,6 +114,12 @@
         self.is_reader(now) || (state.reads_store && self.stands_in(now))
     }
 
+    /// The pause of a router that is no reader between its own calls to a store that does not answer.
+    pub fn bystander_backoff(&self, now: Instant) -> Duration {
+        let paced = BYSTANDER_PER_ROUTER * self.alive(now) as u32;
+        paced.clamp(BYSTANDER_LEAST, BYSTANDER_LONGEST)
+    }
+
     /// Whether this router is one of those that are named to read the store for all.
     pub fn is_reader(&self, now: Instant) -> bool {
         self.named(now).contains(&&self.me)
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,7 +1,8 @@
 //! Who lives, who reads the store and who adds up counts, in virtual time.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
+use rstest::rstest;
 use scaleford::{
     ids::{DataHall, Incarnation, VmId},
     membership::{
@@ -324,6 +325,24 @@
     assert!(adding.iter().all(|i| i % 5 == 0), "{adding:?}");
 }
 
+/// Large sapporo, trouble-3: 295 routers called a store that was down for 8 s every 1.5 s each, half of the
+/// day's calls.
+#[rstest]
+#[case::small(7, 1_500)]
+#[case::grown(85, 4_250)]
+#[case::large(200, 5_000)]
+fn a_store_that_is_down_is_called_no_faster_by_a_larger_fleet(
+    #[case] routers: usize,
+    #[case] pause_ms: u64,
+) {
+    let mut seen = peers(0);
+    for other in 1..routers {
+        hear(&mut seen, at(0), &datagram(other, 1));
+    }
+    let pause = seen.bystander_backoff(at(100));
+    assert_eq!(pause, Duration::from_millis(pause_ms));
+}
+
 /// A VM whose time of day was set back names its next life by an earlier moment: its peers took it
 /// for the old one and passed it over for a minute.
 #[test]
