An entry names one life of a target, or no target at all

Cause, found by reading: entries were keyed by the target's id alone, so a restart under the same id was taken for the life before it, with its prompts, counts and standing.

Now a target's id is its name with the birth that its entry gives; whatever is known of a former life is of another id. An entry with a field missing or of another type takes the target out at once (also within the grace after an outage of the store), is logged once and counted (entries_unusable). What can't be read keeps nothing else from being known.

Found by the new test: the inflater never returns from empty input; such a value is an error now.

The verdict of one change became a list of verdicts, so three assertions there compare lists.

--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -133,7 +133,8 @@
         let found = self.targets.iter().find(|(t, _)| t.id == id);
         let Some((_, link)) = found else { return };
         let entry = json!({"service": "desk", "address": link.address.to_string(),
-            "zone": "yard", "slots": 64, "state": state});
+            "zone": "yard", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
+            "callSeq": 0});
         let key = format!("servers/{id}");
         self.store.put(&key, entry.to_string().as_bytes());
         self.promises.on_leaving(id, state != "ready");
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -3,9 +3,12 @@
 //! The list is wrong right after an outage of the store: entries of targets that could not renew
 //! them are missing, and come back a moment later. A removal that is seen then takes force only
 //! after [`RETURN_GRACE`].
+//!
+//! An entry lies under its target's name. A target that starts again writes there with another birth:
+//! then its former life is over at once, and what is known of that life is of no target any more.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -14,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{DataHall, ServiceName, TargetId},
+    ids::{DataHall, ServiceName, TargetId, TargetName},
     units::{Instant, StoreRevision, Tokens},
 };
 
@@ -67,9 +70,14 @@
     /// An entry was written.
     Put(TargetRecord),
     /// An entry went.
-    Removed(TargetId),
+    Removed(TargetName),
+    /// An entry was written that names no target to use.
+    Unusable(TargetName),
 }
 
+/// Targets of which something changed, each with what became of it.
+pub type Changes = Vec<(TargetId, Verdict)>;
+
 #[derive(Debug)]
 struct Listed {
     record: Rc<TargetRecord>,
@@ -81,8 +89,8 @@
 /// The list as this router knows it.
 #[derive(Debug, Default)]
 pub struct Discovery {
-    targets: BTreeMap<TargetId, Listed>,
-    removed: HashMap<TargetId, StoreRevision>,
+    targets: BTreeMap<TargetName, Listed>,
+    removed: HashMap<TargetName, StoreRevision>,
     by_service: HashMap<ServiceName, Vec<Rc<TargetRecord>>>,
     grace_until: Option<Instant>,
     known: bool,
@@ -99,10 +107,34 @@
     Leaving,
     /// It is not used any more.
     Gone,
+    /// It ended, and started again under its name.
+    Restarted,
+    /// Its entry was overwritten by one that names no target to use.
+    Unusable,
     /// It went missing while the store was away and still counts for a moment.
     Kept,
 }
 
+impl Verdict {
+    /// Whether the target's life is over for us.
+    pub fn is_end(self) -> bool {
+        matches!(self, Self::Gone | Self::Restarted | Self::Unusable)
+    }
+
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Added => "added",
+            Self::Changed => "changed",
+            Self::Leaving => "leaving",
+            Self::Gone => "gone",
+            Self::Restarted => "restarted",
+            Self::Unusable => "unusable",
+            Self::Kept => "kept for a moment",
+        }
+    }
+}
+
 impl Discovery {
     /// Whether a list was ever read.
     pub fn is_known(&self) -> bool {
@@ -120,15 +152,16 @@
         now: Instant,
         change: ListChange,
         revision: StoreRevision,
-    ) -> Option<Verdict> {
-        let verdict = match change {
+    ) -> Changes {
+        let changes = match change {
             ListChange::Put(record) => self.put(record, revision),
-            ListChange::Removed(id) => self.remove(now, id, revision),
+            ListChange::Removed(name) => self.remove(now, name, revision),
+            ListChange::Unusable(name) => self.drop_unusable(name, revision),
         };
-        if verdict.is_some() {
+        if !changes.is_empty() {
             self.index();
         }
-        verdict
+        changes
     }
 
     /// Takes a whole list, read when the store was at `revision`; returns what changed.
@@ -137,25 +170,22 @@
         now: Instant,
         list: Vec<(TargetRecord, StoreRevision)>,
         revision: StoreRevision,
-    ) -> Vec<(TargetId, Verdict)> {
+    ) -> Changes {
         self.known = true;
-        let listed: Vec<TargetId> = list.iter().map(|(r, _)| r.id.clone()).collect();
-        let mut changes: Vec<(TargetId, Verdict)> = Vec::new();
+        let listed: HashSet<TargetName> = list.iter().map(|(r, _)| r.id.to_name()).collect();
+        let mut changes = Changes::new();
         for (record, at) in list {
-            let id = record.id.clone();
-            let verdict = self.put(record, at);
-            changes.extend(verdict.map(|v| (id, v)));
+            changes.extend(self.put(record, at));
         }
         let newer = |l: &Listed| l.revision > revision;
-        let missing: Vec<TargetId> = self
+        let missing: Vec<TargetName> = self
             .targets
             .iter()
-            .filter(|(id, l)| !listed.contains(id) && !newer(l))
-            .map(|(id, _)| id.clone())
+            .filter(|(name, l)| !listed.contains(*name) && !newer(l))
+            .map(|(name, _)| name.clone())
             .collect();
-        for id in missing {
-            let verdict = self.remove(now, id.clone(), revision);
-            changes.extend(verdict.map(|v| (id, v)));
+        for name in missing {
+            changes.extend(self.remove(now, name, revision));
         }
         self.index();
         changes
@@ -168,7 +198,8 @@
         let all = saved.len() as f64;
         let ready = |r: &TargetRecord| r.state == TargetState::Ready;
         let missing = saved.into_iter().filter(ready);
-        let missing = missing.filter(|r| !self.targets.contains_key(&r.id));
+        // One that started again is listed, though not this life of it.
+        let missing = missing.filter(|r| !self.targets.contains_key(r.id.name()));
         let missing: Vec<TargetRecord> = missing.collect();
         if missing.is_empty() || (missing.len() as f64) < all * LAPSED_PART {
             return Vec::new();
@@ -181,7 +212,7 @@
                 revision: StoreRevision::default(),
                 missing_until: Some(now + RETURN_GRACE),
             };
-            self.targets.insert(listed.record.id.clone(), listed);
+            self.targets.insert(listed.record.id.to_name(), listed);
         }
         self.index();
         ids
@@ -193,7 +224,7 @@
         now: Instant,
         list: Vec<TargetRecord>,
         revision: StoreRevision,
-    ) -> Vec<(TargetId, Verdict)> {
+    ) -> Changes {
         self.grace_until = None;
         let list = list.into_iter().map(|r| (r, revision)).collect();
         self.on_list(now, list, revision)
@@ -201,16 +232,9 @@
 
     /// Drops entries whose grace is over; returns them.
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
-        let over = |l: &Listed| l.missing_until.is_some_and(|until| now >= until);
-        let gone: Vec<TargetId> = self
-            .targets
-            .iter()
-            .filter(|(_, l)| over(l))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &gone {
-            self.targets.remove(id);
-        }
+        let over = |l: &mut Listed| l.missing_until.is_some_and(|until| now >= until);
+        let gone = self.targets.extract_if(.., |_, listed| over(listed));
+        let gone: Vec<TargetId> = gone.map(|(_, l)| l.record.id.clone()).collect();
         if !gone.is_empty() {
             self.index();
         }
@@ -222,9 +246,10 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A target, if it is in the list.
+    /// A target, if this life of it is in the list.
     pub fn get(&self, id: &TargetId) -> Option<&Rc<TargetRecord>> {
-        self.targets.get(id).map(|l| &l.record)
+        let listed = self.targets.get(id.name())?;
+        (listed.record.id == *id).then_some(&listed.record)
     }
 
     /// All targets in the list.
@@ -232,54 +257,71 @@
         self.targets.values().map(|l| &l.record)
     }
 
-    fn put(&mut self, record: TargetRecord, revision: StoreRevision) -> Option<Verdict> {
-        let id = record.id.clone();
-        if self.removed.get(&id).is_some_and(|r| *r >= revision) {
-            return None;
+    fn put(&mut self, record: TargetRecord, revision: StoreRevision) -> Changes {
+        let (id, name) = (record.id.clone(), record.id.to_name());
+        if self.removed.get(&name).is_some_and(|r| *r >= revision) {
+            return Changes::new();
         }
-        let before = self.targets.get(&id);
+        let before = self.targets.get(&name);
+        let former = before.map(|l| l.record.id.clone()).filter(|f| *f != id);
         let verdict = match before {
-            Some(l) if l.revision > revision => return None,
-            Some(l) if *l.record == record && l.missing_until.is_none() => return None,
+            Some(l) if l.revision > revision => return Changes::new(),
+            Some(l) if *l.record == record && l.missing_until.is_none() => return Changes::new(),
             _ if record.state == TargetState::Leaving => Verdict::Leaving,
-            Some(_) => Verdict::Changed,
-            None => Verdict::Added,
+            Some(_) if former.is_none() => Verdict::Changed,
+            _ => Verdict::Added,
         };
         let listed = Listed {
             record: Rc::new(record),
             revision,
             missing_until: None,
         };
-        self.targets.insert(id, listed);
-        Some(verdict)
+        self.targets.insert(name, listed);
+        let restarted = former.map(|former| (former, Verdict::Restarted));
+        restarted.into_iter().chain([(id, verdict)]).collect()
     }
 
-    fn remove(&mut self, now: Instant, id: TargetId, revision: StoreRevision) -> Option<Verdict> {
+    fn remove(&mut self, now: Instant, name: TargetName, revision: StoreRevision) -> Changes {
         let grace = self.grace_until.filter(|until| now < *until);
-        let listed = self.targets.get_mut(&id)?;
+        let Some(listed) = self.targets.get_mut(&name) else {
+            return Changes::new();
+        };
+        let id = listed.record.id.clone();
         match grace {
-            _ if listed.revision > revision => None,
-            Some(_) if listed.missing_until.is_some() => None,
+            _ if listed.revision > revision => Changes::new(),
+            Some(_) if listed.missing_until.is_some() => Changes::new(),
             Some(until) if listed.record.state == TargetState::Ready => {
                 listed.missing_until = Some(until);
                 listed.revision = revision;
-                Some(Verdict::Kept)
+                vec![(id, Verdict::Kept)]
             }
             _ => {
-                self.targets.remove(&id);
-                self.remember_removed(id, revision);
-                Some(Verdict::Gone)
+                self.targets.remove(&name);
+                self.remember_removed(name, revision);
+                vec![(id, Verdict::Gone)]
             }
         }
     }
 
-    fn remember_removed(&mut self, id: TargetId, revision: StoreRevision) {
+    /// What the entry said before does not hold any more, also where the store was away until now.
+    fn drop_unusable(&mut self, name: TargetName, revision: StoreRevision) -> Changes {
+        let is_older = |l: &&Listed| l.revision <= revision;
+        let Some(listed) = self.targets.get(&name).filter(is_older) else {
+            return Changes::new();
+        };
+        let id = listed.record.id.clone();
+        self.targets.remove(&name);
+        self.remember_removed(name, revision);
+        vec![(id, Verdict::Unusable)]
+    }
+
+    fn remember_removed(&mut self, name: TargetName, revision: StoreRevision) {
         if self.removed.len() >= REMOVED_KEPT {
             let oldest = self.removed.iter().min_by_key(|(_, r)| **r);
-            let oldest = oldest.map(|(id, _)| id.clone());
-            oldest.map(|id| self.removed.remove(&id));
+            let oldest = oldest.map(|(name, _)| name.clone());
+            oldest.map(|name| self.removed.remove(&name));
         }
-        self.removed.insert(id, revision);
+        self.removed.insert(name, revision);
     }
 
     fn index(&mut self) {
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -91,7 +91,7 @@
         dispatcher.discovery.on_stated(now, targets, at)
     };
     for (id, verdict) in changes {
-        super::follow::tell(cx, &id, verdict, at);
+        super::news::log_target(cx, &id, verdict, at);
     }
     info!(cx.log, "config"; "revision" => revision.0, "applied" => applied);
 }
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -8,16 +8,17 @@
 use rand::Rng;
 use slog::{info, warn};
 
-use super::{fleet, gateway::Gateway, peer_calls::PeerConn, prompts};
+use super::{
+    fleet,
+    gateway::Gateway,
+    news::{take_news, take_own},
+    peer_calls::PeerConn,
+};
 use crate::{
-    config::{Change, serving::ServingConfig},
-    discovery::{ListChange, Verdict},
-    ids::{Revision, TargetId},
+    config::Change,
+    ids::Revision,
     membership::readers::{NextRead, ReadState},
-    store::{
-        Mirrored, StoreChange, StoreError, StoreItem, StoreNews,
-        own::{self, OwnEntry},
-    },
+    store::{Mirrored, StoreError, StoreNews},
     units::{Instant, StoreRevision},
 };
 
@@ -233,81 +234,6 @@
     }
 }
 
-/// Takes in what the store or a reader told.
-fn take_news(cx: &Gateway, news: &StoreNews, is_list: bool, from: SocketAddr) {
-    let now = cx.now();
-    {
-        let mut mirror = cx.mirror.borrow_mut();
-        match is_list {
-            true => mirror.on_list(news),
-            false => mirror.on_changes(news),
-        }
-    }
-    let is_first = !cx.dispatcher.borrow().discovery.is_known();
-    let saved = take_own(cx, &news.items, is_list);
-    let mut list = Vec::new();
-    for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
-        let at = item.revision;
-        match cx.store.decode(item) {
-            Ok(StoreChange::Config(config)) => apply(cx, *config, from),
-            Ok(StoreChange::Target(record)) if is_list => list.push((record, at)),
-            Ok(StoreChange::Target(record)) => {
-                let id = record.id.clone();
-                on_change(cx, now, id, ListChange::Put(record), at);
-            }
-            Ok(StoreChange::TargetGone(id)) => {
-                on_change(cx, now, id.clone(), ListChange::Removed(id), at);
-            }
-            Ok(StoreChange::Other) => {}
-            Err(why) => not_understood(cx, item, &why),
-        }
-    }
-    if is_list && !cx.cfg.own_config {
-        let changes = {
-            let mut dispatcher = cx.dispatcher.borrow_mut();
-            dispatcher.discovery.on_list(now, list, news.revision)
-        };
-        for (id, verdict) in changes {
-            tell(cx, &id, verdict, news.revision);
-        }
-    }
-    if let Some(saved) = saved {
-        prompts::recall(cx, saved, is_first);
-    }
-}
-
-/// Takes in what other routers wrote. A whole configuration goes first: changes build on it. Returns
-/// what was saved of targets and prompts, which builds on the list of targets.
-fn take_own(cx: &Gateway, items: &[StoreItem], is_list: bool) -> Option<prompts::Saved> {
-    let mut changes = Vec::new();
-    let mut recalled = None;
-    let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
-    for (item, entry) in own {
-        match entry {
-            Ok(OwnEntry::Router(address)) => {
-                cx.peers.borrow_mut().on_address(cx.now(), address);
-            }
-            Ok(OwnEntry::Prompts(saved)) if is_list => {
-                recalled = Some(prompts::decode(cx, &saved));
-            }
-            Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
-                fleet::take_snapshot(cx, *snapshot);
-            }
-            Ok(OwnEntry::Change(change)) if cx.cfg.own_config => changes.push(*change),
-            Ok(_) => {}
-            Err(why) => not_understood(cx, item, &why),
-        }
-    }
-    for change in changes {
-        fleet::take_change(cx, change);
-    }
-    recalled
-}
-
-fn not_understood(cx: &Gateway, item: &StoreItem, why: &str) {
-    warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why);
-}
-
 /// Reads the accepted changes anew, for an operator's change that met another one.
 pub(super) async fn read_changes(cx: &Gateway) -> Result<(), StoreError> {
     cx.metrics.on_store_call("confirm");
@@ -315,35 +241,3 @@
     take_own(cx, &news.items, false);
     Ok(())
 }
-
-fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
-    let (revision, version, routes) = (config.revision, config.version, config.route_count());
-    let applied = cx.apply(config);
-    info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
-        "applied" => applied, "from" => %from);
-}
-
-fn on_change(cx: &Gateway, now: Instant, id: TargetId, change: ListChange, at: StoreRevision) {
-    let verdict = {
-        let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.discovery.on_change(now, change, at)
-    };
-    if let Some(verdict) = verdict {
-        tell(cx, &id, verdict, at);
-    }
-}
-
-/// Logs what became of a target's entry, and closes connections to one that is gone.
-pub(super) fn tell(cx: &Gateway, id: &TargetId, verdict: Verdict, at: StoreRevision) {
-    if verdict == Verdict::Gone {
-        cx.conns.forget(id);
-    }
-    let verdict = match verdict {
-        Verdict::Added => "added",
-        Verdict::Changed => "changed",
-        Verdict::Leaving => "leaving",
-        Verdict::Gone => "gone",
-        Verdict::Kept => "kept for a moment",
-    };
-    info!(cx.log, "target"; "target" => %id, "verdict" => verdict, "revision" => at.0);
-}
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -44,6 +44,7 @@
     call_time: Histogram,
     first_event_time: Histogram,
     pub(crate) connections_opened: Counter,
+    pub(crate) entries_unusable: Counter,
     pub(crate) datagrams_sent: Counter,
     pub(crate) datagram_bytes: Counter,
     pub(crate) claim_bytes: Counter,
@@ -69,6 +70,7 @@
             call_time: Histogram::new(BUCKETS),
             first_event_time: Histogram::new(BUCKETS),
             connections_opened: Counter::default(),
+            entries_unusable: Counter::default(),
             datagrams_sent: Counter::default(),
             datagram_bytes: Counter::default(),
             claim_bytes: Counter::default(),
@@ -125,6 +127,12 @@
             "Time to a stream's first event",
             first,
         );
+        let unusable = self.entries_unusable.clone();
+        r.register(
+            "entries_unusable",
+            "Entries of targets that name none to use",
+            unusable,
+        );
         let opened = self.connections_opened.clone();
         r.register("connections_opened", "Connections to targets", opened);
         r.register(
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,6 +20,7 @@
 mod ingress;
 mod listening;
 mod metrics;
+mod news;
 mod once;
 mod operators;
 mod peer_calls;
--- /dev/null
+++ b/src/edge/news.rs
@@ -0,0 +1,123 @@
+//! Takes in what the store or a peer that reads it told: each entry goes to the part that decides by it.
+
+use std::net::SocketAddr;
+
+use slog::{info, warn};
+
+use super::{fleet, gateway::Gateway, prompts};
+use crate::{
+    config::serving::ServingConfig,
+    discovery::{ListChange, Verdict},
+    ids::{TargetId, TargetName},
+    store::{
+        StoreChange, StoreItem, StoreNews,
+        own::{self, OwnEntry},
+    },
+    units::{Instant, StoreRevision},
+};
+
+/// Takes in what the store or a reader told.
+pub(super) fn take_news(cx: &Gateway, news: &StoreNews, is_list: bool, from: SocketAddr) {
+    let now = cx.now();
+    {
+        let mut mirror = cx.mirror.borrow_mut();
+        match is_list {
+            true => mirror.on_list(news),
+            false => mirror.on_changes(news),
+        }
+    }
+    let is_first = !cx.dispatcher.borrow().discovery.is_known();
+    let saved = take_own(cx, &news.items, is_list);
+    let mut list = Vec::new();
+    for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
+        let at = item.revision;
+        match cx.store.decode(item) {
+            Ok(StoreChange::Config(config)) => apply(cx, *config, from),
+            Ok(StoreChange::Target(record)) if is_list => list.push((record, at)),
+            Ok(StoreChange::Target(record)) => on_change(cx, now, ListChange::Put(record), at),
+            Ok(StoreChange::TargetGone(name)) => {
+                on_change(cx, now, ListChange::Removed(name), at);
+            }
+            Ok(StoreChange::TargetUnusable { name, why }) => on_unusable(cx, now, name, &why, at),
+            Ok(StoreChange::Other) => {}
+            Err(why) => not_understood(cx, item, &why),
+        }
+    }
+    if is_list && !cx.cfg.own_config {
+        let changes = {
+            let mut dispatcher = cx.dispatcher.borrow_mut();
+            dispatcher.discovery.on_list(now, list, news.revision)
+        };
+        for (id, verdict) in changes {
+            log_target(cx, &id, verdict, news.revision);
+        }
+    }
+    if let Some(saved) = saved {
+        prompts::recall(cx, saved, is_first);
+    }
+}
+
+/// Takes in what other routers wrote. A whole configuration goes first: changes build on it. Returns
+/// what was saved of targets and prompts, which builds on the list of targets.
+pub(super) fn take_own(cx: &Gateway, items: &[StoreItem], is_list: bool) -> Option<prompts::Saved> {
+    let mut changes = Vec::new();
+    let mut recalled = None;
+    let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
+    for (item, entry) in own {
+        match entry {
+            Ok(OwnEntry::Router(address)) => {
+                cx.peers.borrow_mut().on_address(cx.now(), address);
+            }
+            Ok(OwnEntry::Prompts(saved)) if is_list => {
+                recalled = Some(prompts::decode(cx, &saved));
+            }
+            Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
+                fleet::take_snapshot(cx, *snapshot);
+            }
+            Ok(OwnEntry::Change(change)) if cx.cfg.own_config => changes.push(*change),
+            Ok(_) => {}
+            Err(why) => not_understood(cx, item, &why),
+        }
+    }
+    for change in changes {
+        fleet::take_change(cx, change);
+    }
+    recalled
+}
+
+fn not_understood(cx: &Gateway, item: &StoreItem, why: &str) {
+    warn!(cx.log, "store entry not understood"; "key" => &item.key, "why" => why);
+}
+
+fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
+    let (revision, version, routes) = (config.revision, config.version, config.route_count());
+    let applied = cx.apply(config);
+    info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
+        "applied" => applied, "from" => %from);
+}
+
+fn on_change(cx: &Gateway, now: Instant, change: ListChange, at: StoreRevision) {
+    let changes = {
+        let mut dispatcher = cx.dispatcher.borrow_mut();
+        dispatcher.discovery.on_change(now, change, at)
+    };
+    for (id, verdict) in changes {
+        log_target(cx, &id, verdict, at);
+    }
+}
+
+/// An entry was written that names no target to use: whoever wrote it, what stood there before does not
+/// hold any more.
+fn on_unusable(cx: &Gateway, now: Instant, name: TargetName, why: &str, at: StoreRevision) {
+    cx.metrics.entries_unusable.inc();
+    warn!(cx.log, "target entry unusable"; "target" => %name, "why" => why, "revision" => at.0);
+    on_change(cx, now, ListChange::Unusable(name), at);
+}
+
+/// Logs what became of a target's entry, and closes connections to a life of it that is over.
+pub(super) fn log_target(cx: &Gateway, id: &TargetId, verdict: Verdict, at: StoreRevision) {
+    if verdict.is_end() {
+        cx.conns.forget(id);
+    }
+    info!(cx.log, "target"; "target" => %id, "verdict" => verdict.name(), "revision" => at.0);
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,6 +41,12 @@
             }
         }
 
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
@@ -91,8 +97,8 @@
     ClientAccountId
 );
 name_id!(
-    /// A model engine or a plain service's runner.
-    TargetId
+    /// What a model engine or a plain service's runner calls itself, also after a restart.
+    TargetName
 );
 name_id!(
     /// A model, with its adapter and version where it has them.
@@ -107,6 +113,75 @@
     ChangeId
 );
 
+/// One life of a target: its name and, where it says so, when that life began. A target that starts
+/// again under its name holds nothing of its former life, so nothing known of that one applies to it.
+///
+/// As text the name alone, or `NAME~BIRTH`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TargetId(std::sync::Arc<str>);
+
+/// Stands between a target's name and its birth; no name has it.
+const BIRTH_MARK: char = '~';
+
+impl TargetId {
+    /// The life of a target that began at `birth`; `None` where the target does not say.
+    pub fn new(name: &TargetName, birth: Option<UnixMillis>) -> Self {
+        match birth {
+            Some(birth) => Self(format!("{name}{BIRTH_MARK}{birth}").into()),
+            None => Self(name.as_str().into()),
+        }
+    }
+
+    /// Name and birth as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The target's name, which its next life may have as well.
+    pub fn name(&self) -> &str {
+        let split = self.0.split_once(BIRTH_MARK);
+        split.map_or(&self.0, |(name, _birth)| name)
+    }
+
+    /// The same as a name of its own.
+    pub fn to_name(&self) -> TargetName {
+        TargetName(self.name().into())
+    }
+}
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for TargetId {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        let (name, birth) = match s.split_once(BIRTH_MARK) {
+            Some((name, birth)) => (name, Some(birth.parse()?)),
+            None => (s, None),
+        };
+        Ok(Self::new(&name.parse()?, birth))
+    }
+}
+
+impl TryFrom<String> for TargetId {
+    type Error = IdError;
+
+    fn try_from(s: String) -> Result<Self, IdError> {
+        s.parse()
+    }
+}
+
+impl From<TargetId> for String {
+    fn from(id: TargetId) -> String {
+        id.0.to_string()
+    }
+}
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -141,6 +216,10 @@
     /// Which start of a router this is; larger is later.
     Incarnation
 );
+number_id!(
+    /// A moment of the time of day, in milliseconds since the Unix epoch.
+    UnixMillis
+);
 number_id!(
     /// What makes two requests part of the same chat, as a hash.
     ConversationKey
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,7 +10,7 @@
 pub use mirror::{Mirrored, StoreMirror};
 
 use crate::{
-    config::serving::ServingConfig, discovery::TargetRecord, ids::TargetId, units::StoreRevision,
+    config::serving::ServingConfig, discovery::TargetRecord, ids::TargetName, units::StoreRevision,
 };
 
 /// Why a call to the store did not succeed.
@@ -58,8 +58,17 @@
         Self(miniz_oxide::deflate::compress_to_vec(value, PACK_LEVEL))
     }
 
+    /// A value whose bytes can't be read; it does not unpack.
+    pub fn unreadable() -> Self {
+        Self(Vec::new())
+    }
+
     /// The value as it was written; the error says what is wrong with the packing.
     pub fn unpack(&self) -> Result<Vec<u8>, String> {
+        // The inflater never returns from empty input.
+        if self.0.is_empty() {
+            return Err("the value's bytes can't be read".to_owned());
+        }
         let unpacked = miniz_oxide::inflate::decompress_to_vec_with_limit(&self.0, UNPACK_LIMIT);
         unpacked.map_err(|e| format!("value not unpacked: {e}"))
     }
@@ -78,7 +87,14 @@
     /// A target wrote its entry.
     Target(TargetRecord),
     /// A target's entry went.
-    TargetGone(TargetId),
+    TargetGone(TargetName),
+    /// An entry of a target was written that names none to use.
+    TargetUnusable {
+        /// Whose entry it is.
+        name: TargetName,
+        /// What is wrong with it.
+        why: String,
+    },
     /// Nothing that concerns the gateway.
     Other,
 }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -257,7 +257,7 @@
             let mut all = dispatcher(20);
             let before = all.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
             let mut fewer = dispatcher(20);
-            let left = ListChange::Removed(record(gone).id);
+            let left = ListChange::Removed(record(gone).id.to_name());
             fewer.discovery.on_change(at(0), left, StoreRevision(2));
             let after = fewer.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
             prop_assert!(before == after || before == record(gone).id);
--- a/tests/decisions/targets.rs
+++ b/tests/decisions/targets.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use scaleford::{
+    config::serving::{CallKind, StreamRepeats},
     discovery::{Discovery, ListChange, RETURN_GRACE, TargetRecord, TargetState, Verdict},
-    units::StoreRevision,
+    health::{Outcome, Standing},
+    ids::{TargetId, UnixMillis},
+    units::{Instant, StoreRevision, Tokens},
 };
 
-use crate::{at, record};
+use crate::{at, dispatcher, part, plan, record};
 
 #[test]
 fn an_entry_that_lapsed_in_an_outage_counts_for_a_moment_after_the_return() {
@@ -15,8 +19,8 @@
     list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
     list.on_store_back(at(10_000));
     let gone = ListChange::Removed("t1".parse().unwrap());
-    let verdict = list.on_change(at(10_100), gone, StoreRevision(5));
-    assert_eq!(verdict, Some(Verdict::Kept));
+    let changes = list.on_change(at(10_100), gone, StoreRevision(5));
+    assert_eq!(changes, [(record(1).id, Verdict::Kept)]);
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
     let back = ListChange::Put(record(1));
     list.on_change(at(10_900), back, StoreRevision(9));
@@ -45,8 +49,8 @@
         state: TargetState::Leaving,
         ..record(1)
     };
-    let verdict = list.on_change(at(1_100), ListChange::Put(leaving), StoreRevision(4));
-    assert_eq!(verdict, Some(Verdict::Leaving));
+    let changes = list.on_change(at(1_100), ListChange::Put(leaving), StoreRevision(4));
+    assert_eq!(changes, [(record(1).id, Verdict::Leaving)]);
     assert!(list.serving(&"writer".parse().unwrap()).is_empty());
 }
 
@@ -55,13 +59,13 @@
     let mut list = Discovery::default();
     list.on_list(at(0), vec![(record(1), StoreRevision(8))], StoreRevision(8));
     let gone = ListChange::Removed("t1".parse().unwrap());
-    assert_eq!(list.on_change(at(1), gone.clone(), StoreRevision(5)), None);
+    assert_eq!(list.on_change(at(1), gone.clone(), StoreRevision(5)), []);
     assert_eq!(
         list.on_change(at(2), gone, StoreRevision(9)),
-        Some(Verdict::Gone)
+        [(record(1).id, Verdict::Gone)]
     );
     let old = ListChange::Put(record(1));
-    assert_eq!(list.on_change(at(3), old, StoreRevision(7)), None);
+    assert_eq!(list.on_change(at(3), old, StoreRevision(7)), []);
 }
 
 /// The store was away, entries lapsed, and all routers were lost: the first list of a new one has none
@@ -101,3 +105,92 @@
     list.on_recalled(at(0), vec![leaving, record(1)]);
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
 }
+
+/// A target's entry as its life that began at `birth` writes it.
+fn born(n: usize, birth: u64) -> TargetRecord {
+    let record = record(n);
+    TargetRecord {
+        id: TargetId::new(&record.id.to_name(), Some(UnixMillis(birth))),
+        ..record
+    }
+}
+
+fn ids(list: &Discovery) -> Vec<String> {
+    let serving = list.serving(&"writer".parse().unwrap());
+    serving.iter().map(|t| t.id.to_string()).collect()
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_name_is_another_one_at_once() {
+    let mut list = Discovery::default();
+    let first = vec![(born(1, 5_000), StoreRevision(1))];
+    list.on_list(at(0), first, StoreRevision(1));
+    let again = ListChange::Put(born(1, 9_000));
+    let changes = list.on_change(at(100), again, StoreRevision(2));
+    let ended = (born(1, 5_000).id, Verdict::Restarted);
+    assert_eq!(changes, [ended, (born(1, 9_000).id, Verdict::Added)]);
+    assert_eq!(ids(&list), ["t1~9000"]);
+    assert!(list.get(&born(1, 5_000).id).is_none());
+    let late = ListChange::Put(born(1, 5_000));
+    assert_eq!(list.on_change(at(200), late, StoreRevision(1)), []);
+    let gone = ListChange::Removed("t1".parse().unwrap());
+    list.on_change(at(300), gone, StoreRevision(3));
+    assert!(ids(&list).is_empty(), "the entry is that of the later life");
+}
+
+#[test]
+fn a_saved_life_is_not_taken_for_one_that_lapsed_where_the_next_one_is_listed() {
+    let mut list = Discovery::default();
+    let now = vec![(born(1, 9_000), StoreRevision(9))];
+    list.on_list(at(0), now, StoreRevision(9));
+    assert!(list.on_recalled(at(0), vec![born(1, 5_000)]).is_empty());
+    assert_eq!(ids(&list), ["t1~9000"]);
+}
+
+/// What is known of a life of a target must not steer calls to the next one.
+#[test]
+fn nothing_known_of_a_former_life_applies_to_the_next_one() {
+    let mut d = dispatcher(0);
+    let revision = StoreRevision(1);
+    let list = vec![(born(0, 5_000), revision), (record(1), revision)];
+    d.discovery.on_list(at(0), list, revision);
+    let prompt = vec![part(1, 4_000), part(2, 100)];
+    let stream = CallKind::Stream(StreamRepeats::Resumed);
+    let former = born(0, 5_000).id;
+    d.cache.on_peer(&former, prompt[0], false);
+    let ticket = d.choose(at(10), &plan(stream, prompt.clone(), 7)).unwrap();
+    assert_eq!(ticket.target.id, former, "it has read the prompt");
+    let failed = Some(Outcome::Broken);
+    for _ in 0..4 {
+        d.on_end(at(20), &ticket, failed);
+    }
+    assert_eq!(d.health.standing(at(20), &former), Standing::Paused);
+    let again = ListChange::Put(born(0, 9_000));
+    d.discovery.on_change(at(30), again, StoreRevision(2));
+    let next = born(0, 9_000).id;
+    assert_eq!(d.health.standing(at(30), &next), Standing::Well);
+    // A peer that has not heard of the restart tells of the former life.
+    d.cache.on_peer(&former, prompt[0], false);
+    assert_eq!(d.cache.missing(&next, &prompt), Tokens(4_100));
+    assert_eq!(d.load.calls(at(30), &next), 0);
+    let ticket = d.choose(at(40), &plan(stream, prompt, 7)).unwrap();
+    assert!(ticket.fetch_from.is_none(), "no listed target has read it");
+}
+
+#[rstest]
+#[case::calm(None)]
+#[case::right_after_the_store_was_away(Some(at(0)))]
+fn an_entry_that_names_no_target_takes_the_one_before_out_at_once(#[case] back: Option<Instant>) {
+    let mut list = Discovery::default();
+    let both = vec![(record(1), StoreRevision(1)), (record(2), StoreRevision(1))];
+    list.on_list(at(0), both, StoreRevision(1));
+    back.into_iter().for_each(|at| list.on_store_back(at));
+    let unusable = ListChange::Unusable("t1".parse().unwrap());
+    let changes = list.on_change(at(10), unusable.clone(), StoreRevision(4));
+    assert_eq!(changes, [(record(1).id, Verdict::Unusable)]);
+    assert_eq!(ids(&list), ["t2"], "the other one holds");
+    assert_eq!(list.on_change(at(11), unusable, StoreRevision(5)), []);
+    let own = ListChange::Put(record(1));
+    list.on_change(at(20), own, StoreRevision(6));
+    assert_eq!(ids(&list), ["t1", "t2"], "it wrote its entry anew");
+}
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -341,7 +341,7 @@
         assert!(capacity > 0);
         let change = match joins {
             true => ListChange::Put(record(n, TargetState::Ready)),
-            false => ListChange::Removed(engine_id(n)),
+            false => ListChange::Removed(engine_id(n).to_name()),
         };
         let (now, revision) = (Instant::from_millis(t_ms), StoreRevision(self.revision));
         for d in &mut self.routers {
