A data hall that is evacuated gets nothing until it is taken back

The product knows evacuations of data halls now: ordered by the store's revision, in force for choices at once, with lists, watches and what readers pass on; targets of such a hall stay sources of prompts and finish what they have. A service all of whose targets stand there refuses at once (all targets evacuated) and asks back as for a shortage. Shown in status, halls_evacuated and the log line 'data hall'. The key alone decides, its value is not read.

The part for cold targets (admission/warm_up.rs) is in the tree and decides nothing yet.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -13,6 +13,7 @@
 };
 
 use scaleford::{
+    admission::warm_up::ColdRule,
     config::{
         ClientAccount, ConfigLog, FleetConfig, KeyHash, Model, Serves, Snapshot, Target,
         TargetIntent, routes,
@@ -124,6 +125,7 @@
             window: Duration::from_secs(10),
             extra: 50.0,
         },
+        cold: ColdRule::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     };
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -9,6 +9,7 @@
 mod shortage;
 mod start;
 mod surge;
+pub mod warm_up;
 
 use std::{collections::HashMap, time::Duration};
 
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -82,6 +82,7 @@
             TargetIntent::Serve => TargetState::Ready,
             TargetIntent::Leave => TargetState::Leaving,
         },
+        cold_for: Duration::ZERO,
     };
     config.targets.iter().map(record).collect()
 }
@@ -112,6 +113,7 @@
     };
     let spec = ServiceSpec {
         max_conns: u32::MAX,
+        warm_up: None,
         engine: Some(EngineSpec {
             slots: USUAL_SLOTS,
             memory_tokens: USUAL_MEMORY,
@@ -148,6 +150,7 @@
     let pool = Serves::Service(name.clone()).pool();
     let spec = ServiceSpec {
         max_conns: u32::MAX,
+        warm_up: None,
         engine: None,
     };
     serving.add_service(pool.clone(), spec);
--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -7,6 +7,7 @@
 
 use super::KeyHash;
 use crate::{
+    admission::warm_up::WarmUp,
     ids::{ClientAccountId, ServiceName},
     limits::AccountLimits,
     units::{Rank, StoreRevision, Tokens},
@@ -126,6 +127,8 @@
 pub struct ServiceSpec {
     /// The connections that one target accepts from all callers together.
     pub max_conns: u32,
+    /// What a target bears from its start on, where that is less than later.
+    pub warm_up: Option<WarmUp>,
     /// Facts of a model engine, where the service is one.
     pub engine: Option<EngineSpec>,
 }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
     units::{Instant, StoreRevision, Tokens},
 };
@@ -62,6 +63,8 @@
     pub most_tokens: Option<Tokens>,
     /// Whether it takes work.
     pub state: TargetState,
+    /// How much longer it is cold, as it said when it wrote its entry.
+    pub cold_for: Duration,
 }
 
 /// One change of the list.
@@ -92,6 +95,9 @@
     targets: BTreeMap<TargetName, Listed>,
     removed: HashMap<TargetName, StoreRevision>,
     by_service: HashMap<ServiceName, Vec<Rc<TargetRecord>>>,
+    /// Targets that are cold by their entries, each with until when.
+    cold: HashMap<TargetId, Instant>,
+    evacuations: Evacuations,
     grace_until: Option<Instant>,
     known: bool,
 }
@@ -154,7 +160,7 @@
         revision: StoreRevision,
     ) -> Changes {
         let changes = match change {
-            ListChange::Put(record) => self.put(record, revision),
+            ListChange::Put(record) => self.put(now, record, revision),
             ListChange::Removed(name) => self.remove(now, name, revision),
             ListChange::Unusable(name) => self.drop_unusable(name, revision),
         };
@@ -175,7 +181,7 @@
         let listed: HashSet<TargetName> = list.iter().map(|(r, _)| r.id.to_name()).collect();
         let mut changes = Changes::new();
         for (record, at) in list {
-            changes.extend(self.put(record, at));
+            changes.extend(self.put(now, record, at));
         }
         let newer = |l: &Listed| l.revision > revision;
         let missing: Vec<TargetName> = self
@@ -206,6 +212,7 @@
         }
         let ids = missing.iter().map(|r| r.id.clone()).collect();
         for record in missing {
+            self.note_cold(now, &record);
             let listed = Listed {
                 record: Rc::new(record),
                 // Whatever the store tells of it is newer.
@@ -235,12 +242,69 @@
         let over = |l: &mut Listed| l.missing_until.is_some_and(|until| now >= until);
         let gone = self.targets.extract_if(.., |_, listed| over(listed));
         let gone: Vec<TargetId> = gone.map(|(_, l)| l.record.id.clone()).collect();
+        self.cold.retain(|_, until| now < *until);
         if !gone.is_empty() {
             self.index();
         }
         gone
     }
 
+    /// A data hall is evacuated, or taken back, by a write; returns whether that is a change.
+    pub fn on_hall(
+        &mut self,
+        now: Instant,
+        hall: DataHall,
+        is_evacuated: bool,
+        revision: StoreRevision,
+    ) -> bool {
+        let halls = &mut self.evacuations;
+        let changed = halls.on_change(now, hall, is_evacuated, revision);
+        if changed {
+            self.index();
+        }
+        changed
+    }
+
+    /// Takes all data halls that are evacuated as of `revision`; returns those of which that is a change.
+    pub fn on_halls(
+        &mut self,
+        now: Instant,
+        list: Vec<(DataHall, StoreRevision)>,
+        revision: StoreRevision,
+    ) -> Vec<DataHall> {
+        let changed = self.evacuations.on_list(now, list, revision);
+        if !changed.is_empty() {
+            self.index();
+        }
+        changed
+    }
+
+    /// What is stated of data halls.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Whether a service has targets that take work, all of them in data halls that are evacuated.
+    pub fn is_evacuated(&self, service: &ServiceName) -> bool {
+        let takes_work = |t: &&Rc<TargetRecord>| t.state == TargetState::Ready;
+        let mut of_service = self.all().filter(|t| t.service == *service);
+        self.serving(service).is_empty() && of_service.any(|t| takes_work(&t))
+    }
+
+    /// Until when a target is cold, of a service whose targets stay so for `lasts`; `None` if it is warm. One
+    /// in a data hall that was taken back is taken to be: it says so itself only with its next entry.
+    pub fn cold_until(
+        &self,
+        now: Instant,
+        target: &TargetRecord,
+        lasts: Duration,
+    ) -> Option<Instant> {
+        let by_entry = self.cold.get(&target.id).copied();
+        let back = self.evacuations.taken_back_at(&target.data_hall);
+        let until = by_entry.max(back.map(|at| at + lasts));
+        until.filter(|until| now < *until)
+    }
+
     /// The targets of a service that take work.
     pub fn serving(&self, service: &ServiceName) -> &[Rc<TargetRecord>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -257,7 +321,7 @@
         self.targets.values().map(|l| &l.record)
     }
 
-    fn put(&mut self, record: TargetRecord, revision: StoreRevision) -> Changes {
+    fn put(&mut self, now: Instant, record: TargetRecord, revision: StoreRevision) -> Changes {
         let (id, name) = (record.id.clone(), record.id.to_name());
         if self.removed.get(&name).is_some_and(|r| *r >= revision) {
             return Changes::new();
@@ -271,6 +335,7 @@
             Some(_) if former.is_none() => Verdict::Changed,
             _ => Verdict::Added,
         };
+        self.note_cold(now, &record);
         let listed = Listed {
             record: Rc::new(record),
             revision,
@@ -324,11 +389,20 @@
         self.removed.insert(name, revision);
     }
 
+    /// How long a target is cold counts from when its entry came: clocks of VMs differ.
+    fn note_cold(&mut self, now: Instant, record: &TargetRecord) {
+        match record.cold_for {
+            Duration::ZERO => self.cold.remove(&record.id),
+            left => self.cold.insert(record.id.clone(), now + left),
+        };
+    }
+
     fn index(&mut self) {
         self.by_service.clear();
         for listed in self.targets.values() {
             let record = &listed.record;
-            if record.state == TargetState::Ready {
+            let is_evacuated = self.evacuations.is_evacuated(&record.data_hall);
+            if record.state == TargetState::Ready && !is_evacuated {
                 let pool = self.by_service.entry(record.service.clone()).or_default();
                 pool.push(Rc::clone(record));
             }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -189,7 +189,7 @@
     pub fn choose(&mut self, now: Instant, plan: &Plan) -> Result<Ticket, NoChoice> {
         let targets = self.discovery.serving(&plan.service);
         if targets.is_empty() {
-            return Err(NoChoice::NoTarget);
+            return Err(self.no_target(now, &plan.service));
         }
         let held = self.admission.room(now, &plan.service).held;
         let age = self.load.age(now);
@@ -281,6 +281,15 @@
         gone
     }
 
+    /// Why a service has no target; a shortage begins where that is for a while only.
+    fn no_target(&mut self, now: Instant, service: &ServiceName) -> NoChoice {
+        if !self.discovery.is_evacuated(service) {
+            return NoChoice::NoTarget;
+        }
+        self.admission.on_refused(now, service);
+        NoChoice::AllEvacuated
+    }
+
     /// `is_first` tells whether peers expect the chat at this target; else they are told of it.
     fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &Plan, is_first: bool) {
         let target = &ticket.target.id;
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -228,6 +228,7 @@
         let ticket = chosen.map_err(|no| match no {
             NoChoice::NoTarget => Failed::nowhere(AttemptEnd::NoTarget),
             NoChoice::AllFull => Failed::nowhere(AttemptEnd::AllFull),
+            NoChoice::AllEvacuated => Failed::nowhere(AttemptEnd::AllEvacuated),
         })?;
         let target = Rc::clone(&ticket.target);
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -19,6 +19,8 @@
     NoTarget,
     /// All targets had as many calls as they may.
     AllFull,
+    /// All targets stood in data halls that are evacuated.
+    AllEvacuated,
     /// This router's connections to the target were all in use.
     ConnectionsAtLimit,
     /// The target refused a connection.
@@ -61,6 +63,7 @@
             Self::NoTimeLeft => "no time left",
             Self::NoTarget => "no target left",
             Self::AllFull => "all targets full",
+            Self::AllEvacuated => "all targets evacuated",
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
             Self::Unreachable => "unreachable",
@@ -85,7 +88,11 @@
             Self::Answered => Some(Outcome::Good),
             Self::TargetError => Some(Outcome::Error),
             Self::ConnectionsAtLimit | Self::Refused => Some(Outcome::Full),
-            Self::Abandoned | Self::NoTimeLeft | Self::NoTarget | Self::AllFull => None,
+            Self::Abandoned
+            | Self::NoTimeLeft
+            | Self::NoTarget
+            | Self::AllFull
+            | Self::AllEvacuated => None,
             Self::ConnectionRefused
             | Self::Unreachable
             | Self::ClosedBefore
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -209,7 +209,8 @@
     };
     ending.tell(End::coded(code, failed.end.name()), call.attempts);
     let no_room = matches!(code, ResultCode::Overloaded | ResultCode::TargetRefused);
-    let come_back = no_room.then(|| come_back(cx, call));
+    let is_shortage = no_room || failed.end == AttemptEnd::AllEvacuated;
+    let come_back = is_shortage.then(|| come_back(cx, call));
     answer(cx, ending, code, text, come_back)
 }
 
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -45,6 +45,7 @@
     first_event_time: Histogram,
     pub(crate) connections_opened: Counter,
     pub(crate) entries_unusable: Counter,
+    pub(crate) halls_evacuated: Gauge,
     pub(crate) datagrams_sent: Counter,
     pub(crate) datagram_bytes: Counter,
     pub(crate) claim_bytes: Counter,
@@ -71,6 +72,7 @@
             first_event_time: Histogram::new(BUCKETS),
             connections_opened: Counter::default(),
             entries_unusable: Counter::default(),
+            halls_evacuated: Gauge::default(),
             datagrams_sent: Counter::default(),
             datagram_bytes: Counter::default(),
             claim_bytes: Counter::default(),
@@ -127,6 +129,12 @@
             "Time to a stream's first event",
             first,
         );
+        let evacuated = self.halls_evacuated.clone();
+        r.register(
+            "halls_evacuated",
+            "Data halls whose targets get nothing",
+            evacuated,
+        );
         let unusable = self.entries_unusable.clone();
         r.register(
             "entries_unusable",
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -37,6 +37,7 @@
 pub use stop::{Signals, StopReport};
 
 use crate::{
+    admission::warm_up::ColdRule,
     config::routes::CallerRules,
     ids::{DataHall, Region, VmId},
     membership::{datagram::Strength, readers::FleetStart},
@@ -94,6 +95,8 @@
     pub cap_factor: f64,
     /// The fleet's budget of repeats.
     pub budget: BudgetRule,
+    /// What cold targets may get at the most.
+    pub cold: ColdRule,
     /// How long callers are still taken after a planned stop was asked for, until the balancer
     /// knows.
     pub serve_on: Duration,
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -8,7 +8,7 @@
 use crate::{
     config::serving::ServingConfig,
     discovery::{ListChange, Verdict},
-    ids::{TargetId, TargetName},
+    ids::{DataHall, TargetId, TargetName},
     store::{
         StoreChange, StoreItem, StoreNews,
         own::{self, OwnEntry},
@@ -28,7 +28,7 @@
     }
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
-    let mut list = Vec::new();
+    let (mut list, mut evacuated) = (Vec::new(), Vec::new());
     for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
         let at = item.revision;
         match cx.store.decode(item) {
@@ -39,15 +39,23 @@
                 on_change(cx, now, ListChange::Removed(name), at);
             }
             Ok(StoreChange::TargetUnusable { name, why }) => on_unusable(cx, now, name, &why, at),
+            Ok(StoreChange::HallEvacuated(hall)) if is_list => evacuated.push((hall, at)),
+            Ok(StoreChange::HallEvacuated(hall)) => on_hall(cx, now, hall, true, at),
+            Ok(StoreChange::HallTakenBack(hall)) => on_hall(cx, now, hall, false, at),
             Ok(StoreChange::Other) => {}
             Err(why) => not_understood(cx, item, &why),
         }
     }
     if is_list && !cx.cfg.own_config {
-        let changes = {
-            let mut dispatcher = cx.dispatcher.borrow_mut();
-            dispatcher.discovery.on_list(now, list, news.revision)
+        let (halls, changes) = {
+            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+            // Targets of an evacuated hall must not be used for a moment.
+            let halls = discovery.on_halls(now, evacuated, news.revision);
+            (halls, discovery.on_list(now, list, news.revision))
         };
+        for hall in halls {
+            log_hall(cx, &hall, news.revision);
+        }
         for (id, verdict) in changes {
             log_target(cx, &id, verdict, news.revision);
         }
@@ -114,6 +122,31 @@
     on_change(cx, now, ListChange::Unusable(name), at);
 }
 
+fn on_hall(cx: &Gateway, now: Instant, hall: DataHall, is_evacuated: bool, at: StoreRevision) {
+    let changed = {
+        let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+        discovery.on_hall(now, hall.clone(), is_evacuated, at)
+    };
+    if changed {
+        log_hall(cx, &hall, at);
+    }
+}
+
+/// Logs that a data hall is evacuated, or taken back.
+fn log_hall(cx: &Gateway, hall: &DataHall, at: StoreRevision) {
+    let dispatcher = cx.dispatcher.borrow();
+    let evacuations = dispatcher.discovery.evacuations();
+    let verdict = match evacuations.is_evacuated(hall) {
+        true => "evacuated",
+        false => "taken back",
+    };
+    cx.metrics
+        .halls_evacuated
+        .set(evacuations.evacuated().count() as i64);
+    info!(cx.log, "data hall"; "data_hall" => %hall, "verdict" => verdict, "revision" => at.0,
+        "store_age_ms" => cx.store_age().map(|age| age.as_millis() as u64));
+}
+
 /// Logs what became of a target's entry, and closes connections to a life of it that is over.
 pub(super) fn log_target(cx: &Gateway, id: &TargetId, verdict: Verdict, at: StoreRevision) {
     if verdict.is_end() {
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -38,6 +38,15 @@
     reverts_refused: u64,
     routers: Vec<Member>,
     targets: Vec<TargetStatus>,
+    evacuated: Vec<EvacuatedHall>,
+}
+
+/// A data hall whose targets get nothing.
+#[derive(Serialize)]
+struct EvacuatedHall {
+    data_hall: DataHall,
+    /// How long this router has known of it, in milliseconds.
+    for_ms: u64,
 }
 
 /// A target as one router sees it.
@@ -92,9 +101,21 @@
         reverts_refused: cx.reverts_refused(),
         routers,
         targets: targets(cx),
+        evacuated: evacuated(cx),
     }
 }
 
+fn evacuated(cx: &Gateway) -> Vec<EvacuatedHall> {
+    let now = cx.now();
+    let dispatcher = cx.dispatcher.borrow();
+    let halls = dispatcher.discovery.evacuations().evacuated();
+    let shown = halls.map(|(hall, since)| EvacuatedHall {
+        data_hall: hall.clone(),
+        for_ms: now.since(since).as_millis() as u64,
+    });
+    shown.collect()
+}
+
 /// The phase, or that there is nothing to serve yet.
 pub(super) fn state(cx: &Gateway) -> &'static str {
     match cx.phase() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod dispatcher;
 pub mod edge;
 pub mod error;
+pub mod evacuation;
 pub mod event_stream;
 pub mod explain;
 pub mod health;
--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -33,9 +33,9 @@
 const SILENT_MORE: Duration = Duration::from_millis(1_500);
 
 /// A router's name as a short hash. Of two that share one, a dead one counts while the other lives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
-pub(super) struct VmHash(u32);
+pub struct VmHash(u32);
 
 impl From<&VmId> for VmHash {
     fn from(vm: &VmId) -> Self {
@@ -45,7 +45,7 @@
 
 impl VmHash {
     /// A number that differs from router to router.
-    pub(super) fn spread(self) -> usize {
+    pub(crate) fn spread(self) -> usize {
         self.0 as usize
     }
 }
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -326,6 +326,14 @@
         living.map(|(vm, _)| vm).chain(std::iter::once(&self.me))
     }
 
+    /// The routers that live as short hashes, this one's first.
+    pub fn hashes(&self, now: Instant) -> Vec<VmHash> {
+        let others = self.living(now).map(|p| p.hash);
+        std::iter::once(VmHash::from(&self.me))
+            .chain(others)
+            .collect()
+    }
+
     /// Routers that live, this one included.
     pub fn alive(&self, now: Instant) -> usize {
         1 + self.living(now).count()
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -145,6 +145,8 @@
     NoTarget,
     /// All have as many calls as they may.
     AllFull,
+    /// All stand in data halls that are evacuated.
+    AllEvacuated,
 }
 
 /// The index of the chosen target.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Error, Result, ResultCode,
+    admission::warm_up::ColdRule,
     config::{routes::CallerRules, serving::CallerLimits},
     edge::{GatewayConfig, Rules},
     ids::{DataHall, Region, VmId},
@@ -176,6 +177,7 @@
                 revoke_bound: self.revoke_bound.0.map(Millis::duration),
                 cap_factor: self.load_bound.factor(),
                 budget: BUDGET,
+                cold: ColdRule::default(),
                 serve_on: self.drain_wait_ms.duration(),
                 stop_time: drain,
             },
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,7 +10,10 @@
 pub use mirror::{Mirrored, StoreMirror};
 
 use crate::{
-    config::serving::ServingConfig, discovery::TargetRecord, ids::TargetName, units::StoreRevision,
+    config::serving::ServingConfig,
+    discovery::TargetRecord,
+    ids::{DataHall, TargetName},
+    units::StoreRevision,
 };
 
 /// Why a call to the store did not succeed.
@@ -95,6 +98,10 @@
         /// What is wrong with it.
         why: String,
     },
+    /// A data hall is evacuated: its targets are to get nothing.
+    HallEvacuated(DataHall),
+    /// A data hall is taken back, if it was evacuated.
+    HallTakenBack(DataHall),
     /// Nothing that concerns the gateway.
     Other,
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod changes;
 mod claims;
+mod evacuation;
 mod health;
 mod limits;
 mod placement;
@@ -16,6 +17,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use scaleford::{
+    admission::warm_up::ColdRule,
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan},
@@ -43,6 +45,7 @@
             window: Duration::from_secs(10),
             extra: 10.0,
         },
+        cold: ColdRule::default(),
         serve_on: Duration::from_secs(3),
         stop_time: Duration::from_secs(8),
     }
@@ -60,6 +63,7 @@
         data_hall: hall("yard"),
         slots: 64,
         most_tokens: None,
+        cold_for: Duration::ZERO,
         state: TargetState::Ready,
     }
 }
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -20,6 +20,7 @@
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
 use scaleford::{
+    admission::warm_up::ColdRule,
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan, Ticket},
@@ -118,6 +119,7 @@
             window: Duration::from_secs(10),
             extra: 50.0,
         },
+        cold: ColdRule::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
@@ -131,6 +133,7 @@
         data_hall: hall(),
         slots,
         most_tokens: None,
+        cold_for: Duration::ZERO,
         state: TargetState::Ready,
     }
 }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use scaleford::{
+    admission::warm_up::ColdRule,
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{ListChange, TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan, Ticket},
@@ -154,6 +155,7 @@
         data_hall: "hall".parse().unwrap(),
         slots: 64,
         most_tokens: None,
+        cold_for: Duration::ZERO,
         state,
     }
 }
@@ -167,6 +169,7 @@
             window: Duration::from_secs(10),
             extra: 50.0,
         },
+        cold: ColdRule::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
