A cold target belongs to a few routers, one call of each within a second

Cause: coldLeftMs, coldS and coldPerS were read nowhere.

A target is cold by its entry, or for coldS after its data hall was taken back. It then belongs to as many routers as it may get calls within a second, by rendezvous among those that live, each with one call in 1.05 s; together at most half of the bound, so the bound holds while two halves of a fleet don't see one another. Where a warm target has room, it goes first; where all are cold and no share is left the call is refused at once (all targets cold).

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -169,6 +169,7 @@
         engine: None,
         goal: Duration::from_secs(1),
         surges: false,
+        warm_up: None,
         tried: Vec::new(),
     }
 }
--- a/src/admission/warm_up.rs
+++ b/src/admission/warm_up.rs
@@ -6,9 +6,9 @@
 //! by all counts, so all send to it. Of 73 routers without this 19 calls met one engine in a second that
 //! bears 8.9.
 //!
-//! So nothing is counted together. A cold target belongs to a few routers, drawn by rendezvous among those
-//! that live, and each of them has its part of what the target bears in any second; all others leave it
-//! alone. The sum is at most half of the bound, so that it also holds while routers disagree on who lives.
+//! So nothing is counted together. A cold target belongs to as many routers as it may get calls within a
+//! second, drawn by rendezvous among those that live, and each of them may send it one; all others leave it
+//! alone. Their sum is at most half of the bound, so that it also holds while routers disagree on who lives.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -28,12 +28,8 @@
 /// fleet is heard of.
 const BOUND_PART: f64 = 0.5;
 
-/// The fewest routers that a cold target belongs to: one of them may be gone.
-const FEWEST_KEEPERS: usize = 2;
-
-/// How many cold targets each router should have on average where all are cold: with two, one router in seven
-/// has none and refuses what it gets.
-const TARGETS_EACH: usize = 2;
+/// Places that are remembered, so that targets which are gone do not add up: those of some fleets of targets.
+const RANKS_KEPT: usize = 4_096;
 
 /// What a service's targets bear from their start on.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -90,7 +86,7 @@
 #[derive(Debug, Default)]
 pub struct ColdShares {
     rule: ColdRule,
-    me: VmHash,
+    /// Those that live, this one first.
     routers: Vec<VmHash>,
     /// The place of this router among those that a target may belong to; forgotten when routers change.
     ranks: HashMap<TargetId, usize>,
@@ -111,36 +107,24 @@
         self.rule = rule;
     }
 
-    /// The routers that live are these, `me` among them.
-    pub fn set_routers(&mut self, me: VmHash, routers: Vec<VmHash>) {
-        if (me, &routers) != (self.me, &self.routers) {
-            self.me = me;
+    /// The routers that live are these, this one first.
+    pub fn set_routers(&mut self, routers: Vec<VmHash>) {
+        if routers != self.routers {
             self.routers = routers;
             self.ranks.clear();
         }
     }
 
-    /// Whether this router may send a call to a cold target of a service that has so many.
-    pub fn warmth(
-        &mut self,
-        now: Instant,
-        target: &TargetId,
-        warm_up: WarmUp,
-        targets: usize,
-    ) -> Warmth {
+    /// Whether this router may send a call to a cold target.
+    pub fn warmth(&mut self, now: Instant, target: &TargetId, warm_up: WarmUp) -> Warmth {
         let calls = self.rule.calls(warm_up) as usize;
-        let keepers = self.keepers(targets).min(calls);
-        let part = calls.checked_div(keepers).unwrap_or_default();
-        let is_used = || self.sent_within(now, target) >= part;
-        match self.ranks.get(target).copied() {
-            _ if keepers == 0 => Warmth::Closed,
-            None => {
-                let rank = self.rank(target);
-                self.ranks.insert(target.clone(), rank);
-                self.warmth(now, target, warm_up, targets)
-            }
-            Some(rank) if rank >= keepers || is_used() => Warmth::Closed,
-            Some(_) => Warmth::Shared,
+        // Where there are fewer routers than calls, each has several.
+        let keepers = self.routers.len().clamp(1, calls.max(1));
+        let part = calls / keepers;
+        let is_mine = self.rank(target) < keepers;
+        match is_mine && self.sent_within(now, target) < part {
+            true => Warmth::Shared,
+            false => Warmth::Closed,
         }
     }
 
@@ -151,16 +135,14 @@
         sent.push_back(now);
     }
 
-    /// Forgets targets that are not cold any more.
-    pub fn retain(&mut self, is_cold: impl Fn(&TargetId) -> bool) {
-        self.ranks.retain(|id, _| is_cold(id));
-        self.sent.retain(|id, _| is_cold(id));
-    }
-
-    fn keepers(&self, targets: usize) -> usize {
-        let routers = self.routers.len().max(1);
-        let wanted = (TARGETS_EACH * routers).div_ceil(targets.max(1));
-        wanted.max(FEWEST_KEEPERS)
+    /// Forgets targets that got nothing lately.
+    pub fn on_tick(&mut self, now: Instant) {
+        let is_recent = |at: &Instant| now.since(*at) < WINDOW;
+        self.sent
+            .retain(|_, sent| sent.back().is_some_and(is_recent));
+        if self.ranks.len() > RANKS_KEPT {
+            self.ranks.clear();
+        }
     }
 
     fn sent_within(&self, now: Instant, target: &TargetId) -> usize {
@@ -170,10 +152,17 @@
     }
 
     /// How many other routers come before this one for a target.
-    fn rank(&self, target: &TargetId) -> usize {
-        let own = draw(self.me, target);
-        let others = self.routers.iter().filter(|vm| **vm != self.me);
-        others.filter(|vm| draw(**vm, target) > own).count()
+    fn rank(&mut self, target: &TargetId) -> usize {
+        if let Some(rank) = self.ranks.get(target) {
+            return *rank;
+        }
+        let before = |(me, others): (&VmHash, &[VmHash])| {
+            let own = draw(*me, target);
+            others.iter().filter(|vm| draw(**vm, target) > own).count()
+        };
+        let rank = self.routers.split_first().map_or(0, before);
+        self.ranks.insert(target.clone(), rank);
+        rank
     }
 }
 
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -6,7 +6,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    admission::{Admission, CallLimit, CallTraits},
+    admission::{
+        Admission, CallLimit, CallTraits,
+        warm_up::{ColdShares, WarmUp, Warmth},
+    },
     config::serving::{CallKind, EngineSpec},
     discovery::{Discovery, TargetRecord},
     edge::Rules,
@@ -48,6 +51,8 @@
     /// The shortest time in which any kind of call at the service should be answered, or its first
     /// event sent.
     pub goal: Duration,
+    /// What the service's targets bear from their start on, where that is less than later.
+    pub warm_up: Option<WarmUp>,
     /// Whether its account sends many times its usual.
     pub surges: bool,
     /// Targets that it was sent to.
@@ -112,6 +117,8 @@
     pub fetch_from: Option<Rc<TargetRecord>>,
     /// What was believed of the target's health.
     pub standing: Standing,
+    /// Whether the target was cold.
+    pub warmth: Warmth,
     service: ServiceName,
     /// Since when it holds a slot, as far as that is known; `None` where it waits for one first.
     slot_since: Option<Instant>,
@@ -155,6 +162,8 @@
     pub budget: RetryBudget,
     /// How many calls targets may have.
     pub admission: Admission,
+    /// This router's part of targets that are cold.
+    pub cold: ColdShares,
     hall: DataHall,
     cap_factor: f64,
     swept: Instant,
@@ -173,6 +182,7 @@
             cache: PromptCache::default(),
             budget: RetryBudget::new(rules.budget),
             admission: Admission::default(),
+            cold: ColdShares::new(rules.cold),
             hall,
             cap_factor: rules.cap_factor,
             swept: Instant::default(),
@@ -183,6 +193,7 @@
     pub fn set_rules(&mut self, rules: &Rules) {
         self.cap_factor = rules.cap_factor;
         self.budget.set_rule(rules.budget);
+        self.cold.set_rule(rules.cold);
     }
 
     /// Chooses a target and takes a place there; [`Self::on_end`] gives the place back.
@@ -202,7 +213,19 @@
         let first = plan.chat.and_then(|chat| first_choice(targets, chat));
         let expected = first.filter(|_| !self.is_known_somewhere(targets, plan));
         let offer = |t| self.offer(now, t, plan, &reach, expected);
-        let offers: Vec<Offer> = targets.iter().map(offer).collect();
+        let mut offers: Vec<Offer> = targets.iter().map(offer).collect();
+        if let Some(warm_up) = plan.warm_up {
+            for (offer, target) in offers.iter_mut().zip(targets) {
+                if self
+                    .discovery
+                    .cold_until(now, target, warm_up.lasts)
+                    .is_some()
+                {
+                    let cold = &mut self.cold;
+                    offer.warmth = cold.warmth(now, &target.id, warm_up);
+                }
+            }
+        }
         let wanted = Wanted {
             key: plan.key(),
             call: plan.hash,
@@ -225,6 +248,7 @@
             holds: offer.holds,
             fetch_from: self.fetch_source(now, plan, offer),
             standing: offer.standing,
+            warmth: offer.warmth,
             service: plan.service.clone(),
             slot_since: (offer.counts.all() < offer.slots).then_some(now),
         };
@@ -274,6 +298,7 @@
         let listed = |id: &TargetId| discovery.get(id).is_some();
         self.health.retain(listed);
         self.health.outages.on_tick(now);
+        self.cold.on_tick(now);
         if now.since(self.swept) >= SWEEP_EVERY {
             self.swept = now;
             self.cache.sweep(listed);
@@ -294,6 +319,9 @@
     fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &Plan, is_first: bool) {
         let target = &ticket.target.id;
         self.load.on_send(target, ticket.work);
+        if ticket.warmth == Warmth::Shared {
+            self.cold.on_send(now, target);
+        }
         self.health.on_send(now, target, !plan.prompt.is_empty());
         let told = match is_first {
             true => plan.shared_parts().len(),
@@ -373,6 +401,7 @@
             slots: target.slots,
             most_calls: reach.limit.most_calls(target.slots, traits),
             most_tokens: target.most_tokens,
+            warmth: Warmth::Warm,
             near: target.data_hall == self.hall,
             tried: plan.tried.contains(id),
             target: id.clone(),
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -140,6 +140,7 @@
         hash,
         engine,
         surges,
+        warm_up: spec.and_then(|s| s.warm_up),
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
         tried: Vec::new(),
         service,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -134,7 +134,7 @@
             "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.holds,
             "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
             "began_ms" => self.began.0.as_millis() as u64,
-            "standing" => ?self.ticket.standing);
+            "standing" => ?self.ticket.standing, "warmth" => ?self.ticket.warmth);
         if let Some(standing) = standing {
             info!(log, "standing"; "target" => %target, "standing" => ?standing, "id" => &self.id, "why" => why);
         }
@@ -228,6 +228,7 @@
         let ticket = chosen.map_err(|no| match no {
             NoChoice::NoTarget => Failed::nowhere(AttemptEnd::NoTarget),
             NoChoice::AllFull => Failed::nowhere(AttemptEnd::AllFull),
+            NoChoice::AllCold => Failed::nowhere(AttemptEnd::AllCold),
             NoChoice::AllEvacuated => Failed::nowhere(AttemptEnd::AllEvacuated),
         })?;
         let target = Rc::clone(&ticket.target);
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -19,6 +19,8 @@
     NoTarget,
     /// All targets had as many calls as they may.
     AllFull,
+    /// All targets that might have had room were cold.
+    AllCold,
     /// All targets stood in data halls that are evacuated.
     AllEvacuated,
     /// This router's connections to the target were all in use.
@@ -63,6 +65,7 @@
             Self::NoTimeLeft => "no time left",
             Self::NoTarget => "no target left",
             Self::AllFull => "all targets full",
+            Self::AllCold => "all targets cold",
             Self::AllEvacuated => "all targets evacuated",
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
@@ -92,6 +95,7 @@
             | Self::NoTimeLeft
             | Self::NoTarget
             | Self::AllFull
+            | Self::AllCold
             | Self::AllEvacuated => None,
             Self::ConnectionRefused
             | Self::Unreachable
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -204,6 +204,7 @@
 ) -> Response<AnswerBody> {
     let (code, text) = match failed.end {
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
+        AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
         _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
         end => (ResultCode::NoTarget, end.name()),
     };
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -109,6 +109,8 @@
             cx.metrics.on_held(service, held);
         }
         cx.peers.borrow_mut().on_tick(now);
+        let routers = cx.peers.borrow().hashes(now);
+        cx.dispatcher.borrow_mut().cold.set_routers(routers);
         cx.conns.on_tick(now);
         let alive = cx.peers.borrow().alive(now);
         cx.metrics.peers_alive.set(alive as i64);
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -7,7 +7,10 @@
 //! as far as counts of their age can tell, calls are spread ([`super::spread`]).
 
 use super::spread::{Estimate, Load, Spread, Survival};
-use crate::{health::Standing, ids::TargetId, target_counts::CallCounts, units::Tokens};
+use crate::{
+    admission::warm_up::Warmth, health::Standing, ids::TargetId, target_counts::CallCounts,
+    units::Tokens,
+};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -81,6 +84,8 @@
     pub most_calls: u32,
     /// Tokens that it may have in progress, where that is limited.
     pub most_tokens: Option<Tokens>,
+    /// Whether it bears calls, as far as it has warmed up.
+    pub warmth: Warmth,
     /// Whether it stands in this router's data hall.
     pub near: bool,
     /// Whether this call was sent there before.
@@ -145,34 +150,55 @@
     NoTarget,
     /// All have as many calls as they may.
     AllFull,
+    /// All that might have room are cold, and this router's part of them is used.
+    AllCold,
     /// All stand in data halls that are evacuated.
     AllEvacuated,
 }
 
-/// The index of the chosen target.
+/// The index of the chosen target: a warm one, or where none has room a cold one that this router has a
+/// part of.
 pub fn choose(options: &[Offer], wanted: &Wanted) -> Result<usize, NoChoice> {
-    let untried = |o: &&(usize, &Offer)| !o.1.tried;
     let all: Vec<(usize, &Offer)> = options.iter().enumerate().collect();
-    let open: Vec<(usize, &Offer)> = all.iter().filter(untried).copied().collect();
-    if open.is_empty() {
+    let untried: Vec<(usize, &Offer)> = all.iter().filter(|o| !o.1.tried).copied().collect();
+    if untried.is_empty() {
         return Err(NoChoice::NoTarget);
     }
-    let standing = best_standing(&open, wanted.repeatable);
-    let fits = |o: &&(usize, &Offer)| o.1.standing <= standing;
-    let sound: Vec<(usize, &Offer)> = open.iter().filter(fits).copied().collect();
+    let of = |warmth: Warmth| {
+        let of_warmth = untried.iter().filter(|o| o.1.warmth == warmth);
+        of_warmth.copied().collect::<Vec<_>>()
+    };
     let loads: Vec<Load> = options.iter().map(Offer::load).collect();
     let estimate = Estimate::new(&loads, wanted.survival);
     let bound = Bound::new(options, wanted, estimate);
-    let below = |o: &&(usize, &Offer)| bound.has_room(o.1);
-    let roomy: Vec<(usize, &Offer)> = sound.iter().filter(below).copied().collect();
-    // Where the sound ones have no room a suspect one is better than a refusal.
-    let roomy = match roomy.is_empty() {
-        true => open.iter().filter(below).copied().collect(),
-        false => roomy,
-    };
+    let mut chosen = Err(NoChoice::AllCold);
+    for open in [of(Warmth::Warm), of(Warmth::Shared)] {
+        let roomy = match open.is_empty() {
+            true => continue,
+            false => roomy(&open, wanted, &bound),
+        };
+        chosen = match roomy.is_empty() {
+            true => Err(NoChoice::AllFull),
+            false => return Ok(best(&roomy, wanted, estimate)),
+        };
+    }
+    chosen
+}
+
+/// Targets with room, of those that are believed to be sound if one of them has any.
+fn roomy<'a>(
+    open: &[(usize, &'a Offer)],
+    wanted: &Wanted,
+    bound: &Bound,
+) -> Vec<(usize, &'a Offer)> {
+    let standing = best_standing(open, wanted.repeatable);
+    let has_room = |o: &&(usize, &Offer)| bound.has_room(o.1);
+    let sound = open.iter().filter(|o| o.1.standing <= standing);
+    let roomy: Vec<_> = sound.filter(has_room).copied().collect();
     match roomy.is_empty() {
-        true => Err(NoChoice::AllFull),
-        false => Ok(best(&roomy, wanted, estimate)),
+        // A suspect one is better than a refusal.
+        true => open.iter().filter(has_room).copied().collect(),
+        false => roomy,
     }
 }
 
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -3,7 +3,13 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use scaleford::admission::{Admission, CallTraits, wait_for_config};
+use scaleford::{
+    admission::{
+        Admission, CallTraits, wait_for_config,
+        warm_up::{ColdRule, ColdShares, WarmUp, Warmth},
+    },
+    membership::heartbeats::VmHash,
+};
 
 use crate::at;
 
@@ -137,3 +143,54 @@
     surging(&mut admission, 0, 10, &[0, 4, 10]);
     assert_eq!(surging(&mut admission, 10, 14, &[40, 4, 10]), [0, 0, 0]);
 }
+
+/// Each of these routers with all of them, itself first.
+fn cold_shares(routers: usize, rule: ColdRule) -> Vec<ColdShares> {
+    let name = |n: usize| VmHash::from(&format!("vm-{n}").parse().unwrap());
+    let of = |me: usize| {
+        let mut shares = ColdShares::new(rule);
+        let others = (0..routers).filter(|n| *n != me);
+        shares.set_routers(std::iter::once(me).chain(others).map(name).collect());
+        shares
+    };
+    (0..routers).map(of).collect()
+}
+
+/// Whatever asks for it, a cold target gets what it bears in each second, and half of the bound at most.
+#[rstest]
+#[case::one_router(1, 8.9, 1.5, 5.0, 8)]
+#[case::few_routers(3, 8.9, 1.5, 5.0, 6)]
+#[case::some_routers(73, 8.9, 1.5, 5.0, 8)]
+#[case::many_routers(380, 8.9, 1.5, 5.0, 8)]
+#[case::half_of_the_bound(73, 8.9, 1.0, 0.0, 4)]
+#[case::less_than_two(73, 1.2, 1.0, 0.0, 1)]
+#[case::nothing_is_borne(73, 0.3, 1.0, 0.0, 0)]
+fn a_cold_target_gets_its_part_in_any_second(
+    #[case] routers: usize,
+    #[case] calls_per_s: f64,
+    #[case] excess: f64,
+    #[case] extra: f64,
+    #[case] most: usize,
+) {
+    let warm_up = WarmUp {
+        lasts: Duration::from_secs(3),
+        calls_per_s,
+    };
+    let mut fleet = cold_shares(routers, ColdRule { excess, extra });
+    let target = "t1".parse().unwrap();
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (0..4_000).step_by(10) {
+        for shares in &mut fleet {
+            if shares.warmth(at(ms), &target, warm_up) == Warmth::Shared {
+                shares.on_send(at(ms), &target);
+                sent.push(ms);
+            }
+        }
+    }
+    let within = |from: &u64| {
+        sent.iter()
+            .filter(|ms| (*from..from + 1_000).contains(ms))
+            .count()
+    };
+    assert_eq!(sent.iter().map(within).max().unwrap_or_default(), most);
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -92,6 +92,7 @@
         }),
         goal: Duration::from_secs(1),
         surges: false,
+        warm_up: None,
         tried: Vec::new(),
     }
 }
--- a/tests/decisions/targets.rs
+++ b/tests/decisions/targets.rs
@@ -177,6 +177,34 @@
     assert!(ticket.fetch_from.is_none(), "no listed target has read it");
 }
 
+/// Until when a target is cold by its entry, by its hall's return, or both.
+#[test]
+fn a_target_is_cold_as_long_as_its_entry_says_and_after_its_hall_was_taken_back() {
+    let lasts = Duration::from_secs(3);
+    let mut list = Discovery::default();
+    let cold = TargetRecord {
+        cold_for: Duration::from_millis(1_500),
+        ..record(1)
+    };
+    let hall = cold.data_hall.clone();
+    list.on_list(at(0), vec![(cold, StoreRevision(1))], StoreRevision(1));
+    assert_eq!(list.cold_until(at(100), &record(1), lasts), Some(at(1_500)));
+    assert_eq!(list.cold_until(at(1_500), &record(1), lasts), None);
+    list.on_change(at(600), ListChange::Put(record(1)), StoreRevision(2));
+    assert_eq!(
+        list.cold_until(at(700), &record(1), lasts),
+        None,
+        "it says so"
+    );
+    list.on_hall(at(800), hall.clone(), true, StoreRevision(3));
+    list.on_hall(at(2_000), hall, false, StoreRevision(4));
+    assert_eq!(
+        list.cold_until(at(2_100), &record(1), lasts),
+        Some(at(5_000))
+    );
+    assert_eq!(list.cold_until(at(5_000), &record(1), lasts), None);
+}
+
 #[rstest]
 #[case::calm(None)]
 #[case::right_after_the_store_was_away(Some(at(0)))]
--- /dev/null
+++ b/tests/load/cold_targets.rs
@@ -0,0 +1,125 @@
+//! Engines that are cold: what reaches them within a second from all routers together, and what is served
+//! meanwhile.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use scaleford::admission::warm_up::WarmUp;
+
+use crate::model::{Change, Fleet, Load, Model, Outcome, Service};
+
+/// What a cold engine bears, and what is allowed in any second: 1.5 times that and five.
+const WARM_UP: WarmUp = WarmUp {
+    lasts: Duration::from_secs(3),
+    calls_per_s: 8.9,
+};
+const ALLOWED: usize = 18;
+
+/// What all routers together send where they agree on who lives.
+const BORNE: usize = 8;
+
+/// Calls a second for each engine that there is.
+const USUAL: f64 = 4.8;
+
+/// Fleets of the users' sheets and of letter 1's size, with fewer engines for the last.
+fn fleet(routers: usize, targets: usize, change: Change) -> Load {
+    Load {
+        routers,
+        targets,
+        slots: 64,
+        prompts: targets * 4,
+        calls_per_s: USUAL * targets as f64,
+        surge: 1.0,
+        account_surge: 1.0,
+        surge_from_s: 0,
+        surge_to_s: 0,
+        goal: Duration::from_millis(600),
+        deadline: Duration::from_secs(10),
+        seed: 1,
+        service: Service::Engines,
+        hubs: routers > 30,
+        change: Some(Change { at_s: 4, ..change }),
+        warm_up: Some(WARM_UP),
+        fleet: Fleet::Whole,
+    }
+}
+
+const NONE: Change = Change {
+    at_s: 4,
+    added: 0,
+    lost: 0,
+    cooled: 0,
+};
+
+/// A third of the engines turns cold, or as many are added: without shares up to 18 calls met one within a
+/// second.
+#[rstest]
+fn no_cold_engine_gets_more_than_it_bears(
+    #[values((7, 9), (73, 90), (295, 240), (380, 300))] (routers, targets): (usize, usize),
+    #[values(true, false)] are_new: bool,
+    #[values(Fleet::Whole, Fleet::Halves)] known: Fleet,
+) {
+    let third = targets / 3;
+    let (added, cooled) = if are_new { (third, 0) } else { (0, third) };
+    let mut model = Model::new(Load {
+        fleet: known,
+        ..fleet(
+            routers,
+            targets,
+            Change {
+                added,
+                cooled,
+                ..NONE
+            },
+        )
+    });
+    model.run(9);
+    let most = model.most_while_cold();
+    assert!(most <= BORNE, "{most} within a second");
+    let in_time = model.share(4..9, Outcome::InTime);
+    assert!(in_time > 0.97, "{in_time} in time");
+}
+
+/// All at once: they are given what they bear, and what is beyond that is refused at once. Without shares 31
+/// of twice as many calls met one within a second.
+#[rstest]
+#[case::small(7, 9, USUAL, 0.9)]
+#[case::shifted(73, 90, USUAL, 0.85)]
+#[case::large(295, 240, USUAL, 0.8)]
+#[case::of_letter_1(380, 300, USUAL, 0.8)]
+#[case::twice_as_many_calls(73, 90, 16.0, 0.4)]
+fn where_all_engines_are_cold_they_get_what_they_bear(
+    #[case] routers: usize,
+    #[case] targets: usize,
+    #[case] each: f64,
+    #[case] least: f64,
+) {
+    let mut model = Model::new(Load {
+        calls_per_s: each * targets as f64,
+        ..fleet(
+            routers,
+            targets,
+            Change {
+                cooled: targets,
+                ..NONE
+            },
+        )
+    });
+    model.run(9);
+    let most = model.most_while_cold();
+    assert!(most <= ALLOWED, "{most} within a second");
+    let in_time = model.share(4..7, Outcome::InTime);
+    assert!(in_time > least, "{in_time} in time");
+}
+
+/// Routers that have just started know of no other; engines that are all cold then get what is asked of all.
+#[test]
+fn routers_that_know_of_no_other_leave_cold_engines_alone_where_others_are_warm() {
+    let change = Change { cooled: 9, ..NONE };
+    let mut model = Model::new(Load {
+        fleet: Fleet::Strangers,
+        ..fleet(73, 90, change)
+    });
+    model.run(9);
+    assert_eq!(model.most_while_cold(), 0);
+}
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -1,5 +1,6 @@
 //! Loads played in virtual time on the very decision types that the daemon runs.
 
+mod cold_targets;
 mod model;
 mod overload;
 mod stale_counts;
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -15,7 +15,7 @@
 
 use figures::Figures;
 pub use figures::Outcome;
-pub use load::{Change, Load, Service};
+pub use load::{Change, Fleet, Load, Service};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
@@ -27,7 +27,7 @@
     edge::Rules,
     health::Outcome as Health,
     ids::{DataHall, ServiceName},
-    membership::datagram::HallSums,
+    membership::{datagram::HallSums, heartbeats::VmHash},
     placement::choice::NoChoice,
     prompt_cache::{PartId, PromptPart},
     retry::BudgetRule,
@@ -119,7 +119,10 @@
             window: Duration::from_secs(10),
             extra: 50.0,
         },
-        cold: ColdRule::default(),
+        cold: ColdRule {
+            excess: 1.5,
+            extra: 5.0,
+        },
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
@@ -138,6 +141,18 @@
     }
 }
 
+/// The routers that one of them knows of, itself first.
+fn known_routers(load: &Load, me: usize) -> Vec<VmHash> {
+    let is_known = |n: &usize| match load.fleet {
+        Fleet::Whole => true,
+        Fleet::Halves => n % 2 == me % 2,
+        Fleet::Strangers => false,
+    };
+    let others = (0..load.routers).filter(|n| *n != me).filter(is_known);
+    let name = |n: usize| VmHash::from(&format!("vm-{n}").parse().unwrap());
+    std::iter::once(me).chain(others).map(name).collect()
+}
+
 fn new_target(load: &Load) -> Target {
     let queue = match load.service {
         Service::Engines => usize::MAX,
@@ -148,8 +163,9 @@
 
 impl Model {
     pub fn new(load: Load) -> Self {
-        let router = |_| {
+        let router = |n| {
             let mut d = Dispatcher::new(hall(), &rules());
+            d.cold.set_routers(known_routers(&load, n));
             let all = (0..load.targets).map(|n| record(n, load.slots));
             let at = Instant::default();
             d.discovery.on_stated(at, all.collect(), StoreRevision(1));
@@ -294,6 +310,7 @@
         let target = index(&ticket.target);
         let source = ticket.fetch_from.as_deref().map(index);
         let is_above = self.is_above(target);
+        self.targets[target].note_arrival(self.now);
         let figures = self.figures_now();
         figures.sent += 1;
         figures.sent_above += u64::from(is_above);
@@ -422,6 +439,7 @@
             }),
             goal: self.load.goal,
             surges,
+            warm_up: self.load.warm_up,
             tried: Vec::new(),
         }
     }
--- a/tests/load/model/changes.rs
+++ b/tests/load/model/changes.rs
@@ -2,7 +2,7 @@
 
 use std::{ops::Range, time::Duration};
 
-use scaleford::{health::Outcome, units::StoreRevision};
+use scaleford::{discovery::TargetRecord, health::Outcome, units::StoreRevision};
 
 use super::{Model, Sent, new_target, record};
 
@@ -31,8 +31,15 @@
             }
         }
         let first = self.targets.len();
+        let cold_until = self.now + self.cold_for();
+        for target in &mut self.targets[change.lost..change.lost + change.cooled] {
+            target.cold_until = cold_until;
+        }
         let added = (0..change.added).map(|_| new_target(&self.load));
         self.targets.extend(added);
+        for target in &mut self.targets[first..] {
+            target.cold_until = cold_until;
+        }
         self.list(0..first + change.added, 2);
     }
 
@@ -41,10 +48,17 @@
         self.list(lost..self.targets.len(), 3);
     }
 
+    fn cold_for(&self) -> Duration {
+        self.load.warm_up.map_or(Duration::ZERO, |w| w.lasts)
+    }
+
     fn list(&mut self, targets: Range<usize>, revision: u64) {
         let revision = StoreRevision(revision);
-        let records = targets.map(|n| (record(n, self.load.slots), revision));
-        let records: Vec<_> = records.collect();
+        let record = |n: usize| TargetRecord {
+            cold_for: self.targets[n].cold_until.since(self.now),
+            ..record(n, self.load.slots)
+        };
+        let records: Vec<_> = targets.map(|n| (record(n), revision)).collect();
         for router in &mut self.routers {
             let discovery = &mut router.discovery;
             discovery.on_list(self.now, records.clone(), revision);
--- a/tests/load/model/figures.rs
+++ b/tests/load/model/figures.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use super::Model;
+use super::{Model, target::Target};
 
 /// What came of a call, counted from its first try.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +48,12 @@
         self.ratio(seconds, |f| f.others_in_time, |f| f.others)
     }
 
+    /// The most calls that arrived at one cold target within a second.
+    pub fn most_while_cold(&self) -> usize {
+        let most = self.targets.iter().map(Target::most_while_cold);
+        most.max().unwrap_or_default()
+    }
+
     /// Tokens that were moved between targets for each call first tried within these seconds.
     pub fn moved_per_call(&self, seconds: Range<usize>) -> f64 {
         self.ratio(seconds, |f| f.moved_tokens, |f| f.calls)
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use scaleford::admission::warm_up::WarmUp;
+
 /// A load to play.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -24,6 +26,20 @@
     /// Whether counts go through hubs, and are told as seldom as in a fleet of this size.
     pub hubs: bool,
     pub change: Option<Change>,
+    /// What cold targets bear; `None` where nothing is asked of that.
+    pub warm_up: Option<WarmUp>,
+    pub fleet: Fleet,
+}
+
+/// What routers know of one another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fleet {
+    /// All of all.
+    Whole,
+    /// Each half only of its own.
+    Halves,
+    /// Each only of itself.
+    Strangers,
 }
 
 /// What the targets are.
@@ -41,4 +57,6 @@
     pub at_s: u64,
     pub added: usize,
     pub lost: usize,
+    /// Of those that were there, how many turn cold.
+    pub cooled: usize,
 }
--- a/tests/load/model/target.rs
+++ b/tests/load/model/target.rs
@@ -6,6 +6,7 @@
 use scaleford::{
     health::Outcome,
     prompt_cache::{PartId, PromptPart},
+    units::Instant,
 };
 
 /// Tokens that a target keeps.
@@ -27,6 +28,9 @@
     most_waiting: usize,
     cache: LruCache<PartId, u64>,
     held: u64,
+    /// Until when it is cold, and when calls arrived while it was.
+    pub cold_until: Instant,
+    pub cold_arrivals: Vec<Instant>,
     /// It is gone, and breaks off what is sent to it.
     pub is_lost: bool,
 }
@@ -40,6 +44,8 @@
             most_waiting,
             cache: LruCache::unbounded(),
             held: 0,
+            cold_until: Instant::default(),
+            cold_arrivals: Vec::new(),
             is_lost: false,
         }
     }
@@ -65,6 +71,28 @@
         missing
     }
 
+    /// A call arrives now, whether it is taken or not.
+    pub fn note_arrival(&mut self, now: Instant) {
+        if now < self.cold_until {
+            self.cold_arrivals.push(now);
+        }
+    }
+
+    /// The most calls that arrived within a second while it was cold.
+    pub fn most_while_cold(&self) -> usize {
+        let second = Duration::from_secs(1);
+        let within = |from: &Instant| {
+            let all = self.cold_arrivals.iter();
+            all.filter(|at| *at >= from && at.since(*from) < second)
+                .count()
+        };
+        self.cold_arrivals
+            .iter()
+            .map(within)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Calls that it has.
     pub fn calls(&self) -> usize {
         self.running.len() + self.queue.len()
--- a/tests/load/overload.rs
+++ b/tests/load/overload.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 
-use crate::model::{Load, Model, Outcome, Service};
+use crate::model::{Fleet, Load, Model, Outcome, Service};
 
 /// A surge to three times what the targets can do (223 calls a second), from the tenth second to the
 /// sixteenth.
@@ -26,6 +26,8 @@
     service: Service::Engines,
     hubs: false,
     change: None,
+    warm_up: None,
+    fleet: Fleet::Whole,
 };
 
 /// The targets can answer a third of such a surge and five sixths of a smaller one, new calls and those
--- a/tests/load/stale_counts.rs
+++ b/tests/load/stale_counts.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 
-use crate::model::{Change, Load, Model, Outcome, Service};
+use crate::model::{Change, Fleet, Load, Model, Outcome, Service};
 
 /// Calls that five targets of a plain service with six slots each can do in a second.
 const PLAIN_CAPACITY: f64 = 1_000.0;
@@ -31,6 +31,8 @@
     service: Service::Plain,
     hubs: true,
     change: None,
+    warm_up: None,
+    fleet: Fleet::Whole,
 };
 
 const ENGINES: Load = Load {
@@ -54,6 +56,7 @@
     at_s: 4,
     added: 0,
     lost: 1,
+    cooled: 0,
 };
 
 /// Seconds that are judged: after the change, where there is one.
@@ -134,6 +137,7 @@
         at_s: 4,
         added,
         lost,
+        cooled: 0,
     };
     let mut model = Model::new(Load {
         routers,
@@ -157,6 +161,7 @@
         at_s: 4,
         added: 0,
         lost: 10,
+        cooled: 0,
     };
     let model = play(Load {
         routers,
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -250,6 +250,7 @@
             }),
             goal: Duration::from_secs(1),
             surges: false,
+            warm_up: None,
             tried: Vec::new(),
             prompt,
         };
