Routers tell one another what accounts send; one that surges is let in by a part

Each router tells its hubs the rates of its 32 largest accounts twice a second, hubs the sums of their data halls. In a shortage an account that surges is let in by the part that is three times its usual (a tenth at the least), and its calls stay half a deviation below a target's limit, where others may go half a deviation above.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -13,7 +13,7 @@
 };
 
 use scaleford::{
-    admission::warm_up::ColdRule,
+    admission::{surge::Surge, warm_up::ColdRule},
     config::{
         ClientAccount, ConfigLog, FleetConfig, KeyHash, Model, Serves, Snapshot, Target,
         TargetIntent, routes,
@@ -168,7 +168,7 @@
         hash: chat,
         engine: None,
         goal: Duration::from_secs(1),
-        surges: false,
+        surge: Surge::None,
         warm_up: None,
         tried: Vec::new(),
     }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -4,23 +4,25 @@
 //! Synchronous decisions: time and events come as arguments, the input and output around them are in
 //! [`crate::edge`]. What a target can take is learned from calls that it answered, never configured.
 
+pub mod account_rates;
 mod limit;
 mod occupancy;
 mod shortage;
 mod start;
-mod surge;
+pub mod surge;
 pub mod warm_up;
 
 use std::{collections::HashMap, time::Duration};
 
+use account_rates::{AccountRates, RatesOfOthers, ToldRates};
 pub use limit::{CallLimit, CallTraits};
 use occupancy::Occupancy;
 use shortage::Shortage;
 pub use start::wait_for_config;
-use surge::Surges;
+use surge::{Surge, Surges};
 
 use crate::{
-    ids::{ClientAccountId, ServiceName},
+    ids::{ClientAccountId, DataHall, ServiceName, VmId},
     units::Instant,
 };
 
@@ -40,14 +42,64 @@
     pub short_for: Option<Duration>,
 }
 
-/// What was learned of all services.
+/// Rates of accounts as a hub tells them.
 #[derive(Debug, Default)]
+pub struct HallRates {
+    /// To routers of its own data hall.
+    pub near: Vec<ToldRates>,
+    /// To hubs of the others.
+    pub far: Vec<ToldRates>,
+}
+
+/// What was learned of all services.
+#[derive(Debug)]
 pub struct Admission {
     pools: HashMap<ServiceName, Pool>,
     surges: Surges,
+    others: RatesOfOthers,
 }
 
 impl Admission {
+    /// Of a router in this data hall, which knows nothing yet.
+    pub fn new(hall: DataHall) -> Self {
+        Self {
+            pools: HashMap::new(),
+            surges: Surges::default(),
+            others: RatesOfOthers::new(hall),
+        }
+    }
+
+    /// Rates of accounts to tell the hubs, or all peers of a small fleet.
+    pub fn own_rates(&self, now: Instant) -> ToldRates {
+        ToldRates::Router(self.surges.own_rates(now))
+    }
+
+    /// Rates of accounts to tell as a hub: of its data hall, and for routers of that one also of the others.
+    pub fn hall_rates(&self, now: Instant, hall: &DataHall) -> HallRates {
+        let own: AccountRates = self.others.of_own_hall(&self.surges.own_rates(now));
+        let own = ToldRates::Hall(hall.clone(), own);
+        let others = self.others.of_other_halls();
+        let others = others.map(|(hall, rates)| ToldRates::Hall(hall.clone(), rates.clone()));
+        HallRates {
+            near: std::iter::once(own.clone()).chain(others).collect(),
+            far: vec![own],
+        }
+    }
+
+    /// Another router told rates of accounts.
+    pub fn on_rates(&mut self, now: Instant, vm: &VmId, hall: &DataHall, told: Vec<ToldRates>) {
+        for rates in told {
+            self.others.on_told(now, vm.clone(), hall, rates);
+        }
+    }
+
+    /// Takes in what all routers told of accounts.
+    pub fn on_tick(&mut self, now: Instant) {
+        self.others.on_tick(now);
+        let sum = self.others.of_fleet(&self.surges.own_rates(now));
+        self.surges.on_fleet(now, &sum);
+    }
+
     /// How many calls a target of the service may have in progress, where `goal` is the shortest
     /// time in which any kind of call at the service should be answered.
     pub fn limit(&self, service: &ServiceName, goal: Duration) -> CallLimit {
@@ -56,10 +108,22 @@
     }
 
     /// An account sent a call; returns whether it sends many times its usual, while others do not.
-    pub fn on_call(&mut self, now: Instant, account: &ClientAccountId) -> bool {
+    pub fn on_call(&mut self, now: Instant, account: &ClientAccountId) -> Surge {
         self.surges.on_call(now, account)
     }
 
+    /// Whether a call may look for room: in a shortage an account that surges gets what it may usually have
+    /// and some times more, as slots that are left to others are taken before counts of them are told. `draw`
+    /// from 0 to 1 decides between its calls. With 30 times the usual of one account in ten before 295 routers
+    /// 0.15 of the others' calls were in time, and more than half of them with it (`tests/load/stale_counts.rs`).
+    pub fn lets_in(&self, now: Instant, service: &ServiceName, surge: Surge, draw: f64) -> bool {
+        let is_short = self.room(now, service).short_for.is_some();
+        match surge {
+            Surge::LetIn(part) if is_short => draw < part,
+            _ => true,
+        }
+    }
+
     /// A call that did not queue at its target held a slot there for so long.
     pub fn on_held(&mut self, service: &ServiceName, held: Duration) {
         self.pool(service).occupancy.on_held(held);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::{
     admission::{
         Admission, CallLimit, CallTraits,
+        surge::Surge,
         warm_up::{ColdShares, WarmUp, Warmth},
     },
     config::serving::{CallKind, EngineSpec},
@@ -54,7 +55,7 @@
     /// What the service's targets bear from their start on, where that is less than later.
     pub warm_up: Option<WarmUp>,
     /// Whether its account sends many times its usual.
-    pub surges: bool,
+    pub surge: Surge,
     /// Targets that it was sent to.
     pub tried: Vec<TargetId>,
 }
@@ -76,6 +77,11 @@
         }
     }
 
+    /// A number from 0 to 1 that is the call's own.
+    fn draw(&self) -> f64 {
+        xxh3_64(&self.hash.to_be_bytes()) as f64 / u64::MAX as f64
+    }
+
     /// Tokens of the prompt that nobody has read before: the last message, and what is the
     /// request's own.
     fn new_tokens(&self) -> Tokens {
@@ -181,7 +187,7 @@
             health: Health::default(),
             cache: PromptCache::default(),
             budget: RetryBudget::new(rules.budget),
-            admission: Admission::default(),
+            admission: Admission::new(hall.clone()),
             cold: ColdShares::new(rules.cold),
             hall,
             cap_factor: rules.cap_factor,
@@ -202,6 +208,10 @@
         if targets.is_empty() {
             return Err(self.no_target(now, &plan.service));
         }
+        if !(self.admission).lets_in(now, &plan.service, plan.surge, plan.draw()) {
+            self.admission.on_refused(now, &plan.service);
+            return Err(NoChoice::AllFull);
+        }
         let held = self.admission.room(now, &plan.service).held;
         let age = self.load.age(now);
         let reach = Reach {
@@ -232,6 +242,7 @@
             survival: reach.survival,
             shared: !plan.shared_parts().is_empty() && plan.chat.is_none(),
             is_chat: plan.chat.is_some(),
+            surge: plan.surge,
             repeatable: plan.kind.is_repeatable(),
             cap_factor: self.cap_factor,
         };
@@ -299,6 +310,7 @@
         self.health.retain(listed);
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
+        self.admission.on_tick(now);
         if now.since(self.swept) >= SWEEP_EVERY {
             self.swept = now;
             self.cache.sweep(listed);
@@ -388,7 +400,7 @@
         let elsewhere = reach.elsewhere(missing);
         let traits = CallTraits {
             at_home: elsewhere < FETCH_LEAST,
-            surges: plan.surges,
+            surges: plan.surge.is_on(),
         };
         Offer {
             standing: self.health.standing(now, id),
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     ResultCode,
-    admission::wait_for_config,
+    admission::{surge::Surge, wait_for_config},
     config::serving::{Denied, KeyHolder, Route},
     dialect::{CallFacts, Refusal},
     dispatcher::Plan,
@@ -125,7 +125,7 @@
         pool: service.to_string(),
     });
     let account = holder.as_ref().map(|h| &h.account);
-    let surges = account.is_some_and(|account| {
+    let surge = account.map_or(Surge::None, |account| {
         let admission = &mut cx.dispatcher.borrow_mut().admission;
         admission.on_call(received, account)
     });
@@ -139,7 +139,7 @@
             .map_or(Tokens(0), |usual| facts.answer.unwrap_or(usual)),
         hash,
         engine,
-        surges,
+        surge,
         warm_up: spec.and_then(|s| s.warm_up),
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
         tried: Vec::new(),
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -227,7 +227,7 @@
     let ms = |d: Duration| d.as_millis() as u64;
     info!(cx.log, "no room"; "id" => call.id(), "service" => %service,
         "short_for_ms" => room.short_for.map(ms), "slot_held_ms" => room.held.map(ms),
-        "account_surges" => call.plan.surges, "left_ms" => ms(left), "come_back_ms" => ms(pause));
+        "account_surges" => call.plan.surge.is_on(), "left_ms" => ms(left), "come_back_ms" => ms(pause));
     pause
 }
 
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -8,6 +8,10 @@
 
 use super::{accounts, gateway::Gateway};
 use crate::{
+    admission::{
+        HallRates,
+        account_rates::{TELL_RATES_EVERY, ToldRates},
+    },
     lifecycle::Phase,
     limits::SHARE_EVERY,
     membership::{
@@ -46,12 +50,28 @@
     close: Instant,
     everyone: Instant,
     heartbeats: Instant,
+    rates: Instant,
     is_young: bool,
     calls_halved: Instant,
     shares: Instant,
 }
 
 impl Told {
+    /// What this router tells of accounts, if that is due.
+    fn take_rates(&mut self, cx: &Gateway, now: Instant) -> Rates {
+        if now.since(self.rates) < TELL_RATES_EVERY {
+            return Rates::default();
+        }
+        self.rates = now;
+        let admission = &cx.dispatcher.borrow().admission;
+        let own = vec![admission.own_rates(now)];
+        let halls = match cx.adds_up.get() {
+            true => admission.hall_rates(now, &cx.cfg.data_hall),
+            false => HallRates::default(),
+        };
+        Rates { own, halls }
+    }
+
     /// What this router tells as a hub of whom it hears of, if that is due.
     fn take_heartbeats(&mut self, cx: &Gateway, now: Instant) -> HubHeartbeats {
         let mut peers = cx.peers.borrow_mut();
@@ -66,6 +86,15 @@
     }
 }
 
+/// Rates of accounts to tell.
+#[derive(Default)]
+struct Rates {
+    /// Of this router's own calls.
+    own: Vec<ToldRates>,
+    /// Of data halls, where it adds up.
+    halls: HallRates,
+}
+
 /// Sends counts, news of prompts and the age of the configuration, over and over: as they change
 /// to all peers of a small fleet or to the hubs of a large one, and seldom to everyone.
 pub(super) async fn tell(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
@@ -74,6 +103,7 @@
         close: now,
         everyone: now,
         heartbeats: now,
+        rates: now,
         is_young: true,
         calls_halved: now,
         shares: now,
@@ -111,28 +141,31 @@
             false if due => {
                 last.close = now;
                 last.everyone = now;
-                send_to_all(&cx, &udp);
+                let rates = last.take_rates(&cx, now);
+                send_to_all(&cx, &udp, &rates.own);
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
                 let heartbeats = last.take_heartbeats(&cx, now);
-                send_to_close_ones(&cx, &udp, &heartbeats);
+                let rates = last.take_rates(&cx, now);
+                send_to_close_ones(&cx, &udp, &heartbeats, &rates);
             }
             _ => {}
         }
         if is_large && now.since(last.everyone) >= mesh {
             last.everyone = now;
-            send_to_all(&cx, &udp);
+            send_to_all(&cx, &udp, &[]);
         }
     }
 }
 
 /// Sends one datagram to each peer; in a large fleet it is only a heartbeat, as counts go
 /// through hubs.
-pub(super) fn send_to_all(cx: &Gateway, udp: &UdpSocket) {
+pub(super) fn send_to_all(cx: &Gateway, udp: &UdpSocket, rates: &[ToldRates]) {
     let is_large = cx.peers.borrow().is_large(cx.now());
     let mut told = datagram(cx, news_of_prompts(cx));
     told.load = (!is_large).then(|| cx.dispatcher.borrow_mut().load.own_counts());
+    told.rates = rates.to_vec();
     for to in cx.peers.borrow().everyone() {
         told.echo = to.echo;
         send_to(cx, udp, &told, to.address);
@@ -140,8 +173,13 @@
 }
 
 /// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, and
-/// now and then whom it hears of.
-fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, hub_heartbeats: &HubHeartbeats) {
+/// now and then whom it hears of and what accounts send.
+fn send_to_close_ones(
+    cx: &Gateway,
+    udp: &UdpSocket,
+    hub_heartbeats: &HubHeartbeats,
+    rates: &Rates,
+) {
     let mut told = datagram(cx, news_of_prompts(cx));
     told.known.clear();
     let sums = match cx.adds_up.get() {
@@ -152,10 +190,11 @@
     for to in cx.peers.borrow().close_ones(cx.now()) {
         told.echo = to.echo;
         let is_near = to.hall.as_ref() == Some(&cx.cfg.data_hall);
-        let (halls, heartbeats) = match is_near {
-            true => (&sums.all, &hub_heartbeats.near),
-            false => (&sums.own, &hub_heartbeats.far),
+        let (halls, heartbeats, of_halls) = match is_near {
+            true => (&sums.all, &hub_heartbeats.near, &rates.halls.near),
+            false => (&sums.own, &hub_heartbeats.far, &rates.halls.far),
         };
+        told.rates = of_halls.iter().chain(&rates.own).cloned().collect();
         told.halls.clone_from(halls);
         told.heartbeats.clone_from(heartbeats);
         send_to(cx, udp, &told, to.address);
@@ -273,6 +312,7 @@
         halls: Vec::new(),
         outages: cx.dispatcher.borrow().health.outages.notices(now),
         heartbeats: Vec::new(),
+        rates: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
             .store_back_at
@@ -342,6 +382,8 @@
         let at = now.before(Duration::from_millis(u64::from(ago)));
         dispatcher.discovery.on_store_back(at);
     }
+    let admission = &mut dispatcher.admission;
+    admission.on_rates(now, &told.vm, &told.hall, told.rates);
     let peer = told.vm.clone();
     let outages = dispatcher.health.outages.on_notices(now, &told.outages);
     if outages > 0 {
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -53,7 +53,7 @@
     tokio::time::sleep(cx.rules.get().serve_on).await;
     cx.on_life(RouterEvent::BalancerKnows);
     let in_progress = cx.in_progress.get() as u64;
-    gossip::send_to_all(cx, udp);
+    gossip::send_to_all(cx, udp, &[]);
     let limit = cx.rules.get().stop_time.mul_f64(LAST_PART);
     while cx.in_progress.get() > 0 && cx.now().since(began) < limit {
         tokio::time::sleep(LOOK_EVERY).await;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::account_rates::ToldRates,
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     outages::OutageNotice,
@@ -116,6 +117,8 @@
     pub halls: Vec<u8>,
     /// Routers that hubs hear of, by data hall; empty where the sender is no hub, and most times.
     pub heartbeats: Vec<HallHeartbeats>,
+    /// Rates of accounts; empty most times.
+    pub rates: Vec<ToldRates>,
     /// Targets that just broke off a call at once, at the sender or as it was told.
     pub outages: Vec<OutageNotice>,
     /// Targets that give the sender no answers.
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -8,7 +8,10 @@
 
 use super::spread::{Estimate, Load, Spread, Survival};
 use crate::{
-    admission::warm_up::Warmth, health::Standing, ids::TargetId, target_counts::CallCounts,
+    admission::{surge::Surge, warm_up::Warmth},
+    health::Standing,
+    ids::TargetId,
+    target_counts::CallCounts,
     units::Tokens,
 };
 
@@ -119,6 +122,8 @@
     pub shared: bool,
     /// Whether it is of a chat, which comes back.
     pub is_chat: bool,
+    /// Whether its account sends many times its usual.
+    pub surge: Surge,
     /// Whether the call may be sent again after it was sent to a suspect target.
     pub repeatable: bool,
     /// How many times the mean load a target may carry.
@@ -133,6 +138,15 @@
         2.0 * uniform - 1.0
     }
 
+    /// How far beyond a target's limit the call is taken, in deviations: one of an account that surges stays as
+    /// far below it, as the slots that are left to others are fewer than counts may be wrong.
+    fn limit_slack(&self) -> f64 {
+        match self.surge {
+            Surge::None => LIMIT_SLACK,
+            Surge::LetIn(_) => -LIMIT_SLACK,
+        }
+    }
+
     /// A target's draw for the call. Of targets that have the prompt each call draws anew; others are
     /// drawn by the prompt, so that routers that can't know of one another copy it to the same ones,
     /// and all are drawn by the chat where there is one, as its next turns look for it there.
@@ -229,7 +243,7 @@
             factor,
             estimate,
             shift: wanted.shift() * estimate.deviation(),
-            more: LIMIT_SLACK * estimate.deviation(),
+            more: wanted.limit_slack() * estimate.deviation(),
         }
     }
 
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -11,7 +11,7 @@
     membership::heartbeats::VmHash,
 };
 
-use crate::at;
+use crate::{at, hall};
 
 const GOAL: Duration = Duration::from_millis(300);
 
@@ -25,7 +25,7 @@
 }
 
 fn learned(held: Duration) -> Admission {
-    let mut admission = Admission::default();
+    let mut admission = Admission::new(hall("yard"));
     for _ in 0..100 {
         admission.on_held(&"writer".parse().unwrap(), held);
     }
@@ -50,7 +50,7 @@
 
 #[test]
 fn only_the_slots_count_before_anything_is_learned() {
-    let limit = Admission::default().limit(&"writer".parse().unwrap(), GOAL);
+    let limit = Admission::new(hall("yard")).limit(&"writer".parse().unwrap(), GOAL);
     assert_eq!(limit.most_calls(16, HOME), 16);
     let away = CallTraits::default();
     assert_eq!(limit.most_calls(16, away), 12, "a quarter is kept");
@@ -111,7 +111,7 @@
             let account = format!("a{n}").parse().unwrap();
             let calls = (t + 1) * rate / 1_000 - t * rate / 1_000;
             for _ in 0..calls {
-                found[n] += u64::from(admission.on_call(at(t), &account));
+                found[n] += u64::from(admission.on_call(at(t), &account).is_on());
             }
         }
     }
@@ -120,7 +120,7 @@
 
 #[test]
 fn an_account_that_sends_many_times_its_usual_surges() {
-    let mut admission = Admission::default();
+    let mut admission = Admission::new(hall("yard"));
     assert_eq!(surging(&mut admission, 0, 10, &[2, 2, 10]), [0, 0, 0]);
     let found = surging(&mut admission, 10, 16, &[40, 2, 10]);
     assert!(found[0] > 200, "{found:?} of 240");
@@ -131,7 +131,7 @@
 
 #[test]
 fn nobody_surges_where_all_send_more_than_usual() {
-    let mut admission = Admission::default();
+    let mut admission = Admission::new(hall("yard"));
     surging(&mut admission, 0, 10, &[2, 4, 10]);
     let found = surging(&mut admission, 10, 16, &[8, 16, 40]);
     assert_eq!(found, [0, 0, 0]);
@@ -139,7 +139,7 @@
 
 #[test]
 fn an_account_that_has_just_come_does_not_surge() {
-    let mut admission = Admission::default();
+    let mut admission = Admission::new(hall("yard"));
     surging(&mut admission, 0, 10, &[0, 4, 10]);
     assert_eq!(surging(&mut admission, 10, 14, &[40, 4, 10]), [0, 0, 0]);
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -17,7 +17,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use scaleford::{
-    admission::warm_up::ColdRule,
+    admission::{surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan},
@@ -91,7 +91,7 @@
             usual_answer: None,
         }),
         goal: Duration::from_secs(1),
-        surges: false,
+        surge: Surge::None,
         warm_up: None,
         tried: Vec::new(),
     }
--- a/tests/load/lock_out.rs
+++ b/tests/load/lock_out.rs
@@ -46,8 +46,8 @@
     (model.refused_by_second(seconds), in_time)
 }
 
-/// Four times the usual for two seconds, which is 1.2 times what targets can do. Half a second after its end
-/// targets are idle and counts are new: XX of the calls of the seconds after it were refused.
+/// Four times the usual for two seconds, which is 1.2 times what targets can do. A second after its end
+/// targets are idle and counts are new: 0.16 to 0.85 of the calls of that second were refused.
 #[rstest]
 fn after_a_peak_idle_targets_are_used(
     #[values(7, 73, 295, 380)] routers: usize,
@@ -66,7 +66,8 @@
     assert!(in_time > 0.97, "{in_time} in time");
 }
 
-/// Calls that hang at a target which is cut off say nothing of the others, which have room for all.
+/// Calls that hang at a target which is cut off say nothing of the others, which have room for all: 0.22 to
+/// 0.48 of the calls of the third second were refused before 295 and 380 routers.
 #[rstest]
 fn calls_that_hang_at_one_target_keep_none_from_the_others(
     #[values(7, 73, 295, 380)] routers: usize,
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -20,7 +20,7 @@
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
 use scaleford::{
-    admission::warm_up::ColdRule,
+    admission::{HallRates, surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan, Ticket},
@@ -101,6 +101,9 @@
     figures: Vec<Figures>,
     /// What hubs were told, which they pass on when they tell next.
     at_hubs: Option<HallSums>,
+    /// What hubs know of accounts, and when it was last told.
+    rates_at_hubs: Option<HallRates>,
+    rates_told: Instant,
 }
 
 fn service() -> ServiceName {
@@ -184,6 +187,8 @@
             rng: Pcg64::seed_from_u64(load.seed),
             figures: Vec::new(),
             at_hubs: None,
+            rates_at_hubs: None,
+            rates_told: Instant::default(),
         };
         model.after(Duration::ZERO, Event::Arrives);
         model.after(model.tell_every(), Event::RoutersTell);
@@ -278,8 +283,8 @@
         let n = self.count;
         let account = format!("a{}", call.account).parse().unwrap();
         let admission = &mut self.routers[router].admission;
-        let surges = admission.on_call(self.now, &account);
-        let plan = self.plan(&call, n, surges);
+        let surge = admission.on_call(self.now, &account);
+        let plan = self.plan(&call, n, surge);
         let call = Call {
             tries: call.tries + 1,
             ..call
@@ -424,7 +429,7 @@
         }
     }
 
-    fn plan(&self, call: &Call, n: u64, surges: bool) -> Plan {
+    fn plan(&self, call: &Call, n: u64, surge: Surge) -> Plan {
         let part = |id, tokens| PromptPart {
             id: PartId(id),
             tokens: Tokens(tokens),
@@ -452,7 +457,7 @@
                 usual_answer: None,
             }),
             goal: self.load.goal,
-            surges,
+            surge,
             warm_up: self.load.warm_up,
             tried: Vec::new(),
         }
--- a/tests/load/model/telling.rs
+++ b/tests/load/model/telling.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use scaleford::{
+    admission::{HallRates, account_rates::TELL_RATES_EVERY},
     dispatcher::Dispatcher,
     membership::datagram::HallSums,
     prompt_cache::PromptPart,
@@ -47,6 +48,7 @@
             let vm = format!("vm-{n}").parse().unwrap();
             hub.load.on_peer(now, vm, hall(), counts);
         }
+        let rates = self.rates_through_hubs(&mut hub);
         let sums = self.through_hubs(vec![hub.load.own_hall(now)]);
         let notices = self.routers.iter().map(|d| d.health.outages.notices(now));
         let notices: Vec<_> = notices.flatten().collect();
@@ -64,10 +66,32 @@
                     .cache
                     .on_peer(target, PromptPart { id, tokens }, false);
             }
+            if let Some(rates) = &rates {
+                let vm = "hub".parse().unwrap();
+                router
+                    .admission
+                    .on_rates(now, &vm, &hall(), rates.near.clone());
+            }
             router.on_tick(now);
         }
     }
 
+    /// What hubs tell of accounts now, if that is due: what they learned one time before.
+    fn rates_through_hubs(&mut self, hub: &mut Dispatcher) -> Option<HallRates> {
+        let now = self.now;
+        if now.since(self.rates_told) < TELL_RATES_EVERY {
+            return None;
+        }
+        self.rates_told = now;
+        for (n, router) in self.routers.iter().enumerate() {
+            let vm = format!("vm-{n}").parse().unwrap();
+            let own = vec![router.admission.own_rates(now)];
+            hub.admission.on_rates(now, &vm, &hall(), own);
+        }
+        let learned = hub.admission.hall_rates(now, &hall());
+        self.rates_at_hubs.replace(learned)
+    }
+
     /// What routers are told now of what hubs learn now: where hubs tell at their own pace, what they
     /// learned one round before, which is that much older.
     fn through_hubs(&mut self, learned: HallSums) -> HallSums {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -131,6 +131,7 @@
             halls: Vec::new(),
             outages: Vec::new(),
             heartbeats: Vec::new(),
+            rates: Vec::new(),
             suspected: Vec::new(),
             parts: Vec::new(),
             known: router.peers.known(router.number),
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use scaleford::{
-    admission::warm_up::ColdRule,
+    admission::{surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{ListChange, TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan, Ticket},
@@ -249,7 +249,7 @@
                 usual_answer: None,
             }),
             goal: Duration::from_secs(1),
-            surges: false,
+            surge: Surge::None,
             warm_up: None,
             tried: Vec::new(),
             prompt,
