--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -1,6 +1,10 @@
 //! What operators state: client accounts, models, services and targets.
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +29,9 @@
     /// What serves them.
     #[serde(default)]
     pub targets: BTreeMap<TargetId, Target>,
+    /// Data halls whose targets get nothing.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated: BTreeSet<DataHall>,
 }
 
 /// A client account.
@@ -221,6 +228,16 @@
         /// Its id.
         id: TargetId,
     },
+    /// Keeps all new work away from a data hall's targets.
+    EvacuateDataHall {
+        /// Its name.
+        id: DataHall,
+    },
+    /// Ends that.
+    TakeDataHallBack {
+        /// Its name.
+        id: DataHall,
+    },
 }
 
 impl Edit {
@@ -231,6 +248,9 @@
             Self::PutModel { id, .. } | Self::RemoveModel { id } => format!("model/{id}"),
             Self::PutService { id, .. } | Self::RemoveService { id } => format!("service/{id}"),
             Self::PutTarget { id, .. } | Self::RemoveTarget { id } => format!("target/{id}"),
+            Self::EvacuateDataHall { id } | Self::TakeDataHallBack { id } => {
+                format!("data_hall/{id}")
+            }
         }
     }
 }
@@ -263,6 +283,12 @@
             Edit::RemoveTarget { id } => {
                 self.targets.remove(&id);
             }
+            Edit::EvacuateDataHall { id } => {
+                self.evacuated.insert(id);
+            }
+            Edit::TakeDataHallBack { id } => {
+                self.evacuated.remove(&id);
+            }
         }
     }
 
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -86,10 +86,15 @@
     let applied = cx.apply(serving);
     let targets = routes::targets(&config);
     let now = cx.now();
-    let changes = {
-        let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.discovery.on_stated(now, targets, at)
+    let evacuated = config.evacuated.iter().map(|hall| (hall.clone(), at));
+    let (halls, changes) = {
+        let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+        let halls = discovery.on_halls(now, evacuated.collect(), at);
+        (halls, discovery.on_stated(now, targets, at))
     };
+    for hall in halls {
+        super::news::log_hall(cx, &hall, at);
+    }
     for (id, verdict) in changes {
         super::news::log_target(cx, &id, verdict, at);
     }
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -133,7 +133,7 @@
 }
 
 /// Logs that a data hall is evacuated, or taken back.
-fn log_hall(cx: &Gateway, hall: &DataHall, at: StoreRevision) {
+pub(super) fn log_hall(cx: &Gateway, hall: &DataHall, at: StoreRevision) {
     let dispatcher = cx.dispatcher.borrow();
     let evacuations = dispatcher.discovery.evacuations();
     let verdict = match evacuations.is_evacuated(hall) {
