--- /dev/null
+++ b/soak/src/entries.rs
@@ -0,0 +1,56 @@
+//! What targets that start again, other writers and operators put into the store, drawn from the seed.
+
+use std::time::Duration;
+
+use rand::{Rng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+use tokio::time::Instant;
+
+use crate::vm::World;
+
+/// The pause between two writes.
+const PAUSE_MS: std::ops::Range<u64> = 50..400;
+
+/// Draws of their own, so that a seed's other faults stay as they are.
+const STREAM: u128 = 0x0065_6e74_7269_6573;
+
+/// A data hall of no target, which is evacuated and taken back.
+const EVACUATION: &str = "op/evacuate/barn";
+
+/// Entries that name no target to use.
+const FOREIGN: [&str; 5] = [
+    r#"{"service":"desk","address":"127.0.0.1:9","zone":"yard"}"#,
+    r#"{"service":"desk","address":"127.0.0.1:9","zone":"yard","version":"v1","slots":64,
+        "state":"resting","coldLeftMs":0,"callSeq":0}"#,
+    r#"{"service":7,"address":"127.0.0.1:9","zone":"yard","version":"v1","slots":64,
+        "state":"ready","coldLeftMs":0,"callSeq":0}"#,
+    "",
+    "not even JSON",
+];
+
+/// Writes entries for a while.
+pub async fn inject(world: &World, seed: u64, for_: Duration) {
+    let mut rng = Pcg64::new(u128::from(seed), STREAM);
+    let until = Instant::now() + for_;
+    while Instant::now() < until {
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        tokio::time::sleep(pause).await;
+        write(world, &mut rng);
+    }
+    world.store.remove(EVACUATION);
+}
+
+fn write(world: &World, rng: &mut Pcg64) {
+    let foreign = FOREIGN.choose(rng).copied().unwrap_or_default();
+    match rng.random_range(0..6) {
+        0 | 1 => {
+            if let Some((target, _)) = world.targets.choose(rng) {
+                world.on_restart(&target.id);
+            }
+        }
+        2 => drop(world.store.put("servers/i-foreign", foreign.as_bytes())),
+        3 => world.store.put_garbled("servers/i-garbled"),
+        4 => drop(world.store.put(EVACUATION, b"{}")),
+        _ => world.store.remove(EVACUATION),
+    }
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 //! the exit status is 1 if anything did not.
 
 mod callers;
+mod entries;
 mod faults;
 #[allow(dead_code)]
 #[path = "../../tests/support/http.rs"]
@@ -37,6 +38,8 @@
             optional --vms vms: usize
             /// The gateway's program, if it is not beside this one.
             optional --program program: PathBuf
+            /// Restarts under the same name, entries of other writers and evacuations come as well.
+            optional --entries
             /// Print the verdict as JSON.
             optional --json
         }
@@ -50,6 +53,7 @@
     faults_for: Duration,
     vms: usize,
     program: PathBuf,
+    entries: bool,
 }
 
 /// Gateways at the most: each takes some 10 MB, and an address of one network of 250.
@@ -66,6 +70,7 @@
         seed: flags.seed.unwrap_or(1),
         faults_for: Duration::from_secs(flags.seconds.unwrap_or(10)),
         vms: flags.vms.unwrap_or(4).clamp(1, MOST_VMS),
+        entries: flags.entries,
         program: flags.program.or(beside).unwrap_or_default(),
     };
     if !plan.program.is_file() {
@@ -98,7 +103,13 @@
     let promises = Rc::clone(&world.promises);
     world.until_ready().await;
     let calling = callers::start(&world, plan.seed);
-    faults::inject(&world, &mut rng, plan.faults_for).await;
+    let entries = async {
+        if plan.entries {
+            entries::inject(&world, plan.seed, plan.faults_for).await;
+        }
+    };
+    let faults = faults::inject(&world, &mut rng, plan.faults_for);
+    tokio::join!(faults, entries);
     world.heal().await;
     calling.until_served_again().await;
     calling.stop().await;
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -58,6 +58,8 @@
     pub store: Rc<Store>,
     pub promises: Rc<Promises>,
     version: Rc<Cell<u64>>,
+    /// How often any target started again.
+    births: Cell<u64>,
     dir: PathBuf,
 }
 
@@ -88,6 +90,7 @@
             store,
             promises,
             version: Rc::default(),
+            births: Cell::default(),
             dir,
         };
         for (target, _) in &world.targets {
@@ -128,13 +131,20 @@
         Rc::clone(&self.version)
     }
 
+    /// A target starts again under its name.
+    pub fn on_restart(&self, id: &str) {
+        let births = self.births.get() + 1;
+        self.births.set(births);
+        self.write_entry(id, "ready");
+    }
+
     /// Writes a target's entry.
     pub fn write_entry(&self, id: &str, state: &str) {
         let found = self.targets.iter().find(|(t, _)| t.id == id);
         let Some((_, link)) = found else { return };
         let entry = json!({"service": "desk", "address": link.address.to_string(),
             "zone": "yard", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
-            "callSeq": 0});
+            "callSeq": 0, "born": 1_764_720_000_000 + self.births.get()});
         let key = format!("servers/{id}");
         self.store.put(&key, entry.to_string().as_bytes());
         self.promises.on_leaving(id, state != "ready");
