How long calls hold a slot is kept over restarts

It is saved beside prompts and targets; what a router learns itself goes first. Ruled out: a shorter mean for what is usual (plain targets at their limit before 380 routers).

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -129,6 +129,13 @@
         self.pool(service).occupancy.on_held(held);
     }
 
+    /// Calls held a slot for so long before this router's life. One that starts while all targets are flooded
+    /// learns nothing for seconds, as only calls that did not queue tell, and takes targets for full that are
+    /// not.
+    pub fn on_recalled(&mut self, service: &ServiceName, held: Duration) {
+        self.pool(service).occupancy.on_recalled(held);
+    }
+
     /// A call found no target with room.
     pub fn on_refused(&mut self, now: Instant, service: &ServiceName) {
         self.pool(service).shortage.on_refused(now);
--- a/src/admission/occupancy.rs
+++ b/src/admission/occupancy.rs
@@ -20,6 +20,11 @@
         self.mean_s = Some(mean + (held - mean) * CALL_WEIGHT);
     }
 
+    /// What the mean was in an earlier life; what was learned in this one goes first.
+    pub(super) fn on_recalled(&mut self, held: Duration) {
+        self.mean_s.get_or_insert(held.as_secs_f64());
+    }
+
     /// The mean; `None` before the first call.
     pub(super) fn mean(&self) -> Option<Duration> {
         self.mean_s.map(Duration::from_secs_f64)
--- a/src/edge/prompts.rs
+++ b/src/edge/prompts.rs
@@ -10,6 +10,7 @@
 use super::gateway::Gateway;
 use crate::{
     discovery::TargetRecord,
+    ids::ServiceName,
     prompt_cache::PromptPart,
     prompt_snapshot::PromptSnapshot,
     store::{StoreError, own},
@@ -36,6 +37,8 @@
     prompts: PromptSnapshot,
     /// The targets in the list.
     targets: Vec<TargetRecord>,
+    /// How long calls hold a slot, by service.
+    held: Vec<(ServiceName, Duration)>,
 }
 
 /// Decodes what was saved; nothing where another version saved it.
@@ -56,6 +59,9 @@
         true => dispatcher.discovery.on_recalled(now, saved.targets),
         false => Vec::new(),
     };
+    for (service, held) in &saved.held {
+        dispatcher.admission.on_recalled(service, *held);
+    }
     info!(cx.log, "saved prompts"; "parts" => saved.prompts.len(), "lapsed_targets" => lapsed.len());
     for (id, tokens, target) in saved.prompts.held() {
         let part = PromptPart { id, tokens };
@@ -88,9 +94,11 @@
 fn snapshot(cx: &Gateway) -> Saved {
     let dispatcher = cx.dispatcher.borrow();
     let targets = dispatcher.discovery.all();
+    let held = dispatcher.admission.learned();
     Saved {
         prompts: PromptSnapshot::new(&dispatcher.cache.shared_parts()),
         targets: targets.map(|t| TargetRecord::clone(t)).collect(),
+        held: held.map(|(s, held)| (s.clone(), held)).collect(),
     }
 }
 
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -194,3 +194,17 @@
     };
     assert_eq!(sent.iter().map(within).max().unwrap_or_default(), most);
 }
+
+#[test]
+fn what_was_learned_before_a_routers_life_holds_until_it_learns_itself() {
+    let service = "writer".parse().unwrap();
+    let mut admission = Admission::new(hall("yard"));
+    let most = |a: &Admission| a.limit(&service, GOAL).most_calls(16, HOME);
+    assert_eq!(most(&admission), 16);
+    admission.on_recalled(&service, ms(30));
+    assert_eq!(most(&admission), 32, "a place comes free every 2 ms");
+    (0..500).for_each(|_| admission.on_held(&service, ms(300)));
+    assert!((17..20).contains(&most(&admission)));
+    admission.on_recalled(&service, ms(30));
+    assert!((17..20).contains(&most(&admission)), "its own goes first");
+}
