--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -9,17 +9,15 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-
+pub use crate::target_record::{TargetRecord, TargetState};
 use crate::{
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
-    units::{Instant, StoreRevision, Tokens},
+    units::{Instant, StoreRevision},
 };
 
 /// How long after the store's return a missing entry still counts: live targets are back in the
@@ -36,37 +34,6 @@
 /// targets that leave within the seconds that news may take.
 const REMOVED_KEPT: usize = 1024;
 
-/// What a target says of itself.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum TargetState {
-    /// It takes work.
-    #[default]
-    Ready,
-    /// It finishes what it has and leaves.
-    Leaving,
-}
-
-/// A target's entry in the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetRecord {
-    /// This start of the target.
-    pub id: TargetId,
-    /// What it serves.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub data_hall: DataHall,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Tokens that it may have in progress, where operators limit that.
-    pub most_tokens: Option<Tokens>,
-    /// Whether it takes work.
-    pub state: TargetState,
-    /// How much longer it is cold, as it said when it wrote its entry.
-    pub cold_for: Duration,
-}
-
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ListChange {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -6,12 +6,13 @@
 use slog::{debug, info};
 use tokio::net::UdpSocket;
 
-use super::{accounts, gateway::Gateway};
+use super::{
+    accounts,
+    gateway::Gateway,
+    sums::{Rates, RatesDue, Sums},
+};
 use crate::{
-    admission::{
-        HallRates,
-        account_rates::{TELL_RATES_EVERY, ToldRates},
-    },
+    admission::account_rates::ToldRates,
     lifecycle::Phase,
     limits::SHARE_EVERY,
     membership::{
@@ -50,28 +51,13 @@
     close: Instant,
     everyone: Instant,
     heartbeats: Instant,
-    rates: Instant,
+    rates: RatesDue,
     is_young: bool,
     calls_halved: Instant,
     shares: Instant,
 }
 
 impl Told {
-    /// What this router tells of accounts, if that is due.
-    fn take_rates(&mut self, cx: &Gateway, now: Instant) -> Rates {
-        if now.since(self.rates) < TELL_RATES_EVERY {
-            return Rates::default();
-        }
-        self.rates = now;
-        let admission = &cx.dispatcher.borrow().admission;
-        let own = vec![admission.own_rates(now)];
-        let halls = match cx.adds_up.get() {
-            true => admission.hall_rates(now, &cx.cfg.data_hall),
-            false => HallRates::default(),
-        };
-        Rates { own, halls }
-    }
-
     /// What this router tells as a hub of whom it hears of, if that is due.
     fn take_heartbeats(&mut self, cx: &Gateway, now: Instant) -> HubHeartbeats {
         let mut peers = cx.peers.borrow_mut();
@@ -86,15 +72,6 @@
     }
 }
 
-/// Rates of accounts to tell.
-#[derive(Default)]
-struct Rates {
-    /// Of this router's own calls.
-    own: Vec<ToldRates>,
-    /// Of data halls, where it adds up.
-    halls: HallRates,
-}
-
 /// Sends counts, news of prompts and the age of the configuration, over and over: as they change
 /// to all peers of a small fleet or to the hubs of a large one, and seldom to everyone.
 pub(super) async fn tell(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
@@ -103,7 +80,7 @@
         close: now,
         everyone: now,
         heartbeats: now,
-        rates: now,
+        rates: RatesDue::new(now),
         is_young: true,
         calls_halved: now,
         shares: now,
@@ -141,13 +118,13 @@
             false if due => {
                 last.close = now;
                 last.everyone = now;
-                let rates = last.take_rates(&cx, now);
+                let rates = last.rates.take(&cx, now);
                 send_to_all(&cx, &udp, &rates.own);
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
                 let heartbeats = last.take_heartbeats(&cx, now);
-                let rates = last.take_rates(&cx, now);
+                let rates = last.rates.take(&cx, now);
                 send_to_close_ones(&cx, &udp, &heartbeats, &rates);
             }
             _ => {}
@@ -183,7 +160,7 @@
     let mut told = datagram(cx, news_of_prompts(cx));
     told.known.clear();
     let sums = match cx.adds_up.get() {
-        true => hall_sums(cx),
+        true => Sums::of_halls(cx),
         false => Sums::default(),
     };
     told.load = Some(cx.dispatcher.borrow_mut().load.own_counts());
@@ -222,31 +199,6 @@
     dispatcher.cache.take_news(PARTS_TOLD, young)
 }
 
-/// Sums as they are sent, encoded once for all receivers.
-#[derive(Default)]
-struct Sums {
-    /// Of all data halls, for the routers of this one.
-    all: Vec<u8>,
-    /// Of this data hall, for the hubs of the others.
-    own: Vec<u8>,
-}
-
-fn hall_sums(cx: &Gateway) -> Sums {
-    let now = cx.now();
-    let dispatcher = cx.dispatcher.borrow();
-    let encode = |sums: &HallSums| match postcard::to_stdvec(sums) {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            debug!(cx.log, "sums not encoded"; "why" => %e);
-            Vec::new()
-        }
-    };
-    Sums {
-        all: encode(&dispatcher.load.all_halls(now)),
-        own: encode(&vec![dispatcher.load.own_hall(now)]),
-    }
-}
-
 /// Tells the keepers of accounts what is needed of their limits here.
 fn ask_for_shares(cx: &Gateway, udp: &UdpSocket) {
     for (keeper, ask) in accounts::asks(cx) {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -27,6 +27,7 @@
 mod prompts;
 mod stop;
 mod stream;
+mod sums;
 mod view;
 
 use std::{net::SocketAddr, time::Duration};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 )]
 
 pub mod admission;
+mod call_plan;
 pub mod claims;
 pub mod config;
 pub mod dialect;
@@ -56,6 +57,7 @@
 pub mod spans;
 pub mod store;
 pub mod target_counts;
+mod target_record;
 pub mod units;
 
 pub use error::{Error, Result};
