Readers pass on what changed, not whole lists

The mirror keeps its entries with the revision of their last change, and up to 8,192 removed keys; a router gets what is newer. What a list leaves open (entries that came and went between two lists) is remembered, and a router that was in between gets a list. Tests: many changes at once, a list after another one, and a property (several readers that list and watch as they can); with the gaps left out two of them fail.

--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,25 +1,46 @@
 //! What the store held, kept so that peers need not ask the store.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
 use super::{StoreItem, StoreNews, own::PROMPTS_KEY};
 use crate::units::StoreRevision;
 
-/// Changes that a mirror keeps for peers that lag behind.
-const HISTORY: usize = 512;
+/// Removed keys that a mirror remembers for peers that lag behind: more than the targets of the users' largest
+/// sheets, all of which may lapse and be listed anew at once. Where 512 changes were kept in their place, each
+/// of 3,000 entries went to every router each time that more of them changed together.
+const REMOVED_KEPT: usize = 8_192;
 
-/// What the store held at one revision, and the last changes that led there.
+/// Lists that were taken after others, of which is remembered what they left open.
+const GAPS_KEPT: usize = 16;
+
+/// What the store held at one revision, and what was removed before.
 #[derive(Debug, Default)]
 pub struct StoreMirror {
     items: BTreeMap<String, StoreItem>,
-    history: VecDeque<StoreItem>,
-    /// Changes up to this one are no longer in the history.
+    removed: BTreeMap<String, StoreRevision>,
+    /// Removals up to this one are not all remembered.
     oldest: StoreRevision,
+    /// From one list to the next entries may have come and gone that the mirror never had.
+    gaps: Vec<Gap>,
     revision: StoreRevision,
 }
 
+/// Revisions of which only what was left at the end is known.
+#[derive(Debug)]
+struct Gap {
+    from: StoreRevision,
+    to: StoreRevision,
+}
+
+impl Gap {
+    /// Whether a peer at a revision may hold an entry that the mirror never had.
+    fn is_around(&self, revision: StoreRevision) -> bool {
+        self.from < revision && revision < self.to
+    }
+}
+
 impl StoreMirror {
     /// The revision up to which the mirror is complete; 0 before the first list.
     pub fn revision(&self) -> StoreRevision {
@@ -39,9 +60,19 @@
             return;
         }
         let by_key = |item: &StoreItem| (item.key.clone(), item.clone());
+        let before = std::mem::take(&mut self.items);
         self.items = news.items.iter().map(by_key).collect();
-        self.history.clear();
-        self.oldest = news.revision;
+        match before.is_empty() {
+            true => self.oldest = news.revision,
+            false => self.note_gap(news.revision),
+        }
+        for key in before.into_keys() {
+            if !self.items.contains_key(&key) {
+                self.removed.insert(key, news.revision);
+            }
+        }
+        self.removed.retain(|key, _| !self.items.contains_key(key));
+        self.trim();
         self.revision = news.revision;
     }
 
@@ -53,32 +84,33 @@
     /// Takes changes that follow the mirror's revision.
     pub fn on_changes(&mut self, news: &StoreNews) {
         for item in &news.items {
-            let before = self.items.get(&item.key);
-            if before.is_some_and(|b| b.revision >= item.revision) {
+            let before = self.items.get(&item.key).map(|b| b.revision);
+            let before = before.max(self.removed.get(&item.key).copied());
+            if before.is_some_and(|b| b >= item.revision) {
                 continue;
             }
             match item.value {
-                Some(_) => self.items.insert(item.key.clone(), item.clone()),
-                None => self.items.remove(&item.key),
-            };
-            self.history.push_back(item.clone());
-        }
-        while self.history.len() > HISTORY {
-            let dropped = self.history.pop_front();
-            self.oldest = dropped.map_or(self.oldest, |d| d.revision);
+                Some(_) => {
+                    self.removed.remove(&item.key);
+                    self.items.insert(item.key.clone(), item.clone());
+                }
+                None => {
+                    self.items.remove(&item.key);
+                    self.removed.insert(item.key.clone(), item.revision);
+                }
+            }
         }
+        self.trim();
         self.revision = self.revision.max(news.revision);
     }
 
     /// What a peer at a revision lacks; `None` if the mirror has no newer revision.
     pub fn since(&self, after: StoreRevision) -> Option<Mirrored> {
         let revision = self.revision;
-        // Saved prompts are for routers that start; the others hear of each prompt by datagram.
-        let newer = |item: &&StoreItem| item.revision > after && item.key != PROMPTS_KEY;
         match after {
             after if after >= revision => None,
-            after if after >= self.oldest => Some(Mirrored::Changes(StoreNews {
-                items: newest(self.history.iter().filter(newer)),
+            after if self.knows_removals(after) => Some(Mirrored::Changes(StoreNews {
+                items: self.newer(after),
                 revision,
             })),
             _ => Some(Mirrored::List(StoreNews {
@@ -87,15 +119,48 @@
             })),
         }
     }
-}
 
-/// The last change of each key, in order.
-fn newest<'a>(changes: impl DoubleEndedIterator<Item = &'a StoreItem>) -> Vec<StoreItem> {
-    let mut seen = HashSet::new();
-    let last = changes.rev().filter(|item| seen.insert(item.key.as_str()));
-    let mut items: Vec<StoreItem> = last.cloned().collect();
-    items.reverse();
-    items
+    /// Whether all removals since a revision are remembered.
+    fn knows_removals(&self, after: StoreRevision) -> bool {
+        after >= self.oldest && !self.gaps.iter().any(|gap| gap.is_around(after))
+    }
+
+    /// The last change of each key since a revision, in order.
+    fn newer(&self, after: StoreRevision) -> Vec<StoreItem> {
+        // Saved prompts are for routers that start; the others hear of each prompt by datagram.
+        let is_newer = |item: &&StoreItem| item.revision > after && item.key != PROMPTS_KEY;
+        let put = self.items.values().filter(is_newer).cloned();
+        let removed = self.removed.iter().filter(|(_, at)| **at > after);
+        let removed = removed.map(|(key, at)| StoreItem {
+            key: key.clone(),
+            value: None,
+            revision: *at,
+        });
+        let mut items: Vec<StoreItem> = put.chain(removed).collect();
+        items.sort_unstable_by_key(|item| item.revision);
+        items
+    }
+
+    fn note_gap(&mut self, to: StoreRevision) {
+        let from = self.revision;
+        if from < to {
+            self.gaps.push(Gap { from, to });
+        }
+        while self.gaps.len() > GAPS_KEPT {
+            self.oldest = self.oldest.max(self.gaps.remove(0).to);
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.removed.len() > REMOVED_KEPT {
+            let first = self.removed.iter().min_by_key(|(_, at)| **at);
+            let Some((key, at)) = first.map(|(key, at)| (key.clone(), *at)) else {
+                return;
+            };
+            self.removed.remove(&key);
+            self.oldest = self.oldest.max(at);
+        }
+    }
 }
 
 /// What one router tells another of the store.
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -1,6 +1,6 @@
 //! How old may what is known be, and how is it passed on.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use proptest::prelude::*;
 use scaleford::{
@@ -178,3 +178,86 @@
     };
     assert!(all.items.iter().any(|i| i.key == "scaleford/prompts"));
 }
+
+/// Thousands of targets lapse and are listed anew while the store is away for a moment: a router that was up to date is
+/// told what changed, and each entry once.
+#[test]
+fn many_changes_at_once_are_told_as_changes() {
+    let mut mirror = StoreMirror::default();
+    let key = |n: u64| format!("entry-{n}");
+    let all = (0..3_000).map(|n| item(&key(n), 1 + n, Some("a")));
+    mirror.on_list(&news(all.collect(), 3_000));
+    for n in 0..3_000 {
+        let (gone, back) = (3_001 + 2 * n, 3_002 + 2 * n);
+        mirror.on_changes(&news(vec![item(&key(n), gone, None)], gone));
+        if n >= 1_000 {
+            mirror.on_changes(&news(vec![item(&key(n), back, Some("b"))], back));
+        }
+    }
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(3_000)) else {
+        panic!("all changes are known");
+    };
+    assert_eq!(told.items.len(), 3_000);
+    let removed = told.items.iter().filter(|i| i.value.is_none()).count();
+    assert_eq!(removed, 1_000);
+    assert!(told.items.is_sorted_by_key(|i| i.revision));
+}
+
+/// The history of the store is gone, so its reader lists anew: the others need no list.
+#[test]
+fn after_a_list_that_followed_another_one_a_peer_is_told_what_changed() {
+    let mut mirror = StoreMirror::default();
+    let (a, b) = (item("a", 1, Some("1")), item("b", 2, Some("1")));
+    mirror.on_list(&news(vec![a.clone(), b], 5));
+    let c = item("c", 8, Some("1"));
+    mirror.on_list(&news(vec![a, c.clone()], 9));
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(5)) else {
+        panic!("the changes are known");
+    };
+    assert_eq!(told.items, [c, item("b", 9, None)]);
+    // A peer that was ahead of the reader may hold what came and went between its lists.
+    let between = mirror.since(StoreRevision(7));
+    assert!(matches!(between, Some(Mirrored::List(_))), "{between:?}");
+}
+
+proptest! {
+    /// Routers that ask readers of the store in turn, which list and watch it as they can, end with what it holds.
+    #[test]
+    fn routers_that_ask_several_readers_end_with_what_the_store_holds(
+        steps in prop::collection::vec((0_u8..8, any::<bool>(), 0_u8..6), 1..300),
+    ) {
+        let mut store: BTreeMap<String, StoreItem> = BTreeMap::new();
+        let mut changes: Vec<StoreItem> = Vec::new();
+        let mut readers = [StoreMirror::default(), StoreMirror::default()];
+        let mut router = StoreMirror::default();
+        for (i, (key, removed, what)) in steps.iter().enumerate() {
+            let revision = i as u64 + 1;
+            let key = format!("k{key}");
+            let change = item(&key, revision, (!removed).then_some("value"));
+            match removed {
+                true => store.remove(&key),
+                false => store.insert(key, change.clone()),
+            };
+            changes.push(change);
+            let reader = &mut readers[usize::from(what % 2)];
+            match what {
+                0 | 1 => reader.on_list(&news(store.values().cloned().collect(), revision)),
+                2 | 3 if reader.revision().0 > 0 => {
+                    let seen = reader.revision();
+                    let newer = changes.iter().filter(|c| c.revision > seen);
+                    reader.on_changes(&news(newer.cloned().collect(), revision));
+                }
+                _ => pass_on(reader, &mut router),
+            }
+        }
+        let last = steps.len() as u64;
+        for reader in &mut readers {
+            reader.on_list(&news(store.values().cloned().collect(), last));
+        }
+        pass_on(&readers[0], &mut router);
+        let Some(Mirrored::List(held)) = router.since(StoreRevision(0)) else {
+            panic!("a router that starts is told all");
+        };
+        prop_assert_eq!(held.items, store.into_values().collect::<Vec<_>>());
+    }
+}
