Changes of targets that come together are indexed once

Cause, by slopes: what a service's targets are was indexed anew for each change, 0.18 ms among 3,000 targets; of 512 changes that come together a router with 0.12 of a core was busy for most of a second, while datagrams and the next changes waited.

The test holds that a batch leads to what single changes lead to.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -19,10 +19,12 @@
         TargetIntent, routes,
         serving::{CallKind, CallerLimits},
     },
+    discovery::{Discovery, ListChange, TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan},
     ids::{ConversationKey, Revision},
     prompt_cache::{PartId, PromptCache, PromptPart},
     retry::BudgetRule,
+    store::PackedValue,
     units::{Instant, Priority, StoreRevision, Tokens, Weight},
 };
 use support::{
@@ -40,6 +42,7 @@
 async fn main() {
     configuration();
     placement();
+    entries();
     prompts();
     for n in [3, 12, 24] {
         daemons(n).await;
@@ -129,28 +132,78 @@
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     };
-    for n in [9, 60, 140, 600] {
+    for (n, peers) in [(9, 6), (60, 60), (140, 140), (600, 300), (3_000, 300)] {
         let mut d = Dispatcher::new(name("hall-1"), &rules);
         let mut cfg = fleet_config();
-        cfg.targets = cfg.targets.into_iter().take(n).collect();
+        let all: Vec<Target> = cfg.targets.values().cloned().collect();
+        let named = all.iter().cycle().enumerate();
+        let named = named.map(|(i, t)| (name(&format!("runner-{i}")), t.clone()));
+        cfg.targets = named.take(n).collect();
         for target in cfg.targets.values_mut() {
             target.serves = model(0);
         }
         let targets = routes::targets(&cfg);
         d.discovery
             .on_stated(Instant::default(), targets, StoreRevision(1));
+        for peer in 0..peers {
+            let vm = name(&format!("vm-{peer}"));
+            d.health.on_suspicions(Instant::default(), vm, Vec::new());
+        }
         let mut chat = 0;
-        let took = time(2_000, || {
+        let took = time(500, || {
             chat += 1;
             let now = Instant::from_millis(chat);
             if let Ok(ticket) = d.choose(now, &turn(chat)) {
                 black_box(d.on_end(now, &ticket, None));
             }
         });
-        println!("placement: one of {n} targets in {took:.0} ns, with its end");
+        println!(
+            "placement: one of {n} targets beside {peers} peers in {took:.0} ns, with its end"
+        );
     }
 }
 
+/// Entries of targets: what a router does with a list of them, and with changes that come together.
+fn entries() {
+    let targets = 3_000;
+    let record = |n: usize, slots: u32| TargetRecord {
+        id: name(&format!("runner-{n:010x}")),
+        service: name("writer"),
+        address: ([10, 0, (n / 250) as u8, (n % 250) as u8], 8_000).into(),
+        data_hall: name(&format!("hall-{}", n % 6)),
+        slots,
+        most_tokens: None,
+        state: TargetState::Ready,
+        cold_for: Duration::ZERO,
+    };
+    let now = Instant::default();
+    let all = || (0..targets).map(|n| (record(n, 64), StoreRevision(1)));
+    let list = time(20, || {
+        let mut discovery = Discovery::default();
+        discovery.on_list(now, all().collect(), StoreRevision(1));
+    });
+    println!("entries: a list of {targets} in {list:.0} ns");
+    let mut discovery = Discovery::default();
+    discovery.on_list(now, all().collect(), StoreRevision(1));
+    let mut revision = 1;
+    let together = time(20, || {
+        revision += 1;
+        let slots = 64 + revision as u32;
+        let put = |n| (ListChange::Put(record(n, slots)), StoreRevision(revision));
+        discovery.on_changes(now, (0..512).map(put).collect());
+    });
+    println!("entries: 512 changes of {targets} together in {together:.0} ns");
+    let entry = serde_json::to_vec(&record(0, 64)).expect("json");
+    let pack = time(2_000, || drop(PackedValue::pack(&entry)));
+    let packed = PackedValue::pack(&entry);
+    let unpack = time(2_000, || drop(packed.unpack()));
+    println!(
+        "entries: {} bytes packed to {} in {pack:.0} ns, unpacked in {unpack:.0} ns",
+        entry.len(),
+        packed.packed_len()
+    );
+}
+
 /// A chat's third turn.
 fn turn(chat: u64) -> Plan {
     let part = |id, tokens| PromptPart {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -126,11 +126,20 @@
         change: ListChange,
         revision: StoreRevision,
     ) -> Changes {
-        let changes = match change {
-            ListChange::Put(record) => self.put(now, record, revision),
-            ListChange::Removed(name) => self.remove(now, name, revision),
-            ListChange::Unusable(name) => self.drop_unusable(name, revision),
-        };
+        self.on_changes(now, vec![(change, revision)])
+    }
+
+    /// Takes changes that came together, each written as its revision. What targets serve is indexed once
+    /// for all of them: 512 changes among 3,000 targets take 0.8 ms in place of 91 (`slopes`).
+    pub fn on_changes(&mut self, now: Instant, list: Vec<(ListChange, StoreRevision)>) -> Changes {
+        let mut changes = Changes::new();
+        for (change, revision) in list {
+            changes.extend(match change {
+                ListChange::Put(record) => self.put(now, record, revision),
+                ListChange::Removed(name) => self.remove(now, name, revision),
+                ListChange::Unusable(name) => self.drop_unusable(name, revision),
+            });
+        }
         if !changes.is_empty() {
             self.index();
         }
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -28,17 +28,18 @@
     }
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
-    let (mut list, mut evacuated) = (Vec::new(), Vec::new());
+    let (mut list, mut evacuated, mut changes) = (Vec::new(), Vec::new(), Vec::new());
     for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
         let at = item.revision;
         match cx.store.decode(item) {
             Ok(StoreChange::Config(config)) => apply(cx, *config, from),
             Ok(StoreChange::Target(record)) if is_list => list.push((record, at)),
-            Ok(StoreChange::Target(record)) => on_change(cx, now, ListChange::Put(record), at),
-            Ok(StoreChange::TargetGone(name)) => {
-                on_change(cx, now, ListChange::Removed(name), at);
+            Ok(StoreChange::Target(record)) => changes.push((ListChange::Put(record), at)),
+            Ok(StoreChange::TargetGone(name)) => changes.push((ListChange::Removed(name), at)),
+            Ok(StoreChange::TargetUnusable { name, why }) => {
+                log_unusable(cx, &name, &why, at);
+                changes.push((ListChange::Unusable(name), at));
             }
-            Ok(StoreChange::TargetUnusable { name, why }) => on_unusable(cx, now, name, &why, at),
             Ok(StoreChange::HallEvacuated(hall)) if is_list => evacuated.push((hall, at)),
             Ok(StoreChange::HallEvacuated(hall)) => on_hall(cx, now, hall, true, at),
             Ok(StoreChange::HallTakenBack(hall)) => on_hall(cx, now, hall, false, at),
@@ -46,6 +47,7 @@
             Err(why) => not_understood(cx, item, &why),
         }
     }
+    on_changes(cx, now, changes, news.revision);
     if is_list && !cx.cfg.own_config {
         let (halls, changes) = {
             let discovery = &mut cx.dispatcher.borrow_mut().discovery;
@@ -104,10 +106,15 @@
         "applied" => applied, "from" => %from);
 }
 
-fn on_change(cx: &Gateway, now: Instant, change: ListChange, at: StoreRevision) {
+fn on_changes(
+    cx: &Gateway,
+    now: Instant,
+    changes: Vec<(ListChange, StoreRevision)>,
+    at: StoreRevision,
+) {
     let changes = {
         let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.discovery.on_change(now, change, at)
+        dispatcher.discovery.on_changes(now, changes)
     };
     for (id, verdict) in changes {
         log_target(cx, &id, verdict, at);
@@ -116,10 +123,9 @@
 
 /// An entry was written that names no target to use: whoever wrote it, what stood there before does not
 /// hold any more.
-fn on_unusable(cx: &Gateway, now: Instant, name: TargetName, why: &str, at: StoreRevision) {
+fn log_unusable(cx: &Gateway, name: &TargetName, why: &str, at: StoreRevision) {
     cx.metrics.entries_unusable.inc();
     warn!(cx.log, "target entry unusable"; "target" => %name, "why" => why, "revision" => at.0);
-    on_change(cx, now, ListChange::Unusable(name), at);
 }
 
 fn on_hall(cx: &Gateway, now: Instant, hall: DataHall, is_evacuated: bool, at: StoreRevision) {
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -4,7 +4,7 @@
 use std::{fs, path::Path};
 
 /// Names of the platform's headers, calls, keys and fields that have no meaning of their own.
-const PLATFORM_NAMES: [&str; 20] = [
+const PLATFORM_NAMES: [&str; 23] = [
     "x-attempt-id",
     "x-deadline-ms",
     "x-server-seal",
@@ -20,6 +20,9 @@
     "kv-txn",
     "/scaleford/",
     "op/config",
+    "op/evacuate",
+    "coldleftms",
+    "coldexcess",
     "\"servers/",
     "scaleford_config",
     "pathprefix",
--- a/tests/decisions/targets.rs
+++ b/tests/decisions/targets.rs
@@ -222,3 +222,39 @@
     list.on_change(at(20), own, StoreRevision(6));
     assert_eq!(ids(&list), ["t1", "t2"], "it wrote its entry anew");
 }
+
+/// What comes together leads to what it leads to one after the other.
+#[test]
+fn changes_that_come_together_are_taken_in_order() {
+    let mut list = Discovery::default();
+    let both = vec![(record(1), StoreRevision(1)), (record(2), StoreRevision(1))];
+    list.on_list(at(0), both, StoreRevision(1));
+    let leaving = TargetRecord {
+        state: TargetState::Leaving,
+        ..record(2)
+    };
+    let changes = vec![
+        (ListChange::Put(born(1, 9_000)), StoreRevision(2)),
+        (ListChange::Put(leaving), StoreRevision(3)),
+        (ListChange::Put(record(3)), StoreRevision(4)),
+        (
+            ListChange::Unusable("t3".parse().unwrap()),
+            StoreRevision(5),
+        ),
+        (ListChange::Put(record(3)), StoreRevision(4)),
+    ];
+    let verdicts = list.on_changes(at(10), changes);
+    let verdicts: Vec<_> = verdicts
+        .iter()
+        .map(|(id, verdict)| (id.as_str(), *verdict))
+        .collect();
+    let expected = [
+        ("t1", Verdict::Restarted),
+        ("t1~9000", Verdict::Added),
+        ("t2", Verdict::Leaving),
+        ("t3", Verdict::Added),
+        ("t3", Verdict::Unusable),
+    ];
+    assert_eq!(verdicts, expected);
+    assert_eq!(ids(&list), ["t1~9000"]);
+}
