--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -3,7 +3,7 @@
 use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use hyper::http::request;
+use hyper::http::{request, uri::PathAndQuery};
 use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,6 +19,8 @@
     dialect::{CallFacts, Refusal},
     dispatcher::Plan,
     explain::Decision,
+    fingerprint::{Fingerprint, Identity},
+    ids::ClientAccountId,
     lifecycle::Phase,
     retry::Attempts,
     units::{Instant, Rank, Tokens},
@@ -145,7 +147,9 @@
         tried: Vec::new(),
         service,
     };
+    let fingerprint = fingerprint(&head, &body, &facts, account);
     let call = Call {
+        fingerprint,
         hold_until: received + held_for(&facts, &route),
         rank: rank(&facts, &route, holder.as_ref()),
         last_event: facts.last_event,
@@ -163,6 +167,23 @@
     Ok((call, place))
 }
 
+fn fingerprint(
+    head: &request::Parts,
+    body: &Bytes,
+    facts: &CallFacts,
+    account: Option<&ClientAccountId>,
+) -> Fingerprint {
+    let asked = &facts.asked;
+    let whole = head.uri.path_and_query().map(PathAndQuery::as_str);
+    Fingerprint::of(&Identity {
+        account,
+        host: &asked.host,
+        method: &asked.method,
+        path: whole.unwrap_or(&asked.path),
+        body,
+    })
+}
+
 /// How long a call is held: the caller's own time, but no longer than the route allows.
 fn held_for(facts: &CallFacts, route: &Route) -> Duration {
     facts
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -80,6 +80,7 @@
         Err(refusal) => return Ok(refuse(cx, &ending, refusal)),
     };
     ending.route.clone_from(&call.route.name);
+    ending.fingerprint = Some(call.fingerprint);
     ending.hold(place);
     Ok(match () {
         () if call.route.claimed => once::serve_once(cx, call, ending).await,
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -20,6 +20,7 @@
     ResultCode,
     dialect::Refusal,
     explain::Decision,
+    fingerprint::Fingerprint,
     lifecycle::Phase,
     reply,
     retry::{Attempts, NotRun},
@@ -50,6 +51,7 @@
     cx: Rc<Gateway>,
     id: String,
     pub(crate) route: String,
+    pub(crate) fingerprint: Option<Fingerprint>,
     received: Instant,
     told: Cell<bool>,
     place: Option<AccountPlace>,
@@ -101,6 +103,7 @@
             cx: Rc::clone(cx),
             id: id.unwrap_or("-").to_owned(),
             route: String::new(),
+            fingerprint: None,
             received: cx.now(),
             told: Cell::new(false),
             place: None,
@@ -125,7 +128,7 @@
         });
         let freshness = self.cx.freshness.borrow();
         let age = freshness.age(now);
-        info!(self.cx.log, "call"; "id" => &self.id, "route" => &self.route, "code" => end.name,
+        info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "route" => &self.route, "code" => end.name,
             "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
             "took_ms" => took.as_millis() as u64, "config_revision" => freshness.revision().0,
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod evacuation;
 pub mod event_stream;
 pub mod explain;
+pub mod fingerprint;
 pub mod health;
 pub mod ids;
 pub mod intent;
