A request under which three targets ended is held back by all routers

Cause: nothing remembered which request a target was running when it ended; each return was a new call at any router. Now an attempt that breaks off has a connection opened to its target; where that is refused the target has ended, and the ending is noted by the request's fingerprint and announced to the peers. After three endings, at whatever routers, the request is refused at once (code 3010, with when to come back), also where its calls wait or would be repeated; the store keeps that for routers that start, under a lease of ten minutes that is renewed while the request comes. A request that a target answered is none.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -19,6 +19,7 @@
         spread::Survival,
     },
     prompt_cache::PromptCache,
+    quarantine::Quarantine,
     retry::RetryBudget,
     target_counts::InProgress,
     units::{Instant, Tokens},
@@ -89,6 +90,8 @@
     pub health: Health,
     /// Which have read what.
     pub cache: PromptCache,
+    /// Which requests end the targets that run them.
+    pub quarantine: Quarantine,
     /// How many repeats are left.
     pub budget: RetryBudget,
     /// How many calls targets may have.
@@ -111,6 +114,7 @@
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
             cache: PromptCache::default(),
+            quarantine: Quarantine::default(),
             budget: RetryBudget::new(rules.budget),
             admission: Admission::new(hall.clone()),
             cold: ColdShares::new(rules.cold),
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -10,6 +10,8 @@
 use super::{
     accounts::{self, AccountPlace},
     attempt::Call,
+    ending::HELD_BACK,
+    endings,
     gateway::Gateway,
 };
 use crate::{
@@ -111,6 +113,14 @@
         let why = "configuration too old to trust keys";
         return Err(Refusal::new(ResultCode::ConfigTooOld, why));
     }
+    let account = holder.as_ref().map(|h| &h.account);
+    let fingerprint = fingerprint(&head, &body, &facts, account);
+    if let Some(held_for) = endings::held_back(cx, fingerprint) {
+        return Err(Refusal {
+            come_back: Some(held_for),
+            ..Refusal::new(ResultCode::HeldBack, HELD_BACK)
+        });
+    }
     let place = accounts::admit(cx, holder.as_ref())
         .map_err(|pause| over_limit(cx, id.as_deref(), pause))?;
     let hash = xxh3_64(id.as_deref().unwrap_or_default().as_bytes());
@@ -126,7 +136,6 @@
             .map_or_else(String::new, |h| h.account.to_string()),
         pool: service.to_string(),
     });
-    let account = holder.as_ref().map(|h| &h.account);
     let surge = account.map_or(Surge::None, |account| {
         let admission = &mut cx.dispatcher.borrow_mut().admission;
         admission.on_call(received, account)
@@ -147,7 +156,6 @@
         tried: Vec::new(),
         service,
     };
-    let fingerprint = fingerprint(&head, &body, &facts, account);
     let call = Call {
         fingerprint,
         hold_until: received + held_for(&facts, &route),
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -14,6 +14,7 @@
 use super::{
     attempt_end::AttemptEnd,
     conn::{Conn, NoConn},
+    endings,
     gateway::Gateway,
 };
 use crate::{
@@ -121,6 +122,13 @@
         };
         let (log, target) = (&self.cx.log, &self.ticket.target.id);
         self.cx.metrics.on_attempt(why);
+        match end {
+            end if end.is_break() => {
+                endings::on_broke_off(&self.cx, &self.ticket.target, &self.id, self.fingerprint);
+            }
+            end if end.is_answer() => endings::on_answered(&self.cx, self.fingerprint),
+            _ => {}
+        }
         self.span.note("outcome", why);
         self.cx.note(&self.id, || match outcome {
             Some(Outcome::Good) => Decision::Answered {
@@ -228,6 +236,10 @@
         if now >= call.hold_until {
             return Err(Failed::nowhere(AttemptEnd::NoTimeLeft));
         }
+        // Of what comes back at once and in numbers some calls wait here already.
+        if endings::held_back(cx, call.fingerprint).is_some() {
+            return Err(Failed::nowhere(AttemptEnd::HeldBack));
+        }
         let chosen = cx.dispatcher.borrow_mut().choose(now, &call.plan);
         let ticket = chosen.map_err(|no| match no {
             NoChoice::NoTarget => Failed::nowhere(AttemptEnd::NoTarget),
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -23,6 +23,8 @@
     AllCold,
     /// All targets stood in data halls that are evacuated.
     AllEvacuated,
+    /// Targets ended under the same request.
+    HeldBack,
     /// This router's connections to the target were all in use.
     ConnectionsAtLimit,
     /// The target refused a connection.
@@ -67,6 +69,7 @@
             Self::AllFull => "all targets full",
             Self::AllCold => "all targets cold",
             Self::AllEvacuated => "all targets evacuated",
+            Self::HeldBack => "held back",
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
             Self::Unreachable => "unreachable",
@@ -85,6 +88,19 @@
         }
     }
 
+    /// Whether it broke off as it does where the target ends under it.
+    pub(crate) fn is_break(self) -> bool {
+        matches!(
+            self,
+            Self::ConnectionBroke | Self::AnswerBrokeOff | Self::EventCutOff
+        )
+    }
+
+    /// Whether the target answered, well or not, and so outlived the call.
+    pub(crate) fn is_answer(self) -> bool {
+        matches!(self, Self::Answered | Self::TargetError)
+    }
+
     /// What it says of the target's health; `None` where it says nothing.
     pub(crate) fn outcome(self) -> Option<Outcome> {
         match self {
@@ -96,7 +112,8 @@
             | Self::NoTarget
             | Self::AllFull
             | Self::AllCold
-            | Self::AllEvacuated => None,
+            | Self::AllEvacuated
+            | Self::HeldBack => None,
             Self::ConnectionRefused
             | Self::Unreachable
             | Self::ClosedBefore
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -14,6 +14,7 @@
     attempt_end::AttemptEnd,
     body::AnswerBody,
     call::Whole,
+    endings,
     gateway::Gateway,
 };
 use crate::{
@@ -30,6 +31,9 @@
 /// When a caller that was refused may come back; by then another router gets it.
 const COME_BACK: Duration = Duration::from_millis(100);
 
+/// Why a call is refused under whose request targets ended.
+pub(super) const HELD_BACK: &str = "targets ended while they ran this request";
+
 /// Counts a call as in progress.
 struct InProgressGuard(Rc<Gateway>);
 
@@ -207,6 +211,7 @@
 ) -> Response<AnswerBody> {
     let (code, text) = match failed.end {
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
+        AttemptEnd::HeldBack => (ResultCode::HeldBack, HELD_BACK),
         AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
         _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
         end => (ResultCode::NoTarget, end.name()),
@@ -214,7 +219,10 @@
     ending.tell(End::coded(code, failed.end.name()), call.attempts);
     let no_room = matches!(code, ResultCode::Overloaded | ResultCode::TargetRefused);
     let is_shortage = no_room || failed.end == AttemptEnd::AllEvacuated;
-    let come_back = is_shortage.then(|| come_back(cx, call));
+    let come_back = match failed.end {
+        AttemptEnd::HeldBack => endings::held_back(cx, call.fingerprint),
+        _ => is_shortage.then(|| come_back(cx, call)),
+    };
     answer(cx, ending, code, text, come_back)
 }
 
--- /dev/null
+++ b/src/edge/endings.rs
@@ -0,0 +1,177 @@
+//! Attempts that broke off: finds out whether their target ended under them, and has what is held back for it
+//! entered in the store, where routers that start find it.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use slog::info;
+use tokio::sync::Notify;
+
+use super::{
+    conn::{Conn, NoConn},
+    gateway::Gateway,
+};
+use crate::{
+    discovery::{TargetRecord, TargetState},
+    fingerprint::Fingerprint,
+    ids::TargetId,
+    quarantine::{Change, HELD_FOR},
+    store::own,
+};
+
+/// The pause before an entry that was not taken is written again.
+const WRITE_AGAIN: Duration = Duration::from_millis(300);
+
+/// An attempt that broke off.
+struct BrokenOff {
+    call: String,
+    request: Fingerprint,
+}
+
+/// Attempts that broke off at targets that are being looked at.
+#[derive(Default)]
+pub(crate) struct Endings {
+    broken_off: RefCell<FxHashMap<TargetId, Vec<BrokenOff>>>,
+    /// Wakes who enters held requests in the store.
+    unsaved: Notify,
+}
+
+/// An attempt broke off. Whether its target ended shows a connection that is opened to it, one for all that broke
+/// off there: a target that lives accepts it, and it is used for the next call.
+pub(super) fn on_broke_off(
+    cx: &Rc<Gateway>,
+    target: &Rc<TargetRecord>,
+    call: &str,
+    request: Fingerprint,
+) {
+    let now = cx.now();
+    // A target that leaves ends anyhow.
+    let says_nothing = target.state == TargetState::Leaving
+        || !cx.dispatcher.borrow().quarantine.may_suspect(now, request);
+    if says_nothing {
+        return;
+    }
+    let mut broken_off = cx.endings.broken_off.borrow_mut();
+    let at_target = broken_off.entry(target.id.clone()).or_default();
+    at_target.push(BrokenOff {
+        call: call.to_owned(),
+        request,
+    });
+    if at_target.len() == 1 {
+        tokio::task::spawn_local(look_at(Rc::clone(cx), Rc::clone(target)));
+    }
+}
+
+async fn look_at(cx: Rc<Gateway>, target: Rc<TargetRecord>) {
+    let opened = cx.conns.open(&target.id, target.address, usize::MAX);
+    let opened = opened.await;
+    let broken_off = cx.endings.broken_off.borrow_mut().remove(&target.id);
+    let broken_off = broken_off.unwrap_or_default();
+    match opened {
+        Ok(conn) => keep(&cx, conn),
+        Err(NoConn::Refused) => on_ended(&cx, &target.id, &broken_off),
+        Err(NoConn::Unreachable | NoConn::AtLimit) => {
+            info!(cx.log, "not known whether a target ended"; "target" => %target.id,
+                "calls" => broken_off.len());
+        }
+    }
+}
+
+fn keep(cx: &Gateway, conn: Conn) {
+    cx.metrics.connections_opened.inc();
+    cx.conns.rest(cx.now(), conn, None);
+}
+
+fn on_ended(cx: &Gateway, target: &TargetId, broken_off: &[BrokenOff]) {
+    let now = cx.now();
+    cx.dispatcher
+        .borrow_mut()
+        .health
+        .outages
+        .on_refused(now, target.into());
+    for BrokenOff { call, request } in broken_off {
+        let change = {
+            let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+            quarantine.on_ending(now, *request, target.into())
+        };
+        info!(cx.log, "target ended under a call"; "id" => call, "fingerprint" => %request, "target" => %target,
+            "calls" => broken_off.len());
+        log_change(cx, *request, change, "targets ended here");
+        if change.is_some() {
+            cx.endings.unsaved.notify_one();
+        }
+    }
+}
+
+/// A target answered a call. A request that was held back is not, now that one of its calls was answered.
+pub(super) fn on_answered(cx: &Rc<Gateway>, request: Fingerprint) {
+    let now = cx.now();
+    let change = {
+        let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+        quarantine.on_answered(now, request)
+    };
+    if change.is_none() {
+        return;
+    }
+    log_change(cx, request, change, "a target answered");
+    let cx = Rc::clone(cx);
+    tokio::task::spawn_local(async move {
+        cx.metrics.on_store_call("held");
+        if let Err(e) = cx.store.remove(&own::held_key(request)).await {
+            info!(cx.log, "entry of a held request not removed"; "fingerprint" => %request, "why" => %e);
+        }
+    });
+}
+
+/// Whether a call's request is held back, and for how long.
+pub(super) fn held_back(cx: &Gateway, request: Fingerprint) -> Option<Duration> {
+    let now = cx.now();
+    let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+    let held_for = quarantine.held_for(now, request)?;
+    quarantine.on_refused(now, request);
+    if !quarantine.unsaved().is_empty() {
+        cx.endings.unsaved.notify_one();
+    }
+    Some(held_for)
+}
+
+/// Logs that a request is held back, or no longer is.
+pub(super) fn log_change(cx: &Gateway, request: Fingerprint, change: Option<Change>, why: &str) {
+    let verdict = match change {
+        None => return,
+        Some(Change::HeldBack) => "held back",
+        Some(Change::LetThrough) => "let through",
+    };
+    let dispatcher = cx.dispatcher.borrow();
+    let held = dispatcher.quarantine.held(cx.now()).count();
+    cx.metrics.held_requests.set(held as i64);
+    info!(cx.log, "request"; "fingerprint" => %request, "verdict" => verdict, "why" => why,
+        "held_back" => held, "suspects" => dispatcher.quarantine.suspect_count());
+}
+
+/// Enters requests that are held back in the store, under leases that end with the time that they are held.
+pub(super) async fn save(cx: Rc<Gateway>) {
+    loop {
+        let unsaved = cx.dispatcher.borrow().quarantine.unsaved();
+        if unsaved.is_empty() {
+            cx.endings.unsaved.notified().await;
+            continue;
+        }
+        for request in unsaved {
+            cx.metrics.on_store_call("held");
+            let key = own::held_key(request);
+            let by = cx.cfg.vm.to_string().into_bytes();
+            match cx.store.put_for(&key, by, HELD_FOR).await {
+                Ok(()) => {
+                    let now = cx.now();
+                    let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+                    quarantine.on_saved(now, request);
+                }
+                Err(e) => {
+                    info!(cx.log, "held request not entered"; "fingerprint" => %request, "why" => %e);
+                    tokio::time::sleep(WRITE_AGAIN).await;
+                }
+            }
+        }
+    }
+}
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -11,7 +11,7 @@
 
 use super::{
     GatewayConfig, Rules, accounts::Accounts, claim_keeper::ClaimKeeper, conn::ConnPool,
-    fleet::Fleet, metrics::Metrics,
+    endings::Endings, fleet::Fleet, metrics::Metrics,
 };
 use crate::{
     config::{
@@ -62,6 +62,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) accounts: Accounts,
     pub(crate) claims: ClaimKeeper,
+    pub(crate) endings: Endings,
     pub(crate) explain: ExplainRing,
     pub(crate) rules: Cell<Rules>,
     pub(crate) in_progress: Cell<usize>,
@@ -121,6 +122,7 @@
             fleet: Fleet::default(),
             accounts: Accounts::default(),
             claims: ClaimKeeper::new(Rc::clone(&store)),
+            endings: Endings::default(),
             explain: ExplainRing::new(cfg.explain_kept),
             conns: Rc::default(),
             metrics: Metrics::default(),
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accounts,
+    accounts, endings,
     gateway::Gateway,
     sums::{Rates, RatesDue, Sums},
 };
@@ -22,6 +22,7 @@
         peers::Heard,
     },
     prompt_cache::{News, PromptPart},
+    quarantine::Change,
     units::Instant,
 };
 
@@ -178,11 +179,12 @@
     }
 }
 
-/// Sends hints of prompts and of outages ahead of counts, if there are any.
+/// Sends hints of prompts, of outages and of requests under which targets ended ahead of counts, if there are any.
 fn send_hints(cx: &Gateway, udp: &UdpSocket) {
     let hints = news_of_prompts(cx);
     let outages = (cx.dispatcher.borrow_mut().health.outages).take_unannounced();
-    if hints.is_empty() && !outages {
+    let endings = (cx.dispatcher.borrow_mut().quarantine).take_unannounced();
+    if hints.is_empty() && !outages && !endings {
         return;
     }
     let mut told = datagram(cx, hints);
@@ -263,6 +265,7 @@
         suspected: cx.dispatcher.borrow().health.suspected_here(now),
         halls: Vec::new(),
         outages: cx.dispatcher.borrow().health.outages.notices(now),
+        endings: cx.dispatcher.borrow().quarantine.notices(now),
         heartbeats: Vec::new(),
         rates: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
@@ -329,6 +332,13 @@
     if let Some(vouch) = cx.peers.borrow().vouch(&told) {
         cx.freshness.borrow_mut().on_vouch(vouch);
     }
+    let held = {
+        let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+        quarantine.on_notices(now, &told.endings)
+    };
+    for request in held {
+        endings::log_change(cx, request, Some(Change::HeldBack), "peers told of endings");
+    }
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = told.store_back {
         let at = now.before(Duration::from_millis(u64::from(ago)));
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -9,12 +9,12 @@
 };
 
 use super::{
-    StopReport, follow,
+    StopReport, endings, follow,
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, prompts, stop,
     stop::Signals,
 };
-use crate::{Error, Result};
+use crate::{Error, Result, quarantine::Change};
 
 /// A gateway that listens and does not serve yet.
 pub struct Listening {
@@ -54,6 +54,7 @@
         spawn_local(follow::follow_store(Rc::clone(&cx)));
         spawn_local(prompts::announce(Rc::clone(&cx)));
         spawn_local(prompts::save(Rc::clone(&cx)));
+        spawn_local(endings::save(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::tell(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(tick(Rc::clone(&cx)));
@@ -101,6 +102,10 @@
         tokio::time::sleep(TICK).await;
         let now = cx.now();
         let gone = cx.dispatcher.borrow_mut().on_tick(now);
+        let let_through = cx.dispatcher.borrow_mut().quarantine.on_tick(now);
+        for request in let_through {
+            endings::log_change(&cx, request, Some(Change::LetThrough), "its time is over");
+        }
         for target in gone {
             cx.conns.forget(&target);
             info!(cx.log, "target"; "target" => %target, "verdict" => "gone", "why" => "still missing after the store's return");
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -46,6 +46,7 @@
     pub(crate) connections_opened: Counter,
     pub(crate) entries_unusable: Counter,
     pub(crate) halls_evacuated: Gauge,
+    pub(crate) held_requests: Gauge,
     pub(crate) datagrams_sent: Counter,
     pub(crate) datagram_bytes: Counter,
     pub(crate) claim_bytes: Counter,
@@ -73,6 +74,7 @@
             connections_opened: Counter::default(),
             entries_unusable: Counter::default(),
             halls_evacuated: Gauge::default(),
+            held_requests: Gauge::default(),
             datagrams_sent: Counter::default(),
             datagram_bytes: Counter::default(),
             claim_bytes: Counter::default(),
@@ -135,6 +137,11 @@
             "Data halls whose targets get nothing",
             evacuated,
         );
+        r.register(
+            "held_requests",
+            "Requests that are held back, as targets ended under them",
+            self.held_requests.clone(),
+        );
         let unusable = self.entries_unusable.clone();
         r.register(
             "entries_unusable",
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,6 +13,7 @@
 mod confirm;
 mod conn;
 mod ending;
+mod endings;
 mod fleet;
 mod follow;
 mod gateway;
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -4,7 +4,7 @@
 
 use slog::{info, warn};
 
-use super::{fleet, gateway::Gateway, prompts};
+use super::{endings, fleet, gateway::Gateway, prompts};
 use crate::{
     config::serving::ServingConfig,
     discovery::{ListChange, Verdict},
@@ -85,6 +85,21 @@
                 fleet::take_snapshot(cx, *snapshot);
             }
             Ok(OwnEntry::Change(change)) if cx.cfg.own_config => changes.push(*change),
+            Ok(OwnEntry::Held(request)) => {
+                let now = cx.now();
+                let change = {
+                    let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+                    quarantine.on_stored(now, request)
+                };
+                endings::log_change(cx, request, change, "the store says so");
+            }
+            Ok(OwnEntry::HeldGone(request)) => {
+                let change = {
+                    let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
+                    quarantine.on_removed(request)
+                };
+                endings::log_change(cx, request, change, "its entry is gone");
+            }
             Ok(_) => {}
             Err(why) => not_understood(cx, item, &why),
         }
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -1,13 +1,13 @@
 //! What tells two calls for the same thing from two other ones, whatever their ids: who asks for what,
 //! and with which body.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use hyper::Method;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::ids::ClientAccountId;
+use crate::ids::{ClientAccountId, IdError};
 
 /// A call's caller, host, method, path, query and body, as a hash; a caller's repeat has the same one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -54,3 +54,17 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+impl FromStr for Fingerprint {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        match u64::from_str_radix(s, 16) {
+            Ok(n) if s.len() == 16 => Ok(Self(n)),
+            _ => Err(IdError {
+                expected: "16 hexadecimal digits",
+                got: s.to_owned(),
+            }),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod placement;
 pub mod prompt_cache;
 pub mod prompt_snapshot;
+pub mod quarantine;
 mod reply;
 pub mod result_code;
 pub mod retry;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,6 +10,7 @@
     limits::{Demand, Grant},
     outages::OutageNotice,
     prompt_cache::PartId,
+    quarantine::EndingNotice,
     target_counts::{TargetCounts, TargetHash},
     units::{StoreRevision, Tokens},
 };
@@ -121,6 +122,8 @@
     pub rates: Vec<RateReport>,
     /// Targets that just broke off a call at once, at the sender or as it was told.
     pub outages: Vec<OutageNotice>,
+    /// Targets that ended under requests, found here or heard of.
+    pub endings: Vec<EndingNotice>,
     /// Targets that give the sender no answers.
     pub suspected: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -97,6 +97,8 @@
     NoConfig = 3008, 503, No, "no_config";
     /// What the router knows of the configuration is too old to trust a key by it.
     ConfigTooOld = 3009, 503, No, "config_too_old";
+    /// Targets ended under the request; it is held back from others.
+    HeldBack = 3010, 503, No, "held_back";
     /// The router is stopping and takes no new work.
     Draining = 3005, 503, No, "draining";
     /// No target that serves this can be reached.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -162,6 +162,8 @@
     ) -> StoreCall<'_, Swap>;
     /// Writes a key whatever it held before.
     fn put(&self, key: &str, value: Vec<u8>) -> StoreCall<'_, ()>;
+    /// Writes a key that goes after so long, whatever it held before; a call that is repeated begins anew.
+    fn put_for(&self, key: &str, value: Vec<u8>, lasts: Duration) -> StoreCall<'_, ()>;
     /// Writes a key under a lease of this router's own, or renews the lease; the key goes some
     /// time after the router does.
     fn keep(&self, key: &str, value: Vec<u8>) -> StoreCall<'_, ()>;
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -7,6 +7,7 @@
 use super::{PackedValue, StoreItem};
 use crate::{
     config::{Change, Snapshot},
+    fingerprint::Fingerprint,
     ids::{Revision, VmId},
 };
 
@@ -25,6 +26,9 @@
 /// What the keys of accepted changes begin with.
 pub const CHANGE_PREFIX: &str = "scaleford/config/change/";
 
+/// What the keys of requests that are held back begin with.
+const HELD: &str = "scaleford/held/";
+
 /// An entry that some router wrote.
 #[derive(Debug)]
 pub(crate) enum OwnEntry {
@@ -36,6 +40,10 @@
     Snapshot(Box<Snapshot>),
     /// An accepted change.
     Change(Box<Change>),
+    /// A request that is held back by all routers.
+    Held(Fingerprint),
+    /// One that no longer is.
+    HeldGone(Fingerprint),
     /// One that went, or that a later version writes.
     Other,
 }
@@ -45,6 +53,11 @@
     format!("{ROUTERS}{vm}")
 }
 
+/// The key under which a request is held back.
+pub(crate) fn held_key(request: Fingerprint) -> String {
+    format!("{HELD}{request}")
+}
+
 /// The key of a change; keys are in the order of changes.
 pub(crate) fn change_key(revision: Revision) -> String {
     format!("{CHANGE_PREFIX}{:012}", revision.0)
@@ -62,10 +75,17 @@
 }
 
 fn decode_value(name: &str, item: &StoreItem) -> Result<OwnEntry, String> {
+    let key = item.key.as_str();
+    if let Some(request) = key.strip_prefix(HELD) {
+        let request = request.parse().map_err(|e| format!("{name}: {e}"))?;
+        return Ok(match item.value {
+            Some(_) => OwnEntry::Held(request),
+            None => OwnEntry::HeldGone(request),
+        });
+    }
     let Some(packed) = &item.value else {
         return Ok(OwnEntry::Other);
     };
-    let key = item.key.as_str();
     match () {
         () if key.starts_with(ROUTERS) => {
             let text = String::from_utf8_lossy(&packed.unpack()?).into_owned();
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod placement;
 mod prompts;
+mod quarantine;
 mod routes;
 mod streams;
 mod targets;
--- /dev/null
+++ b/tests/decisions/quarantine.rs
@@ -0,0 +1,199 @@
+//! Which requests are held back, as targets ended under them.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use scaleford::{
+    fingerprint::Fingerprint,
+    ids::TargetId,
+    quarantine::{Change, HELD_FOR, Quarantine},
+    target_counts::TargetHash,
+    units::Instant,
+};
+
+const REQUEST: Fingerprint = Fingerprint(0xbad);
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn target(n: usize) -> TargetHash {
+    let id: TargetId = format!("t{n}").parse().unwrap();
+    TargetHash::from(&id)
+}
+
+/// One under which so many targets ended, a second apart.
+fn after_endings(n: usize) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for i in 0..n {
+        quarantine.on_ending(at(i as u64 * 1_000), REQUEST, target(i));
+    }
+    quarantine
+}
+
+#[rstest]
+#[case(2, false)]
+#[case(3, true)]
+fn the_third_target_that_ends_under_a_request_is_the_last(
+    #[case] ended: usize,
+    #[case] held: bool,
+) {
+    let quarantine = after_endings(ended);
+    assert_eq!(quarantine.held_for(at(3_000), REQUEST).is_some(), held);
+    assert_eq!(quarantine.unsaved().len(), usize::from(held));
+    assert!(quarantine.held_for(at(3_000), Fingerprint(1)).is_none());
+}
+
+/// A request ended a target through each of three routers, none of which saw more than one ending.
+#[test]
+fn endings_at_several_routers_are_one_count_in_whatever_order_they_are_heard_of() {
+    let mut routers: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
+    for (i, router) in routers.iter_mut().enumerate() {
+        router.on_ending(at(100), REQUEST, target(i));
+    }
+    // Each tells the others, also what it heard itself, and more than once.
+    for _ in 0..3 {
+        for from in 0..3 {
+            let told = routers[from].notices(at(150));
+            for to in (0..3).filter(|to| *to != from) {
+                routers[to].on_notices(at(160), &told);
+            }
+        }
+    }
+    for router in &routers {
+        assert!(router.held_for(at(200), REQUEST).is_some());
+        assert_eq!(router.suspect_count(), 1);
+    }
+}
+
+#[test]
+fn the_same_ending_told_twice_counts_once() {
+    let mut here = Quarantine::default();
+    here.on_ending(at(1_000), REQUEST, target(0));
+    let told = here.notices(at(1_050));
+    let mut there = Quarantine::default();
+    there.on_ending(at(1_020), REQUEST, target(0));
+    for later in 0..20 {
+        there.on_notices(at(1_060 + later), &told);
+    }
+    there.on_ending(at(1_030), REQUEST, target(1));
+    assert!(there.held_for(at(1_100), REQUEST).is_none());
+}
+
+/// A target that starts again under its name can end once more.
+#[test]
+fn endings_of_one_name_count_where_they_lie_apart() {
+    let mut quarantine = Quarantine::default();
+    for i in 0..3 {
+        quarantine.on_ending(at(i * 2_000), REQUEST, target(0));
+    }
+    assert!(quarantine.held_for(at(5_000), REQUEST).is_some());
+}
+
+/// In the play of the incident up to eight calls broke off beside the request each time.
+#[test]
+fn calls_beside_it_are_let_through() {
+    let mut quarantine = Quarantine::default();
+    let beside = |ending: u64, n: u64| Fingerprint(ending * 100 + n);
+    for ending in 0..20 {
+        let now = at(ending * 700);
+        quarantine.on_ending(now, REQUEST, target(ending as usize));
+        for n in 0..8 {
+            // Some of those that broke off before come back and meet another ending.
+            let again = ending.saturating_sub(u64::from(n < 2));
+            quarantine.on_ending(now, beside(again, n), target(ending as usize));
+        }
+    }
+    let now = at(20 * 700);
+    assert_eq!(quarantine.held(now).count(), 1);
+    assert!(quarantine.held_for(now, REQUEST).is_some());
+}
+
+/// Callers that all ask the same, at five targets that go down together for another reason.
+#[test]
+fn a_request_that_was_just_answered_is_not_suspected() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_answered(at(0), REQUEST);
+    for n in 0..5 {
+        quarantine.on_ending(at(1_000), REQUEST, target(n));
+    }
+    assert_eq!(quarantine.suspect_count(), 0);
+    assert!(quarantine.held_for(at(1_000), REQUEST).is_none());
+}
+
+#[test]
+fn an_answer_clears_a_request() {
+    let mut quarantine = after_endings(2);
+    assert_eq!(quarantine.on_answered(at(2_500), REQUEST), None);
+    quarantine.on_ending(at(3_000), REQUEST, target(3));
+    assert!(quarantine.held_for(at(3_000), REQUEST).is_none());
+
+    let mut quarantine = after_endings(3);
+    let change = quarantine.on_answered(at(3_500), REQUEST);
+    assert_eq!(change, Some(Change::LetThrough), "a call that still ran");
+    assert!(quarantine.held_for(at(3_500), REQUEST).is_none());
+}
+
+#[test]
+fn a_router_that_starts_takes_over_what_the_store_holds_back() {
+    let mut quarantine = Quarantine::default();
+    let change = quarantine.on_stored(at(0), REQUEST);
+    assert_eq!(change, Some(Change::HeldBack));
+    assert_eq!(quarantine.on_stored(at(10), REQUEST), None);
+    assert!(quarantine.unsaved().is_empty(), "another one entered it");
+    assert!(quarantine.held_for(at(20), REQUEST).is_some());
+    let change = quarantine.on_removed(REQUEST);
+    assert_eq!(change, Some(Change::LetThrough));
+    assert!(quarantine.held_for(at(30), REQUEST).is_none());
+}
+
+#[test]
+fn a_request_that_keeps_coming_stays_held_and_one_that_does_not_is_let_through() {
+    let mut quarantine = after_endings(3);
+    quarantine.on_saved(at(2_000), REQUEST);
+    let half = at(2_000) + HELD_FOR / 2;
+    quarantine.on_refused(half, REQUEST);
+    assert_eq!(quarantine.unsaved(), [REQUEST], "its entry is renewed");
+    quarantine.on_saved(half, REQUEST);
+    assert!(quarantine.on_tick(at(2_000) + HELD_FOR).is_empty());
+    let later = half + HELD_FOR;
+    assert_eq!(quarantine.on_tick(later), [REQUEST]);
+    assert!(quarantine.held_for(later, REQUEST).is_none());
+    assert_eq!(quarantine.suspect_count(), 0);
+}
+
+/// An operator removes the entry of a request that was mended.
+#[test]
+fn a_request_that_is_let_through_is_counted_anew() {
+    let mut quarantine = after_endings(3);
+    quarantine.on_removed(REQUEST);
+    quarantine.on_ending(at(4_000), REQUEST, target(7));
+    assert!(quarantine.held_for(at(4_000), REQUEST).is_none());
+}
+
+/// All that is remembered stays below some thousand entries, and what was suspected most often stays.
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut quarantine = after_endings(2);
+    for n in 0..20_000_u64 {
+        quarantine.on_ending(at(2_000 + n), Fingerprint(n + 10_000), target(n as usize));
+    }
+    assert!(quarantine.suspect_count() <= 2_048);
+    quarantine.on_ending(at(30_000), REQUEST, target(9));
+    assert!(quarantine.held_for(at(30_000), REQUEST).is_some());
+    for n in 0..20_000_u64 {
+        quarantine.on_stored(at(31_000 + n), Fingerprint(n));
+    }
+    assert!(quarantine.held(at(60_000)).count() <= 512);
+    assert!(quarantine.notices(at(22_000)).len() <= 48);
+    assert_eq!(quarantine.on_tick(at(60_000) + HELD_FOR).len(), 512);
+    assert_eq!(quarantine.suspect_count(), 0);
+}
+
+#[test]
+fn an_ending_is_announced_for_a_while_only() {
+    let quarantine = after_endings(1);
+    assert_eq!(quarantine.notices(at(1_000)).len(), 1);
+    let long = Duration::from_secs(3);
+    assert!(quarantine.notices(at(0) + long).is_empty());
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -130,6 +130,7 @@
             load: None,
             halls: Vec::new(),
             outages: Vec::new(),
+            endings: Vec::new(),
             heartbeats: Vec::new(),
             rates: Vec::new(),
             suspected: Vec::new(),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -54,6 +54,7 @@
         load: None,
         halls: Vec::new(),
         outages: Vec::new(),
+        endings: Vec::new(),
         heartbeats: Vec::new(),
         rates: Vec::new(),
         suspected: Vec::new(),
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -7,7 +7,10 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{Request, Response, body::Frame, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, task::{AbortHandle, JoinHandle}};
+use tokio::{
+    net::TcpListener,
+    task::{AbortHandle, JoinHandle},
+};
 
 /// A body, whole or streamed; an error cuts the connection.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
