--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -14,6 +14,7 @@
     endings::Endings, fleet::Fleet, metrics::Metrics,
 };
 use crate::{
+    clock::Clock,
     config::{
         freshness::Freshness,
         serving::{CallerLimits, ServingConfig},
@@ -38,6 +39,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The platform's store.
     pub store: Rc<dyn MetaStore>,
+    /// The time that its rules hang on.
+    pub clock: Clock,
     /// Spans of calls.
     pub spans: Spans,
     /// Where lines are logged.
@@ -81,7 +84,7 @@
     pub(crate) store_proven_at: Cell<Option<Instant>>,
     life: RefCell<RouterLife>,
     serving: RefCell<Rc<ServingConfig>>,
-    epoch: tokio::time::Instant,
+    pub(crate) clock: Clock,
     wall_epoch_ms: u64,
 }
 
@@ -92,6 +95,7 @@
             cfg,
             dialect,
             store,
+            clock,
             spans,
             log,
             flusher,
@@ -131,7 +135,7 @@
             recent_calls: Cell::new(0),
             datagram_count: Cell::new(0),
             adds_up: Cell::new(false),
-            epoch: tokio::time::Instant::now(),
+            clock,
             wall_epoch_ms,
             cfg,
             dialect,
@@ -193,12 +197,12 @@
 
     /// The time since the gateway began.
     pub(crate) fn now(&self) -> Instant {
-        Instant(self.epoch.elapsed())
+        self.clock.now()
     }
 
     /// The moment of tokio's clock that [`Self::now`] gives as `at`.
     pub(crate) fn tokio_time(&self, at: Instant) -> tokio::time::Instant {
-        self.epoch + at.0
+        self.clock.tokio_time(at)
     }
 
     /// Which life of this VM's router it is.
@@ -218,7 +222,7 @@
 
     /// Keeps a decision on a call for `explain`.
     pub(crate) fn note(&self, call: &str, decision: impl FnOnce() -> Decision) {
-        let at_ms = self.wall_epoch_ms + self.epoch.elapsed().as_millis() as u64;
+        let at_ms = self.wall_epoch_ms + self.now().0.as_millis() as u64;
         self.explain.record(at_ms, call, decision);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod admission;
 mod call_plan;
 pub mod claims;
+pub mod clock;
 pub mod config;
 pub mod dialect;
 pub mod discovery;
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -4,6 +4,7 @@
 
 use scaleford::{
     Settings,
+    clock::Clock,
     edge::{Gateway, GatewayParts, Signals, StopReport},
     ids::{Revision, VmId},
     log,
@@ -131,6 +132,7 @@
         cfg: cfg.gateway(),
         dialect: Rc::new(OpenAiDialect),
         store: Rc::new(PlatformStore::new(cfg.platform, Follows::Own)),
+        clock: Clock::system(&log),
         spans: Spans::on(None).expect("spans"),
         log,
         flusher,
