Ages, proofs, leases and deadlines count the time that a VM was suspended

Cause: all of them were taken from the steady clock, which stands still while a VM is suspended. The router's clock now adds what the clock that counts suspensions is ahead; calls that wait for an answer are woken within a tick after one. A key is refused until the configuration is proven anew, a call ends when its caller's time is over, a target is handed what is left.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,7 +3,7 @@
 //! The system's steady clock, by which timers fire, stands still while a VM is suspended. Ages, proofs, leases and deadlines
 //! taken from it would be too young by that time when the VM goes on.
 
-use std::{cell::Cell, time::Duration};
+use std::{cell::Cell, future::Future, time::Duration};
 
 use nix::time::{ClockId, clock_gettime};
 use slog::{Logger, warn};
@@ -14,6 +14,9 @@
 /// How long the VM was suspended since it began; grows only.
 pub type Suspended = Box<dyn Fn() -> Duration>;
 
+/// The shortest suspension that sleepers are woken for: timers are late by as much anyhow.
+const NOTICED: Duration = Duration::from_millis(20);
+
 /// A router's clock.
 pub struct Clock {
     epoch: tokio::time::Instant,
@@ -49,12 +52,51 @@
 
     /// The time since the clock began.
     pub fn now(&self) -> Instant {
-        Instant(self.epoch.elapsed())
+        Instant(self.epoch.elapsed() + self.suspended())
+    }
+
+    /// Ends at a moment, also where the VM is suspended until then.
+    pub async fn sleep_until(&self, at: Instant) {
+        loop {
+            let woken = self.woken.notified();
+            let now = self.now();
+            if now >= at {
+                return;
+            }
+            let timer = tokio::time::sleep(at.since(now));
+            // A timer that fires a little early, or a suspension before its end, leads to another look.
+            tokio::select! {
+                () = timer => {}
+                () = woken => {}
+            }
+        }
+    }
+
+    /// What a future comes to, or `None` if that takes until a moment.
+    pub async fn timeout_at<F: Future>(&self, at: Instant, future: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = self.sleep_until(at) => None,
+        }
+    }
+
+    /// Wakes who sleeps if the VM was suspended since the last call; returns for how long it was.
+    pub fn on_tick(&self) -> Option<Duration> {
+        let suspended = self.suspended();
+        let lately = suspended.saturating_sub(self.waiters_know.replace(suspended));
+        if lately < NOTICED {
+            return None;
+        }
+        self.woken.notify_waiters();
+        Some(lately)
     }
 
-    /// The moment of tokio's clock that [`Self::now`] gives as `at`, unless the VM is suspended before.
-    pub(crate) fn tokio_time(&self, at: Instant) -> tokio::time::Instant {
-        self.epoch + at.0
+    fn suspended(&self) -> Duration {
+        let lately = (self.suspended)().saturating_sub(self.suspended_at_epoch);
+        let longest = self.seen.get().max(lately);
+        self.seen.set(longest);
+        longest
     }
 }
 
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -51,7 +51,8 @@
     let Some(wait) = wait else {
         return;
     };
-    let came = tokio::time::timeout(wait, arrival).await.is_ok();
+    let until = cx.now() + wait;
+    let came = cx.clock.timeout_at(until, arrival).await.is_some();
     info!(cx.log, "waited for a configuration"; "id" => arrived.id.as_deref(), "came" => came,
         "waited_ms" => cx.now().since(arrived.received).as_millis() as u64);
 }
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -298,10 +298,10 @@
     let until = (now + patience).min(call.hold_until);
     call.attempts.on_sent();
     let sent = conn.sender.try_send_request(req);
-    let answer = tokio::time::timeout_at(cx.tokio_time(until), sent).await;
+    let answer = cx.clock.timeout_at(until, sent).await;
     let res = match answer {
-        Ok(Ok(res)) => res,
-        Ok(Err(mut e)) => {
+        Some(Ok(res)) => res,
+        Some(Err(mut e)) => {
             // A request that comes back was never written.
             let unsent = e.take_message().is_some();
             if let Some(rested) = conn.rested() {
@@ -315,11 +315,11 @@
             place.end(failed.end);
             return Err(failed);
         }
-        Err(_) if until >= call.hold_until => {
+        None if until >= call.hold_until => {
             place.end(AttemptEnd::TimeUp);
             return Err(Failed::may_have_run(AttemptEnd::TimeUp));
         }
-        Err(_) => {
+        None => {
             place.end(AttemptEnd::Silent);
             return Err(Failed::may_have_run(AttemptEnd::Silent));
         }
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -160,11 +160,12 @@
         return Ok(None);
     }
     let reading = Limited::new(incoming, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.body_time, reading).await {
-        Ok(Ok(body)) => Ok(Some(body.to_bytes())),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Ok(None),
-        Ok(Err(_)) => Err(NoBody::Cut),
-        Err(_) => Err(NoBody::Slow),
+    let until = cx.now() + limits.body_time;
+    match cx.clock.timeout_at(until, reading).await {
+        Some(Ok(body)) => Ok(Some(body.to_bytes())),
+        Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Ok(None),
+        Some(Err(_)) => Err(NoBody::Cut),
+        None => Err(NoBody::Slow),
     }
 }
 
@@ -268,17 +269,16 @@
         place,
     } = begun;
     let reading = Limited::new(body, ANSWER_LIMIT).collect();
-    let until = cx.tokio_time(call.hold_until);
-    let read = tokio::time::timeout_at(until, reading).await;
+    let read = cx.clock.timeout_at(call.hold_until, reading).await;
     let end = match &read {
-        Ok(Ok(_)) if head.status.is_server_error() => AttemptEnd::TargetError,
-        Ok(Ok(_)) => AttemptEnd::Answered,
-        Ok(Err(_)) => AttemptEnd::AnswerBrokeOff,
-        Err(_) => AttemptEnd::TimeUp,
+        Some(Ok(_)) if head.status.is_server_error() => AttemptEnd::TargetError,
+        Some(Ok(_)) => AttemptEnd::Answered,
+        Some(Err(_)) => AttemptEnd::AnswerBrokeOff,
+        None => AttemptEnd::TimeUp,
     };
     place.end(end);
     call.attempts.on_fate(Fate::Ran);
-    let Ok(Ok(collected)) = read else {
+    let Some(Ok(collected)) = read else {
         return Err(Failed {
             fate: Fate::Ran,
             end,
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -200,11 +200,6 @@
         self.clock.now()
     }
 
-    /// The moment of tokio's clock that [`Self::now`] gives as `at`.
-    pub(crate) fn tokio_time(&self, at: Instant) -> tokio::time::Instant {
-        self.clock.tokio_time(at)
-    }
-
     /// Which life of this VM's router it is.
     pub(crate) fn life_number(&self) -> Incarnation {
         Incarnation(self.wall_epoch_ms)
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -100,6 +100,9 @@
 async fn tick(cx: Rc<Gateway>) {
     loop {
         tokio::time::sleep(TICK).await;
+        if let Some(lately) = cx.clock.on_tick() {
+            warn!(cx.log, "suspended"; "for_ms" => lately.as_millis() as u64);
+        }
         let now = cx.now();
         let gone = cx.dispatcher.borrow_mut().on_tick(now);
         let let_through = cx.dispatcher.borrow_mut().quarantine.on_tick(now);
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -50,7 +50,7 @@
     let began = cx.now();
     info!(cx.log, "stop asked for"; "in_progress" => cx.in_progress.get());
     cx.on_life(RouterEvent::Stop);
-    tokio::time::sleep(cx.rules.get().serve_on).await;
+    cx.clock.sleep_until(began + cx.rules.get().serve_on).await;
     cx.on_life(RouterEvent::BalancerKnows);
     let in_progress = cx.in_progress.get() as u64;
     gossip::send_to_all(cx, udp, &[]);
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -59,17 +59,17 @@
                 Err(_) => return Next::Broken(AttemptEnd::EventTooLarge),
             }
             let frame = self.body.frame();
-            match tokio::time::timeout_at(cx.tokio_time(until), frame).await {
-                Err(_) => return Next::Broken(AttemptEnd::Silent),
-                Ok(Some(Err(_))) => return Next::Broken(AttemptEnd::AnswerBrokeOff),
-                Ok(Some(Ok(frame))) => {
+            match cx.clock.timeout_at(until, frame).await {
+                None => return Next::Broken(AttemptEnd::Silent),
+                Some(Some(Err(_))) => return Next::Broken(AttemptEnd::AnswerBrokeOff),
+                Some(Some(Ok(frame))) => {
                     let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
                     self.splitter.push(data);
                 }
-                Ok(None) if self.splitter.has_rest() => {
+                Some(None) if self.splitter.has_rest() => {
                     return Next::Broken(AttemptEnd::EventCutOff);
                 }
-                Ok(None) => return Next::End,
+                Some(None) => return Next::End,
             }
         }
     }
@@ -167,8 +167,7 @@
     place: Place,
 ) -> Result<Beginning, Failed> {
     call.attempts.on_fate(Fate::Ran);
-    let until = cx.tokio_time(call.hold_until);
-    let read = tokio::time::timeout_at(until, body.collect()).await;
+    let read = cx.clock.timeout_at(call.hold_until, body.collect()).await;
     let is_error = head.status.is_server_error();
     place.end(match is_error {
         true => AttemptEnd::TargetError,
@@ -179,7 +178,7 @@
             .attempts
             .may_go_on(call.route.kind, call.route.max_attempts);
     match read {
-        Ok(Ok(bytes)) if !again => Ok(Beginning::Whole(head, bytes.to_bytes())),
+        Some(Ok(bytes)) if !again => Ok(Beginning::Whole(head, bytes.to_bytes())),
         _ => Err(Failed {
             fate: Fate::Ran,
             end: AttemptEnd::TargetError,
