--- a/tests/load/cold_targets.rs
+++ b/tests/load/cold_targets.rs
@@ -41,6 +41,7 @@
         change: Some(Change { at_s: 4, ..change }),
         warm_up: Some(WARM_UP),
         fleet: Fleet::Whole,
+        crashes: None,
     }
 }
 
--- a/tests/load/lock_out.rs
+++ b/tests/load/lock_out.rs
@@ -28,6 +28,7 @@
     change: None,
     warm_up: None,
     fleet: Fleet::Whole,
+    crashes: None,
 };
 
 const CUT_OFF: Change = Change {
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -1,6 +1,7 @@
 //! Loads played in virtual time on the very decision types that the daemon runs.
 
 mod cold_targets;
+mod crashing;
 mod lock_out;
 mod model;
 mod overload;
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -1,6 +1,7 @@
 //! A model of callers, routers and targets in virtual time.
 
 mod changes;
+mod crashes;
 mod figures;
 mod load;
 mod target;
@@ -13,6 +14,8 @@
     time::Duration,
 };
 
+pub use crashes::Crashes;
+use crashes::{CRASHER, Crashed};
 use figures::Figures;
 pub use figures::Outcome;
 pub use load::{Change, Fleet, Load, Service};
@@ -25,6 +28,7 @@
     discovery::{TargetRecord, TargetState},
     dispatcher::{Dispatcher, Plan, Ticket},
     edge::Rules,
+    fingerprint::Fingerprint,
     health::Outcome as Health,
     ids::{DataHall, ServiceName},
     membership::{datagram::HallSums, heartbeats::VmHash},
@@ -65,6 +69,8 @@
     account: usize,
     prompt: u64,
     tries: u32,
+    /// Which request it is; a number of its own but for [`CRASHER`].
+    request: u64,
 }
 
 #[derive(Debug)]
@@ -77,6 +83,8 @@
     RoutersTell,
     TargetsChange,
     TargetsGo,
+    CrasherComes,
+    TargetReturns,
 }
 
 #[derive(Debug)]
@@ -104,6 +112,9 @@
     /// What hubs know of accounts, and when it was last told.
     rates_at_hubs: Option<HallRates>,
     rates_told: Instant,
+    crashed: Crashed,
+    /// Targets that started again.
+    starts: u64,
 }
 
 fn service() -> ServiceName {
@@ -189,9 +200,14 @@
             at_hubs: None,
             rates_at_hubs: None,
             rates_told: Instant::default(),
+            crashed: Crashed::default(),
+            starts: 0,
         };
         model.after(Duration::ZERO, Event::Arrives);
         model.after(model.tell_every(), Event::RoutersTell);
+        if let Some(crashes) = load.crashes {
+            model.after(crashes.from, Event::CrasherComes);
+        }
         if let Some(change) = load.change {
             let at = Duration::from_secs(change.at_s);
             model.after(at, Event::TargetsChange);
@@ -245,6 +261,8 @@
             Event::RoutersTell => self.on_tell(),
             Event::TargetsChange => self.on_targets_change(),
             Event::TargetsGo => self.on_targets_go(),
+            Event::CrasherComes => self.on_crasher(),
+            Event::TargetReturns => self.on_target_returns(),
         }
     }
 
@@ -270,6 +288,7 @@
             account,
             prompt: self.rng.random_range(0..load.prompts as u64),
             tries: 0,
+            request: self.count + 1,
         };
         let figures = self.figures_of(&call);
         figures.calls += 1;
@@ -278,7 +297,8 @@
     }
 
     fn on_call(&mut self, call: Call) {
-        let router = self.rng.random_range(0..self.routers.len());
+        let awake = self.awake();
+        let router = self.rng.random_range(awake);
         self.count += 1;
         let n = self.count;
         let account = format!("a{}", call.account).parse().unwrap();
@@ -294,12 +314,16 @@
 
     /// Sends a call to a target, or on to another one that it was not sent to yet.
     fn choose(&mut self, n: u64, call: Call, router: usize, plan: Plan) {
+        if self.holds_back(router, &call) {
+            return;
+        }
         let chosen = match plan.tried.len() {
             ATTEMPTS.. => Err(NoChoice::NoTarget),
             _ => self.routers[router].choose(self.now, &plan),
         };
         match chosen {
             Ok(ticket) => self.send(n, call, router, ticket, plan),
+            Err(_) if call.request == CRASHER => {}
             Err(_) if call.tries == 1 => {
                 self.figures_of(&call).refused_first += 1;
                 let left = self.load.deadline.saturating_sub(self.now.since(call.at));
@@ -318,6 +342,9 @@
         let source = ticket.fetch_from.as_deref().map(index);
         let is_above = self.is_above(target);
         self.targets[target].note_arrival(self.now);
+        if call.request == CRASHER {
+            self.crashed.sent.push(self.now);
+        }
         let figures = self.figures_now();
         figures.sent += 1;
         figures.sent_above += u64::from(is_above);
@@ -395,6 +422,10 @@
             // Its target was lost.
             return;
         };
+        if sent.call.request == CRASHER {
+            let target = sent.target;
+            return self.on_target_ends(target);
+        }
         self.routers[sent.router].on_first_event(now, &mut sent.ticket);
         let call = sent.call;
         let figures = self.figures_of(&call);
@@ -415,7 +446,10 @@
         let Some(sent) = self.sent.remove(&n) else {
             return;
         };
-        self.routers[sent.router].on_end(self.now, &sent.ticket, Some(Health::Good));
+        let request = Fingerprint(sent.call.request);
+        let router = &mut self.routers[sent.router];
+        router.on_end(self.now, &sent.ticket, Some(Health::Good));
+        router.quarantine.on_answered(self.now, request);
         if let Some(next) = self.targets[sent.target].on_end(n) {
             self.begin(next);
         }
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -4,6 +4,8 @@
 
 use scaleford::admission::warm_up::WarmUp;
 
+use super::crashes::Crashes;
+
 /// A load to play.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -29,6 +31,8 @@
     /// What cold targets bear; `None` where nothing is asked of that.
     pub warm_up: Option<WarmUp>,
     pub fleet: Fleet,
+    /// A request that ends targets; `None` where none does.
+    pub crashes: Option<Crashes>,
 }
 
 /// What routers know of one another.
--- a/tests/load/model/telling.rs
+++ b/tests/load/model/telling.rs
@@ -57,6 +57,7 @@
             .iter_mut()
             .map(|d| d.cache.take_news(60, false));
         let news: Vec<_> = news.flatten().collect();
+        self.tell_endings();
         for router in &mut self.routers {
             router.load.on_halls(now, sums.clone());
             router.health.outages.on_notices(now, &notices);
--- a/tests/load/overload.rs
+++ b/tests/load/overload.rs
@@ -28,6 +28,7 @@
     change: None,
     warm_up: None,
     fleet: Fleet::Whole,
+    crashes: None,
 };
 
 /// The targets can answer a third of such a surge and five sixths of a smaller one, new calls and those
--- a/tests/load/stale_counts.rs
+++ b/tests/load/stale_counts.rs
@@ -33,6 +33,7 @@
     change: None,
     warm_up: None,
     fleet: Fleet::Whole,
+    crashes: None,
 };
 
 const ENGINES: Load = Load {
