Routers that start hold back what the store holds; status names it

A test restarts the whole fleet after a request was held back: no further engine ends, and calls beside it are answered. An operator lets a request through by removing its entry. status lists held requests with the time that is left.

--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -39,6 +39,7 @@
     routers: Vec<Member>,
     targets: Vec<TargetStatus>,
     evacuated: Vec<EvacuatedHall>,
+    held_back: Vec<HeldRequest>,
 }
 
 /// A data hall whose targets get nothing.
@@ -49,6 +50,14 @@
     for_ms: u64,
 }
 
+/// A request that is sent to no target, as targets ended under it.
+#[derive(Serialize)]
+struct HeldRequest {
+    fingerprint: String,
+    /// How long it still is, in milliseconds.
+    for_ms: u64,
+}
+
 /// A target as one router sees it.
 #[derive(Serialize)]
 struct TargetStatus {
@@ -102,6 +111,7 @@
         routers,
         targets: targets(cx),
         evacuated: evacuated(cx),
+        held_back: held_back(cx),
     }
 }
 
@@ -116,6 +126,18 @@
     shown.collect()
 }
 
+fn held_back(cx: &Gateway) -> Vec<HeldRequest> {
+    let dispatcher = cx.dispatcher.borrow();
+    let held = dispatcher.quarantine.held(cx.now());
+    let shown = held.map(|(request, held_for)| HeldRequest {
+        fingerprint: request.to_string(),
+        for_ms: held_for.as_millis() as u64,
+    });
+    let mut shown: Vec<HeldRequest> = shown.collect();
+    shown.sort_by(|a, b| a.fingerprint.cmp(&b.fingerprint));
+    shown
+}
+
 /// The phase, or that there is nothing to serve yet.
 pub(super) fn state(cx: &Gateway) -> &'static str {
     match cx.phase() {
--- a/tests/crashing_calls.rs
+++ b/tests/crashing_calls.rs
@@ -9,12 +9,15 @@
 use support::{
     caller::chat_body,
     engine::{Fault, expected},
-    fleet::{Fleet, MODEL, Plan},
+    fleet::{Fleet, MODEL, Plan, status},
 };
 
 /// What ends an engine that reads it.
 const CRASHES: &str = "the lot that nobody can describe";
 
+/// What the keys of requests that are held back begin with.
+const HELD: &str = "scaleford/held/";
+
 /// Targets that one request may end in all: three, and three more before all routers know.
 const ENDED_AT_MOST: usize = 6;
 
@@ -76,3 +79,68 @@
     assert_eq!((held_back.status, held_back.ran.as_str()), (503, "no"));
     assert!(held_back.retry_after);
 }
+
+/// What is held back outlasts all routers, as it stands in the store: without that each start of the fleet would cost three
+/// more engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_that_start_hold_back_what_is_entered_in_the_store() {
+    let plan = Plan {
+        routers: 2,
+        engines: 8,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(plan).await;
+    let fault = Fault::EndOn(CRASHES);
+    fleet.engines.iter().for_each(|e| e.set_fault(fault));
+    let entered = |fleet: &Fleet| fleet.store.keys_below(HELD);
+    while entered(&fleet).is_empty() {
+        fleet
+            .caller
+            .chat(fleet.callers_at(0), &question(CRASHES))
+            .await;
+        until_told(&fleet).await;
+    }
+    fleet.routers.clear();
+    for i in 0..2 {
+        let router = fleet.start_router(i).await;
+        fleet.routers.push(Some(router));
+    }
+    fleet.wait_ready().await;
+    let ended = |fleet: &Fleet| fleet.engines.iter().filter(|e| e.has_ended()).count();
+    let before = ended(&fleet);
+    for i in 0..2 {
+        let answer = fleet
+            .caller
+            .chat(fleet.callers_at(i), &question(CRASHES))
+            .await;
+        assert_eq!(
+            (answer.status, answer.code, answer.ran.as_str()),
+            (503, 3010, "no")
+        );
+        let status = status(fleet.operators_at(i)).await;
+        assert_eq!(status["held_back"].as_array().unwrap().len(), 1, "{status}");
+        let innocent = question("another one");
+        assert!(
+            fleet
+                .caller
+                .chat(fleet.callers_at(i), &innocent)
+                .await
+                .finished
+        );
+    }
+    assert_eq!(ended(&fleet), before);
+    // An operator who has mended what ended them removes the entry.
+    fleet.engines.iter().for_each(|e| e.set_fault(Fault::None));
+    for key in entered(&fleet) {
+        fleet.store.remove(&key);
+    }
+    let mut answers = Vec::new();
+    while answers.last() != Some(&200) {
+        let answer = fleet
+            .caller
+            .chat(fleet.callers_at(1), &question(CRASHES))
+            .await;
+        answers.push(answer.status);
+    }
+    assert!(answers.iter().all(|status| [200, 503].contains(status)));
+}
