--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -365,3 +365,30 @@
     reborn.number = 3;
     assert_eq!(hear(&mut seen, at(1_300), &reborn), Heard::Known);
 }
+
+/// A router whose VM stood still for ten seconds took all its peers for dead when it went on, as it had heard of none: until their next
+/// datagrams it had the whole fleet's budget of repeats and looked after everything alone. Found by reading; this test settled it: 1 of 7 routers
+/// was alive to it.
+#[test]
+fn a_router_that_was_absent_does_not_take_its_peers_for_dead() {
+    let mut seen = fleet(7, at(0)).swap_remove(0);
+    let tick = 100;
+    for ms in (0..1_000).step_by(tick) {
+        seen.on_tick(at(ms));
+    }
+    let gone_on = 11_000;
+    seen.on_tick(at(gone_on));
+    assert_eq!(seen.alive(at(gone_on)), 7);
+    assert!(seen.share(at(gone_on), 10) < 0.6);
+    // Those that it hears nothing of then are dead as ever.
+    hear(&mut seen, at(gone_on + 50), &datagram(1, 2));
+    for ms in (gone_on..gone_on + 900).step_by(tick) {
+        seen.on_tick(at(ms));
+    }
+    let later = gone_on + 4_000;
+    hear(&mut seen, at(later), &datagram(1, 3));
+    for ms in (gone_on + 900..later).step_by(tick) {
+        seen.on_tick(at(ms));
+    }
+    assert_eq!(seen.alive(at(later)), 2);
+}
