--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -10,7 +10,7 @@
 use super::{
     accounts::{self, AccountPlace},
     attempt::Call,
-    ending::HELD_BACK,
+    ending::{Ending, HELD_BACK},
     endings,
     gateway::Gateway,
 };
@@ -82,10 +82,11 @@
 /// streams.
 const USUAL_PATIENCE: Duration = Duration::from_millis(2_500);
 
-/// Takes a call in, or says why not.
+/// Takes a call in, or says why not; notes which request it is.
 pub(crate) fn admit(
     cx: &Rc<Gateway>,
     arrived: Arrived,
+    ending: &mut Ending,
 ) -> Result<(Call, Option<AccountPlace>), Refusal> {
     let config = cx.serving().ok_or_else(|| no_config(cx, &arrived))?;
     let Arrived {
@@ -116,6 +117,7 @@
     }
     let account = holder.as_ref().map(|h| &h.account);
     let fingerprint = fingerprint(&head, &body, &facts, account);
+    ending.fingerprint = Some(fingerprint);
     if let Some(held_for) = endings::held_back(cx, fingerprint) {
         return Err(Refusal {
             come_back: Some(held_for),
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -75,12 +75,11 @@
         received,
     };
     await_config(cx, &arrived).await;
-    let (call, place) = match admit(cx, arrived) {
+    let (call, place) = match admit(cx, arrived, &mut ending) {
         Ok(admitted) => admitted,
         Err(refusal) => return Ok(refuse(cx, &ending, refusal)),
     };
     ending.route.clone_from(&call.route.name);
-    ending.fingerprint = Some(call.fingerprint);
     ending.hold(place);
     Ok(match () {
         () if call.route.claimed => once::serve_once(cx, call, ending).await,
