--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -16,6 +16,7 @@
     conn::{Conn, NoConn},
     endings,
     gateway::Gateway,
+    place::Place,
 };
 use crate::{
     config::serving::{KeyHolder, Route},
@@ -23,10 +24,8 @@
     dispatcher::{Plan, Ticket},
     explain::Decision,
     fingerprint::Fingerprint,
-    health::Outcome,
     ids::TargetId,
     placement::choice::NoChoice,
-    prompt_cache::PartId,
     retry::{Attempts, Fate},
     spans::HopSpan,
     units::{Instant, Rank},
@@ -74,93 +73,6 @@
     }
 }
 
-/// A place at a target that is given back when it ends, however it ends.
-pub(crate) struct Place {
-    cx: Rc<Gateway>,
-    ticket: Ticket,
-    id: String,
-    fingerprint: Fingerprint,
-    shared_part: Option<PartId>,
-    began: Instant,
-    ended: bool,
-    span: HopSpan,
-}
-
-impl Place {
-    /// The attempt ended in a way that tells the target's health.
-    pub(crate) fn end(mut self, end: AttemptEnd) {
-        self.finish(end);
-    }
-
-    /// The first event came.
-    pub(crate) fn on_first_event(&mut self) {
-        let now = self.cx.now();
-        let mut dispatcher = self.cx.dispatcher.borrow_mut();
-        dispatcher.on_first_event(now, &mut self.ticket);
-    }
-
-    /// A further event came.
-    pub(crate) fn on_event(&self) {
-        let mut dispatcher = self.cx.dispatcher.borrow_mut();
-        dispatcher
-            .health
-            .on_activity(self.cx.now(), &self.ticket.target.id);
-    }
-
-    /// The target's name.
-    pub(crate) fn target(&self) -> &TargetId {
-        &self.ticket.target.id
-    }
-
-    fn finish(&mut self, end: AttemptEnd) {
-        let (outcome, why) = (end.outcome(), end.name());
-        self.ended = true;
-        let now = self.cx.now();
-        let standing = {
-            let mut dispatcher = self.cx.dispatcher.borrow_mut();
-            dispatcher.on_end(now, &self.ticket, outcome)
-        };
-        let (log, target) = (&self.cx.log, &self.ticket.target.id);
-        self.cx.metrics.on_attempt(why);
-        match end {
-            end if end.is_break() => {
-                endings::on_broke_off(&self.cx, &self.ticket.target, &self.id, self.fingerprint);
-            }
-            end if end.is_answer() => endings::on_answered(&self.cx, self.fingerprint),
-            _ => {}
-        }
-        self.span.note("outcome", why);
-        self.cx.note(&self.id, || match outcome {
-            Some(Outcome::Good) => Decision::Answered {
-                target: target.clone(),
-            },
-            _ => Decision::Failed {
-                target: target.clone(),
-                why: why.to_owned(),
-            },
-        });
-        info!(log, "attempt"; "id" => &self.id, "fingerprint" => %self.fingerprint, "target" => %target, "outcome" => why,
-            "took_ms" => now.since(self.began).as_millis() as u64,
-            "calls_there" => self.ticket.calls,
-            "counted_ms_ago" => self.ticket.counted_ago.as_millis() as u64, "tokens_missing" => self.ticket.missing.0,
-            "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.holds,
-            "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
-            "began_ms" => self.began.0.as_millis() as u64,
-            "standing" => ?self.ticket.standing, "warmth" => ?self.ticket.warmth);
-        if let Some(standing) = standing {
-            info!(log, "standing"; "target" => %target, "standing" => ?standing, "id" => &self.id, "why" => why);
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.finish(AttemptEnd::Abandoned);
-        }
-    }
-}
-
 /// An answer that has begun: its head is sound, its body is yet to come.
 pub(crate) struct Begun {
     pub(crate) head: response::Parts,
@@ -251,16 +163,7 @@
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
         cx.metrics.on_choice(ticket.counted_ago);
         call.plan.tried.push(target.id.clone());
-        let place = Place {
-            cx: Rc::clone(cx),
-            ticket,
-            id: call.id().to_owned(),
-            fingerprint: call.fingerprint,
-            shared_part: call.plan.shared_parts().last().map(|p| p.id),
-            began: now,
-            ended: false,
-            span: cx.spans.hop("target", call.id(), &call.head.headers),
-        };
+        let place = Place::new(cx, call, now, ticket);
         cx.note(call.id(), || Decision::Tried {
             target: target.id.clone(),
             calls: place.ticket.calls,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -25,6 +25,7 @@
 mod once;
 mod operators;
 mod peer_calls;
+mod place;
 mod prompts;
 mod stop;
 mod stream;
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -7,12 +7,13 @@
 use hyper::{Response, StatusCode, body::Incoming, http::response};
 
 use super::{
-    attempt::{Begun, Call, Failed, Place, attempt},
+    attempt::{Begun, Call, Failed, attempt},
     attempt_end::AttemptEnd,
     body::{AnswerBody, BrokeOff, EventSender},
     call::{keep, may_repeat, patience, strip_connection_headers},
     ending::{End, Ending, finish, give_up, pass_on},
     gateway::Gateway,
+    place::Place,
 };
 use crate::{
     ResultCode,
