--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -337,7 +337,12 @@
         quarantine.on_notices(now, &told.endings)
     };
     for request in held {
-        endings::log_change(cx, request, Some(Change::HeldBack), "peers told of endings");
+        endings::log_change(
+            cx,
+            request,
+            Some(Change::HeldBack),
+            "endings announced by peers",
+        );
     }
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = told.store_back {
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -91,7 +91,7 @@
                     let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
                     quarantine.on_stored(now, request)
                 };
-                endings::log_change(cx, request, change, "the store says so");
+                endings::log_change(cx, request, change, "entered in the store");
             }
             Ok(OwnEntry::HeldGone(request)) => {
                 let change = {
