--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -13,8 +13,8 @@
 
 use crate::{fingerprint::Fingerprint, target_counts::TargetHash, units::Instant};
 
-/// Targets that have to end under a request for it to be held back: the users' rule allows three. With two, of the calls
-/// beside one that ended 17 targets in 14 s, three would have been held back as well (counted from the lines of attempts).
+/// Targets that have to end under a request for it to be held back: the users' rule allows three. With two, three calls
+/// beside such requests would have been held back as well (of the lines of attempts kept of a day with some sixty endings).
 const ENDED: usize = 3;
 
 /// How long a request is held back after it was last found to come, and an ending counts. The longest lease of
