--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -15,6 +15,7 @@
     load_account::ReportedLoad,
     prompt_cache::PromptPart,
     units::{Rank, Tokens},
+    withdrawals::Withdrawal,
 };
 
 /// What a caller says of its call.
@@ -131,6 +132,8 @@
     pub keep_alive: Option<Duration>,
     /// The target closes the connection after this answer.
     pub closing: bool,
+    /// The target wants no calls, for good or for a while.
+    pub withdrawal: Option<Withdrawal>,
 }
 
 /// What a router tells of itself on the callers' port.
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -192,7 +192,7 @@
 async fn send(
     cx: &Rc<Gateway>,
     call: &mut Call,
-    place: Place,
+    mut place: Place,
     mut conn: Conn,
     patience: Duration,
 ) -> Result<Begun, Failed> {
@@ -233,6 +233,7 @@
         let mut dispatcher = cx.dispatcher.borrow_mut();
         dispatcher.load.on_report(cx.now(), place.target(), load);
     }
+    place.on_head(&facts);
     let begun = Begun {
         head,
         body,
--- a/src/edge/place.rs
+++ b/src/edge/place.rs
@@ -6,8 +6,9 @@
 
 use super::{attempt::Call, attempt_end::AttemptEnd, endings, gateway::Gateway};
 use crate::{
-    dispatcher::Ticket, explain::Decision, fingerprint::Fingerprint, health::Outcome,
-    ids::TargetId, prompt_cache::PartId, spans::HopSpan, units::Instant,
+    dialect::AnswerFacts, dispatcher::Ticket, explain::Decision, fingerprint::Fingerprint,
+    health::Outcome, ids::TargetId, prompt_cache::PartId, spans::HopSpan, units::Instant,
+    withdrawals::Withdrawal,
 };
 
 /// A place at a target that is given back when it ends, however it ends.
@@ -18,6 +19,8 @@
     fingerprint: Fingerprint,
     shared_part: Option<PartId>,
     began: Instant,
+    /// What the head of its answer said of the target beside the call.
+    withdrawal: Option<Withdrawal>,
     ended: bool,
     pub(crate) span: HopSpan,
 }
@@ -32,6 +35,7 @@
             fingerprint: call.fingerprint,
             shared_part: call.plan.shared_parts().last().map(|p| p.id),
             began: now,
+            withdrawal: None,
             ended: false,
             span: cx.spans.hop("target", call.id(), &call.head.headers),
         }
@@ -42,6 +46,11 @@
         self.finish(end);
     }
 
+    /// The head of its answer came.
+    pub(crate) fn on_head(&mut self, facts: &AnswerFacts) {
+        self.withdrawal = facts.withdrawal;
+    }
+
     /// The first event came.
     pub(crate) fn on_first_event(&mut self) {
         let now = self.cx.now();
@@ -100,6 +109,7 @@
             "counted_ms_ago" => self.ticket.counted_ago.as_millis() as u64, "tokens_missing" => self.ticket.missing.0,
             "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.holds,
             "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
+            "withdrawal" => self.withdrawal.map(Withdrawal::name), "backoff_ms" => self.withdrawal.and_then(Withdrawal::backoff).map(|b| b.as_millis() as u64),
             "began_ms" => self.began.0.as_millis() as u64,
             "standing" => ?self.ticket.standing, "warmth" => ?self.ticket.warmth);
         if let Some(standing) = standing {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -19,7 +19,7 @@
 }
 
 impl IdError {
-    fn new(expected: &'static str, got: &str) -> Self {
+    pub(crate) fn new(expected: &'static str, got: &str) -> Self {
         Self {
             expected,
             got: got.chars().take(MAX_NAME).collect(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod target_counts;
 mod target_record;
 pub mod units;
+pub mod withdrawals;
 
 pub use error::{Error, Result};
 pub use result_code::ResultCode;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -23,6 +23,7 @@
     prompt_cache::{PartId, PromptPart},
     reply,
     units::{Priority, Rank, Tokens},
+    withdrawals::Withdrawal,
 };
 
 /// Characters that make a token, about.
@@ -41,6 +42,8 @@
 const ATTEMPT: HeaderName = HeaderName::from_static("x-request-attempt");
 /// By which a target says that it did not run a call.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// By which a target says in any answer that it leaves, with the value `1`.
+const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
 
 /// Headers of callers that no target needs to see.
 const PRIVATE: [HeaderName; 3] = [
@@ -152,9 +155,14 @@
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
         let says_not_run = status.as_u16() >= 400 && headers.contains_key(&NOT_RUN);
         let closing = headers.get(header::CONNECTION);
+        let turned_away = matches!(status.as_u16(), 429 | 503);
+        let retry_after = headers.get(header::RETRY_AFTER);
+        let leaving = headers.get(LEAVING).is_some_and(|v| v == "1");
+        let backoff = retry_after.and_then(|v| v.to_str().ok()?.trim().parse().ok());
         AnswerFacts {
             sealed: true,
             refused: says_not_run.then_some(Refused::ByTarget),
+            withdrawal: Withdrawal::said(leaving, backoff.filter(|_| turned_away)),
             closing: closing.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close")),
             ..AnswerFacts::default()
         }
