What a target says of itself in an answer decides: it leaves, or wants no calls for a while

Cause: heads of answers were read for the call they end, never for the target; its leaving was known from its entry alone, which can't say so while the store is away, and a refusal counted for 60 ms whatever time it named.

Change: withdrawals.rs remembers by life of the target what it said (for good, or until a time), the dispatcher offers none of these, also where no other has room; a call whose connection was being opened meanwhile goes elsewhere; where none is left callers are refused at once with the soonest end. 421s of others and successes without a signature say nothing.

Ruled out as places: the list of targets (an entry that comes back as ready would put the target in again), health (its pauses give way where no other target has room).

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -136,6 +136,14 @@
     pub withdrawal: Option<Withdrawal>,
 }
 
+impl AnswerFacts {
+    /// Whether an answer with this status may be passed on as the target's own: of a success it has to vouch for
+    /// the very bytes.
+    pub fn is_targets(&self, status: StatusCode) -> bool {
+        !status.is_success() || (self.sealed && !self.encoded)
+    }
+}
+
 /// What a router tells of itself on the callers' port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Page {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -23,6 +23,7 @@
     retry::RetryBudget,
     target_counts::InProgress,
     units::{Instant, Tokens},
+    withdrawals::Withdrawals,
 };
 
 /// Tokens of memory that a model engine is taken to have where its service does not say.
@@ -88,6 +89,8 @@
     pub load: LoadAccount,
     /// Which to avoid.
     pub health: Health,
+    /// Which want no calls, as they said themselves.
+    pub withdrawals: Withdrawals,
     /// Which have read what.
     pub cache: PromptCache,
     /// Which requests end the targets that run them.
@@ -113,6 +116,7 @@
             discovery: Discovery::default(),
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
+            withdrawals: Withdrawals::default(),
             cache: PromptCache::default(),
             quarantine: Quarantine::default(),
             budget: RetryBudget::new(rules.budget),
@@ -133,10 +137,14 @@
 
     /// Chooses a target and takes a place there; [`Self::on_end`] gives the place back.
     pub fn choose(&mut self, now: Instant, plan: &Plan) -> Result<Ticket, NoChoice> {
-        let targets = self.discovery.serving(&plan.service);
+        let serving = self.discovery.serving(&plan.service);
+        // No call follows what a target said in an answer: 151 of 444 attempts within 7 s went in vain to three of nine
+        // targets that had asked for time, and went on to one that left for 12 s (log lines of attempts).
+        let targets = self.withdrawals.without(now, serving);
         if targets.is_empty() {
             return Err(self.no_target(now, &plan.service));
         }
+        let targets = &targets;
         if !(self.admission).lets_in(now, &plan.service, plan.surge, plan.draw()) {
             self.admission.on_refused(now, &plan.service);
             return Err(NoChoice::AllFull);
@@ -151,7 +159,7 @@
         };
         let first = plan.chat.and_then(|chat| first_choice(targets, chat));
         let expected = first.filter(|_| !self.is_known_somewhere(targets, plan));
-        let offer = |t| self.offer(now, t, plan, &reach, expected);
+        let offer = |t: &&Rc<TargetRecord>| self.offer(now, t, plan, &reach, expected);
         let mut offers: Vec<Offer> = targets.iter().map(offer).collect();
         if let Some(warm_up) = plan.warm_up.filter(|_| self.discovery.may_be_cold()) {
             for (offer, target) in offers.iter_mut().zip(targets) {
@@ -177,7 +185,7 @@
         };
         let chosen = choose(&offers, &wanted);
         let i = chosen.inspect_err(|_| self.admission.on_refused(now, &plan.service))?;
-        let (target, offer) = (Rc::clone(&targets[i]), &offers[i]);
+        let (target, offer) = (Rc::clone(targets[i]), &offers[i]);
         let ticket = Ticket {
             target,
             work: InProgress::one(offer.missing + plan.answer),
@@ -249,11 +257,23 @@
 
     /// Why a service has no target; a shortage begins where that is for a while only.
     fn no_target(&mut self, now: Instant, service: &ServiceName) -> NoChoice {
-        if !self.discovery.is_evacuated(service) {
-            return NoChoice::NoTarget;
-        }
+        let serving = self.discovery.serving(service);
+        let no = match self.withdrawals.none_of(now, serving) {
+            Some(no) if !serving.is_empty() => no,
+            _ if self.discovery.is_evacuated(service) => NoChoice::AllEvacuated,
+            _ => return NoChoice::NoTarget,
+        };
         self.admission.on_refused(now, service);
-        NoChoice::AllEvacuated
+        no
+    }
+
+    /// How long until the first target of a service wants calls again, where none wants some now.
+    pub fn backoff_left(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
+        let serving = self.discovery.serving(service);
+        match self.withdrawals.none_of(now, serving)? {
+            NoChoice::AllBackedOff { left } => Some(left),
+            _ => None,
+        }
     }
 
     /// `is_first` tells whether peers expect the chat at this target; else they are told of it.
@@ -289,9 +309,9 @@
 
     /// Whether some target is known to have read what was said in the chat; where none is, its first
     /// choice is taken to have.
-    fn is_known_somewhere(&self, targets: &[Rc<TargetRecord>], plan: &Plan) -> bool {
+    fn is_known_somewhere(&self, targets: &[&Rc<TargetRecord>], plan: &Plan) -> bool {
         let new = plan.new_tokens();
-        let knows = |t: &Rc<TargetRecord>| self.cache.missing(&t.id, &plan.prompt) <= new;
+        let knows = |t: &&Rc<TargetRecord>| self.cache.missing(&t.id, &plan.prompt) <= new;
         plan.has_history() && targets.iter().any(knows)
     }
 
@@ -351,7 +371,10 @@
 }
 
 /// The target that rendezvous hashing names for a chat.
-fn first_choice(targets: &[Rc<TargetRecord>], chat: ConversationKey) -> Option<&TargetId> {
+fn first_choice<'a>(
+    targets: &[&'a Rc<TargetRecord>],
+    chat: ConversationKey,
+) -> Option<&'a TargetId> {
     let first = targets.iter().max_by_key(|t| draw(chat.0, &t.id));
     first.map(|t| &t.id)
 }
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -17,6 +17,7 @@
     endings,
     gateway::Gateway,
     place::Place,
+    withdrawals,
 };
 use crate::{
     config::serving::{KeyHolder, Route},
@@ -158,6 +159,8 @@
             NoChoice::AllFull => Failed::nowhere(AttemptEnd::AllFull),
             NoChoice::AllCold => Failed::nowhere(AttemptEnd::AllCold),
             NoChoice::AllEvacuated => Failed::nowhere(AttemptEnd::AllEvacuated),
+            NoChoice::AllLeaving => Failed::nowhere(AttemptEnd::AllLeaving),
+            NoChoice::AllBackedOff { .. } => Failed::nowhere(AttemptEnd::AllBackedOff),
         })?;
         let target = Rc::clone(&ticket.target);
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
@@ -175,6 +178,7 @@
         }
         let opened = cx.conns.open(&target.id, target.address, call.conn_limit);
         match opened.await {
+            Ok(_) if withdrawals::is_withdrawn(cx, &target.id) => place.end(AttemptEnd::Withdrawn),
             Ok(conn) => {
                 cx.metrics.connections_opened.inc();
                 return Ok((place, conn));
@@ -234,6 +238,7 @@
         dispatcher.load.on_report(cx.now(), place.target(), load);
     }
     place.on_head(&facts);
+    withdrawals::on_head(cx, call, place.target(), head.status, &facts);
     let begun = Begun {
         head,
         body,
@@ -283,7 +288,7 @@
             begun.place.end(AttemptEnd::Refused);
             Err(Failed::not_run(AttemptEnd::Refused))
         }
-        () if status.is_success() && (!facts.sealed || facts.encoded) => {
+        () if !facts.is_targets(status) => {
             begun.place.end(AttemptEnd::NotTargetsAnswer);
             Err(Failed::may_have_run(AttemptEnd::NotTargetsAnswer))
         }
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -23,6 +23,12 @@
     AllCold,
     /// All targets stood in data halls that are evacuated.
     AllEvacuated,
+    /// All targets have said that they leave.
+    AllLeaving,
+    /// All targets want no calls for a while, or leave.
+    AllBackedOff,
+    /// The target said, while a connection to it was opened, that it wants no calls.
+    Withdrawn,
     /// Targets ended under the same request.
     HeldBack,
     /// This router's connections to the target were all in use.
@@ -69,6 +75,9 @@
             Self::AllFull => "all targets full",
             Self::AllCold => "all targets cold",
             Self::AllEvacuated => "all targets evacuated",
+            Self::AllLeaving => "all targets leave",
+            Self::AllBackedOff => "all targets asked for time",
+            Self::Withdrawn => "wants no calls",
             Self::HeldBack => "held back",
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
@@ -113,6 +122,9 @@
             | Self::AllFull
             | Self::AllCold
             | Self::AllEvacuated
+            | Self::AllLeaving
+            | Self::AllBackedOff
+            | Self::Withdrawn
             | Self::HeldBack => None,
             Self::ConnectionRefused
             | Self::Unreachable
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -213,12 +213,17 @@
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
         AttemptEnd::HeldBack => (ResultCode::HeldBack, HELD_BACK),
         AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
+        AttemptEnd::AllBackedOff => (ResultCode::Overloaded, "all targets asked for time"),
         _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
         end => (ResultCode::NoTarget, end.name()),
     };
     ending.tell(End::coded(code, failed.end.name()), call.attempts);
     let no_room = matches!(code, ResultCode::Overloaded | ResultCode::TargetRefused);
-    let is_shortage = no_room || failed.end == AttemptEnd::AllEvacuated;
+    let none_left = matches!(
+        failed.end,
+        AttemptEnd::AllEvacuated | AttemptEnd::AllLeaving
+    );
+    let is_shortage = no_room || none_left;
     let come_back = match failed.end {
         AttemptEnd::HeldBack => endings::held_back(cx, call.fingerprint),
         _ => is_shortage.then(|| come_back(cx, call)),
@@ -226,18 +231,32 @@
     answer(cx, ending, code, text, come_back)
 }
 
+/// The part of a backoff by which callers are spread that return after it.
+const BACKOFF_SPREAD: f64 = 0.1;
+
+/// The pause for a caller where no target wants calls before `backoff` is over: never less, however long it waits in
+/// all, as each earlier return is refused again.
+fn after_backoff(backoff: Duration, draw: f64) -> Duration {
+    backoff.mul_f64(1.0 + BACKOFF_SPREAD * draw)
+}
+
 /// When a caller that found no room should come back.
 fn come_back(cx: &Gateway, call: &Call) -> Duration {
     let now = cx.now();
     let (service, left) = (&call.plan.service, call.hold_until.since(now));
     let dispatcher = cx.dispatcher.borrow();
     let admission = &dispatcher.admission;
-    let pause = admission.come_back(now, service, left, rand::random());
+    let draw = rand::random();
+    let backoff = dispatcher.backoff_left(now, service);
+    let pause = match backoff {
+        Some(backoff) => after_backoff(backoff, draw),
+        None => admission.come_back(now, service, left, draw),
+    };
     cx.metrics.on_no_room(pause);
     let room = admission.room(now, service);
     let ms = |d: Duration| d.as_millis() as u64;
     info!(cx.log, "no room"; "id" => call.id(), "service" => %service,
-        "short_for_ms" => room.short_for.map(ms), "slot_held_ms" => room.held.map(ms),
+        "short_for_ms" => room.short_for.map(ms), "slot_held_ms" => room.held.map(ms), "backoff_ms" => backoff.map(ms),
         "account_surges" => call.plan.surge.is_on(), "left_ms" => ms(left), "come_back_ms" => ms(pause));
     pause
 }
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -13,6 +13,7 @@
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, prompts, stop,
     stop::Signals,
+    withdrawals,
 };
 use crate::{Error, Result, quarantine::Change};
 
@@ -109,6 +110,7 @@
         for request in let_through {
             endings::log_change(&cx, request, Some(Change::LetThrough), "its time is over");
         }
+        withdrawals::on_tick(&cx);
         for target in gone {
             cx.conns.forget(&target);
             info!(cx.log, "target"; "target" => %target, "verdict" => "gone", "why" => "still missing after the store's return");
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -38,6 +38,7 @@
     calls: Family<CodeLabel, Counter>,
     attempts: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
+    withdrawn: Family<ReasonLabel, Gauge>,
     slot_held_ms: Family<ServiceLabel, Gauge>,
     refused_pause: Histogram,
     counts_age: Histogram,
@@ -66,6 +67,7 @@
             calls: Family::default(),
             attempts: Family::default(),
             store_calls: Family::default(),
+            withdrawn: Family::default(),
             slot_held_ms: Family::default(),
             refused_pause: Histogram::new(BUCKETS),
             counts_age: Histogram::new(BUCKETS),
@@ -110,6 +112,11 @@
             "Time to the end of a call",
             self.call_time.clone(),
         );
+        r.register(
+            "targets_withdrawn",
+            "Targets that said in an answer that they want no calls, by why",
+            self.withdrawn.clone(),
+        );
         r.register(
             "slot_held_ms",
             "How long a call holds a slot of a target, by service",
@@ -208,6 +215,14 @@
         gauge.set(held.as_millis() as i64);
     }
 
+    /// So many targets leave, and so many want no calls for a while.
+    pub(crate) fn on_withdrawn(&self, leaving: usize, backed_off: usize) {
+        for (reason, n) in [("leaving", leaving), ("backoff", backed_off)] {
+            let gauge = self.withdrawn.get_or_create(&ReasonLabel { reason });
+            gauge.set(n as i64);
+        }
+    }
+
     /// A caller that found no room was asked back after a pause.
     pub(crate) fn on_no_room(&self, pause: Duration) {
         self.refused_pause.observe(pause.as_secs_f64());
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 mod stream;
 mod sums;
 mod view;
+mod withdrawals;
 
 use std::{net::SocketAddr, time::Duration};
 
--- /dev/null
+++ b/src/edge/withdrawals.rs
@@ -0,0 +1,53 @@
+//! What heads of answers say of their targets, from where it is read to where it decides and is logged.
+
+use hyper::StatusCode;
+use slog::info;
+
+use super::{attempt::Call, gateway::Gateway};
+use crate::{
+    dialect::{AnswerFacts, Refused},
+    ids::TargetId,
+    withdrawals::Withdrawal,
+};
+
+/// The head of an answer came. One that is not the target's own, or for which it does not vouch, says nothing of it.
+pub(super) fn on_head(
+    cx: &Gateway,
+    call: &Call,
+    target: &TargetId,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) {
+    let is_own = facts.refused != Some(Refused::ByAnother) && facts.is_targets(status);
+    let Some(withdrawal) = facts.withdrawal.filter(|_| is_own) else {
+        return;
+    };
+    let now = cx.now();
+    let withdrawals = &mut cx.dispatcher.borrow_mut().withdrawals;
+    if !withdrawals.on_said(now, target, withdrawal) {
+        return;
+    }
+    if withdrawal == Withdrawal::Leaving {
+        cx.conns.forget(target);
+    }
+    let backoff = withdrawal.backoff().map(|b| b.as_millis() as u64);
+    info!(cx.log, "withdrawal"; "id" => call.id(), "target" => %target,
+        "withdrawal" => withdrawal.name(), "backoff_ms" => backoff);
+}
+
+/// Whether a target wants no calls now.
+pub(super) fn is_withdrawn(cx: &Gateway, target: &TargetId) -> bool {
+    let withdrawals = &cx.dispatcher.borrow().withdrawals;
+    withdrawals.of(cx.now(), target).is_some()
+}
+
+/// Notes which targets want calls again.
+pub(super) fn on_tick(cx: &Gateway) {
+    let now = cx.now();
+    let withdrawals = &mut cx.dispatcher.borrow_mut().withdrawals;
+    for target in withdrawals.on_tick(now) {
+        info!(cx.log, "withdrawal"; "target" => %target, "withdrawal" => "over");
+    }
+    let (leaving, backed_off) = withdrawals.counts(now);
+    cx.metrics.on_withdrawn(leaving, backed_off);
+}
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -6,6 +6,8 @@
 //! routers that see the same choose the same without a hint. Among targets that cost about the same,
 //! as far as counts of their age can tell, calls are spread ([`super::spread`]).
 
+use std::time::Duration;
+
 use super::spread::{Estimate, Load, Spread, Survival};
 use crate::{
     admission::{surge::Surge, warm_up::Warmth},
@@ -169,6 +171,13 @@
     AllCold,
     /// All stand in data halls that are evacuated.
     AllEvacuated,
+    /// All have said that they leave.
+    AllLeaving,
+    /// All want no calls for a while, or leave.
+    AllBackedOff {
+        /// How long until the first one wants calls again.
+        left: Duration,
+    },
 }
 
 /// The index of the chosen target: a warm one, or where none has room a cold one that this router has a
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod streams;
 mod targets;
 mod trust;
+mod withdrawals;
 
 use std::{net::SocketAddr, time::Duration};
 
