The soak plays targets that leave or ask for time by their answers

A target's life has a number of its own, not one that all share: entries written for another reason looked like a new birth. Links remember when they last had a fault.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -54,7 +54,7 @@
     let reached = world
         .vms
         .iter()
-        .all(|vm| vm.store_link.fault.get() == Fault::None);
+        .all(|vm| vm.store_link.fault() == Fault::None);
     let well = world.store.fault() == StoreFault::default();
     reached && well && !world.vms.iter().any(|vm| vm.paused.get())
 }
@@ -122,7 +122,7 @@
     let to_store = world.vms.iter().map(|vm| &vm.store_link);
     let links: Vec<_> = to_targets.chain(to_store).collect();
     if let Some(link) = links.choose(rng) {
-        link.fault.set(fault(rng));
+        link.set_fault(fault(rng));
     }
 }
 
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -12,6 +12,7 @@
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
     sync::Notify,
     task::AbortHandle,
+    time::Instant,
 };
 
 /// What a link does to its connections.
@@ -32,7 +33,9 @@
 /// One proxied address.
 pub struct Link {
     pub address: SocketAddr,
-    pub fault: Cell<Fault>,
+    fault: Cell<Fault>,
+    /// When it last had a fault that is over.
+    harmed: Cell<Option<Instant>>,
     far: SocketAddr,
     accepting: RefCell<Option<AbortHandle>>,
     ended: Notify,
@@ -51,6 +54,7 @@
         let link = Rc::new(Self {
             address: listener.local_addr()?,
             fault: Cell::default(),
+            harmed: Cell::default(),
             far,
             accepting: RefCell::default(),
             ended: Notify::new(),
@@ -74,6 +78,24 @@
         Ok(())
     }
 
+    /// Puts a fault in force, or ends it.
+    pub fn set_fault(&self, fault: Fault) {
+        if self.fault.replace(fault) != Fault::None {
+            self.harmed.set(Some(Instant::now()));
+        }
+    }
+
+    /// Its fault.
+    pub fn fault(&self) -> Fault {
+        self.fault.get()
+    }
+
+    /// Whether it has had none for so long.
+    pub fn is_sound(&self, for_: Duration) -> bool {
+        let harmed = self.harmed.get().is_some_and(|at| at.elapsed() < for_);
+        self.fault.get() == Fault::None && !harmed
+    }
+
     fn accept(self: &Rc<Self>, listener: TcpListener) {
         let served = Rc::clone(self);
         let accepting = tokio::task::spawn_local(async move {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -19,6 +19,7 @@
 mod store;
 mod target;
 mod vm;
+mod withdrawals;
 
 use std::{path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
 
@@ -43,6 +44,8 @@
             optional --entries
             /// A request comes that ends each target that begins to run it.
             optional --crashes
+            /// Targets say in answers that they leave, or want no calls for a while.
+            optional --withdrawals
             /// Print the verdict as JSON.
             optional --json
         }
@@ -58,6 +61,7 @@
     program: PathBuf,
     entries: bool,
     crashes: bool,
+    withdrawals: bool,
 }
 
 /// Gateways at the most: each takes some 10 MB, and an address of one network of 250.
@@ -76,6 +80,7 @@
         vms: flags.vms.unwrap_or(4).clamp(1, MOST_VMS),
         entries: flags.entries,
         crashes: flags.crashes,
+        withdrawals: flags.withdrawals,
         program: flags.program.or(beside).unwrap_or_default(),
     };
     if !plan.program.is_file() {
@@ -117,8 +122,13 @@
             entries::inject(&world, plan.seed, plan.faults_for).await;
         }
     };
+    let withdrawals = async {
+        if plan.withdrawals {
+            withdrawals::inject(&world, plan.seed, plan.faults_for).await;
+        }
+    };
     let faults = faults::inject(&world, &mut rng, plan.faults_for);
-    tokio::join!(faults, entries);
+    tokio::join!(faults, entries, withdrawals);
     world.heal().await;
     calling.until_served_again().await;
     if let Some(crashing) = crashing {
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     Plan, crashes,
-    target::{LAST_EVENT, answer_to, event},
+    target::{LAST_EVENT, Target, answer_to, event},
+    withdrawals,
 };
 
 /// How long after its entry says that it leaves a target may still get calls: the rule's two seconds,
@@ -44,6 +45,9 @@
     RetryBudget,
     /// A request under which three targets ended is held back by all gateways that can know.
     HeldBack,
+    /// A target that said in an answer that it wants no calls gets none from the gateway that passed it on, or that
+    /// it was said to.
+    WithdrawnGetsNothing,
     /// After the faults, calls are served again.
     Recovery,
 }
@@ -89,6 +93,7 @@
     firsts: RefCell<VecDeque<Instant>>,
     again: RefCell<VecDeque<Instant>>,
     crashes: crashes::Seen,
+    pub withdrawals: withdrawals::Book,
 }
 
 impl Promises {
@@ -113,6 +118,12 @@
         self.settled_at.set(settled.then_some(at));
     }
 
+    /// Whether that has been so for so long.
+    pub fn is_settled(&self, for_: Duration) -> bool {
+        let since = self.settled_at.get();
+        since.is_some_and(|at| at.elapsed() > for_)
+    }
+
     /// The second key was taken away.
     pub fn on_revoked(&self) {
         self.revoked_at.set(Some(Instant::now()));
@@ -123,8 +134,7 @@
     pub fn on_crash(&self) {
         let seen = &self.crashes;
         seen.ended.set(seen.ended.get() + 1);
-        let long = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() > KNOWN_WITHIN);
-        let can_know = seen.ended.get() > ENDED && long(self.settled_at.get());
+        let can_know = seen.ended.get() > ENDED && self.is_settled(KNOWN_WITHIN);
         if !can_know {
             return;
         }
@@ -140,7 +150,10 @@
     }
 
     /// A call arrives at some target, which may refuse it.
-    pub fn on_arrival(&self, call: &str) {
+    pub fn on_arrival(&self, call: &str, target: &Target) {
+        if let Some(how) = self.withdrawals.on_arrival(call, target) {
+            self.break_(Promise::WithdrawnGetsNothing, how);
+        }
         let mut calls = self.calls.borrow_mut();
         let book = calls.entry(call.to_owned()).or_default();
         book.arrivals += 1;
@@ -185,7 +198,7 @@
         }
         let since = self.leaving.borrow().get(target).copied();
         let long = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() > LEAVES_WITHIN);
-        if long(since) && long(self.settled_at.get()) {
+        if long(since) && self.is_settled(LEAVES_WITHIN) {
             self.break_(Promise::LeavingGetsNothing, format!("{call} at {target}"));
         }
     }
@@ -193,6 +206,10 @@
     /// A caller's call ended; `sent` is when it was sent, `old_key` whether with the second key.
     pub fn on_end(&self, call: &str, end: &End, sent: Instant, old_key: bool) {
         self.asked.set(self.asked.get() + 1);
+        let arrivals = self.calls.borrow().get(call).map_or(0, |c| c.arrivals);
+        if arrivals == 1 && matches!(end, End::Answer(200 | 500, ..)) {
+            self.withdrawals.on_passed_on(call);
+        }
         let (status, body, complete) = match end {
             End::Answer(status, body, complete) => (*status, body.as_slice(), *complete),
             End::Nothing => return,
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -1,6 +1,11 @@
 //! A target that keeps a book of what it ran.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::stream;
@@ -9,12 +14,14 @@
     HeaderMap, Request, Response,
     body::{Frame, Incoming},
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     crashes,
+    link::Link,
     promises::Promises,
     serve::{Body, listen, whole},
+    withdrawals::Says,
 };
 
 /// How a target behaves.
@@ -36,6 +43,13 @@
 pub struct Target {
     pub id: String,
     pub mood: Cell<Mood>,
+    /// What it says of itself.
+    pub says: Cell<Says>,
+    /// Which life of it this is, and since when.
+    pub births: Cell<u64>,
+    pub born: Cell<Instant>,
+    /// The way to it.
+    pub link: OnceCell<Rc<Link>>,
     /// It ran a request that ends it.
     pub ending: Notify,
     promises: Rc<Promises>,
@@ -52,6 +66,10 @@
         let target = Rc::new(Self {
             id: id.to_owned(),
             mood: Cell::default(),
+            says: Cell::default(),
+            births: Cell::default(),
+            born: Cell::new(Instant::now()),
+            link: OnceCell::new(),
             ending: Notify::new(),
             promises: Rc::clone(promises),
         });
@@ -63,6 +81,23 @@
         (target, address.await)
     }
 
+    /// Its name, and which life of it this is.
+    pub fn life(&self) -> (String, u64) {
+        (self.id.clone(), self.births.get())
+    }
+
+    /// It starts again under its name.
+    pub fn on_restart(&self) {
+        self.births.set(self.births.get() + 1);
+        self.born.set(Instant::now());
+        self.says.set(Says::Nothing);
+    }
+
+    /// Whether the way to it has passed everything on for so long.
+    pub fn link_is_sound(&self, for_: Duration) -> bool {
+        self.link.get().is_some_and(|link| link.is_sound(for_))
+    }
+
     async fn answer(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         let (head, body) = req.into_parts();
         let call = text(&head.headers, "x-attempt-id").to_owned();
@@ -76,9 +111,12 @@
             self.ending.notify_one();
             return std::future::pending().await;
         }
-        self.promises.on_arrival(&call);
+        self.promises.on_arrival(&call, &self);
         let expected = text(&head.headers, "x-expect-instance");
-        let mood = self.mood.get();
+        let mood = match self.says.get() {
+            Says::Backoff(_) => Mood::Full,
+            _ => self.mood.get(),
+        };
         let mut res = match () {
             () if expected != self.id => coded(421),
             () if mood == Mood::Full => coded(503),
@@ -95,6 +133,14 @@
         if mood == Mood::Full {
             headers.insert("x-not-run", "1".parse().expect("a plain text"));
         }
+        match self.says.get() {
+            Says::Leaving => drop(headers.insert("server-leaving", 1.into())),
+            Says::Backoff(seconds) if mood == Mood::Full => {
+                headers.insert("retry-after", seconds.into());
+            }
+            _ => return res,
+        }
+        self.promises.withdrawals.on_answer(&call, &self);
         res
     }
 
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -21,6 +21,7 @@
     promises::Promises,
     store::{Store, StoreFault},
     target::Target,
+    withdrawals,
 };
 
 /// Targets, of which one may leave.
@@ -31,6 +32,8 @@
 
 /// One gateway.
 pub struct Vm {
+    n: usize,
+    promises: Rc<Promises>,
     pub callers: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -58,8 +61,6 @@
     pub store: Rc<Store>,
     pub promises: Rc<Promises>,
     version: Rc<Cell<u64>>,
-    /// How often any target started again.
-    births: Cell<u64>,
     dir: PathBuf,
 }
 
@@ -73,7 +74,9 @@
         let mut targets = Vec::new();
         for n in 0..TARGETS {
             let (target, address) = Target::start(&format!("i-{n}"), &promises).await;
-            targets.push((target, Link::start(address).await.expect("a port")));
+            let link = Link::start(address).await.expect("a port");
+            target.link.get_or_init(|| Rc::clone(&link));
+            targets.push((target, link));
         }
         let name = format!("scaleford-soak-{}-{}", std::process::id(), plan.seed);
         let dir = std::env::temp_dir().join(name);
@@ -82,7 +85,7 @@
         let mut vms = Vec::new();
         for n in 0..plan.vms {
             let link = Link::start(store.server.address).await.expect("a port");
-            vms.push(vm(plan, n, ports, link, &dir));
+            vms.push(vm(plan, n, ports, link, &dir, &promises));
         }
         let world = Self {
             vms,
@@ -90,7 +93,6 @@
             store,
             promises,
             version: Rc::default(),
-            births: Cell::default(),
             dir,
         };
         for (target, _) in &world.targets {
@@ -133,18 +135,19 @@
 
     /// A target starts again under its name.
     pub fn on_restart(&self, id: &str) {
-        let births = self.births.get() + 1;
-        self.births.set(births);
+        if let Some((target, _)) = self.targets.iter().find(|(t, _)| t.id == id) {
+            target.on_restart();
+        }
         self.write_entry(id, "ready");
     }
 
     /// Writes a target's entry.
     pub fn write_entry(&self, id: &str, state: &str) {
         let found = self.targets.iter().find(|(t, _)| t.id == id);
-        let Some((_, link)) = found else { return };
+        let Some((target, link)) = found else { return };
         let entry = json!({"service": "desk", "address": link.address.to_string(),
             "zone": "yard", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
-            "callSeq": 0, "born": 1_764_720_000_000 + self.births.get()});
+            "callSeq": 0, "born": 1_764_720_000_000 + target.births.get()});
         let key = format!("servers/{id}");
         self.store.put(&key, entry.to_string().as_bytes());
         self.promises.on_leaving(id, state != "ready");
@@ -155,11 +158,12 @@
         self.store.set_fault(StoreFault::default());
         for (target, link) in &self.targets {
             target.mood.set(crate::target::Mood::Well);
-            link.fault.set(crate::link::Fault::None);
+            withdrawals::fall_silent(self, target);
+            link.set_fault(crate::link::Fault::None);
             self.write_entry(&target.id, "ready");
         }
         for vm in &self.vms {
-            vm.store_link.fault.set(crate::link::Fault::None);
+            vm.store_link.set_fault(crate::link::Fault::None);
             vm.resume();
             vm.ensure_runs().await;
         }
@@ -196,6 +200,7 @@
     ports: [u16; 4],
     store_link: Rc<Link>,
     dir: &std::path::Path,
+    promises: &Rc<Promises>,
 ) -> Rc<Vm> {
     // Runs beside one another have networks of their own.
     let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -215,6 +220,8 @@
     let path = dir.join(format!("front-{n}.json"));
     std::fs::write(&path, settings.to_string()).expect("a settings file");
     Rc::new(Vm {
+        n,
+        promises: Rc::clone(promises),
         callers: SocketAddr::from((ip(n), front)),
         ready: SocketAddr::from((ip(n), ready)),
         log: dir.join(format!("front-{n}.log")),
@@ -247,10 +254,14 @@
         self.ending.set(false);
         self.harmed.set(false);
         self.seen_version.set(0);
+        self.promises.withdrawals.on_interrupted(self.n);
     }
 
     /// Sends a signal to the process, if it runs.
     pub fn signal(&self, signal: Signal) {
+        if signal != Signal::HUP {
+            self.promises.withdrawals.on_interrupted(self.n);
+        }
         let child = self.child.borrow();
         let id = child.as_ref().and_then(Child::id);
         let pid = id.and_then(|id| Pid::from_raw(id.cast_signed()));
