--- a/src/bin/scaleford/show.rs
+++ b/src/bin/scaleford/show.rs
@@ -116,7 +116,7 @@
             "{:<24} {:<28} {:<9} {:>6} {load:>6.2} {:>9} {:>9}",
             text(&t["target"]),
             text(&t["pool"]),
-            text(&t["standing"]),
+            withdrawn(&t["withdrawn"]).unwrap_or_else(|| text(&t["standing"]).to_owned()),
             t["calls"],
             t["tokens"],
             t["kept"]
@@ -124,6 +124,15 @@
     }
 }
 
+/// What a target says that wants no calls, in place of its standing.
+fn withdrawn(w: &Value) -> Option<String> {
+    let said = w.as_object()?;
+    let left = said["left_ms"].as_u64();
+    Some(left.map_or("leaves".to_owned(), |ms| {
+        format!("in {} s", ms.div_ceil(1_000))
+    }))
+}
+
 fn explain(e: &Value) {
     for d in rows(&e["decisions"]) {
         println!(
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -213,7 +213,7 @@
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
         AttemptEnd::HeldBack => (ResultCode::HeldBack, HELD_BACK),
         AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
-        AttemptEnd::AllBackedOff => (ResultCode::Overloaded, "all targets asked for time"),
+        AttemptEnd::AllBackedOff => (ResultCode::Overloaded, "all targets back off"),
         _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
         end => (ResultCode::NoTarget, end.name()),
     };
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -17,6 +17,7 @@
     membership::peers::Member,
     reply,
     result_code::ResultCode,
+    withdrawals::Withdrawn,
 };
 
 /// The fleet as one router sees it.
@@ -58,6 +59,24 @@
     for_ms: u64,
 }
 
+/// A target said in an answer that it wants no calls.
+#[derive(Serialize)]
+struct TargetWithdrawn {
+    /// How long ago, in milliseconds.
+    since_ms: u64,
+    /// For how much longer, in milliseconds; `null` as it leaves.
+    left_ms: Option<u64>,
+}
+
+impl From<Withdrawn> for TargetWithdrawn {
+    fn from(withdrawn: Withdrawn) -> Self {
+        Self {
+            since_ms: withdrawn.age.as_millis() as u64,
+            left_ms: withdrawn.left.map(|left| left.as_millis() as u64),
+        }
+    }
+}
+
 /// A target as one router sees it.
 #[derive(Serialize)]
 struct TargetStatus {
@@ -65,6 +84,8 @@
     pool: ServiceName,
     /// What is believed of its health.
     standing: Standing,
+    /// That it wants no calls, where it said so.
+    withdrawn: Option<TargetWithdrawn>,
     /// Calls of all routers in progress there.
     calls: u32,
     /// Calls beside the mean of its pool.
@@ -160,6 +181,7 @@
         target: t.id.clone(),
         pool: t.service.clone(),
         standing: dispatcher.health.standing(now, &t.id),
+        withdrawn: dispatcher.withdrawals.of(now, &t.id).map(Into::into),
         calls: calls(&t.id),
         load: f64::from(calls(&t.id)) / mean(&t.service).max(1.0),
         tokens: dispatcher.load.total(&t.id).tokens.0,
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -4,13 +4,14 @@
 use std::{fs, path::Path};
 
 /// Names of the platform's headers, calls, keys and fields that have no meaning of their own.
-const PLATFORM_NAMES: [&str; 23] = [
+const PLATFORM_NAMES: [&str; 24] = [
     "x-attempt-id",
     "x-deadline-ms",
     "x-server-seal",
     "x-tenant",
     "x-expect-instance",
     "x-runner-load",
+    "server-leaving",
     "x-prefix-hash",
     "x-request-priority",
     "kv-fetch",
--- a/tests/support/engine.rs
+++ b/tests/support/engine.rs
@@ -48,6 +48,10 @@
     None,
     /// Refuses, and says that it did not run.
     Refuse,
+    /// The same, and wants nothing for so long.
+    RefuseFor(&'static str),
+    /// Says in each answer that it leaves.
+    Leave,
     /// Runs, then closes without an answer.
     DieBefore,
     /// Closes after this many tokens.
@@ -164,11 +168,26 @@
             let executed = cx.state.lock().unwrap().executed.clone();
             Ok(http::json(200, &json!(executed)))
         }
-        "/v1/chat/completions" => chat(cx, req).await,
+        "/v1/chat/completions" => {
+            let fault = *cx.fault.lock().unwrap();
+            let answer = chat(cx, req).await;
+            answer.map(|res| named(res, fault))
+        }
         _ => Ok(http::whole(404, "")),
     }
 }
 
+/// Adds what the engine says of itself.
+fn named(mut res: Response<Body>, fault: Fault) -> Response<Body> {
+    let headers = res.headers_mut();
+    match fault {
+        Fault::RefuseFor(time) => drop(headers.insert("retry-after", time.parse().unwrap())),
+        Fault::Leave => drop(headers.insert("x-leaving", 1.into())),
+        _ => {}
+    }
+    res
+}
+
 /// Counts an attempt as running; notes a cancel where it is dropped early.
 struct Running {
     state: Arc<Mutex<EngineState>>,
@@ -192,7 +211,7 @@
         .to_owned();
     let body: Value = serde_json::from_slice(&http::read(req).await).unwrap_or_default();
     let fault = *cx.fault.lock().unwrap();
-    if fault == Fault::Refuse {
+    if matches!(fault, Fault::Refuse | Fault::RefuseFor(_)) {
         let mut res = http::json(503, &json!({"error": {"message": "busy"}}));
         res.headers_mut()
             .insert("x-not-run", "1".parse().expect("header"));
