--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -146,7 +146,7 @@
         let stopping = vm.stopping.get();
         let seen = vm.seen_version.get();
         let sent = Instant::now();
-        promises.withdrawals.on_sent(&id, sent);
+        promises.on_sent(&id, sent);
         let end = caller.call(kind, &id, KEYS[usize::from(old_key)]).await;
         promises.on_end(&id, &end, sent, old_key);
         if kind == only && matches!(end, End::Answer(200, ..)) && vm.seen_version.get() >= seen {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,6 +3,7 @@
 //! Everything is drawn from a seed. What must hold is checked from what callers and targets see;
 //! the exit status is 1 if anything did not.
 
+mod budget;
 mod callers;
 mod crashes;
 mod entries;
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     time::Duration,
 };
 
@@ -10,7 +10,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    Plan, crashes,
+    Plan,
+    budget::Budget,
+    crashes,
     target::{LAST_EVENT, Target, answer_to, event},
     withdrawals,
 };
@@ -58,11 +60,6 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 const SENT_LATER: u32 = 3;
 
-/// The budget of repeats: this part of the calls of the window, and some beyond.
-const BUDGET_PART: f64 = 0.2;
-const BUDGET_EXTRA: f64 = 54.0;
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
-
 /// How a call ended for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum End {
@@ -89,9 +86,7 @@
     settled_at: Cell<Option<Instant>>,
     asked: Cell<u64>,
     served: Cell<u64>,
-    /// When calls arrived at a target for the first time, and when again.
-    firsts: RefCell<VecDeque<Instant>>,
-    again: RefCell<VecDeque<Instant>>,
+    budget: Budget,
     crashes: crashes::Seen,
     pub withdrawals: withdrawals::Book,
 }
@@ -157,27 +152,18 @@
         let mut calls = self.calls.borrow_mut();
         let book = calls.entry(call.to_owned()).or_default();
         book.arrivals += 1;
-        let times = match book.arrivals {
-            1 => &self.firsts,
-            _ => &self.again,
-        };
-        times.borrow_mut().push_back(Instant::now());
-        let recent = |times: &RefCell<VecDeque<Instant>>, within: Duration| {
-            let mut times = times.borrow_mut();
-            while times.front().is_some_and(|at| at.elapsed() > within) {
-                times.pop_front();
-            }
-            times.len() as f64
-        };
-        // Calls count that were sent up to a window before the repeats.
-        let allowed = recent(&self.firsts, BUDGET_WINDOW * 2) * BUDGET_PART + BUDGET_EXTRA;
-        let again = recent(&self.again, BUDGET_WINDOW);
-        if again > allowed {
-            let how = format!("{again} repeats where {allowed:.0} were allowed");
+        let is_first = book.arrivals == 1;
+        if let Some(how) = self.budget.on_arrival(call, is_first) {
             self.break_(Promise::RetryBudget, how);
         }
     }
 
+    /// A caller sends a call.
+    pub fn on_sent(&self, call: &str, at: Instant) {
+        self.withdrawals.on_sent(call, at);
+        self.budget.on_sent(call);
+    }
+
     /// A target begins to run a call.
     pub fn on_run(&self, target: &str, call: &str, headers: &HeaderMap, body: &[u8]) {
         let mut calls = self.calls.borrow_mut();
