A router's share of the fleet's repeats passes on a window later

A router that starts had a share at once and knew nothing of its life before.

Change: FleetShare: the least share of the last window is used, none within a router's first window. Proptest: five routers that come and go at random, each taking all it may. Ruled out: repeats of single routers beyond their own share (52, 53 and 68 of 58, 59 and 73).

--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -26,6 +26,7 @@
     lifecycle::{Phase, RouterEvent, RouterLife},
     log::LogFlusher,
     membership::peers::Peers,
+    retry::FleetShare,
     spans::Spans,
     store::{MetaStore, StoreMirror},
     units::Instant,
@@ -70,6 +71,7 @@
     pub(crate) rules: Cell<Rules>,
     pub(crate) in_progress: Cell<usize>,
     pub(crate) recent_calls: Cell<u32>,
+    fleet_share: RefCell<FleetShare>,
     pub(crate) datagram_count: Cell<u64>,
     /// Whether this router adds up counts for its data hall.
     pub(crate) adds_up: Cell<bool>,
@@ -133,6 +135,7 @@
             life: RefCell::default(),
             in_progress: Cell::new(0),
             recent_calls: Cell::new(0),
+            fleet_share: RefCell::default(),
             datagram_count: Cell::new(0),
             adds_up: Cell::new(false),
             clock,
@@ -260,6 +263,15 @@
         self.dispatcher.borrow_mut().budget.on_call(now, service);
     }
 
+    /// This router's part of what the fleet may repeat.
+    pub(crate) fn usable_share(&self, now: Instant) -> f64 {
+        let window = self.rules.get().budget.window;
+        let share = self.peers.borrow().share(now, self.recent_calls.get());
+        let mut fleet_share = self.fleet_share.borrow_mut();
+        fleet_share.on_share(now, share, window);
+        fleet_share.usable(now, window)
+    }
+
     /// How long ago this router itself heard from the store, if it reads the store itself.
     pub(crate) fn store_age(&self) -> Option<Duration> {
         let now = self.now();
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -119,6 +119,7 @@
             cx.metrics.on_held(service, held);
         }
         cx.peers.borrow_mut().on_tick(now);
+        cx.usable_share(now);
         let routers = cx.peers.borrow().hashes(now);
         cx.dispatcher.borrow_mut().cold.set_routers(routers);
         cx.conns.on_tick(now);
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -80,6 +80,52 @@
     pub extra: f64,
 }
 
+/// This router's part of what the whole fleet may repeat, such that all parts of one window add up to no more than the
+/// whole: the least one that it had within the window.
+///
+/// A router that stops, dies or starts again leaves repeats behind that still count. Where its part passes on at once, the parts of one window
+/// add up to 2.1 (three of four routers stopped or killed within 2.6 s; shares in the log lines of repeats). So
+/// what a router gains counts a window later, what it loses at once, and one that starts or stood still has none for a window.
+#[derive(Debug, Default)]
+pub struct FleetShare {
+    /// Since when there are observations without a gap of a window.
+    since: Option<Instant>,
+    last: Instant,
+    /// Observations, each smaller than all after it.
+    rising: VecDeque<(Instant, f64)>,
+}
+
+impl FleetShare {
+    /// This router's part is so large now, by the routers that it hears of. `window` is the budget's.
+    pub fn on_share(&mut self, now: Instant, share: f64, window: Duration) {
+        if now.since(self.last) >= window {
+            self.rising.clear();
+            self.since = None;
+        }
+        self.since = self.since.or(Some(now));
+        self.last = now;
+        let is_old = |at: Instant| now.since(at) >= window;
+        // The last one that is older was in force when the window began.
+        while self.rising.get(1).is_some_and(|(at, _)| is_old(*at)) {
+            self.rising.pop_front();
+        }
+        while self.rising.back().is_some_and(|(_, s)| *s > share) {
+            self.rising.pop_back();
+        }
+        // One that is the same has been in force since the earlier observation.
+        if self.rising.back().is_none_or(|(_, s)| *s < share) {
+            self.rising.push_back((now, share));
+        }
+    }
+
+    /// The part that may be used.
+    pub fn usable(&self, now: Instant, window: Duration) -> f64 {
+        let observed = self.since.is_some_and(|at| now.since(at) >= window);
+        let least = self.rising.front().map_or(0.0, |(_, s)| *s);
+        if observed { least } else { 0.0 }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Window {
     calls: VecDeque<Instant>,
--- a/tests/decisions/calls.rs
+++ b/tests/decisions/calls.rs
@@ -1,10 +1,12 @@
 //! Outcomes, repeats and their budget.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use rstest::rstest;
 use scaleford::{
     config::serving::{CallKind, StreamRepeats},
-    retry::{Attempts, Fate, RetryBudget},
+    retry::{Attempts, Fate, FleetShare, RetryBudget},
 };
 
 use crate::{RESUMABLE, at, rules};
@@ -36,7 +38,99 @@
     );
 }
 
+/// Three of four routers stopped or were killed within 2.6 s. What each had left of the fleet's repeats passed to the others at once, while
+/// what it had taken still counted: the parts came to 2.1 in all, `"share":1.0` at the last one 30 ms after the
+/// third had begun to stop, and 175 repeats were sent where 167 were allowed.
+#[test]
+fn parts_of_routers_that_go_are_not_used_again_within_a_window() {
+    let window = Duration::from_secs(10);
+    let mut share = FleetShare::default();
+    for ms in (0..20_000).step_by(100) {
+        share.on_share(at(ms), 0.25, window);
+    }
+    for (ms, part) in [(20_000, 0.33), (21_500, 0.5), (22_600, 1.0)] {
+        share.on_share(at(ms), part, window);
+        assert!((share.usable(at(ms), window) - 0.25).abs() < 1e-9);
+    }
+    for (ms, usable) in [(29_900, 0.25), (30_100, 0.33), (31_600, 0.5), (32_700, 1.0)] {
+        share.on_share(at(ms), 1.0, window);
+        let now = share.usable(at(ms), window);
+        assert!((now - usable).abs() < 1e-9, "{now} at {ms}");
+    }
+    // A router that comes takes its part at once.
+    share.on_share(at(33_000), 0.5, window);
+    assert!((share.usable(at(33_000), window) - 0.5).abs() < 1e-9);
+}
+
+/// Nobody knows what a life before this one repeated; after standing still for a window the others may have taken over.
+#[test]
+fn a_router_that_starts_or_stood_still_has_no_part_for_a_window() {
+    let window = Duration::from_secs(10);
+    let mut share = FleetShare::default();
+    let mut usable_at = |ms: u64| {
+        share.on_share(at(ms), 0.5, window);
+        share.usable(at(ms), window)
+    };
+    for ms in (100..10_100).step_by(500) {
+        assert!(usable_at(ms) < 1e-9);
+    }
+    assert!((usable_at(10_100) - 0.5).abs() < 1e-9);
+    assert!(
+        (usable_at(19_000) - 0.5).abs() < 1e-9,
+        "it stood still for less"
+    );
+    assert!(usable_at(29_000) < 1e-9);
+    assert!(usable_at(38_900) < 1e-9);
+    assert!((usable_at(39_000) - 0.5).abs() < 1e-9);
+}
+
 proptest! {
+    /// Routers that start, stop, die and see one another late keep the budget together as well, in every window.
+    #[test]
+    fn routers_that_come_and_go_keep_the_budget(
+        changes in prop::collection::vec((0_u64..40_000, 0_usize..5, any::<bool>()), 0..30),
+        sees_after in 0_u64..3_000,
+    ) {
+        const ROUTERS: usize = 5;
+        let rule = rules().budget;
+        let service = "desk".parse().unwrap();
+        let mut changes = changes;
+        changes.sort_unstable();
+        let mut lives: Vec<Option<(RetryBudget, FleetShare)>> = (0..ROUTERS)
+            .map(|_| Some((RetryBudget::new(rule), FleetShare::default())))
+            .collect();
+        let mut alive_at: Vec<(u64, usize)> = vec![(0, ROUTERS)];
+        let mut repeats: Vec<u64> = Vec::new();
+        let mut due = changes.into_iter().peekable();
+        for ms in (0..40_000).step_by(100) {
+            while let Some((_, router, starts)) = due.next_if(|(at, ..)| *at <= ms) {
+                lives[router] = match (starts, lives[router].take()) {
+                    (true, Some(life)) => Some(life),
+                    (true, None) => Some((RetryBudget::new(rule), FleetShare::default())),
+                    (false, _) => None,
+                };
+                alive_at.push((ms, lives.iter().flatten().count()));
+            }
+            // Who goes is missed at once or late; who comes is heard of before it has a part.
+            let seen = alive_at.iter().rev().find(|(at, _)| at + sees_after <= ms);
+            let seen = seen.map_or(ROUTERS, |(_, n)| *n);
+            let now = alive_at.last().map_or(ROUTERS, |(_, n)| *n);
+            let part = 1.0 / seen.max(now).max(1) as f64;
+            for (budget, share) in lives.iter_mut().flatten() {
+                share.on_share(at(ms), part, rule.window);
+                while budget.take(at(ms), &service, share.usable(at(ms), rule.window)) {
+                    repeats.push(ms);
+                }
+            }
+        }
+        for end in &repeats {
+            let in_window = |ms: &&u64| **ms <= *end && **ms + 10_000 > *end;
+            let taken = repeats.iter().filter(in_window).count() as f64;
+            prop_assert!(taken <= rule.extra, "{taken} until {end}");
+        }
+    }
+
+
     /// Routers that share the budget by their traffic stay within it together, in every window.
     #[test]
     fn all_routers_together_keep_the_budget(
