--- a/tests/load/cold_targets.rs
+++ b/tests/load/cold_targets.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use scaleford::admission::warm_up::WarmUp;
 
-use crate::model::{Change, Fleet, Load, Model, Outcome, Service};
+use crate::model::{Change, Fleet, Load, Model, Outcome};
 
 /// What a cold engine bears, and what is allowed in any second: 1.5 times that and five.
 const WARM_UP: WarmUp = WarmUp {
@@ -26,23 +26,14 @@
     Load {
         routers,
         targets,
-        slots: 64,
         prompts: targets * 4,
         calls_per_s: USUAL * targets as f64,
-        surge: 1.0,
-        account_surge: 1.0,
-        surge_from_s: 0,
-        surge_to_s: 0,
         goal: Duration::from_millis(600),
         deadline: Duration::from_secs(10),
-        seed: 1,
-        service: Service::Engines,
         hubs: routers > 30,
         change: Some(Change { at_s: 4, ..change }),
         warm_up: Some(WARM_UP),
-        fleet: Fleet::Whole,
-        crashes: None,
-        withdrawing: None,
+        ..Load::CALM
     }
 }
 
--- a/tests/load/crashing.rs
+++ b/tests/load/crashing.rs
@@ -8,26 +8,9 @@
 
 use rstest::rstest;
 
-use crate::model::{Crashes, Fleet, Load, Model, Outcome, Service};
+use crate::model::{Crashes, Load, Model, Outcome};
 
 const ENGINES: Load = Load {
-    routers: 7,
-    targets: 9,
-    slots: 64,
-    prompts: 40,
-    calls_per_s: 60.0,
-    surge: 1.0,
-    account_surge: 1.0,
-    surge_from_s: 0,
-    surge_to_s: 0,
-    goal: Duration::from_millis(500),
-    deadline: Duration::from_secs(5),
-    seed: 1,
-    service: Service::Engines,
-    hubs: false,
-    change: None,
-    warm_up: None,
-    fleet: Fleet::Whole,
     crashes: Some(Crashes {
         from: Duration::from_secs(4),
         every: Duration::from_millis(400),
@@ -35,7 +18,7 @@
         suspended_from: Duration::from_millis(4_200),
         suspended_for: Duration::from_secs(6),
     }),
-    withdrawing: None,
+    ..Load::CALM
 };
 
 /// How long routers have to learn of the third ending, and how often the request may be sent after it.
--- a/tests/load/lock_out.rs
+++ b/tests/load/lock_out.rs
@@ -8,7 +8,7 @@
 
 use rstest::rstest;
 
-use crate::model::{Change, Fleet, Load, Model, Outcome, Service};
+use crate::model::{Change, Load, Model, Outcome, Service};
 
 const DESK: Load = Load {
     routers: 73,
@@ -16,20 +16,11 @@
     slots: 6,
     prompts: 1,
     calls_per_s: 180.0,
-    surge: 1.0,
-    account_surge: 1.0,
-    surge_from_s: 0,
-    surge_to_s: 0,
     goal: Duration::from_millis(150),
     deadline: Duration::from_secs(1),
-    seed: 1,
     service: Service::Plain,
     hubs: true,
-    change: None,
-    warm_up: None,
-    fleet: Fleet::Whole,
-    crashes: None,
-    withdrawing: None,
+    ..Load::CALM
 };
 
 const CUT_OFF: Change = Change {
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -68,3 +68,28 @@
     /// How many are cut off: calls to them hang.
     pub cut_off: usize,
 }
+
+impl Load {
+    /// Few routers before nine engines that have little to do, and nothing goes wrong: what a scenario changes it names.
+    pub const CALM: Self = Self {
+        routers: 7,
+        targets: 9,
+        slots: 64,
+        prompts: 40,
+        calls_per_s: 60.0,
+        surge: 1.0,
+        account_surge: 1.0,
+        surge_from_s: 0,
+        surge_to_s: 0,
+        goal: Duration::from_millis(500),
+        deadline: Duration::from_secs(5),
+        seed: 1,
+        service: Service::Engines,
+        hubs: false,
+        change: None,
+        warm_up: None,
+        fleet: Fleet::Whole,
+        crashes: None,
+        withdrawing: None,
+    };
+}
--- a/tests/load/overload.rs
+++ b/tests/load/overload.rs
@@ -6,30 +6,21 @@
 
 use rstest::rstest;
 
-use crate::model::{Fleet, Load, Model, Outcome, Service};
+use crate::model::{Load, Model, Outcome};
 
 /// A surge to three times what the targets can do (223 calls a second), from the tenth second to the
 /// sixteenth.
 const SURGE: Load = Load {
-    routers: 7,
     targets: 12,
     slots: 16,
     prompts: 60,
     calls_per_s: 150.0,
     surge: 4.5,
-    account_surge: 1.0,
     surge_from_s: 10,
     surge_to_s: 16,
     goal: Duration::from_millis(400),
     deadline: Duration::from_secs(10),
-    seed: 1,
-    service: Service::Engines,
-    hubs: false,
-    change: None,
-    warm_up: None,
-    fleet: Fleet::Whole,
-    crashes: None,
-    withdrawing: None,
+    ..Load::CALM
 };
 
 /// The targets can answer a third of such a surge and five sixths of a smaller one, new calls and those
--- a/tests/load/stale_counts.rs
+++ b/tests/load/stale_counts.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 
-use crate::model::{Change, Fleet, Load, Model, Outcome, Service};
+use crate::model::{Change, Load, Model, Outcome, Service};
 
 /// Calls that five targets of a plain service with six slots each can do in a second.
 const PLAIN_CAPACITY: f64 = 1_000.0;
@@ -21,20 +21,11 @@
     slots: 6,
     prompts: 1,
     calls_per_s: PLAIN_CAPACITY / 3.0,
-    surge: 1.0,
-    account_surge: 1.0,
-    surge_from_s: 0,
-    surge_to_s: 0,
     goal: Duration::from_millis(150),
     deadline: Duration::from_secs(1),
-    seed: 1,
     service: Service::Plain,
     hubs: true,
-    change: None,
-    warm_up: None,
-    fleet: Fleet::Whole,
-    crashes: None,
-    withdrawing: None,
+    ..Load::CALM
 };
 
 const ENGINES: Load = Load {
--- a/tests/load/withdrawals.rs
+++ b/tests/load/withdrawals.rs
@@ -8,27 +8,9 @@
 
 use rstest::rstest;
 
-use crate::model::{Fleet, Load, Model, Outcome, Service, Withdrawing};
+use crate::model::{Load, Model, Outcome, Service, Withdrawing};
 
 const ENGINES: Load = Load {
-    routers: 7,
-    targets: 9,
-    slots: 64,
-    prompts: 40,
-    calls_per_s: 60.0,
-    surge: 1.0,
-    account_surge: 1.0,
-    surge_from_s: 0,
-    surge_to_s: 0,
-    goal: Duration::from_millis(500),
-    deadline: Duration::from_secs(5),
-    seed: 1,
-    service: Service::Engines,
-    hubs: false,
-    change: None,
-    warm_up: None,
-    fleet: Fleet::Whole,
-    crashes: None,
     withdrawing: Some(Withdrawing {
         from: Duration::from_secs(4),
         until: Duration::from_secs(13),
@@ -36,6 +18,7 @@
         backoff_s: 3,
         leaving: 1,
     }),
+    ..Load::CALM
 };
 
 const PLAIN: Load = Load {
