A peer's proof from before a router's own start is as old as it is

Cause: echo less age stopped at zero, where the router's clock begins; a proof of 4.8 s ago counted as one of 0.4 s at a router that had started 0.4 s before, and was passed on as that. Change: proofs are signed moments. The grace after the store's return, told with its age, had the same fault; it ends when it should now.

Ruled out: withdrawals (none is in the trace), the soak's own count of keys (versions in force are older than the one that took the key away).

--- a/src/config/freshness.rs
+++ b/src/config/freshness.rs
@@ -24,10 +24,35 @@
     pub revision: StoreRevision,
 }
 
+/// A moment of this router's clock, in microseconds, which may lie before the clock began: peers vouch with proofs that are older than
+/// this router's life. Counted from its start, each restart would make them younger, and keys that were taken
+/// away would work on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ProvenAt(i64);
+
+impl ProvenAt {
+    fn new(at: Instant) -> Self {
+        Self(micros(at.0))
+    }
+
+    fn before(at: Instant, age: Duration) -> Self {
+        Self(micros(at.0).saturating_sub(micros(age)))
+    }
+
+    fn age(self, now: Instant) -> Duration {
+        let age = micros(now.0).saturating_sub(self.0);
+        Duration::from_micros(age.max(0).cast_unsigned())
+    }
+}
+
+fn micros(time: Duration) -> i64 {
+    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
+}
+
 /// The youngest proof of the applied configuration.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    proven_at: Option<Instant>,
+    proven_at: Option<ProvenAt>,
     revision: StoreRevision,
 }
 
@@ -41,14 +66,14 @@
     /// The store answered a consistent call sent at `sent`: nothing newer than `revision` exists.
     pub fn on_confirmed(&mut self, sent: Instant, revision: StoreRevision) {
         if revision == self.revision {
-            self.proven_at = self.proven_at.max(Some(sent));
+            self.proven_at = self.proven_at.max(Some(ProvenAt::new(sent)));
         }
     }
 
     /// A peer vouches for the revision that it applies. A later one that is applied here holds all
     /// that the peer's held; an earlier one is not vouched for.
     pub fn on_vouch(&mut self, vouch: Vouch) {
-        let proof = Instant(vouch.echo.0.saturating_sub(vouch.age));
+        let proof = ProvenAt::before(vouch.echo, vouch.age);
         if vouch.revision <= self.revision {
             self.proven_at = self.proven_at.max(Some(proof));
         }
@@ -56,7 +81,7 @@
 
     /// The age of the youngest proof; `None` before the first.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.proven_at.map(|at| now.since(at))
+        self.proven_at.map(|at| at.age(now))
     }
 
     /// The revision that is applied.
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -114,9 +114,10 @@
         self.known
     }
 
-    /// The store answered again at `at`, after it did not.
-    pub fn on_store_back(&mut self, at: Instant) {
-        self.grace_until = self.grace_until.max(Some(at + RETURN_GRACE));
+    /// The store answered again so long ago, after it did not; that may have been before this router's life.
+    pub fn on_store_back(&mut self, now: Instant, ago: Duration) {
+        let until = (now + RETURN_GRACE).before(ago);
+        self.grace_until = self.grace_until.max(Some(until));
     }
 
     /// Takes one change that was written as `revision`; older news of an entry is passed over.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -335,8 +335,8 @@
     endings::on_peer(cx, now, &told.endings, &told.held);
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = told.store_back {
-        let at = now.before(Duration::from_millis(u64::from(ago)));
-        dispatcher.discovery.on_store_back(at);
+        let ago = Duration::from_millis(u64::from(ago));
+        dispatcher.discovery.on_store_back(now, ago);
     }
     let admission = &mut dispatcher.admission;
     admission.on_rates(now, &told.vm, &told.hall, told.rates);
--- a/tests/decisions/targets.rs
+++ b/tests/decisions/targets.rs
@@ -17,7 +17,7 @@
 fn an_entry_that_lapsed_in_an_outage_counts_for_a_moment_after_the_return() {
     let mut list = Discovery::default();
     list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
-    list.on_store_back(at(10_000));
+    list.on_store_back(at(10_000), Duration::ZERO);
     let gone = ListChange::Removed("t1".parse().unwrap());
     let changes = list.on_change(at(10_100), gone, StoreRevision(5));
     assert_eq!(changes, [(record(1).id, Verdict::Kept)]);
@@ -32,7 +32,7 @@
 fn an_entry_that_stays_away_is_gone_two_seconds_after_the_return() {
     let mut list = Discovery::default();
     list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
-    list.on_store_back(at(10_000));
+    list.on_store_back(at(10_000), Duration::ZERO);
     list.on_list(at(10_050), Vec::new(), StoreRevision(5));
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
     assert!(RETURN_GRACE <= Duration::from_secs(2));
@@ -44,7 +44,7 @@
 fn a_leaving_target_gets_nothing_though_the_store_was_away() {
     let mut list = Discovery::default();
     list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
-    list.on_store_back(at(1_000));
+    list.on_store_back(at(1_000), Duration::ZERO);
     let leaving = TargetRecord {
         state: TargetState::Leaving,
         ..record(1)
@@ -212,7 +212,8 @@
     let mut list = Discovery::default();
     let both = vec![(record(1), StoreRevision(1)), (record(2), StoreRevision(1))];
     list.on_list(at(0), both, StoreRevision(1));
-    back.into_iter().for_each(|at| list.on_store_back(at));
+    back.into_iter()
+        .for_each(|at| list.on_store_back(at, Duration::ZERO));
     let unusable = ListChange::Unusable("t1".parse().unwrap());
     let changes = list.on_change(at(10), unusable.clone(), StoreRevision(4));
     assert_eq!(changes, [(record(1).id, Verdict::Unusable)]);
@@ -258,3 +259,14 @@
     assert_eq!(verdicts, expected);
     assert_eq!(ids(&list), ["t1~9000"]);
 }
+
+/// A router that starts hears that the store came back a minute ago: that is over, and an entry that goes is gone.
+#[test]
+fn a_return_of_the_store_before_this_routers_start_is_over() {
+    let mut list = Discovery::default();
+    list.on_list(at(0), vec![(record(0), StoreRevision(1))], StoreRevision(1));
+    list.on_store_back(at(100), Duration::from_secs(60));
+    let removed = ListChange::Removed(record(0).id.to_name());
+    let changes = list.on_change(at(200), removed, StoreRevision(2));
+    assert_eq!(changes, [(record(0).id, Verdict::Gone)]);
+}
