--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -110,8 +110,8 @@
     /// Chooses a target and takes a place there; [`Self::on_end`] gives the place back.
     pub fn choose(&mut self, now: Instant, plan: &Plan) -> Result<Ticket, NoChoice> {
         let serving = self.discovery.serving(&plan.service);
-        // No call follows what a target said in an answer: 151 of 444 attempts within 7 s went in vain to three of nine
-        // targets that had asked for time, and went on to one that left for 12 s (log lines of attempts).
+        // Without it 151 of 444 attempts within 7 s went in vain to three of nine targets that backed off, and calls went on for
+        // 12 s to one that left (log lines of attempts).
         let targets = self.withdrawals.without(now, serving);
         if targets.is_empty() {
             return Err(self.no_target(now, &plan.service));
@@ -242,7 +242,7 @@
     /// A target said something of itself; returns whether that is news.
     pub fn on_said(&mut self, now: Instant, target: &TargetId, withdrawal: Withdrawal) -> bool {
         let is_news = self.withdrawals.on_said(now, target, withdrawal);
-        // Peers prefer others as well: where a third of the targets ask for time, 9,300 to 23,400 calls are turned away before each of
+        // Peers prefer others as well: where a third of the targets back off, 9,300 to 23,400 attempts are turned away until each of
         // hundreds of routers has met each of them, and 630 to 2,260 with the notice (`tests/load/withdrawals.rs`).
         if withdrawal.backoff().is_some() {
             self.health.outages.on_refused(now, target.into());
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -155,7 +155,8 @@
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
         let says_not_run = status.as_u16() >= 400 && headers.contains_key(&NOT_RUN);
         let closing = headers.get(header::CONNECTION);
-        let turned_away = matches!(status.as_u16(), 429 | 503);
+        // A 429 may be about the caller.
+        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = headers.get(header::RETRY_AFTER);
         let leaving = headers.get(LEAVING).is_some_and(|v| v == "1");
         let backoff = retry_after.and_then(|v| v.to_str().ok()?.trim().parse().ok());
--- a/src/withdrawals.rs
+++ b/src/withdrawals.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// What a head says that may say both: who leaves wants no calls after any time.
+    /// What a head says that may name both: a target that leaves wants no calls after that time either.
     pub fn said(leaving: bool, backoff: Option<Backoff>) -> Option<Self> {
         match backoff {
             _ if leaving => Some(Self::Leaving),
@@ -150,7 +150,7 @@
 }
 
 impl Withdrawals {
-    /// A target said something of itself; returns whether it got calls until now, or was to get some again.
+    /// A target said something of itself; returns whether that is news: it got calls until now, or leaves where it only backed off.
     pub fn on_said(&mut self, now: Instant, target: &TargetId, withdrawal: Withdrawal) -> bool {
         let before = self.said.peek(target).copied().filter(|b| b.is_on(now));
         let said = Said {
