--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -1,13 +1,15 @@
 //! Recorded traces against stated outcomes, on the very decision types that the daemon runs:
 //! routers that hear of one another ten times a second, before engines that cache prompts.
 
+#[path = "replay/trace.rs"]
+mod trace;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
     time::Duration,
 };
 
-use lru::LruCache;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -23,7 +25,8 @@
     retry::BudgetRule,
     units::{Instant, StoreRevision, Tokens},
 };
-use serde::Deserialize;
+
+use trace::{Engine, Line, Request};
 
 const CALM: &str = include_str!("traces/calm.jsonl");
 const CHURN: &str = include_str!("traces/churn.jsonl");
@@ -40,76 +43,6 @@
 const CAP_FACTOR: f64 = 2.0;
 const CAP_SLACK: f64 = 3.0;
 
-/// One line of a trace; docs/TRACE.md tells of the fields.
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
-enum Line {
-    Fleet {
-        engines: usize,
-        cache_tokens: u64,
-        token_us: u64,
-        prefill_us: u64,
-    },
-    Request(Request),
-    Leave {
-        t_ms: u64,
-        engine: usize,
-    },
-    Join {
-        t_ms: u64,
-        engine: usize,
-    },
-}
-
-#[derive(Deserialize, Clone, Copy)]
-struct Request {
-    t_ms: u64,
-    account: u64,
-    conversation: u64,
-    prompt: u64,
-    reusable: u64,
-    shared: u64,
-    answer: u64,
-}
-
-/// An engine's cache, by parts, and what runs there.
-struct Engine {
-    cache: LruCache<PartId, u64>,
-    held: u64,
-    capacity: u64,
-    running: u32,
-}
-
-impl Engine {
-    fn new(capacity: u64) -> Self {
-        Self {
-            cache: LruCache::unbounded(),
-            held: 0,
-            capacity,
-            running: 0,
-        }
-    }
-
-    /// Takes a prompt in; returns the tokens of it that were cached.
-    fn read(&mut self, prompt: &[PromptPart]) -> u64 {
-        let known = prompt
-            .iter()
-            .take_while(|p| self.cache.peek(&p.id).is_some());
-        let cached = known.map(|p| p.tokens.0).sum();
-        for part in prompt {
-            let tokens = part.tokens.0;
-            if self.cache.put(part.id, tokens).is_none() {
-                self.held += tokens;
-            }
-        }
-        while self.held > self.capacity {
-            let (_, tokens) = self.cache.pop_lru().expect("what is held is cached");
-            self.held -= tokens;
-        }
-        cached
-    }
-}
-
 #[derive(Default, Debug, PartialEq)]
 struct Figures {
     calls: u64,
@@ -340,8 +273,7 @@
     fn on_engine(&mut self, t_ms: u64, n: usize, joins: bool) {
         self.revision += 1;
         let capacity = self.engines[n].capacity;
-        self.engines[n].cache.clear();
-        self.engines[n].held = 0;
+        self.engines[n].forget();
         assert!(capacity > 0);
         let change = match joins {
             true => ListChange::Put(record(n, TargetState::Ready)),
--- /dev/null
+++ b/tests/replay/trace.rs
@@ -0,0 +1,81 @@
+//! The lines of a recorded trace, and the engines that it is replayed before.
+
+use lru::LruCache;
+use scaleford::prompt_cache::{PartId, PromptPart};
+use serde::Deserialize;
+
+/// One line of a trace; docs/TRACE.md tells of the fields.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Line {
+    Fleet {
+        engines: usize,
+        cache_tokens: u64,
+        token_us: u64,
+        prefill_us: u64,
+    },
+    Request(Request),
+    Leave {
+        t_ms: u64,
+        engine: usize,
+    },
+    Join {
+        t_ms: u64,
+        engine: usize,
+    },
+}
+
+#[derive(Deserialize, Clone, Copy)]
+pub struct Request {
+    pub t_ms: u64,
+    pub account: u64,
+    pub conversation: u64,
+    pub prompt: u64,
+    pub reusable: u64,
+    pub shared: u64,
+    pub answer: u64,
+}
+
+/// An engine's cache, by parts, and what runs there.
+pub struct Engine {
+    cache: LruCache<PartId, u64>,
+    held: u64,
+    pub capacity: u64,
+    pub running: u32,
+}
+
+impl Engine {
+    pub fn new(capacity: u64) -> Self {
+        Self {
+            cache: LruCache::unbounded(),
+            held: 0,
+            capacity,
+            running: 0,
+        }
+    }
+
+    /// It ends, with all that it held.
+    pub fn forget(&mut self) {
+        self.cache.clear();
+        self.held = 0;
+    }
+
+    /// Takes a prompt in; returns the tokens of it that were cached.
+    pub fn read(&mut self, prompt: &[PromptPart]) -> u64 {
+        let known = prompt
+            .iter()
+            .take_while(|p| self.cache.peek(&p.id).is_some());
+        let cached = known.map(|p| p.tokens.0).sum();
+        for part in prompt {
+            let tokens = part.tokens.0;
+            if self.cache.put(part.id, tokens).is_none() {
+                self.held += tokens;
+            }
+        }
+        while self.held > self.capacity {
+            let (_, tokens) = self.cache.pop_lru().expect("what is held is cached");
+            self.held -= tokens;
+        }
+        cached
+    }
+}
