A router that starts may use a tenth of its share of repeats at once

Change: a tenth of the share within the first window; the budget leaves a fifth unused, which covers that for two restarts of all routers within one window.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -69,6 +69,10 @@
 /// The part of the budget that is used at most: other routers' counts are a little old.
 const USED_PART: f64 = 0.8;
 
+/// What a router may use of its share within the first window of its life, of which it does not know what the life before used: of the
+/// fifth of the budget that is left unused, two restarts of all routers within one window take this each.
+const STARTING_PART: f64 = 0.1;
+
 /// How the fleet's budget is set.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetRule {
@@ -85,7 +89,7 @@
 ///
 /// A router that stops, dies or starts again leaves repeats behind that still count. Where its part passes on at once, the parts of one window
 /// add up to 2.1 (three of four routers stopped or killed within 2.6 s; shares in the log lines of repeats). So
-/// what a router gains counts a window later, what it loses at once, and one that starts or stood still has none for a window.
+/// what a router gains counts a window later, what it loses at once, and one that starts or stood still has a tenth of it for a window.
 #[derive(Debug, Default)]
 pub struct FleetShare {
     /// Since when there are observations without a gap of a window.
@@ -122,7 +126,11 @@
     pub fn usable(&self, now: Instant, window: Duration) -> f64 {
         let observed = self.since.is_some_and(|at| now.since(at) >= window);
         let least = self.rising.front().map_or(0.0, |(_, s)| *s);
-        if observed { least } else { 0.0 }
+        if observed {
+            least
+        } else {
+            least * STARTING_PART
+        }
     }
 }
 
