--- /dev/null
+++ b/src/edge/exchange.rs
@@ -0,0 +1,74 @@
+//! Compares with other routers who there is, and takes in what they know.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use slog::info;
+use tokio::net::UdpSocket;
+
+use super::{gateway::Gateway, gossip};
+use crate::{
+    ids::VmId,
+    membership::{
+        datagram::{Datagram, Stamp},
+        records::Exchange,
+    },
+};
+
+/// Peers that one log line names.
+const PEERS_NAMED: usize = 4;
+
+/// Compares with one other router after the other, for ever.
+pub(super) async fn compare(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
+    loop {
+        let (to, step) = {
+            let mut peers = cx.peers.borrow_mut();
+            (peers.compare_with(cx.now()), peers.compare())
+        };
+        if let Some(to) = to {
+            send(&cx, &udp, step, to.echo, to.address);
+        }
+        let pause = cx.peers.borrow().compare_pause(cx.now());
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Takes in what a datagram tells of others, and answers its step of a comparison. `joined` is its sender if that came to
+/// life by it.
+pub(super) fn on_datagram(
+    cx: &Gateway,
+    udp: &UdpSocket,
+    from: SocketAddr,
+    told: &Datagram,
+    joined: Option<VmId>,
+) {
+    let now = cx.now();
+    let mut all_joined = cx.peers.borrow_mut().on_records(now, told);
+    all_joined.extend(joined);
+    let answer = cx.peers.borrow_mut().answer(now, told);
+    if let Some(answer) = answer {
+        send(cx, udp, answer, Some(told.sent), from);
+    }
+    if all_joined.is_empty() {
+        return;
+    }
+    let named: Vec<&str> = all_joined
+        .iter()
+        .take(PEERS_NAMED)
+        .map(VmId::as_str)
+        .collect();
+    info!(cx.log, "peers joined"; "peers" => all_joined.len(), "first" => named.join(" "), "told_by" => %told.vm,
+        "alive" => cx.peers.borrow().alive(now));
+    for vm in &all_joined {
+        let address = cx.peers.borrow().address_of(vm);
+        address
+            .into_iter()
+            .for_each(|a| gossip::teach(cx, udp, vm, a));
+    }
+}
+
+fn send(cx: &Gateway, udp: &UdpSocket, step: Exchange, echo: Option<Stamp>, to: SocketAddr) {
+    let mut told = gossip::datagram(cx, Vec::new());
+    told.exchange = Some(step);
+    told.echo = echo;
+    gossip::send_to(cx, udp, &told, to);
+}
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -9,6 +9,7 @@
 use slog::{info, warn};
 
 use super::{
+    feed::{ASK_WAIT, FEED_WAIT, Proof},
     fleet,
     gateway::Gateway,
     news::{take_news, take_own},
@@ -95,15 +96,18 @@
             Some(upstream) => Ok(upstream),
             None => PeerConn::open(reader).await,
         };
+        let asked = self.cx.now();
+        let is_fed = self.cx.peers.borrow().is_fed(asked);
         let told = match connected {
             Ok(upstream) => {
                 let after = self.cx.mirror.borrow().revision();
+                let wait = if is_fed { FEED_WAIT } else { ASK_WAIT };
                 tokio::select! {
-                    told = upstream.newer(after) => {
+                    told = upstream.newer(after, wait) => {
                         self.upstream = Some(upstream);
                         told
                     }
-                    () = self.overtaken(reader, after) => return,
+                    () = self.overtaken(reader, after), if !is_fed => return,
                 }
             }
             Err(e) => Err(e),
@@ -116,18 +120,47 @@
             self.read().await;
         }
         match told {
-            Ok(Mirrored::Changes(news)) => take_news(&self.cx, &news, false, reader),
-            Ok(Mirrored::List(news)) => take_news(&self.cx, &news, true, reader),
-            Ok(Mirrored::Nothing) => tokio::time::sleep(ASK_AGAIN).await,
+            Ok((told, proof)) => self.take_told(reader, asked, told, proof).await,
             Err(e) => {
                 self.upstream = None;
                 info!(self.cx.log, "reader does not answer"; "reader" => %reader, "why" => %e);
+                self.cx.peers.borrow_mut().on_had_nothing(now, reader);
                 tokio::time::sleep(ASK_AGAIN).await;
             }
         }
         self.listed |= self.cx.mirror.borrow().revision().0 > 0;
     }
 
+    /// Takes in what a peer told of the store, and what that proves.
+    async fn take_told(
+        &self,
+        reader: SocketAddr,
+        asked: Instant,
+        told: Mirrored,
+        proof: Option<Proof>,
+    ) {
+        let cx = &self.cx;
+        let is_news = told != Mirrored::Nothing;
+        match told {
+            Mirrored::Changes(news) => take_news(cx, &news, false, reader),
+            Mirrored::List(news) => take_news(cx, &news, true, reader),
+            Mirrored::Nothing => {}
+        }
+        let is_fed = cx.peers.borrow().is_fed(cx.now());
+        if let Some(proof) = proof.filter(|_| is_fed) {
+            cx.freshness.borrow_mut().on_vouch(proof.vouch(asked));
+        }
+        let is_recent = proof.is_some_and(Proof::is_recent);
+        if is_fed && !is_recent {
+            info!(cx.log, "reader has nothing recent"; "reader" => %reader, "proof" => ?proof);
+            cx.peers.borrow_mut().on_had_nothing(cx.now(), reader);
+        }
+        let is_of_use = is_news || (is_fed && is_recent);
+        if !is_of_use {
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
     /// Ends when the reader that is asked falls behind other peers, or is not to be relied on.
     async fn overtaken(&self, reader: SocketAddr, after: StoreRevision) {
         let mut behind = 0;
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -11,7 +11,7 @@
 
 use super::{
     GatewayConfig, Rules, accounts::Accounts, claim_keeper::ClaimKeeper, conn::ConnPool,
-    endings::Endings, fleet::Fleet, metrics::Metrics,
+    endings::Endings, feed::Answers, fleet::Fleet, metrics::Metrics,
 };
 use crate::{
     clock::Clock,
@@ -76,6 +76,9 @@
     /// Whether this router adds up counts for its data hall.
     pub(crate) adds_up: Cell<bool>,
     pub(crate) mirror: RefCell<StoreMirror>,
+    /// Wakes peers that wait for something newer than the mirror held.
+    pub(crate) mirror_changed: Notify,
+    pub(super) answers: RefCell<Answers>,
     /// Since when the store does not answer this router.
     pub(crate) store_lost_at: Cell<Option<Instant>>,
     /// Wakes calls that wait for the first configuration.
@@ -121,6 +124,8 @@
             freshness: RefCell::default(),
             serving: RefCell::default(),
             mirror: RefCell::default(),
+            mirror_changed: Notify::new(),
+            answers: RefCell::default(),
             store_lost_at: Cell::new(None),
             config_arrived: Notify::new(),
             store_back_at: Cell::new(None),
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -7,27 +7,26 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    accounts, endings,
+    accounts, endings, exchange,
     gateway::Gateway,
     sums::{Rates, RatesDue, Sums},
 };
 use crate::{
     admission::account_rates::RateReport,
+    ids::VmId,
     lifecycle::Phase,
     limits::SHARE_EVERY,
     membership::{
         datagram::{Datagram, HallSums, Message, Stamp},
-        heartbeats::HubHeartbeats,
-        pace::{Pace, Telling},
+        heartbeats::HubRolls,
+        pace::{Pace, QUIET_TIME, Telling},
         peers::Heard,
+        records::Exchange,
     },
     prompt_cache::{News, PromptPart},
     units::Instant,
 };
 
-/// After so long without a change something is told all the same, as a heartbeat.
-const QUIET_TIME: Duration = Duration::from_millis(400);
-
 /// How often half of the counted calls is forgotten, so that the share of the retry budget follows
 /// the last ten seconds or so without jumping.
 const CALLS_HALVE: Duration = Duration::from_secs(10);
@@ -49,37 +48,18 @@
 /// When what was last told.
 struct Told {
     close: Instant,
-    everyone: Instant,
-    heartbeats: Instant,
     rates: RatesDue,
     is_young: bool,
     calls_halved: Instant,
     shares: Instant,
 }
 
-impl Told {
-    /// What this router tells as a hub of whom it hears of, if that is due.
-    fn take_heartbeats(&mut self, cx: &Gateway, now: Instant) -> HubHeartbeats {
-        let mut peers = cx.peers.borrow_mut();
-        let is_due = now.since(self.heartbeats) >= peers.heartbeats_every();
-        match cx.adds_up.get() && is_due {
-            true => {
-                self.heartbeats = now;
-                peers.hub_heartbeats(now)
-            }
-            false => HubHeartbeats::default(),
-        }
-    }
-}
-
-/// Sends counts, news of prompts and the age of the configuration, over and over: as they change
-/// to all peers of a small fleet or to the hubs of a large one, and seldom to everyone.
+/// Sends counts, news of prompts and the age of the configuration, over and over as they change: to all peers of a small
+/// fleet or to the hubs of a large one.
 pub(super) async fn tell(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
     let now = cx.now();
     let mut last = Told {
         close: now,
-        everyone: now,
-        heartbeats: now,
         rates: RatesDue::new(now),
         is_young: true,
         calls_halved: now,
@@ -107,36 +87,31 @@
             last.shares = now;
             ask_for_shares(&cx, &udp);
         }
-        let (is_large, mesh) = {
+        let is_large = {
             let peers = cx.peers.borrow();
-            cx.adds_up.set(peers.is_large(now) && peers.adds_up(now));
-            (peers.is_large(now), peers.mesh_interval())
+            let is_large = peers.is_large(now);
+            cx.adds_up.set(is_large && peers.adds_up(now));
+            is_large
         };
         let changed = cx.dispatcher.borrow_mut().load.take_changed();
         let due = changed || now.since(last.close) >= QUIET_TIME;
         match is_large {
             false if due => {
                 last.close = now;
-                last.everyone = now;
                 let rates = last.rates.take(&cx, now);
                 send_to_all(&cx, &udp, &rates.own);
             }
             true if due || cx.adds_up.get() => {
                 last.close = now;
-                let heartbeats = last.take_heartbeats(&cx, now);
                 let rates = last.rates.take(&cx, now);
-                send_to_close_ones(&cx, &udp, &heartbeats, &rates);
+                send_to_close_ones(&cx, &udp, &rates);
             }
             _ => {}
         }
-        if is_large && now.since(last.everyone) >= mesh {
-            last.everyone = now;
-            send_to_all(&cx, &udp, &[]);
-        }
     }
 }
 
-/// Sends one datagram to each peer; in a large fleet it is only a heartbeat, as counts go
+/// Sends one datagram to each peer; in a large fleet it says only that this router stops, as all else goes
 /// through hubs.
 pub(super) fn send_to_all(cx: &Gateway, udp: &UdpSocket, rates: &[RateReport]) {
     let is_large = cx.peers.borrow().is_large(cx.now());
@@ -149,31 +124,32 @@
     }
 }
 
-/// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, and
-/// now and then whom it hears of and what accounts send.
-fn send_to_close_ones(
-    cx: &Gateway,
-    udp: &UdpSocket,
-    hub_heartbeats: &HubHeartbeats,
-    rates: &Rates,
-) {
+/// Sends to the hubs; if this router adds up for its data hall, sums to all that wait for them, with who lives and what
+/// accounts send.
+fn send_to_close_ones(cx: &Gateway, udp: &UdpSocket, rates: &Rates) {
+    let now = cx.now();
     let mut told = datagram(cx, news_of_prompts(cx));
-    told.known.clear();
-    let sums = match cx.adds_up.get() {
-        true => Sums::of_halls(cx),
-        false => Sums::default(),
+    let (sums, rolls) = match cx.adds_up.get() {
+        true => {
+            let mut peers = cx.peers.borrow_mut();
+            let changes = peers.changes(now);
+            told.exchange = (!changes.is_empty()).then_some(Exchange::Records(changes));
+            let rolls = peers.hub_rolls(now, cx.recent_calls.get());
+            (Sums::of_halls(cx), rolls)
+        }
+        false => (Sums::default(), HubRolls::default()),
     };
     told.load = Some(cx.dispatcher.borrow_mut().load.own_counts());
-    for to in cx.peers.borrow().close_ones(cx.now()) {
+    for to in cx.peers.borrow().close_ones(now) {
         told.echo = to.echo;
         let is_near = to.hall.as_ref() == Some(&cx.cfg.data_hall);
-        let (halls, heartbeats, of_halls) = match is_near {
-            true => (&sums.all, &hub_heartbeats.near, &rates.halls.near),
-            false => (&sums.own, &hub_heartbeats.far, &rates.halls.far),
+        let (halls, rolls, of_halls) = match is_near {
+            true => (&sums.all, &rolls.near, &rates.halls.near),
+            false => (&sums.own, &rolls.far, &rates.halls.far),
         };
         told.rates = of_halls.iter().chain(&rates.own).cloned().collect();
         told.halls.clone_from(halls);
-        told.heartbeats.clone_from(heartbeats);
+        told.rolls.clone_from(rolls);
         send_to(cx, udp, &told, to.address);
     }
 }
@@ -187,7 +163,6 @@
         return;
     }
     let mut told = datagram(cx, hints);
-    told.known.clear();
     for to in cx.peers.borrow().close_ones(cx.now()) {
         told.echo = to.echo;
         send_to(cx, udp, &told, to.address);
@@ -207,8 +182,13 @@
     }
 }
 
-/// Tells a peer that joined all parts of prompts that are known to be read.
-fn teach(cx: &Gateway, udp: &UdpSocket, address: SocketAddr) {
+/// Tells a peer that joined all parts of prompts that are known to be read, if that is this router's to do.
+pub(super) fn teach(cx: &Gateway, udp: &UdpSocket, joined: &VmId, address: SocketAddr) {
+    let now = cx.now();
+    if now.0 < TEACHES_AFTER || !cx.peers.borrow().is_teacher_of(now, joined) {
+        return;
+    }
+    info!(cx.log, "peer told prompts"; "peer" => %joined);
     let parts = cx.dispatcher.borrow().cache.shared_parts();
     for some in parts.chunks(PARTS_TOLD) {
         let told = datagram(cx, some.to_vec());
@@ -216,7 +196,7 @@
     }
 }
 
-fn send_to(cx: &Gateway, udp: &UdpSocket, told: &Datagram, address: SocketAddr) {
+pub(super) fn send_to(cx: &Gateway, udp: &UdpSocket, told: &Datagram, address: SocketAddr) {
     send_message(cx, udp, &Message::State(told), address);
 }
 
@@ -239,7 +219,7 @@
     let _ = udp.try_send_to(&bytes, address);
 }
 
-fn datagram(cx: &Gateway, parts: Vec<News>) -> Datagram {
+pub(super) fn datagram(cx: &Gateway, parts: Vec<News>) -> Datagram {
     let now = cx.now();
     let freshness = cx.freshness.borrow();
     let age = freshness.age(now);
@@ -266,7 +246,8 @@
         outages: cx.dispatcher.borrow().health.outages.notices(now),
         endings: cx.dispatcher.borrow().quarantine.notices(now),
         held: cx.dispatcher.borrow().quarantine.held_notices(now),
-        heartbeats: Vec::new(),
+        rolls: Vec::new(),
+        exchange: None,
         rates: Vec::new(),
         mirror: cx.mirror.borrow().revision(),
         store_back: cx
@@ -277,7 +258,6 @@
         stopping: cx.phase() != Phase::Serving,
         load: None,
         parts,
-        known: cx.peers.borrow().known(number),
     }
 }
 
@@ -310,25 +290,18 @@
 fn on_datagram(cx: &Gateway, udp: &UdpSocket, from: SocketAddr, told: Datagram) {
     let now = cx.now();
     let heard = cx.peers.borrow_mut().on_datagram(now, from, &told);
-    match heard {
+    let joined = match heard {
         Heard::Outdated => return,
-        Heard::Joined => {
-            let knows = now.0 >= TEACHES_AFTER;
-            let teach_it = knows && cx.peers.borrow().is_teacher_of(now, &told.vm);
-            info!(cx.log, "peer"; "peer" => %told.vm, "verdict" => "joined",
-                "address" => %from, "life" => told.sent.life.0, "told_prompts" => teach_it);
-            if told.echo.is_none() {
-                // It does not know this router yet: with its addresses it finds the others.
-                let mut welcome = datagram(cx, Vec::new());
-                welcome.echo = Some(told.sent);
-                send_to(cx, udp, &welcome, from);
-            }
-            if teach_it {
-                teach(cx, udp, from);
-            }
-        }
-        Heard::Known => {}
+        Heard::Joined => Some(told.vm.clone()),
+        Heard::Known => None,
+    };
+    if joined.is_some() && told.echo.is_none() {
+        // It may not know this router yet.
+        let mut welcome = datagram(cx, Vec::new());
+        welcome.echo = Some(told.sent);
+        send_to(cx, udp, &welcome, from);
     }
+    exchange::on_datagram(cx, udp, from, &told, joined);
     if let Some(vouch) = cx.peers.borrow().vouch(&told) {
         cx.freshness.borrow_mut().on_vouch(vouch);
     }
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    StopReport, endings, follow,
+    StopReport, endings, exchange, follow,
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, prompts, stop,
     stop::Signals,
@@ -58,6 +58,7 @@
         spawn_local(endings::save(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::tell(Rc::clone(&cx), Rc::clone(&udp)));
+        spawn_local(exchange::compare(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(tick(Rc::clone(&cx)));
         spawn_local(ingress::serve_callers(Rc::clone(&cx), self.callers));
         stop::wait(&cx, signals, &udp).await
@@ -121,6 +122,8 @@
         cx.dispatcher.borrow_mut().cold.set_routers(routers);
         cx.conns.on_tick(now);
         let alive = cx.peers.borrow().alive(now);
+        let size = cx.peers.borrow().size();
+        cx.dispatcher.borrow_mut().load.set_fleet(size);
         cx.metrics.peers_alive.set(alive as i64);
         let age = cx.freshness.borrow().age(now);
         cx.metrics
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,6 +14,8 @@
 mod conn;
 mod ending;
 mod endings;
+mod exchange;
+mod feed;
 mod fleet;
 mod follow;
 mod gateway;
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -7,7 +7,7 @@
 use super::{endings, fleet, gateway::Gateway, prompts};
 use crate::{
     config::serving::ServingConfig,
-    discovery::{ListChange, Verdict},
+    discovery::{Changes, ListChange, Verdict},
     ids::{DataHall, TargetId, TargetName},
     store::{
         StoreChange, StoreItem, StoreNews,
@@ -16,6 +16,9 @@
     units::{Instant, StoreRevision},
 };
 
+/// Targets of one list or change that are logged each; a router that starts would write a line for each of thousands.
+const TARGETS_NAMED: usize = 200;
+
 /// Takes in what the store or a reader told.
 pub(super) fn take_news(cx: &Gateway, news: &StoreNews, is_list: bool, from: SocketAddr) {
     let now = cx.now();
@@ -26,6 +29,7 @@
             false => mirror.on_changes(news),
         }
     }
+    cx.mirror_changed.notify_waiters();
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
     let (mut list, mut evacuated, mut changes) = (Vec::new(), Vec::new(), Vec::new());
@@ -58,9 +62,7 @@
         for hall in halls {
             log_hall(cx, &hall, news.revision);
         }
-        for (id, verdict) in changes {
-            log_target(cx, &id, verdict, news.revision);
-        }
+        log_targets(cx, &changes, news.revision);
     }
     if let Some(saved) = saved {
         prompts::recall(cx, saved, is_first);
@@ -131,8 +133,21 @@
         let mut dispatcher = cx.dispatcher.borrow_mut();
         dispatcher.discovery.on_changes(now, changes)
     };
+    log_targets(cx, &changes, at);
+}
+
+/// Logs what became of targets' entries that came together: each, or where these are many how many.
+fn log_targets(cx: &Gateway, changes: &Changes, at: StoreRevision) {
+    let is_many = changes.len() > TARGETS_NAMED;
     for (id, verdict) in changes {
-        log_target(cx, &id, verdict, at);
+        match is_many && !verdict.is_end() {
+            true => {}
+            false => log_target(cx, id, *verdict, at),
+        }
+    }
+    if is_many {
+        let targets = cx.dispatcher.borrow().discovery.all().count();
+        info!(cx.log, "targets"; "changed" => changes.len(), "targets" => targets, "revision" => at.0);
     }
 }
 
--- a/src/edge/once.rs
+++ b/src/edge/once.rs
@@ -156,7 +156,7 @@
         match peer_calls::claim(cx, address, step).await {
             Ok(verdict) => return verdict,
             Err(e) => {
-                cx.peers.borrow_mut().on_unreachable(address);
+                cx.peers.borrow_mut().on_unreachable(cx.now(), address);
                 info!(cx.log, "keeper of a claim not reached"; "id" => %step.request,
                     "keeper" => %address, "why" => %e);
             }
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -9,12 +9,19 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, client, server, service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, client, header::HeaderValue, server,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{body::AnswerBody, conn::CONNECT_TIMEOUT, fleet, gateway::Gateway};
+use super::{
+    body::AnswerBody,
+    conn::CONNECT_TIMEOUT,
+    feed::{self, ASK_WAIT, Proof},
+    fleet,
+    gateway::Gateway,
+};
 use crate::{
     claims::{ClaimStep, ClaimVerdict},
     explain::DecisionRecord,
@@ -22,15 +29,18 @@
     units::StoreRevision,
 };
 
-/// How long an asked router waits for something newer.
-const ASK_WAIT: Duration = Duration::from_secs(5);
-
-/// How often an asked router looks for something newer.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
+/// The pause after a connection that could not be taken.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(40);
 
 /// How long the answer may take beyond the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long a whole list may take beyond the wait: one of ten thousand entries, over a link that some dozens share.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The header of an answer that says what it proves of the configuration.
+const PROOF: &str = "scaleford-proof";
+
 /// How long the keeper of a claim may take: a write of its shard waits for the one before, and a
 /// store that is slow answers within this.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
@@ -41,8 +51,8 @@
 /// What is asked of a router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Ask {
-    /// `GET /store/REVISION`: what is newer than the revision.
-    Store(StoreRevision),
+    /// `GET /store/REVISION/MS`: what is newer than the revision, or nothing after so long.
+    Store(StoreRevision, Duration),
     /// `POST /claim`: take a step.
     Claim,
     /// `GET /explain/ID`: what was decided on a call.
@@ -55,8 +65,11 @@
     fn read(method: &Method, path: &str) -> Option<Self> {
         let mut parts = path.trim_start_matches('/').splitn(2, '/');
         match (method, parts.next()?, parts.next()) {
-            (&Method::GET, "store", Some(after)) => {
-                Some(Self::Store(StoreRevision(after.parse().ok()?)))
+            (&Method::GET, "store", Some(asked)) => {
+                let (after, wait) = asked.split_once('/')?;
+                let wait = Duration::from_millis(wait.parse().ok()?);
+                let after = StoreRevision(after.parse().ok()?);
+                Some(Self::Store(after, wait.min(ASK_WAIT)))
             }
             (&Method::POST, "claim", None) => Some(Self::Claim),
             (&Method::POST, "change", None) => Some(Self::Change),
@@ -68,13 +81,13 @@
     fn method(&self) -> Method {
         match self {
             Self::Claim | Self::Change => Method::POST,
-            Self::Store(_) | Self::Explain(_) => Method::GET,
+            Self::Store(..) | Self::Explain(_) => Method::GET,
         }
     }
 
     fn path(&self) -> String {
         match self {
-            Self::Store(after) => format!("/store/{after}"),
+            Self::Store(after, wait) => format!("/store/{after}/{}", wait.as_millis()),
             Self::Claim => "/claim".to_owned(),
             Self::Change => "/change".to_owned(),
             Self::Explain(id) => format!("/explain/{id}"),
@@ -116,14 +129,35 @@
         self.address
     }
 
-    /// Asks for what is newer than a revision.
-    pub(super) async fn newer(&self, after: StoreRevision) -> Result<Mirrored, StoreError> {
-        let timeout = ASK_WAIT + ANSWER_TIMEOUT;
-        let body = self.call(Ask::Store(after), Bytes::new(), timeout).await?;
-        postcard::from_bytes(&body).map_err(garbled)
+    /// Asks for what is newer than a revision, and waits so long for it; with what the answer proves.
+    pub(super) async fn newer(
+        &self,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<(Mirrored, Option<Proof>), StoreError> {
+        let is_list = after == StoreRevision::default();
+        let timeout = wait
+            + if is_list {
+                LIST_TIMEOUT
+            } else {
+                ANSWER_TIMEOUT
+            };
+        let asked = Ask::Store(after, wait);
+        let (body, proof) = self.call_proven(asked, Bytes::new(), timeout).await?;
+        Ok((feed::decode(&body)?, proof))
     }
 
     async fn call(&self, ask: Ask, body: Bytes, timeout: Duration) -> Result<Bytes, StoreError> {
+        let answer = self.call_proven(ask, body, timeout).await;
+        answer.map(|(body, _)| body)
+    }
+
+    async fn call_proven(
+        &self,
+        ask: Ask,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(Bytes, Option<Proof>), StoreError> {
         let req = Request::builder()
             .method(ask.method())
             .uri(ask.path())
@@ -134,9 +168,10 @@
         let answer = async {
             let res = sent.await.map_err(no_answer)?;
             let status = res.status();
+            let proof = res.headers().get(PROOF).map(|p| read_proof(p.as_bytes()));
             let body = res.into_body().collect().await.map_err(no_answer)?;
             match status {
-                StatusCode::OK => Ok(body.to_bytes()),
+                StatusCode::OK => Ok((body.to_bytes(), proof.transpose()?)),
                 status => Err(StoreError::TurnedAway(status.as_u16())),
             }
         };
@@ -145,6 +180,10 @@
     }
 }
 
+fn read_proof(told: &[u8]) -> Result<Proof, StoreError> {
+    serde_json::from_slice(told).map_err(garbled)
+}
+
 /// Lets the keeper of a claim's shard take a step.
 pub(super) async fn claim(
     cx: &Gateway,
@@ -188,7 +227,7 @@
 pub(super) async fn serve(cx: Rc<Gateway>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(LOOK_EVERY).await;
+            tokio::time::sleep(ACCEPT_AGAIN).await;
             continue;
         };
         let cx = Rc::clone(&cx);
@@ -206,18 +245,27 @@
 }
 
 async fn answer(cx: &Gateway, req: Request<Incoming>) -> Response<AnswerBody> {
+    let mut proof = None;
     let answer = match Ask::read(req.method(), req.uri().path()) {
-        Some(Ask::Store(after)) => postcard::to_stdvec(&newer(cx, after).await).map_err(garbled),
-        Some(Ask::Claim) => on_claim(cx, req).await,
-        Some(Ask::Change) => on_change(cx, req).await,
+        Some(Ask::Store(after, wait)) => match feed::newer(cx, after, wait).await {
+            Ok((body, proven)) => {
+                proof = proven;
+                Ok(body)
+            }
+            Err(e) => Err(e),
+        },
+        Some(Ask::Claim) => on_claim(cx, req).await.map(Bytes::from),
+        Some(Ask::Change) => on_change(cx, req).await.map(Bytes::from),
         Some(Ask::Explain(id)) => {
             let records = cx.explain.of(&cx.cfg.vm, &id);
-            serde_json::to_vec(&records).map_err(garbled)
+            serde_json::to_vec(&records)
+                .map(Bytes::from)
+                .map_err(garbled)
         }
         None => Err(garbled("no such call")),
     };
     match answer {
-        Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
+        Ok(bytes) => proven(Response::new(AnswerBody::whole(bytes)), proof),
         Err(e) => {
             let mut res = Response::new(AnswerBody::whole(e.to_string()));
             *res.status_mut() = StatusCode::BAD_REQUEST;
@@ -226,27 +274,14 @@
     }
 }
 
-async fn newer(cx: &Gateway, after: StoreRevision) -> Mirrored {
-    let until = cx.now() + ASK_WAIT;
-    loop {
-        let told = cx.mirror.borrow().since(after);
-        if let Some(told) = told {
-            return with_unseen(cx, told);
-        }
-        // Whoever asks a router that lost the store had better ask another one.
-        if cx.now() >= until || !cx.reads_store() {
-            return Mirrored::Nothing;
-        }
-        tokio::time::sleep(LOOK_EVERY).await;
-    }
-}
-
-/// What a router is told, with changes that were accepted here and are not read back yet.
-fn with_unseen(cx: &Gateway, mut told: Mirrored) -> Mirrored {
-    if let Mirrored::Changes(news) | Mirrored::List(news) = &mut told {
-        news.items.extend(fleet::unseen_entries(cx, news.revision));
+/// An answer with what it proves; a proof that can't be encoded is none.
+fn proven(mut res: Response<AnswerBody>, proof: Option<Proof>) -> Response<AnswerBody> {
+    let proof = proof.and_then(|p| serde_json::to_string(&p).ok());
+    let proof = proof.and_then(|p| HeaderValue::from_str(&p).ok());
+    if let Some(proof) = proof {
+        res.headers_mut().insert(PROOF, proof);
     }
-    told
+    res
 }
 
 async fn on_change(cx: &Gateway, req: Request<Incoming>) -> Result<Vec<u8>, StoreError> {
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -15,7 +15,10 @@
 
 use crate::{
     ids::{DataHall, TargetId, VmId},
-    membership::datagram::{HallSum, HallSums},
+    membership::{
+        datagram::{HallSum, HallSums},
+        pace,
+    },
     placement::spread::Survival,
     target_counts::{CallCounts, InProgress, TargetCounts, TargetHash},
     units::{Instant, Tokens},
@@ -29,9 +32,12 @@
 /// often under load.
 const REPORT_EXPIRES: Duration = Duration::from_millis(400);
 
-/// How long a data hall's sum is believed: until the second hub has taken the first one's place,
-/// and a sum or two of it may be lost.
-const HALL_EXPIRES: Duration = Duration::from_millis(1_500);
+/// Peers from whose counts on sums are made anew only so often, not with each datagram: a hub of some hundred routers
+/// hears as many of them a second, and adds up all of their counts each time.
+const MANY_PEERS: usize = 64;
+
+/// How often that is.
+const SUM_EVERY: Duration = Duration::from_millis(50);
 
 /// What a target said of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +69,9 @@
     own_told: Counts,
     peers: BTreeMap<VmId, PeerCounts>,
     halls: BTreeMap<DataHall, HallCounts>,
+    /// How long a data hall's sum is believed.
+    hall_expires: Duration,
+    summed_at: Instant,
     others: Counts,
     /// When the calls in `others` were counted, on average.
     others_counted: Instant,
@@ -116,6 +125,8 @@
             own_told: HashMap::new(),
             peers: BTreeMap::new(),
             halls: BTreeMap::new(),
+            hall_expires: pace::sum_expires(1),
+            summed_at: Instant::default(),
             others: HashMap::new(),
             others_counted: Instant::default(),
             usual: HashMap::new(),
@@ -125,6 +136,11 @@
         }
     }
 
+    /// The fleet has so many routers, whose pace says how long a sum is believed.
+    pub fn set_fleet(&mut self, routers: usize) {
+        self.hall_expires = pace::sum_expires(routers);
+    }
+
     /// A call was sent to a target.
     pub fn on_send(&mut self, target: &TargetId, work: InProgress) {
         self.own.entry(target.into()).or_default().add(work);
@@ -145,7 +161,8 @@
         let is_summed = self.is_summed(now, &hall);
         let at = now;
         self.peers.insert(peer, PeerCounts { at, hall, counts });
-        if !is_summed {
+        let is_due = self.peers.len() < MANY_PEERS || now.since(self.summed_at) >= SUM_EVERY;
+        if !is_summed && is_due {
             self.sum_others(now);
         }
     }
@@ -173,7 +190,8 @@
     /// Forgets peers and data halls that are silent.
     pub fn on_tick(&mut self, now: Instant) {
         self.peers.retain(|_, p| now.since(p.at) < PEER_EXPIRES);
-        self.halls.retain(|_, h| now.since(h.at) < HALL_EXPIRES);
+        let expires = self.hall_expires;
+        self.halls.retain(|_, h| now.since(h.at) < expires);
         self.reports
             .retain(|_, (at, _)| now.since(*at) < REPORT_EXPIRES);
         self.sum_others(now);
@@ -269,10 +287,11 @@
 
     fn is_summed(&self, now: Instant, hall: &DataHall) -> bool {
         let sum = self.halls.get(hall);
-        sum.is_some_and(|h| now.since(h.at) < HALL_EXPIRES)
+        sum.is_some_and(|h| now.since(h.at) < self.hall_expires)
     }
 
     fn sum_others(&mut self, now: Instant) {
+        self.summed_at = now;
         let mut others = std::mem::take(&mut self.others);
         let mut counted = MeanMoment::default();
         others.clear();
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -1,7 +1,5 @@
 //! What routers tell one another some times a second.
 
-use std::net::SocketAddr;
-
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -15,7 +13,7 @@
     units::{StoreRevision, Tokens},
 };
 
-use super::heartbeats::HallHeartbeats;
+use super::{heartbeats::HallRoll, records::Exchange};
 
 /// A moment of one router's clock, as it is sent and echoed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,8 +114,10 @@
     /// What all routers of some data halls have in progress, as [`HallSums`] that are encoded
     /// once for all receivers; empty where the sender does not add up.
     pub halls: Vec<u8>,
-    /// Routers that hubs hear of, by data hall; empty where the sender is no hub, and most times.
-    pub heartbeats: Vec<HallHeartbeats>,
+    /// Of whom hubs hear, by data hall; empty where the sender is no hub.
+    pub rolls: Vec<HallRoll>,
+    /// What the sender knows of who there is.
+    pub exchange: Option<Exchange>,
     /// Rates of accounts; empty most times.
     pub rates: Vec<RateReport>,
     /// Targets that just broke off a call at once, at the sender or as it was told.
@@ -130,6 +130,4 @@
     pub suspected: Vec<TargetHash>,
     /// Shared parts of prompts that were sent to a target first.
     pub parts: Vec<(PartId, Tokens, TargetId)>,
-    /// Where other routers are reached.
-    pub known: Vec<SocketAddr>,
 }
--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -1,15 +1,17 @@
-//! Heartbeats that hubs pass on: which routers of a data hall its hub hears of.
+//! Who is gone, in a fleet where not all tell all that they live.
 //!
-//! In a large fleet all tell all so seldom that a router which is gone would count for long, and
-//! some lost datagrams in a row would make a living one count as gone. Routers tell their hub a few
-//! times a second; the hub tells whom it hears of, once a second.
+//! Routers tell the hubs of their data hall some times a second. A hub that has heard nothing of one for
+//! [`pace::silent_after`] says that it is gone, and what it says goes to all in the next datagrams. Every hub also tells a
+//! roll: a digest of those that live in its data hall. A router that knows the same has heard of all of them by that,
+//! in some bytes; one that knows otherwise compares its records with the hub's. So neither what is told nor how long a
+//! dead router is used grows with the fleet.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::peers::Peers;
+use super::{pace, peers::Peers, records::life_hash};
 use crate::{
     ids::{DataHall, VmId},
     units::Instant,
@@ -18,22 +20,11 @@
 /// The pause between two ticks from which on this router stood still: ten times the usual one.
 const ABSENT: Duration = Duration::from_secs(1);
 
-/// How often a hub tells whom it hears of at the most, and what each router adds to that time, so
-/// that what a router is told grows slowly with the fleet.
-const HEARTBEATS_LEAST: Duration = Duration::from_secs(1);
-const HEARTBEATS_PER_ROUTER: Duration = Duration::from_millis(8);
+/// How many times as long as others a router may be silent that this one was only told of: it may know no hub yet.
+const NEVER_HEARD: u32 = 4;
 
-/// How recently a hub heard of a router to name it: routers tell their hubs twice a second or more
-/// often, and one of these datagrams may be lost.
-const NAMED_FOR: Duration = Duration::from_millis(1_200);
-
-/// How many of these times a hub's snapshot may be old for a data hall's routers to be judged by it:
-/// through two hubs it takes up to two, and two datagrams may be lost.
-const SNAPSHOT_FRESH: u32 = 4;
-
-/// Silence beyond that after which a router counts as gone where hubs tell of its data hall: more
-/// than the oldest heartbeat that a hub names.
-const SILENT_MORE: Duration = Duration::from_millis(1_500);
+/// How many times as long as it takes to call a router gone it counts where nobody says anything of its data hall.
+const UNTOLD: u32 = 4;
 
 /// A router's name as a short hash. Of two that share one, a dead one counts while the other lives.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -53,103 +44,178 @@
     }
 }
 
-/// The routers of one data hall that its hub heard of.
+/// The routers of one data hall that its hub hears of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HallHeartbeats {
+pub struct HallRoll {
     hall: DataHall,
     /// How long ago the hub said so, in milliseconds.
     age_ms: u16,
-    /// Each router with how long before that it was heard of, in milliseconds, in order.
-    routers: Vec<(VmHash, u16)>,
+    /// The digest of their lives.
+    digest: u64,
+    /// Calls that they took in the last seconds, to share the retry budget by.
+    calls: u32,
 }
 
-/// What a hub tells of.
+/// What a hub tells.
 #[derive(Debug, Default)]
-pub struct HubHeartbeats {
-    /// To the routers of its own data hall.
-    pub near: Vec<HallHeartbeats>,
-    /// To the hubs of the others.
-    pub far: Vec<HallHeartbeats>,
+pub struct HubRolls {
+    /// To the routers of its own data hall: of all halls.
+    pub near: Vec<HallRoll>,
+    /// To the hubs of the others: of its own.
+    pub far: Vec<HallRoll>,
 }
 
-/// What a hub said last of a data hall.
+/// What a hub told last of a data hall.
 #[derive(Debug)]
-pub(super) struct HallSnapshot {
+pub(super) struct KnownRoll {
     at: Instant,
-    routers: Vec<(VmHash, u16)>,
+    digest: u64,
+    calls: u32,
 }
 
 impl Peers {
-    /// How often a hub tells whom it hears of.
-    pub fn heartbeats_every(&self) -> Duration {
-        let routers = self.heard.len() as u32 + 1;
-        HEARTBEATS_LEAST.max(HEARTBEATS_PER_ROUTER * routers)
+    /// How long a silent router still counts where hubs say who is gone, if none says anything.
+    pub(super) fn untold_after(&self) -> Duration {
+        pace::silent_after(self.size()) * UNTOLD
     }
 
-    fn is_fresh(&self, now: Instant, snapshot: &HallSnapshot) -> bool {
-        now.since(snapshot.at) < self.heartbeats_every() * SNAPSHOT_FRESH
-    }
-
-    /// What this router tells as a hub: to its own data hall of all whose hubs told a moment ago,
-    /// and to the other halls' hubs of its own.
-    pub fn hub_heartbeats(&mut self, now: Instant) -> HubHeartbeats {
-        let own = self.own_heartbeats(now);
-        let (hall, routers) = (own.hall.clone(), own.routers.clone());
-        self.snapshots
-            .insert(hall, HallSnapshot { at: now, routers });
-        let snapshots = self.snapshots.iter();
-        let snapshots = snapshots.filter(|(_, snapshot)| self.is_fresh(now, snapshot));
-        let heartbeats = |(hall, snapshot): (&DataHall, &HallSnapshot)| HallHeartbeats {
+    /// What this router tells as a hub, with its own calls of the last seconds.
+    pub fn hub_rolls(&mut self, now: Instant, own_calls: u32) -> HubRolls {
+        let near = self.heard.values().filter(|p| p.hall == self.hall);
+        let calls = near.map(|p| p.calls).sum::<u32>() + own_calls;
+        let own = KnownRoll {
+            at: now,
+            digest: self.hall_digest(&self.hall),
+            calls,
+        };
+        self.rolls.insert(self.hall.clone(), own);
+        let fresh = self.rolls.iter().filter(|(_, r)| self.is_fresh(now, r));
+        let roll = |(hall, roll): (&DataHall, &KnownRoll)| HallRoll {
             hall: hall.clone(),
-            age_ms: now.since(snapshot.at).as_millis() as u16,
-            routers: snapshot.routers.clone(),
+            age_ms: now
+                .since(roll.at)
+                .as_millis()
+                .try_into()
+                .unwrap_or(u16::MAX),
+            digest: roll.digest,
+            calls: roll.calls,
         };
-        HubHeartbeats {
-            near: snapshots.map(heartbeats).collect(),
-            far: vec![own],
+        let near: Vec<HallRoll> = fresh.map(roll).collect();
+        let far = near.iter().filter(|r| r.hall == self.hall);
+        HubRolls {
+            far: far.cloned().collect(),
+            near,
         }
     }
 
-    fn own_heartbeats(&self, now: Instant) -> HallHeartbeats {
-        let near = self.heard.values().filter(|p| p.hall == self.hall);
-        let age = |at| now.since(at).as_millis() as u16;
-        let named = near.filter(|p| now.since(p.heard) < NAMED_FOR && !p.stopping);
-        let mut routers: Vec<_> = named.map(|p| (p.hash, age(p.heard))).collect();
-        routers.push((VmHash::from(&self.me), 0));
-        routers.sort_unstable();
-        HallHeartbeats {
-            hall: self.hall.clone(),
-            age_ms: 0,
-            routers,
+    /// A hub told rolls, its own or others'.
+    pub(super) fn on_rolls(&mut self, now: Instant, from: &VmId, rolls: &[HallRoll]) {
+        for told in rolls {
+            let at = now.before(Duration::from_millis(u64::from(told.age_ms)));
+            if self.rolls.get(&told.hall).is_some_and(|r| r.at >= at) {
+                continue;
+            }
+            let (digest, calls) = (told.digest, told.calls);
+            let roll = KnownRoll { at, digest, calls };
+            self.rolls.insert(told.hall.clone(), roll);
+            match self.hall_digest(&told.hall) == told.digest {
+                true => self.confirm(&told.hall, at),
+                false => {
+                    let from = self.heard.get(from).map(|p| p.address);
+                    from.into_iter()
+                        .for_each(|a| self.comparing.on_difference(a));
+                }
+            }
         }
     }
 
-    /// A hub told whom it hears of, or passed on what another one told.
-    pub(super) fn on_heartbeats(&mut self, now: Instant, heartbeats: &[HallHeartbeats]) {
-        for HallHeartbeats {
-            hall,
-            age_ms,
-            routers,
-        } in heartbeats
-        {
-            let at = before(now, *age_ms);
-            if self
-                .snapshots
-                .get(hall)
-                .is_some_and(|snapshot| snapshot.at >= at)
-            {
-                continue;
+    /// All that are taken to live in a data hall were heard of.
+    fn confirm(&mut self, hall: &DataHall, at: Instant) {
+        let here = self.heard.values_mut().filter(|p| p.hall == *hall);
+        for peer in here.filter(|p| p.gone_at.is_none()) {
+            peer.told_heard = peer.told_heard.max(Some(at));
+        }
+    }
+
+    fn hall_digest(&self, hall: &DataHall) -> u64 {
+        let is_here = |vm: &VmId| self.heard.get(vm).map_or(&self.hall, |p| &p.hall) == hall;
+        let here = self.counted().filter(|(vm, _)| is_here(vm));
+        here.fold(0, |all, (vm, life)| all ^ life_hash(vm, life))
+    }
+
+    fn is_fresh(&self, now: Instant, roll: &KnownRoll) -> bool {
+        now.since(roll.at) < self.untold_after()
+    }
+
+    /// Calls that other routers took in the last seconds.
+    pub(super) fn others_calls(&self, now: Instant, own_calls: u32) -> u32 {
+        let is_told = |hall: &DataHall| self.rolls.get(hall).is_some_and(|r| self.is_fresh(now, r));
+        let told = self.rolls.values().filter(|r| self.is_fresh(now, r));
+        let told: u32 = told.map(|r| r.calls).sum();
+        let own_part = if is_told(&self.hall) { own_calls } else { 0 };
+        let untold = self.living(now).filter(|p| !is_told(&p.hall));
+        told.saturating_sub(own_part) + untold.map(|p| p.calls).sum::<u32>()
+    }
+
+    /// Says of routers that this one has to hear of that they are gone, once they are silent for long.
+    pub(super) fn observe(&mut self, now: Instant) {
+        if !self.is_large(now) {
+            self.observing_since = None;
+            return;
+        }
+        let since = *self.observing_since.get_or_insert(now);
+        let silent_after = pace::silent_after(self.size());
+        let watched: Vec<VmId> = {
+            let mut watched = self.watched(now);
+            watched.retain(|vm| {
+                self.heard.get(vm).is_some_and(|p| {
+                    let patience = if p.is_direct() { 1 } else { NEVER_HEARD };
+                    let heard = p.heard.max(since).max(p.watched_since.unwrap_or(now));
+                    now.since(heard) >= silent_after * patience
+                })
+            });
+            watched
+        };
+        for vm in watched {
+            if let Some(peer) = self.heard.get_mut(&vm) {
+                peer.gone_at = Some(now);
             }
-            for peer in self.heard.values_mut().filter(|p| p.hall == *hall) {
-                if let Ok(i) = routers.binary_search_by_key(&peer.hash, |(hash, _)| *hash) {
-                    let heartbeat = before(at, routers[i].1);
-                    peer.hub_heard = peer.hub_heard.max(Some(heartbeat));
-                }
+            self.on_change(now, &vm);
+        }
+        self.note_watched(now);
+    }
+
+    /// Notes since when this router has to hear of which others.
+    fn note_watched(&mut self, now: Instant) {
+        let watched = self.watched(now);
+        for (vm, peer) in &mut self.heard {
+            peer.watched_since = match watched.binary_search(vm) {
+                Ok(_) => peer.watched_since.or(Some(now)),
+                Err(_) => None,
+            };
+        }
+    }
+
+    /// Those of which this router has to hear, in order: the hub that tells it sums; for a hub its data hall's routers, and
+    /// the hubs of others that tell it theirs. A second hub tells only other hubs while the first one speaks.
+    fn watched(&self, now: Instant) -> Vec<VmId> {
+        let own_hubs = self.hubs_of(now, &self.hall);
+        let mut watched: Vec<VmId> = match own_hubs.contains(&self.me) {
+            true => {
+                let near = self.heard.iter().filter(|(_, p)| p.hall == self.hall);
+                near.map(|(vm, _)| vm.clone()).collect()
             }
-            let routers = routers.clone();
-            self.snapshots
-                .insert(hall.clone(), HallSnapshot { at, routers });
+            false => own_hubs.into_iter().take(1).collect(),
+        };
+        if self.adds_up(now) {
+            watched.extend(self.first_far_hubs(now));
         }
+        // Also those that are dead to this router alone: its roll counts all that nobody said to be gone.
+        let is_counted = |vm: &VmId| self.heard.get(vm).is_some_and(|p| p.gone_at.is_none());
+        watched.retain(is_counted);
+        watched.sort_unstable();
+        watched.dedup();
+        watched
     }
 
     /// If this router stood still from one tick to the next, who lived before has as long as ever to be heard of. Else it would take the whole fleet's
@@ -164,19 +230,6 @@
                 peer.heard = now.before(before.since(peer.last_heartbeat()));
             }
         }
+        self.observing_since = Some(now);
     }
-
-    /// How long a silent router of a data hall still counts.
-    pub(super) fn alive_for(&self, now: Instant, hall: &DataHall) -> Duration {
-        let by_mesh = self.alive_by_mesh();
-        let snapshot = self.snapshots.get(hall);
-        match snapshot.is_some_and(|snapshot| self.is_fresh(now, snapshot)) {
-            true => by_mesh.min(self.heartbeats_every() * SNAPSHOT_FRESH + SILENT_MORE),
-            false => by_mesh,
-        }
-    }
-}
-
-fn before(at: Instant, ms: u16) -> Instant {
-    at.before(Duration::from_millis(u64::from(ms)))
 }
--- a/src/membership/hubs.rs
+++ b/src/membership/hubs.rs
@@ -1,11 +1,12 @@
 //! Hubs of a large fleet: who adds up what a data hall's routers have in progress, and whom they
 //! tell.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
     datagram::Strength,
-    peers::{Peer, Peers, Receiver, receiver},
+    pace,
+    peers::{Peers, Receiver},
 };
 use crate::{
     ids::{DataHall, VmId},
@@ -14,17 +15,32 @@
 };
 
 /// Routers from which on counts go through hubs: below, all tell all at a kilobyte a second each.
-const LARGE_FLEET: usize = 16;
+pub(super) const LARGE_FLEET: usize = 16;
 
 /// Hubs of one data hall; the second stands in for the first.
 const HUBS: usize = 2;
 
-/// Silence after which the second hub takes the first one's place.
-const HUB_SILENT: Duration = Duration::from_millis(700);
+/// How long it is remembered who the hubs are, if nothing is news of who lives: to name them takes a look at all routers.
+const HUBS_REMEMBERED: Duration = Duration::from_millis(400);
 
-/// How often all tell all at the most, and what each router adds to that time.
-const MESH_LEAST: Duration = Duration::from_millis(500);
-const MESH_PER_ROUTER: Duration = Duration::from_millis(48);
+/// Who the hubs of each data hall are, as it was last worked out.
+#[derive(Debug, Default)]
+pub(super) struct HubTable {
+    at: Option<Instant>,
+    hubs: BTreeMap<DataHall, Vec<VmId>>,
+}
+
+impl HubTable {
+    /// Something is news of who lives.
+    pub(super) fn forget(&mut self) {
+        self.at = None;
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.at
+            .is_some_and(|at| at <= now && now.since(at) < HUBS_REMEMBERED)
+    }
+}
 
 impl Peers {
     /// Whether counts go through hubs.
@@ -35,85 +51,112 @@
     /// The peers that are told counts as they change: hubs, and for the one that adds up for its
     /// data hall that hall's routers.
     pub fn close_ones(&self, now: Instant) -> Vec<Receiver> {
-        let adds_up = self.adds_up(now);
-        let own_hubs = self.hubs_of(now, &self.hall);
-        let far_hubs: HashSet<&VmId> = match adds_up {
-            true => self.far_hubs(now).into_iter().collect(),
-            false => HashSet::new(),
-        };
-        let is_close = |vm: &VmId, p: &Peer| match p.hall == self.hall {
-            true => adds_up || own_hubs.contains(&vm),
-            false => far_hubs.contains(vm),
-        };
-        let living = self.heard.iter().filter(|(_, p)| self.is_alive(now, p));
-        living
-            .filter(|(vm, p)| is_close(vm, p))
-            .map(receiver)
+        if !self.adds_up(now) {
+            let hubs = self.hubs_of(now, &self.hall).into_iter();
+            return hubs.filter_map(|vm| self.receiver(&vm)).collect();
+        }
+        let near = self.living_named(now).filter(|(_, p)| p.hall == self.hall);
+        let near = near.map(Receiver::of);
+        let far = self.far_hubs(now).into_iter();
+        near.chain(far.filter_map(|vm| self.receiver(&vm)))
             .collect()
     }
 
     /// Whether this router adds up the counts of its data hall: its first hub does, or the second
     /// while the first one is silent.
     pub fn adds_up(&self, now: Instant) -> bool {
-        let hubs = self.hubs_of(now, &self.hall);
-        match hubs.as_slice() {
-            [first, ..] if *first == &self.me => true,
-            [first, second, ..] if *second == &self.me => self.is_silent(now, first),
+        match self.hubs_of(now, &self.hall).as_slice() {
+            [first, ..] if *first == self.me => true,
+            [first, second, ..] if *second == self.me => self.is_silent(now, first),
             _ => false,
         }
     }
 
+    fn receiver(&self, vm: &VmId) -> Option<Receiver> {
+        self.heard.get_key_value(vm).map(Receiver::of)
+    }
+
     fn is_silent(&self, now: Instant, hub: &VmId) -> bool {
+        let silent_after = pace::hub_silent_after(self.size());
         let peer = self.heard.get(hub);
-        peer.is_none_or(|p| now.since(p.heard) >= HUB_SILENT)
+        peer.is_none_or(|p| now.since(p.heard) >= silent_after)
     }
 
     /// The routers that keep a thing together, of the stronger ones: those that bear at least half
     /// of what the strongest bears, unless they are too few.
     pub(super) fn strong_keepers<'a>(
-        &'a self,
         thing: &str,
-        names: impl Iterator<Item = &'a VmId>,
+        routers: impl Iterator<Item = (&'a VmId, Strength)>,
         n: usize,
     ) -> Vec<&'a VmId> {
-        let strength = |vm: &VmId| self.heard.get(vm).map_or(self.strength, |p| p.strength);
-        let mut all: Vec<&VmId> = names.collect();
-        let mut strengths: Vec<Strength> = all.iter().map(|vm| strength(vm)).collect();
+        let mut all: Vec<(&VmId, Strength)> = routers.collect();
+        let mut strengths: Vec<Strength> = all.iter().map(|(_, strength)| *strength).collect();
         strengths.sort_unstable_by(|a, b| b.cmp(a));
         let strongest = strengths.first().copied().unwrap_or_default();
         let nth = strengths.get(n.saturating_sub(1)).copied();
         let least = strongest.half().min(nth.unwrap_or_default());
-        all.retain(|vm| strength(vm) >= least);
-        keepers(thing, all.into_iter(), n)
+        all.retain(|(_, strength)| *strength >= least);
+        keepers(thing, all.into_iter().map(|(vm, _)| vm), n)
+    }
+
+    /// All that live with what they bear, this router included.
+    pub(super) fn strengths(&self, now: Instant) -> impl Iterator<Item = (&VmId, Strength)> {
+        let others = self.living_named(now).map(|(vm, p)| (vm, p.strength));
+        others.chain(std::iter::once((&self.me, self.strength)))
     }
 
     /// The hubs that add up for the other data halls: the first one of each, and the second as well
     /// while that is silent.
-    fn far_hubs(&self, now: Instant) -> Vec<&VmId> {
-        let living = self.heard.values().filter(|p| self.is_alive(now, p));
-        let mut halls: Vec<&DataHall> = living.map(|p| &p.hall).collect();
-        halls.sort();
-        halls.dedup();
-        halls.retain(|hall| **hall != self.hall);
-        let adding = |hall| {
-            let hubs = self.hubs_of(now, hall);
+    pub(super) fn far_hubs(&self, now: Instant) -> Vec<VmId> {
+        self.name_hubs(now);
+        let table = self.hubs.borrow();
+        let others = table.hubs.iter().filter(|(hall, _)| **hall != self.hall);
+        let adding = |(_, hubs): (_, &Vec<VmId>)| {
             let first_speaks = hubs.first().is_some_and(|hub| !self.is_silent(now, hub));
-            hubs.into_iter().take(if first_speaks { 1 } else { HUBS })
+            let adding = hubs.iter().take(if first_speaks { 1 } else { HUBS });
+            adding.cloned().collect::<Vec<_>>()
         };
-        halls.into_iter().flat_map(adding).collect()
+        others.flat_map(adding).collect()
     }
 
-    fn hubs_of(&self, now: Instant, hall: &DataHall) -> Vec<&VmId> {
-        let of_hall = |vm: &&VmId| match self.heard.get(*vm) {
-            Some(peer) => peer.hall == *hall,
-            None => self.hall == *hall,
-        };
-        self.strong_keepers("hub", self.names(now).filter(of_hall), HUBS)
+    /// The first hub of each other data hall.
+    pub(super) fn first_far_hubs(&self, now: Instant) -> Vec<VmId> {
+        self.name_hubs(now);
+        let table = self.hubs.borrow();
+        let others = table.hubs.iter().filter(|(hall, _)| **hall != self.hall);
+        others
+            .filter_map(|(_, hubs)| hubs.first().cloned())
+            .collect()
     }
 
-    /// How often all tell all: what a router sends must not grow with the fleet.
-    pub fn mesh_interval(&self) -> Duration {
-        let routers = self.heard.len() as u32 + 1;
-        MESH_LEAST.max(MESH_PER_ROUTER * routers)
+    pub(super) fn hubs_of(&self, now: Instant, hall: &DataHall) -> Vec<VmId> {
+        self.name_hubs(now);
+        let table = self.hubs.borrow();
+        table.hubs.get(hall).cloned().unwrap_or_default()
+    }
+
+    /// Works out who the hubs are, unless that was done a moment ago.
+    fn name_hubs(&self, now: Instant) {
+        let mut table = self.hubs.borrow_mut();
+        if table.is_fresh(now) {
+            return;
+        }
+        let mut halls: BTreeMap<&DataHall, Vec<(&VmId, Strength)>> = BTreeMap::new();
+        for (vm, peer) in self.living_named(now) {
+            halls
+                .entry(&peer.hall)
+                .or_default()
+                .push((vm, peer.strength));
+        }
+        halls
+            .entry(&self.hall)
+            .or_default()
+            .push((&self.me, self.strength));
+        let hubs = |(hall, routers): (&DataHall, Vec<(&VmId, Strength)>)| {
+            let hubs = Self::strong_keepers("hub", routers.into_iter(), HUBS);
+            (hall.clone(), hubs.into_iter().cloned().collect())
+        };
+        table.hubs = halls.into_iter().map(hubs).collect();
+        table.at = Some(now);
     }
 }
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -1,126 +1,39 @@
 //! Which other routers live, by the datagrams that they send.
 //!
 //! In a small fleet each router tells all others, some times a second, what it has in progress and
-//! how old its knowledge is. In a large one it tells that two hubs of its data hall; one of them
-//! adds up and tells the hall's routers and the other halls' hubs, also whom it hears of. All tell
-//! all only seldom. Whoever is silent for long counts as gone.
+//! how old its knowledge is; whoever is silent for long counts as gone. In a large one it tells that two hubs of its
+//! data hall; one of them adds up and tells the hall's routers and the other halls' hubs, also who is gone
+//! ([`super::heartbeats`]). Who there is they learn from one another ([`super::records`]).
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
+
+pub use super::peer::{Member, MemberState, Receiver};
 
 use super::{
-    datagram::{Datagram, Stamp, Strength},
-    heartbeats::{HallSnapshot, VmHash},
+    datagram::{Datagram, Strength},
+    heartbeats::{KnownRoll, VmHash},
+    hubs::{HubTable, LARGE_FLEET},
+    pace,
+    peer::{Peer, Silence},
+    records::Comparing,
 };
 use crate::{
     config::freshness::Vouch,
     ids::{DataHall, Incarnation, VmId},
     load_account::PEER_EXPIRES,
     placement::{keeper, keepers},
-    units::{Instant, StoreRevision},
+    units::Instant,
 };
 
 /// How long a silent peer counts as alive in a small fleet.
 const ALIVE_FOR: Duration = PEER_EXPIRES;
 
 /// How long the address of a silent peer is still written to: it may only be cut off.
-const ADDRESS_KEPT: Duration = Duration::from_mins(1);
-
-/// Silence of a router's known life after which one that is numbered lower counts: twice what a
-/// router lets pass between two datagrams, also in a fleet of some hundred.
-const LIFE_SILENT: Duration = Duration::from_secs(1);
-
-/// Addresses that one datagram names, and in a fleet where most are known.
-const KNOWN_TOLD: usize = 16;
-const KNOWN_TOLD_LARGE: usize = 4;
-
-/// Peers from which on few addresses are told.
-const MOST_ARE_KNOWN: usize = 48;
+pub(super) const ADDRESS_KEPT: Duration = Duration::from_mins(1);
 
 /// Routers that tell a peer that joined what it missed; two, as one may be about to go.
 const TEACHERS: usize = 2;
 
-/// One other router.
-#[derive(Debug)]
-pub(super) struct Peer {
-    pub(super) address: SocketAddr,
-    pub(super) hall: DataHall,
-    pub(super) strength: Strength,
-    pub(super) hash: VmHash,
-    pub(super) heard: Instant,
-    /// The youngest heartbeat that a hub passed on.
-    pub(super) hub_heard: Option<Instant>,
-    /// A call to it brought no answer since it was last heard of.
-    unreachable: bool,
-    stamp: Stamp,
-    /// The life before this one, of which datagrams may still be on their way.
-    former_life: Option<Incarnation>,
-    number: u64,
-    calls: u32,
-    pub(super) stopping: bool,
-    pub(super) mirror: StoreRevision,
-    /// When the peer last heard from the store, if it reads it.
-    pub(super) store_heard: Option<Instant>,
-}
-
-impl Peer {
-    /// Whether a life is over that is not this one. Lives are numbered by the time of day, which
-    /// may have been set back: an earlier number counts once the known life is silent.
-    fn is_of_the_past(&self, now: Instant, life: Incarnation) -> bool {
-        let speaks = now.since(self.heard) < LIFE_SILENT;
-        self.former_life == Some(life) || (self.stamp.life > life && speaks)
-    }
-
-    /// Its last heartbeat.
-    pub(super) fn last_heartbeat(&self) -> Instant {
-        self.hub_heard.map_or(self.heard, |at| at.max(self.heard))
-    }
-}
-
-/// A peer to send to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Receiver {
-    /// Its name, once it was heard of.
-    pub vm: Option<VmId>,
-    /// Its data hall, once it was heard of.
-    pub hall: Option<DataHall>,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// The youngest stamp that was heard from it.
-    pub echo: Option<Stamp>,
-}
-
-/// What is believed of a router.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberState {
-    /// It was heard of a moment ago.
-    Alive,
-    /// It said that it stops.
-    Stopping,
-    /// It is silent.
-    Dead,
-}
-
-impl MemberState {
-    /// Whether it counts.
-    pub fn is_alive(self) -> bool {
-        self == Self::Alive
-    }
-}
-
-/// Another router, for operators.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct Member {
-    /// Its VM.
-    pub vm: VmId,
-    /// Where it stands.
-    pub data_hall: DataHall,
-    /// What is believed of it.
-    pub state: MemberState,
-    /// How long ago it was last heard of, in milliseconds.
-    pub silent_ms: u64,
-}
-
 /// What a datagram changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
@@ -138,12 +51,18 @@
     pub(super) me: VmId,
     pub(super) hall: DataHall,
     pub(super) strength: Strength,
-    life: Incarnation,
-    own_address: SocketAddr,
+    pub(super) life: Incarnation,
+    pub(super) own_address: SocketAddr,
     pub(super) heard: BTreeMap<VmId, Peer>,
-    unheard: BTreeMap<SocketAddr, Instant>,
-    /// What hubs said last of each data hall's routers.
-    pub(super) snapshots: BTreeMap<DataHall, HallSnapshot>,
+    pub(super) unheard: BTreeMap<SocketAddr, Instant>,
+    /// What hubs told last of each data hall's routers.
+    pub(super) rolls: BTreeMap<DataHall, KnownRoll>,
+    pub(super) comparing: Comparing,
+    /// Since when this router knows that it has to hear of others.
+    pub(super) observing_since: Option<Instant>,
+    pub(super) hubs: RefCell<HubTable>,
+    /// Routers that had nothing recent when they were asked, with when.
+    pub(super) had_nothing: BTreeMap<SocketAddr, Instant>,
     /// The last tick.
     ticked: Option<Instant>,
 }
@@ -166,7 +85,11 @@
             own_address,
             heard: BTreeMap::new(),
             unheard: BTreeMap::new(),
-            snapshots: BTreeMap::new(),
+            rolls: BTreeMap::new(),
+            comparing: Comparing::default(),
+            observing_since: None,
+            hubs: RefCell::default(),
+            had_nothing: BTreeMap::new(),
             ticked: None,
         };
         for seed in seeds {
@@ -189,52 +112,35 @@
             return Heard::Outdated;
         }
         let before = self.heard.get(&told.vm);
+        let lived = before.is_some_and(|p| p.lives(now, self.silence()));
         let heard = match before {
-            Some(p) if p.stamp.life == told.sent.life && p.number >= told.number => {
+            Some(p) if p.life() == told.sent.life && p.number >= told.number => {
                 return Heard::Outdated;
             }
             Some(p) if p.is_of_the_past(now, told.sent.life) => return Heard::Outdated,
             // One that stops is still the same life, and needs nothing told.
-            Some(p) if p.stamp.life == told.sent.life && self.is_heard(now, p) => Heard::Known,
+            Some(p) if p.life() == told.sent.life && (lived || p.stopping) => Heard::Known,
             _ if told.stopping => Heard::Known,
             _ => Heard::Joined,
         };
-        let store_heard = before.and_then(|p| p.store_heard);
-        let former_life = before.and_then(|p| match p.stamp.life == told.sent.life {
-            true => p.former_life,
-            false => Some(p.stamp.life),
-        });
-        let peer = Peer {
-            address: from,
-            hall: told.hall.clone(),
-            strength: told.strength,
-            hash: VmHash::from(&told.vm),
-            heard: now,
-            hub_heard: None,
-            unreachable: false,
-            stamp: told.sent,
-            former_life,
-            number: told.number,
-            calls: told.calls,
-            stopping: told.stopping,
-            mirror: told.mirror,
-            store_heard,
-        };
+        let peer = Peer::heard(now, from, told, before);
+        let is_change = lived == told.stopping || heard == Heard::Joined;
         self.heard.insert(told.vm.clone(), peer);
+        if is_change {
+            self.on_change(now, &told.vm);
+        }
         self.on_store_readers(now, &told.readers);
-        self.on_heartbeats(now, &told.heartbeats);
+        self.on_rolls(now, &told.vm, &told.rolls);
         self.unheard.remove(&from);
-        for address in &told.known {
-            self.on_address(now, *address);
-        }
         heard
     }
 
     /// A call to a router brought no answer: it counts as gone until it is heard of again.
-    pub fn on_unreachable(&mut self, address: SocketAddr) {
+    pub fn on_unreachable(&mut self, now: Instant, address: SocketAddr) {
         for peer in self.heard.values_mut().filter(|p| p.address == address) {
-            peer.unreachable = true;
+            peer.unreachable_at = Some(now);
         }
+        self.hubs.borrow_mut().forget();
     }
 
     /// What a datagram vouches for, if it answers one of this life.
@@ -250,38 +156,18 @@
 
     /// All peers, and all places where one may be.
     pub fn everyone(&self) -> Vec<Receiver> {
-        let heard = self.heard.iter().map(receiver);
-        let unheard = self.unheard.keys().map(|address| Receiver {
-            vm: None,
-            hall: None,
-            address: *address,
-            echo: None,
-        });
+        let heard = self.heard.iter().map(Receiver::of);
+        let unheard = self.unheard.keys().map(|address| Receiver::at(*address));
         heard.chain(unheard).collect()
     }
 
-    /// Addresses to tell, other ones each time, and other ones than the peers tell at the time.
-    pub fn known(&self, turn: u64) -> Vec<SocketAddr> {
-        let all: Vec<SocketAddr> = self.heard.values().map(|p| p.address).collect();
-        let told = match all.len() {
-            n if n >= MOST_ARE_KNOWN => KNOWN_TOLD_LARGE,
-            n => KNOWN_TOLD.min(n),
-        };
-        let first = VmHash::from(&self.me).spread();
-        let skip = (turn as usize * told + first) % all.len().max(1);
-        let turned = all.iter().cycle().skip(skip);
-        turned.take(told).copied().collect()
-    }
-
     /// Forgets peers that are silent for long, and those that stopped.
     pub fn on_tick(&mut self, now: Instant) {
         let before = self.ticked.replace(now).unwrap_or(now);
         self.excuse_silence(before, now);
+        self.observe(now);
         let keep = |since: Instant| now.since(since) < ADDRESS_KEPT;
-        let alive_for = self.alive_by_mesh();
-        let gone = |p: &Peer| p.stopping && now.since(p.heard) >= alive_for;
-        self.heard
-            .retain(|_, p| keep(p.last_heartbeat()) && !gone(p));
+        self.heard.retain(|_, p| keep(p.last_heartbeat()));
         self.unheard.retain(|_, since| keep(*since));
     }
 
@@ -304,12 +190,13 @@
 
     /// The other routers that were heard of, each with its data hall and whether it lives.
     pub fn members(&self, now: Instant) -> Vec<Member> {
+        let silence = self.silence();
         let member = |(vm, p): (&VmId, &Peer)| Member {
             vm: vm.clone(),
             data_hall: p.hall.clone(),
             state: match () {
                 () if p.stopping => MemberState::Stopping,
-                () if self.is_heard(now, p) => MemberState::Alive,
+                () if p.lives(now, silence) => MemberState::Alive,
                 () => MemberState::Dead,
             },
             silent_ms: now.since(p.last_heartbeat()).as_millis() as u64,
@@ -322,13 +209,15 @@
         self.living(now).map(|p| p.address).collect()
     }
 
+    /// Where a router is reached.
+    pub fn address_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        self.heard.get(vm).map(|p| p.address)
+    }
+
     /// The names of all that live, this router's included.
     pub(super) fn names(&self, now: Instant) -> impl Iterator<Item = &VmId> {
-        let living = self
-            .heard
-            .iter()
-            .filter(move |(_, p)| self.is_alive(now, p));
-        living.map(|(vm, _)| vm).chain(std::iter::once(&self.me))
+        let living = self.living_named(now).map(|(vm, _)| vm);
+        living.chain(std::iter::once(&self.me))
     }
 
     /// The routers that live as short hashes, this one's first.
@@ -346,7 +235,7 @@
 
     /// This router's part of the fleet's calls, from its own calls and its peers'.
     pub fn share(&self, now: Instant, own_calls: u32) -> f64 {
-        let others: u32 = self.living(now).map(|p| p.calls).sum();
+        let others = self.others_calls(now, own_calls);
         let even = 1.0 / self.alive(now) as f64;
         match own_calls + others {
             0 => even,
@@ -355,31 +244,29 @@
         }
     }
 
-    /// How long a silent router still counts where no hub tells of it.
-    pub(super) fn alive_by_mesh(&self) -> Duration {
-        ALIVE_FOR.max(self.mesh_interval() * 7 / 2)
-    }
-
-    fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
-        let alive_for = self.alive_for(now, &peer.hall);
-        !peer.unreachable && now.since(peer.last_heartbeat()) < alive_for
+    /// How long a router may be silent. In a small fleet all hear of all.
+    fn silence(&self) -> Silence {
+        let counts_for = match self.heard.len() + 1 < LARGE_FLEET {
+            true => ALIVE_FOR,
+            false => ALIVE_FOR.max(self.untold_after()),
+        };
+        Silence {
+            silent_after: pace::silent_after(self.size()),
+            counts_for,
+        }
     }
 
     pub(super) fn is_alive(&self, now: Instant, peer: &Peer) -> bool {
-        self.is_heard(now, peer) && !peer.stopping
+        peer.lives(now, self.silence())
     }
 
     pub(super) fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.heard.values().filter(move |p| self.is_alive(now, p))
+        self.living_named(now).map(|(_, p)| p)
     }
-}
 
-/// A peer as a receiver of datagrams.
-pub(super) fn receiver((vm, peer): (&VmId, &Peer)) -> Receiver {
-    Receiver {
-        vm: Some(vm.clone()),
-        hall: Some(peer.hall.clone()),
-        address: peer.address,
-        echo: Some(peer.stamp),
+    pub(super) fn living_named(&self, now: Instant) -> impl Iterator<Item = (&VmId, &Peer)> {
+        let silence = self.silence();
+        let all = self.heard.iter();
+        all.filter(move |(_, p)| p.lives(now, silence))
     }
 }
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::peers::{Peer, Peers};
+use super::{peer::Peer, peers::Peers};
 use crate::{
     ids::VmId,
     placement::keeper,
@@ -49,6 +49,17 @@
 /// The longest such pause: a router whose peers are gone without its knowledge comes back by itself.
 const BYSTANDER_LONGEST: Duration = Duration::from_secs(5);
 
+/// How long a router that starts later than the first time waits to hear of any other: one of those whose addresses it
+/// knows answers within this, if it lives.
+const LOOK_AROUND: Duration = Duration::from_millis(250);
+
+/// Routers from which on one that starts waits until it knows the others: else each of a fleet that starts together lists
+/// all targets by itself, which takes the store longer than it takes the routers to find one another.
+const MANY: usize = 32;
+
+/// The longest wait for that.
+const SETTLE_LONGEST: Duration = Duration::from_secs(4);
+
 /// Whether the whole fleet starts for the first time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FleetStart {
@@ -90,9 +101,12 @@
 impl Peers {
     /// Whom to ask next.
     pub fn next_read(&self, now: Instant, state: &ReadState) -> NextRead {
-        if state.start == FleetStart::First && now.0 < FIND_ONE_ANOTHER {
+        if self.looks_around(now, state.start) {
             return NextRead::Wait;
         }
+        if self.is_fed(now) {
+            return self.next_of_fed(now, state);
+        }
         let is_reader = self.reads_for_all(now, state);
         let first_wait = match state.start {
             FleetStart::First => FIRST_START_WAIT,
@@ -109,6 +123,17 @@
         }
     }
 
+    /// Whether this router has just started and does not know yet who else there is.
+    fn looks_around(&self, now: Instant, start: FleetStart) -> bool {
+        let alone = self.heard.is_empty();
+        let finds_others = match start {
+            FleetStart::First => now.0 < FIND_ONE_ANOTHER,
+            FleetStart::Later => now.0 < LOOK_AROUND && alone && !self.unheard.is_empty(),
+        };
+        let learns = self.size() >= MANY && !self.is_settled(now) && now.0 < SETTLE_LONGEST;
+        finds_others || learns
+    }
+
     /// Whether this router reads the store for all, named or as a stand-in.
     fn reads_for_all(&self, now: Instant, state: &ReadState) -> bool {
         self.is_reader(now) || (state.reads_store && self.stands_in(now))
@@ -140,6 +165,10 @@
 
     /// How long ago the peers that read the store heard from it, in milliseconds.
     pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
+        // Those that are fed hear of it from whoever feeds them.
+        if self.is_fed(now) {
+            return Vec::new();
+        }
         let age = |p: &Peer| {
             let heard = p.store_heard.unwrap_or_default();
             now.since(heard).as_millis() as u32
@@ -166,20 +195,21 @@
         }
     }
 
-    fn named(&self, now: Instant) -> Vec<&VmId> {
-        self.strong_keepers(READERS_KEY, self.names(now), READERS)
+    pub(super) fn named(&self, now: Instant) -> Vec<&VmId> {
+        Self::strong_keepers(READERS_KEY, self.strengths(now), READERS)
     }
 
     /// Of the routers that heard from the store a moment ago, `me` included if given: those that are named,
     /// or where none of these is among them, a few.
     fn acting<'a>(&'a self, now: Instant, me: Option<&'a VmId>) -> Vec<&'a VmId> {
         let fresh = |(_, p): &(&VmId, &Peer)| self.is_fresh_reader(now, p);
-        let fresh = self.heard.iter().filter(fresh).map(|(vm, _)| vm);
-        let fresh: Vec<&VmId> = fresh.chain(me).collect();
+        let fresh = self.heard.iter().filter(fresh);
+        let fresh = fresh.map(|(vm, p)| (vm, p.strength));
+        let fresh: Vec<_> = fresh.chain(me.map(|me| (me, self.strength))).collect();
         let mut acting = self.named(now);
-        acting.retain(|vm| fresh.contains(vm));
+        acting.retain(|vm| fresh.iter().any(|(f, _)| f == vm));
         match acting.is_empty() {
-            true => self.strong_keepers(READERS_KEY, fresh.into_iter(), READERS),
+            true => Self::strong_keepers(READERS_KEY, fresh.into_iter(), READERS),
             false => acting,
         }
     }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -7,10 +7,9 @@
 use super::{StoreItem, StoreNews, own::PROMPTS_KEY};
 use crate::units::StoreRevision;
 
-/// Removed keys that a mirror remembers for peers that lag behind: more than the targets of the users' largest
-/// sheets, all of which may lapse and be listed anew at once. Where 512 changes were kept in their place, each
-/// of 3,000 entries went to every router each time that more of them changed together.
-const REMOVED_KEPT: usize = 8_192;
+/// Removed keys that a mirror remembers for peers that lag behind, beside as many as it ever held: all may lapse and be
+/// listed anew at once, and a peer that asks for older ones than these is sent all entries.
+const REMOVED_KEPT: usize = 1_024;
 
 /// Lists that were taken after others, of which is remembered what they left open.
 const GAPS_KEPT: usize = 16;
@@ -25,6 +24,8 @@
     /// From one list to the next entries may have come and gone that the mirror never had.
     gaps: Vec<Gap>,
     revision: StoreRevision,
+    /// The most entries that it held at once.
+    most: usize,
 }
 
 /// Revisions of which only what was left at the end is known.
@@ -152,14 +153,17 @@
     }
 
     fn trim(&mut self) {
-        while self.removed.len() > REMOVED_KEPT {
-            let first = self.removed.iter().min_by_key(|(_, at)| **at);
-            let Some((key, at)) = first.map(|(key, at)| (key.clone(), *at)) else {
-                return;
-            };
-            self.removed.remove(&key);
-            self.oldest = self.oldest.max(at);
+        self.most = self.most.max(self.items.len());
+        let kept = REMOVED_KEPT + self.most;
+        let more = self.removed.len().saturating_sub(kept);
+        if more == 0 {
+            return;
         }
+        let mut revisions: Vec<StoreRevision> = self.removed.values().copied().collect();
+        let (_, last, _) = revisions.select_nth_unstable(more - 1);
+        let forgotten = *last;
+        self.removed.retain(|_, at| *at > forgotten);
+        self.oldest = self.oldest.max(forgotten);
     }
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,7 +3,7 @@
 mod mirror;
 pub mod own;
 
-use std::{future::Future, pin::Pin, time::Duration};
+use std::{borrow::Cow, future::Future, pin::Pin, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -44,10 +44,19 @@
     pub revision: StoreRevision,
 }
 
-/// A value as it is kept and passed on between routers: compressed, as a configuration of some
-/// hundred routes is told to many routers at once and some of them have thin links.
+/// A value as it is kept and passed on between routers: a large one compressed, as a configuration of some
+/// hundred routes is told to many routers at once and some of them have thin links. A small one gains little by that, and to
+/// compress each of thousands takes a thin processor seconds; lists of them are compressed as a whole on their way.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PackedValue(Vec<u8>);
+pub enum PackedValue {
+    /// As it was written.
+    Plain(Vec<u8>),
+    /// Compressed.
+    Packed(Vec<u8>),
+}
+
+/// Bytes from which on a value is compressed.
+const PACKED_FROM: usize = 512;
 
 /// How hard values are compressed, from 0 to 10: a tenth of the size in few milliseconds.
 const PACK_LEVEL: u8 = 4;
@@ -56,29 +65,39 @@
 const UNPACK_LIMIT: usize = 16 << 20;
 
 impl PackedValue {
-    /// Compresses a value.
+    /// Compresses a value, if it is large.
     pub fn pack(value: &[u8]) -> Self {
-        Self(miniz_oxide::deflate::compress_to_vec(value, PACK_LEVEL))
+        match value.len() < PACKED_FROM {
+            true => Self::Plain(value.to_vec()),
+            false => Self::Packed(miniz_oxide::deflate::compress_to_vec(value, PACK_LEVEL)),
+        }
     }
 
     /// A value whose bytes can't be read; it does not unpack.
     pub fn unreadable() -> Self {
-        Self(Vec::new())
+        Self::Packed(Vec::new())
     }
 
     /// The value as it was written; the error says what is wrong with the packing.
-    pub fn unpack(&self) -> Result<Vec<u8>, String> {
-        // The inflater never returns from empty input.
-        if self.0.is_empty() {
-            return Err("the value's bytes can't be read".to_owned());
-        }
-        let unpacked = miniz_oxide::inflate::decompress_to_vec_with_limit(&self.0, UNPACK_LIMIT);
-        unpacked.map_err(|e| format!("value not unpacked: {e}"))
+    pub fn unpack(&self) -> Result<Cow<'_, [u8]>, String> {
+        let packed = match self {
+            Self::Plain(value) => return Ok(Cow::Borrowed(value)),
+            // The inflater never returns from empty input.
+            Self::Packed(packed) if packed.is_empty() => {
+                return Err("the value's bytes can't be read".to_owned());
+            }
+            Self::Packed(packed) => packed,
+        };
+        let unpacked = miniz_oxide::inflate::decompress_to_vec_with_limit(packed, UNPACK_LIMIT);
+        let unpacked = unpacked.map_err(|e| format!("value not unpacked: {e}"))?;
+        Ok(Cow::Owned(unpacked))
     }
 
     /// Bytes that it takes.
     pub fn packed_len(&self) -> usize {
-        self.0.len()
+        match self {
+            Self::Plain(bytes) | Self::Packed(bytes) => bytes.len(),
+        }
     }
 }
 
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -92,7 +92,7 @@
             let address = text.parse().map_err(|e| format!("router {text}: {e}"))?;
             Ok(OwnEntry::Router(address))
         }
-        () if key == PROMPTS_KEY => Ok(OwnEntry::Prompts(packed.unpack()?)),
+        () if key == PROMPTS_KEY => Ok(OwnEntry::Prompts(packed.unpack()?.into_owned())),
         () if key == SNAPSHOT_KEY => Ok(OwnEntry::Snapshot(Box::new(json(name, packed)?))),
         () if key.starts_with(CHANGE_PREFIX) => Ok(OwnEntry::Change(Box::new(json(name, packed)?))),
         () => Ok(OwnEntry::Other),
