An entry that changes costs a place in sorted lists, not a look at all targets

Cause, by reading: each batch of changes made the lists of all services anew, with a sort and a copy of the service's name for each of ten thousand targets, three times a second at each of a thousand routers while a service is released. Targets that take work are kept by service in pools.rs now, which a change enters or leaves; more than 256 changes at once are indexed as a whole as before.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -15,13 +15,9 @@
 
 pub use crate::target_record::{TargetRecord, TargetState};
 use crate::{
-    call_plan::Plan,
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
-    load_account::LoadAccount,
-    placement::candidates::{Candidates, MANY_TARGETS, Ring},
-    prompt_cache::PromptCache,
-    target_counts::TargetHash,
+    pools::Pools,
     units::{Instant, StoreRevision},
 };
 
@@ -45,6 +41,9 @@
 /// The part of the targets that may leave within these seconds.
 const REMOVED_PART: usize = 4;
 
+/// Changes that come together from which on all targets are indexed anew.
+const CHANGES_APART: usize = 256;
+
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ListChange {
@@ -67,26 +66,14 @@
     missing_until: Option<Instant>,
 }
 
-/// The targets of one service that take work.
-#[derive(Debug, Default)]
-struct Pool {
-    /// In the order of their ids.
-    targets: Vec<Rc<TargetRecord>>,
-    ring: Ring,
-    /// The names of very many, as counts of calls have them.
-    hashes: HashSet<TargetHash>,
-    /// Requests that all of them work on at once.
-    slots: u64,
-}
-
 /// The list as this router knows it.
 #[derive(Debug, Default)]
 pub struct Discovery {
     targets: BTreeMap<TargetName, Listed>,
     removed: HashMap<TargetName, StoreRevision>,
-    by_service: HashMap<ServiceName, Pool>,
-    /// Entries that went missing and still count.
-    missing: usize,
+    pools: Pools,
+    /// When the first entry that went missing stops to count.
+    missing_until: Option<Instant>,
     /// Targets that are cold by their entries, each with until when.
     cold: HashMap<TargetId, Instant>,
     evacuations: Evacuations,
@@ -166,8 +153,9 @@
                 ListChange::Unusable(name) => self.drop_unusable(name, revision),
             });
         }
-        if !changes.is_empty() {
-            self.index();
+        match changes.len() > CHANGES_APART {
+            true => self.index(),
+            false => changes.iter().for_each(|(id, _)| self.index_one(id)),
         }
         changes
     }
@@ -235,13 +223,6 @@
         worth.map(|t| TargetRecord::clone(t)).collect()
     }
 
-    /// The mean load of a service's very many targets, in calls a slot, by counts of the calls at them.
-    pub(crate) fn calls_a_slot(&self, service: &ServiceName, load: &LoadAccount) -> Option<f64> {
-        let pool = self.by_service.get(service)?;
-        let calls = load.calls_at(|target| pool.hashes.contains(target));
-        Some(f64::from(calls) / pool.slots.max(1) as f64)
-    }
-
     /// Takes the whole list as operators state it: a target that is not on it is gone for certain.
     pub fn on_stated(
         &mut self,
@@ -258,15 +239,13 @@
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
         self.cold.retain(|_, until| now < *until);
         // Nothing is looked for among thousands, many times a second, where none is missing.
-        if self.missing == 0 {
+        if self.missing_until.is_none_or(|until| now < until) {
             return Vec::new();
         }
         let over = |l: &mut Listed| l.missing_until.is_some_and(|until| now >= until);
         let gone = self.targets.extract_if(.., |_, listed| over(listed));
         let gone: Vec<TargetId> = gone.map(|(_, l)| l.record.id.clone()).collect();
-        if !gone.is_empty() {
-            self.index();
-        }
+        self.index();
         gone
     }
 
@@ -333,13 +312,12 @@
 
     /// The targets of a service that take work.
     pub fn serving(&self, service: &ServiceName) -> &[Rc<TargetRecord>] {
-        self.by_service.get(service).map_or(&[], |p| &p.targets)
+        self.pools.serving(service)
     }
 
-    /// The few of very many targets of a call's service that are to be weighed; `None` where all are.
-    pub(crate) fn candidates(&self, plan: &Plan, cache: &PromptCache) -> Option<Candidates> {
-        let pool = self.by_service.get(&plan.service)?;
-        Candidates::new(&pool.targets, &pool.ring, plan, cache)
+    /// The targets that take work, by service.
+    pub(crate) fn pools(&self) -> &Pools {
+        &self.pools
     }
 
     /// A target, if this life of it is in the list.
@@ -390,6 +368,8 @@
             Some(until) if listed.record.state == TargetState::Ready => {
                 listed.missing_until = Some(until);
                 listed.revision = revision;
+                let first = self.missing_until.unwrap_or(until);
+                self.missing_until = Some(first.min(until));
                 vec![(id, Verdict::Kept)]
             }
             _ => {
@@ -430,24 +410,26 @@
     }
 
     fn index(&mut self) {
-        self.by_service.clear();
-        for listed in self.targets.values() {
-            let record = &listed.record;
-            let is_evacuated = self.evacuations.is_evacuated(&record.data_hall);
-            if record.state == TargetState::Ready && !is_evacuated {
-                let pool = self.by_service.entry(record.service.clone()).or_default();
-                pool.targets.push(Rc::clone(record));
-            }
-        }
-        for pool in self.by_service.values_mut() {
-            pool.targets.sort_by(|a, b| a.id.cmp(&b.id));
-            pool.ring = Ring::new(&pool.targets);
-            if pool.targets.len() >= MANY_TARGETS {
-                pool.hashes = pool.targets.iter().map(|t| (&t.id).into()).collect();
-            }
-            pool.slots = pool.targets.iter().map(|t| u64::from(t.slots)).sum();
+        let evacuations = &self.evacuations;
+        let records = self.targets.values().map(|l| &l.record);
+        self.pools
+            .set(records.filter(|r| takes_work(r, evacuations)));
+        let missing = self.targets.values().filter_map(|l| l.missing_until);
+        self.missing_until = missing.min();
+    }
+
+    /// Indexes one life of a target.
+    fn index_one(&mut self, id: &TargetId) {
+        let listed = self.targets.get(id.name());
+        let record = listed.map(|l| &l.record).filter(|r| r.id == *id);
+        match record {
+            Some(record) if takes_work(record, &self.evacuations) => self.pools.add(record),
+            Some(record) => self.pools.take(record),
+            None => self.pools.take_id(id),
         }
-        let missing = self.targets.values().filter(|l| l.missing_until.is_some());
-        self.missing = missing.count();
     }
 }
+
+fn takes_work(target: &TargetRecord, evacuations: &Evacuations) -> bool {
+    target.state == TargetState::Ready && !evacuations.is_evacuated(&target.data_hall)
+}
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -178,15 +178,12 @@
 
     /// The few of very many that are weighed first; `None` where all are, or none of the few wants calls.
     fn few_targets(&self, now: Instant, plan: &Plan) -> Option<Field> {
-        let few = self.discovery.candidates(plan, &self.cache)?;
-        let serving = self.discovery.serving(&plan.service);
-        let (holding, sample) = few.places.split_at(few.places.len() - few.sample);
-        let open = |places: &[usize]| -> Vec<Rc<TargetRecord>> {
-            let targets = places.iter().map(|i| &serving[*i]);
-            let open = targets.filter(|t| self.withdrawals.of(now, &t.id).is_none());
-            open.cloned().collect()
-        };
-        let (mut targets, sample) = (open(holding), open(sample));
+        let few = self.discovery.pools().candidates(plan, &self.cache)?;
+        let is_open = |t: &Rc<TargetRecord>| self.withdrawals.of(now, &t.id).is_none();
+        let mut targets = few.holding;
+        let mut sample = few.others;
+        targets.retain(is_open);
+        sample.retain(is_open);
         let n = sample.len();
         targets.extend(sample);
         (n > 0).then_some(Field {
@@ -226,6 +223,7 @@
                 }
             }
         }
+        let pools = self.discovery.pools();
         let wanted = Wanted {
             key: plan.key(),
             call: plan.hash,
@@ -237,7 +235,7 @@
             cap_factor: self.cap_factor,
             calls_a_slot: field
                 .sample
-                .and_then(|_| self.discovery.calls_a_slot(&plan.service, &self.load)),
+                .and_then(|_| pools.calls_a_slot(&plan.service, &self.load)),
         };
         let sample = field.sample.unwrap_or(offers.len());
         let i = choose_beside(&offers, &offers[offers.len() - sample..], &wanted)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod openai;
 pub mod outages;
 pub mod placement;
+mod pools;
 pub mod prompt_cache;
 pub mod prompt_snapshot;
 pub mod quarantine;
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -27,81 +27,91 @@
 /// Targets of a service in the order of a hash of their names, so that a key names the same few whoever else comes or
 /// goes.
 #[derive(Debug, Default)]
-pub(crate) struct Ring(Vec<(u64, u32)>);
+pub(crate) struct Ring(Vec<(u64, Rc<TargetRecord>)>);
 
 impl Ring {
-    /// Of targets, by their place in the list.
+    /// Of targets.
     pub(crate) fn new(targets: &[Rc<TargetRecord>]) -> Self {
-        if targets.len() < MANY_TARGETS {
-            return Self::default();
-        }
-        let place =
-            |(i, t): (usize, &Rc<TargetRecord>)| (xxh3_64(t.id.as_str().as_bytes()), i as u32);
-        let mut places: Vec<(u64, u32)> = targets.iter().enumerate().map(place).collect();
-        places.sort_unstable();
-        Self(places)
+        let mut ring: Vec<_> = targets
+            .iter()
+            .map(|t| (hash(&t.id), Rc::clone(t)))
+            .collect();
+        ring.sort_unstable_by_key(|(hash, _)| *hash);
+        Self(ring)
+    }
+
+    /// Adds a target, or what it says of itself now.
+    pub(crate) fn add(&mut self, target: &Rc<TargetRecord>) {
+        self.take(&target.id);
+        let at = hash(&target.id);
+        let place = self.0.partition_point(|(hash, _)| *hash < at);
+        self.0.insert(place, (at, Rc::clone(target)));
+    }
+
+    /// Takes a target away.
+    pub(crate) fn take(&mut self, id: &TargetId) {
+        let at = hash(id);
+        let first = self.0.partition_point(|(hash, _)| *hash < at);
+        let same = self.0[first..].iter().take_while(|(hash, _)| *hash == at);
+        let place = same.into_iter().position(|(_, t)| t.id == *id);
+        place.map(|i| self.0.remove(first + i));
     }
 
-    /// The place in the list that a key names as its `turn`-th.
-    fn place(&self, key: u64, turn: u64) -> Option<usize> {
+    /// The target that a key names as its `turn`-th.
+    fn named(&self, key: u64, turn: u64) -> Option<&Rc<TargetRecord>> {
         let at = xxh3_64_with_seed(&key.to_le_bytes(), turn);
         let next = self.0.partition_point(|(hash, _)| *hash < at);
         let next = self.0.get(next).or_else(|| self.0.first());
-        next.map(|(_, i)| *i as usize)
+        next.map(|(_, target)| target)
     }
 }
 
+fn hash(id: &TargetId) -> u64 {
+    xxh3_64(id.as_str().as_bytes())
+}
+
 /// The few targets of very many that are weighed for a call.
 #[derive(Debug, Default)]
 pub(crate) struct Candidates {
-    /// Places in the list of the service's targets, each once.
-    pub(crate) places: Vec<usize>,
-    /// How many of these, the last ones, stand for all.
-    pub(crate) sample: usize,
+    /// Those that hold parts of the prompt.
+    pub(crate) holding: Vec<Rc<TargetRecord>>,
+    /// Others, which stand for all.
+    pub(crate) others: Vec<Rc<TargetRecord>>,
 }
 
 impl Candidates {
-    /// Of a service's targets, in the order of their ids; `None` where all are to be weighed.
+    /// Of a service's targets, in the order of their ids.
     pub(crate) fn new(
         targets: &[Rc<TargetRecord>],
         ring: &Ring,
         plan: &Plan,
         cache: &PromptCache,
-    ) -> Option<Self> {
-        // What a chat's targets of first choice have read is not told to peers: that is found among all.
-        if targets.len() < MANY_TARGETS || plan.chat.is_some() {
-            return None;
-        }
+    ) -> Self {
         // Routers that can't know of one another let the same few read a prompt that nobody has read: neither those that hold
         // its beginning nor those that the call draws are among them.
         let deepest = plan.shared_parts().last();
         let is_unread = deepest.is_some_and(|part| cache.holders(part.id).is_empty());
-        let (mut places, drawn) = match is_unread {
+        let (holding, drawn) = match is_unread {
             true => (Vec::new(), 0),
             false => (holders(targets, plan, cache), DRAWN),
         };
-        let held = places.len();
-        let key = plan.key();
-        places.extend((0..NAMED as u64).filter_map(|turn| ring.place(key, turn)));
-        places.extend((0..drawn as u64).filter_map(|turn| ring.place(plan.hash, turn)));
-        let (mut holding, mut others) = (places, Vec::new());
-        others.extend(holding.drain(held..));
-        others.sort_unstable();
-        others.dedup();
-        others.retain(|place| !holding.contains(place));
-        let sample = others.len();
-        holding.extend(others);
-        Some(Self {
-            places: holding,
-            sample,
-        })
+        let named = (0..NAMED as u64).filter_map(|turn| ring.named(plan.key(), turn));
+        let drawn = (0..drawn as u64).filter_map(|turn| ring.named(plan.hash, turn));
+        let mut others: Vec<Rc<TargetRecord>> = named.chain(drawn).cloned().collect();
+        others.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        others.dedup_by(|a, b| a.id == b.id);
+        others.retain(|t| !holding.iter().any(|held| held.id == t.id));
+        Self { holding, others }
     }
 }
 
 /// Those that hold the deepest part of the prompt that any holds; of parts that very many hold, some that the call draws.
-fn holders(targets: &[Rc<TargetRecord>], plan: &Plan, cache: &PromptCache) -> Vec<usize> {
-    let place = |id: &TargetId| targets.binary_search_by(|t| t.id.cmp(id)).ok();
-    let mut found = Vec::new();
+fn holders(
+    targets: &[Rc<TargetRecord>],
+    plan: &Plan,
+    cache: &PromptCache,
+) -> Vec<Rc<TargetRecord>> {
+    let mut found: Vec<Rc<TargetRecord>> = Vec::new();
     for part in plan.prompt.iter().rev() {
         let holders = cache.holders(part.id);
         let left = HOLDERS - found.len();
@@ -110,10 +120,11 @@
             false => 0,
         };
         let drawn = holders.iter().cycle().skip(first);
-        let drawn = drawn.take(left.min(holders.len()));
-        for place in drawn.filter_map(place) {
-            if !found.contains(&place) {
-                found.push(place);
+        for id in drawn.take(left.min(holders.len())) {
+            let place = targets.binary_search_by(|t| t.id.cmp(id));
+            let is_found = found.iter().any(|t| t.id == *id);
+            if let (Ok(i), false) = (place, is_found) {
+                found.push(Rc::clone(&targets[i]));
             }
         }
         if found.len() >= HOLDERS {
