--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -17,6 +17,7 @@
 use crate::{
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
+    pools::Pools,
     units::{Instant, StoreRevision},
 };
 
@@ -30,10 +31,19 @@
 /// (mean of six seeds), as prompts are found where they were read.
 const LAPSED_PART: f64 = 0.25;
 
-/// How many removals are remembered, so that older news of them is passed over: several times the
-/// targets that leave within the seconds that news may take.
+/// Targets of a service below which all of them are kept for routers that start.
+const FEW_TARGETS: usize = 512;
+
+/// How many removals are remembered beside a quarter of the targets, so that older news of them is passed over: several
+/// times those that leave within the seconds that news may take.
 const REMOVED_KEPT: usize = 1024;
 
+/// The part of the targets that may leave within these seconds.
+const REMOVED_PART: usize = 4;
+
+/// Changes that come together from which on all targets are indexed anew.
+const CHANGES_APART: usize = 256;
+
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ListChange {
@@ -61,7 +71,9 @@
 pub struct Discovery {
     targets: BTreeMap<TargetName, Listed>,
     removed: HashMap<TargetName, StoreRevision>,
-    by_service: HashMap<ServiceName, Vec<Rc<TargetRecord>>>,
+    pools: Pools,
+    /// When the first entry that went missing stops to count.
+    missing_until: Option<Instant>,
     /// Targets that are cold by their entries, each with until when.
     cold: HashMap<TargetId, Instant>,
     evacuations: Evacuations,
@@ -141,8 +153,9 @@
                 ListChange::Unusable(name) => self.drop_unusable(name, revision),
             });
         }
-        if !changes.is_empty() {
-            self.index();
+        match changes.len() > CHANGES_APART {
+            true => self.index(),
+            false => changes.iter().for_each(|(id, _)| self.index_one(id)),
         }
         changes
     }
@@ -202,6 +215,14 @@
         ids
     }
 
+    /// The targets that are worth keeping for routers that start: those that have read prompts, and all of services with
+    /// few. So what is kept does not grow with the fleet's targets.
+    pub fn worth_keeping(&self, has_read: impl Fn(&TargetId) -> bool) -> Vec<TargetRecord> {
+        let is_of_few = |t: &TargetRecord| self.serving(&t.service).len() < FEW_TARGETS;
+        let worth = self.all().filter(|t| has_read(&t.id) || is_of_few(t));
+        worth.map(|t| TargetRecord::clone(t)).collect()
+    }
+
     /// Takes the whole list as operators state it: a target that is not on it is gone for certain.
     pub fn on_stated(
         &mut self,
@@ -216,13 +237,15 @@
 
     /// Drops entries whose grace is over; returns them.
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
+        self.cold.retain(|_, until| now < *until);
+        // Nothing is looked for among thousands, many times a second, where none is missing.
+        if self.missing_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
         let over = |l: &mut Listed| l.missing_until.is_some_and(|until| now >= until);
         let gone = self.targets.extract_if(.., |_, listed| over(listed));
         let gone: Vec<TargetId> = gone.map(|(_, l)| l.record.id.clone()).collect();
-        self.cold.retain(|_, until| now < *until);
-        if !gone.is_empty() {
-            self.index();
-        }
+        self.index();
         gone
     }
 
@@ -289,7 +312,12 @@
 
     /// The targets of a service that take work.
     pub fn serving(&self, service: &ServiceName) -> &[Rc<TargetRecord>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.pools.serving(service)
+    }
+
+    /// The targets that take work, by service.
+    pub(crate) fn pools(&self) -> &Pools {
+        &self.pools
     }
 
     /// A target, if this life of it is in the list.
@@ -340,6 +368,8 @@
             Some(until) if listed.record.state == TargetState::Ready => {
                 listed.missing_until = Some(until);
                 listed.revision = revision;
+                let first = self.missing_until.unwrap_or(until);
+                self.missing_until = Some(first.min(until));
                 vec![(id, Verdict::Kept)]
             }
             _ => {
@@ -363,7 +393,7 @@
     }
 
     fn remember_removed(&mut self, name: TargetName, revision: StoreRevision) {
-        if self.removed.len() >= REMOVED_KEPT {
+        if self.removed.len() >= REMOVED_KEPT + self.targets.len() / REMOVED_PART {
             let oldest = self.removed.iter().min_by_key(|(_, r)| **r);
             let oldest = oldest.map(|(name, _)| name.clone());
             oldest.map(|name| self.removed.remove(&name));
@@ -380,17 +410,26 @@
     }
 
     fn index(&mut self) {
-        self.by_service.clear();
-        for listed in self.targets.values() {
-            let record = &listed.record;
-            let is_evacuated = self.evacuations.is_evacuated(&record.data_hall);
-            if record.state == TargetState::Ready && !is_evacuated {
-                let pool = self.by_service.entry(record.service.clone()).or_default();
-                pool.push(Rc::clone(record));
-            }
-        }
-        for pool in self.by_service.values_mut() {
-            pool.sort_by(|a, b| a.id.cmp(&b.id));
+        let evacuations = &self.evacuations;
+        let records = self.targets.values().map(|l| &l.record);
+        self.pools
+            .set(records.filter(|r| takes_work(r, evacuations)));
+        let missing = self.targets.values().filter_map(|l| l.missing_until);
+        self.missing_until = missing.min();
+    }
+
+    /// Indexes one life of a target.
+    fn index_one(&mut self, id: &TargetId) {
+        let listed = self.targets.get(id.name());
+        let record = listed.map(|l| &l.record).filter(|r| r.id == *id);
+        match record {
+            Some(record) if takes_work(record, &self.evacuations) => self.pools.add(record),
+            Some(record) => self.pools.take(record),
+            None => self.pools.take_id(id),
         }
     }
 }
+
+fn takes_work(target: &TargetRecord, evacuations: &Evacuations) -> bool {
+    target.state == TargetState::Ready && !evacuations.is_evacuated(&target.data_hall)
+}
