Tests: who asks whom for the store's news at 380, 985 and 2,000 routers

985 and 2,000 routers: three read, everyone hears within two routers, none feeds more than 64; thin VMs feed nobody beside strong ones; a router whose feeders have nothing goes to the store and back; one that starts again in a large fleet finds the others first; a mirror of 20,000 entries remembers all removals (8,192 before).

--- /dev/null
+++ b/tests/feeding.rs
@@ -0,0 +1,231 @@
+//! Who asks whom for what is new in the store, at the size of whole fleets.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use rstest::rstest;
+use scaleford::{
+    ids::{Incarnation, VmId},
+    membership::{
+        datagram::{Datagram, Stamp, Strength},
+        peers::Peers,
+        readers::{FleetStart, NextRead, ReadState},
+        records::{Exchange, MemberRecord, ToldState},
+    },
+    store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
+    units::{Instant, StoreRevision},
+};
+
+/// When all routers know one another.
+const SETTLED: Instant = Instant(Duration::from_secs(20));
+
+/// The most that one router may feed: it sends each list as often over its link.
+const FED_MOST: usize = 64;
+
+fn vm(n: usize) -> VmId {
+    format!("vm-{n}").parse().unwrap()
+}
+
+fn address(n: usize) -> SocketAddr {
+    let ip = Ipv4Addr::from(0x0a00_0000 + n as u32);
+    SocketAddr::new(IpAddr::V4(ip), 7340)
+}
+
+/// One in nineteen bears much, as the users' strong VMs do.
+fn strength(n: usize) -> Strength {
+    match n % 19 {
+        0 => Strength::new(200.0, 0.5),
+        _ => Strength::new(20.0, 0.12),
+    }
+}
+
+fn record(n: usize) -> MemberRecord {
+    MemberRecord {
+        vm: vm(n),
+        hall: format!("hall-{}", n % 5).parse().unwrap(),
+        strength: strength(n),
+        address: address(n),
+        life: Incarnation(1),
+        state: ToldState::Alive { heard_ms: 0 },
+    }
+}
+
+/// A datagram that tells of routers, from one of them.
+fn told_of(from: usize, routers: usize, exchange: Exchange) -> Datagram {
+    let sender = record(from);
+    Datagram {
+        vm: sender.vm,
+        hall: sender.hall,
+        strength: sender.strength,
+        number: routers as u64,
+        sent: Stamp::default(),
+        echo: None,
+        config: None,
+        readers: Vec::new(),
+        mirror: StoreRevision(0),
+        store_back: None,
+        calls: 0,
+        stopping: false,
+        load: None,
+        halls: Vec::new(),
+        outages: Vec::new(),
+        endings: Vec::new(),
+        held: Vec::new(),
+        rolls: Vec::new(),
+        exchange: Some(exchange),
+        rates: Vec::new(),
+        suspected: Vec::new(),
+        parts: Vec::new(),
+    }
+}
+
+fn alone(me: usize, seeds: &[SocketAddr]) -> Peers {
+    let own = record(me);
+    let life = Incarnation(1);
+    Peers::new(own.vm, own.hall, own.strength, life, own.address, seeds)
+}
+
+/// Each router of a fleet, with all others known to it.
+fn fleet(n: usize) -> Vec<Peers> {
+    let all: Vec<MemberRecord> = (0..n).map(record).collect();
+    let told = told_of(0, n, Exchange::Records(all));
+    let knows_all = |me: usize| {
+        let mut peers = alone(me, &[]);
+        peers.on_records(SETTLED, &told);
+        peers
+    };
+    (0..n).map(knows_all).collect()
+}
+
+fn listed() -> ReadState {
+    ReadState {
+        listed: true,
+        ..ReadState::default()
+    }
+}
+
+/// What each router of a fleet asks.
+fn asked(fleet: &[Peers]) -> Vec<NextRead> {
+    let now = SETTLED + Duration::from_secs(1);
+    fleet.iter().map(|p| p.next_read(now, &listed())).collect()
+}
+
+/// Three readers fed all: 985 routers before 10,000 targets made 13,900 calls to the store in a calm day and had a configuration five
+/// seconds after its change, or never. The log lines `reader does not answer` and, at the routers that refused keys, `call` with
+/// `config_too_old` told so.
+#[rstest]
+#[case::the_size_to_design_for(380)]
+#[case::the_whole_fleet(985)]
+#[case::twice_that(2_000)]
+fn what_is_new_in_the_store_passes_few_routers_and_none_feeds_many(#[case] n: usize) {
+    let asked = asked(&fleet(n));
+    let readers = asked.iter().filter(|a| **a == NextRead::Store).count();
+    assert_eq!(readers, 3);
+    let mut fed: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for (me, first) in asked.iter().enumerate() {
+        let mut next = first;
+        let mut hops = 0;
+        while let NextRead::Ask(parent) = next {
+            let parent_number = (0..n).find(|i| address(*i) == *parent).unwrap();
+            next = &asked[parent_number];
+            hops += 1;
+            assert!(hops <= 2, "router {me}");
+        }
+        assert_eq!(*next, NextRead::Store);
+        if let NextRead::Ask(parent) = first {
+            *fed.entry(*parent).or_default() += 1;
+        }
+    }
+    let most = fed.values().max().unwrap();
+    assert!(*most <= FED_MOST, "one feeds {most} others");
+}
+
+/// Strong VMs feed, where there are enough of them.
+#[test]
+fn thin_vms_feed_nobody_beside_strong_ones() {
+    let asked = asked(&fleet(985));
+    for next in asked {
+        if let NextRead::Ask(parent) = next {
+            let parent_number = (0..985).find(|i| address(*i) == parent).unwrap();
+            assert_eq!(strength(parent_number), Strength::new(200.0, 0.5));
+        }
+    }
+}
+
+/// Where nobody that a router may ask has anything recent, it asks each once and then the store, and comes back to them.
+#[test]
+fn a_router_whose_feeders_have_nothing_recent_goes_to_the_store_and_comes_back() {
+    let mut fleet = fleet(985);
+    let now = SETTLED + Duration::from_secs(1);
+    let is_fed = |p: &Peers| matches!(p.next_read(now, &listed()), NextRead::Ask(_));
+    let me = fleet.iter().rposition(|p| is_fed(p) && !p.is_feeder(now));
+    let peers = &mut fleet[me.unwrap()];
+    let first = peers.next_read(now, &listed());
+    let mut asked = Vec::new();
+    while let NextRead::Ask(parent) = peers.next_read(now, &listed()) {
+        assert!(!asked.contains(&parent));
+        asked.push(parent);
+        peers.on_had_nothing(now, parent);
+    }
+    assert!(asked.len() > 3, "{asked:?}");
+    assert_eq!(peers.next_read(now, &listed()), NextRead::Store);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(peers.next_read(later, &listed()), first);
+}
+
+/// A router of a fleet that starts again knows nobody at first. Had it listed the store at once, as it does in a small fleet, 985 routers
+/// would call for fifty pages each; 300 took 30 s to serve again.
+#[test]
+fn a_router_of_a_large_fleet_that_starts_again_finds_the_others_before_it_reads() {
+    let mut peers = alone(7, &[address(0)]);
+    let state = ReadState {
+        start: FleetStart::Later,
+        ..ReadState::default()
+    };
+    let at = |ms| Instant(Duration::from_millis(ms));
+    assert_eq!(peers.next_read(at(0), &state), NextRead::Wait);
+    let routers = 900;
+    let compared = Exchange::Compare { digest: 1, routers };
+    let told = told_of(0, 1, compared);
+    peers.on_datagram(at(50), address(0), &told);
+    peers.answer(at(50), &told);
+    assert_eq!(peers.next_read(at(300), &state), NextRead::Wait);
+    let all = (0..985).map(record).collect();
+    let told = told_of(0, 2, Exchange::Records(all));
+    peers.on_records(at(800), &told);
+    assert_eq!(peers.next_read(at(900), &state), NextRead::Wait);
+    let next = peers.next_read(at(1_400), &state);
+    assert!(matches!(next, NextRead::Ask(_)), "{next:?}");
+    // One that nobody answers reads by itself.
+    let unanswered = alone(7, &[address(0)]);
+    assert_eq!(unanswered.next_read(at(300), &state), NextRead::Store);
+}
+
+/// A mirror remembered 8,192 removals, and a fleet has 10,000 targets: where all lapsed and came back, each router that lagged was sent all
+/// entries each time.
+#[test]
+fn a_mirror_remembers_as_many_removals_as_it_had_entries() {
+    let targets = 20_000;
+    let item = |n: u64, value: Option<PackedValue>, revision| StoreItem {
+        key: format!("servers/i-{n}"),
+        value,
+        revision: StoreRevision(revision),
+    };
+    let there = |n| item(n, Some(PackedValue::pack(b"{}")), n + 1);
+    let mut mirror = StoreMirror::default();
+    mirror.on_list(&StoreNews {
+        items: (0..targets).map(there).collect(),
+        revision: StoreRevision(targets),
+    });
+    mirror.on_changes(&StoreNews {
+        items: (0..targets)
+            .map(|n| item(n, None, targets + n + 1))
+            .collect(),
+        revision: StoreRevision(2 * targets),
+    });
+    let told = mirror.since(StoreRevision(targets)).unwrap();
+    assert!(matches!(told, Mirrored::Changes(news) if news.items.len() as u64 == targets));
+}
