A hub that took over finds the dead of its hall sooner; routers compare with those of their own hall

A hall that lost both hubs found out about the second only after the first, and the third waited ten seconds for routers that it had never heard itself. Now the second is watched from when it should speak, and routers that are known for long get one and a half times the silence.

--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{pace, peers::Peers, records::life_hash};
+use super::{pace, peer::Peer, peers::Peers, records::life_hash};
 use crate::{
     ids::{DataHall, VmId},
     units::Instant,
@@ -20,8 +20,12 @@
 /// The pause between two ticks from which on this router stood still: ten times the usual one.
 const ABSENT: Duration = Duration::from_secs(1);
 
-/// How many times as long as others a router may be silent that this one was only told of: it may know no hub yet.
-const NEVER_HEARD: u32 = 4;
+/// How many times as long as others a router may be silent that this one was told of a moment ago: it may know no hub yet.
+const NEVER_HEARD: f64 = 4.0;
+
+/// How many times as long one may be silent that this router has not heard since it became its hub: it finds out by the
+/// same silence of the one before.
+const JUST_WATCHED: f64 = 1.5;
 
 /// How many times as long as it takes to call a router gone it counts where nobody says anything of its data hall.
 const UNTOLD: u32 = 4;
@@ -169,9 +173,8 @@
             let mut watched = self.watched(now);
             watched.retain(|vm| {
                 self.heard.get(vm).is_some_and(|p| {
-                    let patience = if p.is_direct() { 1 } else { NEVER_HEARD };
                     let heard = p.heard.max(since).max(p.watched_since.unwrap_or(now));
-                    now.since(heard) >= silent_after * patience
+                    now.since(heard) >= silent_after.mul_f64(self.patience(now, p))
                 })
             });
             watched
@@ -185,6 +188,16 @@
         self.note_watched(now);
     }
 
+    /// How many times as long as others a router may be silent to this one, which has to hear of it.
+    fn patience(&self, now: Instant, peer: &Peer) -> f64 {
+        let is_new = now.since(peer.changed_at) < self.untold_after();
+        match () {
+            () if is_new && !peer.is_direct() => NEVER_HEARD,
+            () if Some(peer.heard) < peer.watched_since => JUST_WATCHED,
+            () => 1.0,
+        }
+    }
+
     /// Notes since when this router has to hear of which others.
     fn note_watched(&mut self, now: Instant) {
         let watched = self.watched(now);
@@ -205,7 +218,13 @@
                 let near = self.heard.iter().filter(|(_, p)| p.hall == self.hall);
                 near.map(|(vm, _)| vm.clone()).collect()
             }
-            false => own_hubs.into_iter().take(1).collect(),
+            false => {
+                let first_speaks = own_hubs
+                    .first()
+                    .is_some_and(|hub| !self.is_silent(now, hub));
+                let speaking = if first_speaks { 1 } else { own_hubs.len() };
+                own_hubs.into_iter().take(speaking).collect()
+            }
         };
         if self.adds_up(now) {
             watched.extend(self.first_far_hubs(now));
--- a/src/membership/hubs.rs
+++ b/src/membership/hubs.rs
@@ -76,7 +76,7 @@
         self.heard.get_key_value(vm).map(Receiver::of)
     }
 
-    fn is_silent(&self, now: Instant, hub: &VmId) -> bool {
+    pub(super) fn is_silent(&self, now: Instant, hub: &VmId) -> bool {
         let silent_after = pace::hub_silent_after(self.size());
         let peer = self.heard.get(hub);
         peer.is_none_or(|p| now.since(p.heard) >= silent_after)
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -46,6 +46,10 @@
 /// other find out that they can.
 const TRY_GONE_EVERY: u64 = 4;
 
+/// One in so many comparisons is with a router of another data hall, where one of this hall is known: bytes between halls
+/// are dear, and hubs tell of changes elsewhere.
+const TRY_FAR_EVERY: u64 = 4;
+
 /// How long a change is told to those that hubs tell of it: a few datagrams may be lost.
 const CHANGE_TOLD_FOR: Duration = Duration::from_secs(2);
 
@@ -202,7 +206,9 @@
             return known.map(Receiver::of);
         }
         let tries_gone = turn.is_multiple_of(TRY_GONE_EVERY);
-        let wanted = |p: &Peer| self.is_alive(now, p) != tries_gone && !p.stopping;
+        let tries_far = turn % TRY_FAR_EVERY == 1;
+        let is_near = |p: &Peer| p.hall == self.hall || tries_far || tries_gone;
+        let wanted = |p: &Peer| is_near(p) && self.is_alive(now, p) != tries_gone && !p.stopping;
         let living = self
             .heard
             .iter()
