--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// Takes in what a datagram tells of others, and answers its step of a comparison. `joined` is its sender if that came to
+/// Takes in what a datagram says of others, and answers its step of a comparison. `joined` is its sender if that came to
 /// life by it.
 pub(super) fn on_datagram(
     cx: &Gateway,
@@ -56,7 +56,7 @@
         .take(PEERS_NAMED)
         .map(VmId::as_str)
         .collect();
-    info!(cx.log, "peers joined"; "peers" => all_joined.len(), "first" => named.join(" "), "told_by" => %told.vm,
+    info!(cx.log, "peers joined"; "peers" => all_joined.len(), "first" => named.join(" "), "from" => %told.vm,
         "alive" => cx.peers.borrow().alive(now));
     for vm in &all_joined {
         let address = cx.peers.borrow().address_of(vm);
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -1,4 +1,4 @@
-//! What this router tells others of the store, encoded once for all that ask the same.
+//! Feeds other routers with what the store holds, each answer encoded once for all that ask the same.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Whether the router that told it may go on to feed others.
+    /// Whether the router that sent it may go on to feed others.
     pub(super) fn is_recent(self) -> bool {
         Duration::from_millis(u64::from(self.age_ms)) < FEEDS_FOR
     }
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -120,7 +120,7 @@
             self.read().await;
         }
         match told {
-            Ok((told, proof)) => self.take_told(reader, asked, told, proof).await,
+            Ok((told, proof)) => self.take_answer(reader, asked, told, proof).await,
             Err(e) => {
                 self.upstream = None;
                 info!(self.cx.log, "reader does not answer"; "reader" => %reader, "why" => %e);
@@ -131,8 +131,8 @@
         self.listed |= self.cx.mirror.borrow().revision().0 > 0;
     }
 
-    /// Takes in what a peer told of the store, and what that proves.
-    async fn take_told(
+    /// Takes in a peer's answer, and what it proves.
+    async fn take_answer(
         &self,
         reader: SocketAddr,
         asked: Instant,
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -188,7 +188,7 @@
     if now.0 < TEACHES_AFTER || !cx.peers.borrow().is_teacher_of(now, joined) {
         return;
     }
-    info!(cx.log, "peer told prompts"; "peer" => %joined);
+    info!(cx.log, "prompts sent to peer"; "peer" => %joined);
     let parts = cx.dispatcher.borrow().cache.shared_parts();
     for some in parts.chunks(PARTS_TOLD) {
         let told = datagram(cx, some.to_vec());
--- a/src/membership/feeders.rs
+++ b/src/membership/feeders.rs
@@ -1,12 +1,12 @@
 //! From whom a router of a large fleet hears what is new in the store.
 //!
 //! A few routers read the store; each data hall has feeders that ask these, and all others ask a feeder of their hall. So
-//! nobody tells more than some dozens, whatever the size of the fleet, and what is new, or that nothing is, passes two
+//! nobody feeds more than some dozens, whatever the size of the fleet, and what is new, or that nothing is, passes two
 //! routers on its way to the last one.
 //!
-//! The load pattern that this answers: hundreds of routers before thousands of targets. Three readers that told all of
-//! them would send each list some hundred times over one link, and the age of what they know would come by datagrams
-//! through hubs, each of which adds its pace twice.
+//! The load pattern that this answers: hundreds of routers before thousands of targets. Three readers that fed all of
+//! them would send each list some hundred times over one link, and the proof of the configuration would come by
+//! datagrams through hubs, each of which adds its pace twice.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -1,10 +1,10 @@
-//! Who is gone, in a fleet where not all tell all that they live.
+//! Who is gone, in a fleet where not all send heartbeats to all.
 //!
-//! Routers tell the hubs of their data hall some times a second. A hub that has heard nothing of one for
-//! [`pace::silent_after`] says that it is gone, and what it says goes to all in the next datagrams. Every hub also tells a
-//! roll: a digest of those that live in its data hall. A router that knows the same has heard of all of them by that,
-//! in some bytes; one that knows otherwise compares its records with the hub's. So neither what is told nor how long a
-//! dead router is used grows with the fleet.
+//! Routers send heartbeats to the hubs of their data hall some times a second. A hub that has heard nothing of one for
+//! [`pace::silent_after`] reports it gone, and that goes to all in the next datagrams. Every hub also sends a
+//! roll: a digest of those that live in its data hall. A router that comes to the same digest has a heartbeat of all of
+//! them by that, in some bytes; one that does not compares its records with the hub's. So neither what is sent nor how
+//! long a dead router is used grows with the fleet.
 
 use std::time::Duration;
 
@@ -20,15 +20,15 @@
 /// The pause between two ticks from which on this router stood still: ten times the usual one.
 const ABSENT: Duration = Duration::from_secs(1);
 
-/// How many times as long as others a router may be silent that this one was told of a moment ago: it may know no hub yet.
+/// How many times as long as others a router may be silent that this one learned of a moment ago: it may know no hub yet.
 const NEVER_HEARD: f64 = 4.0;
 
 /// How many times as long one may be silent that this router has not heard since it became its hub: it finds out by the
 /// same silence of the one before.
 const JUST_WATCHED: f64 = 1.5;
 
-/// How many times as long as it takes to call a router gone it counts where nobody says anything of its data hall.
-const UNTOLD: u32 = 4;
+/// How many times as long as it takes to call a router gone it counts where no roll of its data hall agrees.
+const UNCONFIRMED: u32 = 4;
 
 /// A router's name as a short hash. Of two that share one, a dead one counts while the other lives.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HallRoll {
     hall: DataHall,
-    /// How long ago the hub said so, in milliseconds.
+    /// How long ago the hub made it, in milliseconds.
     age_ms: u16,
     /// The digest of their lives.
     digest: u64,
@@ -60,7 +60,7 @@
     calls: u32,
 }
 
-/// What a hub tells.
+/// What a hub sends.
 #[derive(Debug, Default)]
 pub struct HubRolls {
     /// To the routers of its own data hall: of all halls.
@@ -69,7 +69,7 @@
     pub far: Vec<HallRoll>,
 }
 
-/// What a hub told last of a data hall.
+/// The last roll of a data hall.
 #[derive(Debug)]
 pub(super) struct KnownRoll {
     at: Instant,
@@ -78,12 +78,12 @@
 }
 
 impl Peers {
-    /// How long a silent router still counts where hubs say who is gone, if none says anything.
-    pub(super) fn untold_after(&self) -> Duration {
-        pace::silent_after(self.size()) * UNTOLD
+    /// How long a silent router still counts where hubs report who is gone, if none reports anything.
+    pub(super) fn unconfirmed_after(&self) -> Duration {
+        pace::silent_after(self.size()) * UNCONFIRMED
     }
 
-    /// What this router tells as a hub, with its own calls of the last seconds.
+    /// What this router sends as a hub, with its own calls of the last seconds.
     pub fn hub_rolls(&mut self, now: Instant, own_calls: u32) -> HubRolls {
         let near = self.heard.values().filter(|p| p.hall == self.hall);
         let calls = near.map(|p| p.calls).sum::<u32>() + own_calls;
@@ -112,7 +112,7 @@
         }
     }
 
-    /// A hub told rolls, its own or others'.
+    /// Rolls came from a hub, its own or others'.
     pub(super) fn on_rolls(&mut self, now: Instant, from: &VmId, rolls: &[HallRoll]) {
         for told in rolls {
             let at = now.before(Duration::from_millis(u64::from(told.age_ms)));
@@ -137,7 +137,7 @@
     fn confirm(&mut self, hall: &DataHall, at: Instant) {
         let here = self.heard.values_mut().filter(|p| p.hall == *hall);
         for peer in here.filter(|p| p.gone_at.is_none()) {
-            peer.told_heard = peer.told_heard.max(Some(at));
+            peer.reported_heard = peer.reported_heard.max(Some(at));
         }
     }
 
@@ -148,7 +148,7 @@
     }
 
     fn is_fresh(&self, now: Instant, roll: &KnownRoll) -> bool {
-        now.since(roll.at) < self.untold_after()
+        now.since(roll.at) < self.unconfirmed_after()
     }
 
     /// Calls that other routers took in the last seconds.
@@ -157,11 +157,11 @@
         let told = self.rolls.values().filter(|r| self.is_fresh(now, r));
         let told: u32 = told.map(|r| r.calls).sum();
         let own_part = if is_told(&self.hall) { own_calls } else { 0 };
-        let untold = self.living(now).filter(|p| !is_told(&p.hall));
-        told.saturating_sub(own_part) + untold.map(|p| p.calls).sum::<u32>()
+        let unreported = self.living(now).filter(|p| !is_told(&p.hall));
+        told.saturating_sub(own_part) + unreported.map(|p| p.calls).sum::<u32>()
     }
 
-    /// Says of routers that this one has to hear of that they are gone, once they are silent for long.
+    /// Reports routers gone that this one has to hear of, once they are silent for long.
     pub(super) fn observe(&mut self, now: Instant) {
         if !self.is_large(now) {
             self.observing_since = None;
@@ -190,7 +190,7 @@
 
     /// How many times as long as others a router may be silent to this one, which has to hear of it.
     fn patience(&self, now: Instant, peer: &Peer) -> f64 {
-        let is_new = now.since(peer.changed_at) < self.untold_after();
+        let is_new = now.since(peer.changed_at) < self.unconfirmed_after();
         match () {
             () if is_new && !peer.is_direct() => NEVER_HEARD,
             () if Some(peer.heard) < peer.watched_since => JUST_WATCHED,
@@ -209,8 +209,8 @@
         }
     }
 
-    /// Those of which this router has to hear, in order: the hub that tells it sums; for a hub its data hall's routers, and
-    /// the hubs of others that tell it theirs. A second hub tells only other hubs while the first one speaks.
+    /// Those of which this router has to hear, in order: the hub that sends it sums; for a hub its data hall's routers, and
+    /// the hubs of others that send it theirs. A second hub sends to other hubs only while the first one speaks.
     fn watched(&self, now: Instant) -> Vec<VmId> {
         let own_hubs = self.hubs_of(now, &self.hall);
         let mut watched: Vec<VmId> = match own_hubs.contains(&self.me) {
@@ -229,7 +229,7 @@
         if self.adds_up(now) {
             watched.extend(self.first_far_hubs(now));
         }
-        // Also those that are dead to this router alone: its roll counts all that nobody said to be gone.
+        // Also those that are dead to this router alone: its roll counts all that no hub reported gone.
         let is_counted = |vm: &VmId| self.heard.get(vm).is_some_and(|p| p.gone_at.is_none());
         watched.retain(is_counted);
         watched.sort_unstable();
--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -23,7 +23,7 @@
 pub(super) struct Silence {
     /// To those that have to hear of it.
     pub(super) silent_after: Duration,
-    /// Where nobody says that it is gone.
+    /// Where nobody reports it gone.
     pub(super) counts_for: Duration,
 }
 
@@ -36,8 +36,8 @@
     pub(super) hash: VmHash,
     /// Its last datagram; before the first, when others had heard of it.
     pub(super) heard: Instant,
-    /// The youngest heartbeat that others told of.
-    pub(super) told_heard: Option<Instant>,
+    /// The youngest heartbeat that others reported.
+    pub(super) reported_heard: Option<Instant>,
     /// Since when it is silent to those that have to hear of it, or stops.
     pub(super) gone_at: Option<Instant>,
     /// When this router came to know of it, or of a change of whether it lives.
@@ -46,7 +46,7 @@
     pub(super) watched_since: Option<Instant>,
     /// When a call to it last brought no answer, since it was last heard itself.
     pub(super) unreachable_at: Option<Instant>,
-    /// Its life, and the moment of it that it told last; zero before its first datagram.
+    /// Its life, and the moment of it in its last datagram; zero before the first.
     pub(super) stamp: Stamp,
     /// The life before this one, of which datagrams may still be on their way.
     pub(super) former_life: Option<Incarnation>,
@@ -60,7 +60,7 @@
 }
 
 impl Peer {
-    /// As it told of itself; `before` is what was known of it.
+    /// By its own datagram; `before` is what was known of it.
     pub(super) fn heard(
         now: Instant,
         from: SocketAddr,
@@ -78,7 +78,7 @@
             strength: told.strength,
             hash: VmHash::from(&told.vm),
             heard: now,
-            told_heard: None,
+            reported_heard: None,
             gone_at: told.stopping.then(|| {
                 let since = same_life.and_then(|p| p.gone_at);
                 since.unwrap_or(now)
@@ -96,8 +96,8 @@
         }
     }
 
-    /// As others told of it, which was last heard of at `heard`.
-    pub(super) fn told_of(
+    /// By a record of a peer, which last heard of it at `heard`.
+    pub(super) fn from_record(
         told: &MemberRecord,
         now: Instant,
         heard: Instant,
@@ -109,7 +109,7 @@
             strength: told.strength,
             hash: VmHash::from(&told.vm),
             heard,
-            told_heard: None,
+            reported_heard: None,
             gone_at,
             changed_at: now,
             watched_since: None,
@@ -144,19 +144,20 @@
         self.former_life == Some(life) || (self.life() > life && speaks)
     }
 
-    /// Whether another life that others tell of may have begun after this one. One that is numbered lower has to say so
-    /// itself.
+    /// Whether another life that others report may have begun after this one. One that is numbered lower has to speak
+    /// for itself.
     pub(super) fn may_be_followed_by(&self, life: Incarnation) -> bool {
         self.former_life != Some(life) && life > self.life()
     }
 
     /// Its last heartbeat.
     pub(super) fn last_heartbeat(&self) -> Instant {
-        self.told_heard.map_or(self.heard, |at| at.max(self.heard))
+        self.reported_heard
+            .map_or(self.heard, |at| at.max(self.heard))
     }
 
     /// Whether it lives, if one that is silent counts for so long. One that did not answer a call is back once others
-    /// heard of it since; what they tell is older than they say by `silent_after` at the most.
+    /// heard of it since; what they report is older than it says by `silent_after` at the most.
     pub(super) fn lives(&self, now: Instant, limits: Silence) -> bool {
         let heartbeat = self.last_heartbeat();
         let back = |at: Instant| heartbeat > at + limits.silent_after;
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -1,8 +1,8 @@
 //! Which other routers live, by the datagrams that they send.
 //!
-//! In a small fleet each router tells all others, some times a second, what it has in progress and
-//! how old its knowledge is; whoever is silent for long counts as gone. In a large one it tells that two hubs of its
-//! data hall; one of them adds up and tells the hall's routers and the other halls' hubs, also who is gone
+//! In a small fleet each router sends to all others, some times a second, what it has in progress and
+//! how old its knowledge is; whoever is silent for long counts as gone. In a large one it sends that to two hubs of its
+//! data hall; one of them adds up and sends the sums to the hall's routers and the other halls' hubs, also who is gone
 //! ([`super::heartbeats`]). Who there is they learn from one another ([`super::records`]).
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -55,7 +55,7 @@
     pub(super) own_address: SocketAddr,
     pub(super) heard: BTreeMap<VmId, Peer>,
     pub(super) unheard: BTreeMap<SocketAddr, Instant>,
-    /// What hubs told last of each data hall's routers.
+    /// The last roll of each data hall.
     pub(super) rolls: BTreeMap<DataHall, KnownRoll>,
     pub(super) comparing: Comparing,
     /// Since when this router knows that it has to hear of others.
@@ -248,7 +248,7 @@
     fn silence(&self) -> Silence {
         let counts_for = match self.heard.len() + 1 < LARGE_FLEET {
             true => ALIVE_FOR,
-            false => ALIVE_FOR.max(self.untold_after()),
+            false => ALIVE_FOR.max(self.unconfirmed_after()),
         };
         Silence {
             silent_after: pace::silent_after(self.size()),
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -1,4 +1,4 @@
-//! What routers tell one another of who there is.
+//! How routers learn of one another.
 //!
 //! Two routers compare digests of whom they take to live, and send each other the records in which they differ. So what
 //! is sent follows what changed, and a router that starts learns of all others from the first ones it reaches: nothing
@@ -24,7 +24,7 @@
 const BUCKETS: usize = 256;
 
 /// Records in one datagram: some kilobytes.
-const RECORDS_TOLD: usize = 96;
+const RECORDS_SENT: usize = 96;
 
 /// Records that a router sends a second at the most, as one of few that a whole fleet asks at its start: three
 /// megabits a second.
@@ -50,18 +50,18 @@
 /// are dear, and hubs tell of changes elsewhere.
 const TRY_FAR_EVERY: u64 = 4;
 
-/// How long a change is told to those that hubs tell of it: a few datagrams may be lost.
-const CHANGE_TOLD_FOR: Duration = Duration::from_secs(2);
+/// How long hubs go on to send a change: a few datagrams may be lost.
+const CHANGE_SENT_FOR: Duration = Duration::from_secs(2);
 
 /// How much older than a router's last known heartbeat the notice of its end may be, and how much younger a heartbeat has to
 /// be to bring it back: moments travel as ages.
 const GONE_SLACK: Duration = Duration::from_secs(1);
 
-/// What is added to the age of a heartbeat that was told, more than its way takes: one that passes from router to router
-/// must not grow younger, or a dead router would be told to live for ever.
-const TOLD_OLDER: Duration = Duration::from_millis(100);
+/// What is added to the age of a heartbeat that a peer reports, more than its way takes: one that passes from router to
+/// router must not grow younger, or a dead router would live on in reports for ever.
+const REPORTED_OLDER: Duration = Duration::from_millis(100);
 
-/// What is told of one router.
+/// One router, as another one knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Its VM.
@@ -75,12 +75,12 @@
     /// Which start of it is meant.
     pub life: Incarnation,
     /// Whether it lives.
-    pub state: ToldState,
+    pub state: RecordState,
 }
 
-/// What is told of a router's life.
+/// What a record says of a router's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ToldState {
+pub enum RecordState {
     /// It lives.
     Alive {
         /// How long ago it was heard of, in milliseconds.
@@ -126,8 +126,8 @@
 pub(super) struct Comparing {
     /// When something was news last.
     news_at: Instant,
-    /// The most routers that one told of.
-    routers_told: u32,
+    /// The most routers that a peer knew.
+    routers_reported: u32,
     /// A hub whose hall differs from what is known here.
     differs_from: Option<SocketAddr>,
     turn: u64,
@@ -139,7 +139,7 @@
     fn default() -> Self {
         Self {
             news_at: Instant::default(),
-            routers_told: 0,
+            routers_reported: 0,
             differs_from: None,
             turn: 0,
             records_left: RECORDS_AT_ONCE,
@@ -192,9 +192,9 @@
         now.since(self.comparing.news_at) >= SETTLED_AFTER
     }
 
-    /// The size of the fleet, as far as it is known or was told.
+    /// The size of the fleet, as far as it is known or was reported.
     pub fn size(&self) -> usize {
-        (self.heard.len() + 1).max(self.comparing.routers_told as usize)
+        (self.heard.len() + 1).max(self.comparing.routers_reported as usize)
     }
 
     /// With whom to compare next: a hub that knows otherwise, or any router.
@@ -239,7 +239,7 @@
     pub fn answer(&mut self, now: Instant, told: &Datagram) -> Option<Exchange> {
         match told.exchange.as_ref()? {
             Exchange::Compare { digest, routers } => {
-                self.comparing.routers_told = self.comparing.routers_told.max(*routers);
+                self.comparing.routers_reported = self.comparing.routers_reported.max(*routers);
                 let Exchange::Compare { digest: own, .. } = self.compare() else {
                     return None;
                 };
@@ -249,7 +249,7 @@
                 })
             }
             Exchange::Differ { buckets, routers } => {
-                self.comparing.routers_told = self.comparing.routers_told.max(*routers);
+                self.comparing.routers_reported = self.comparing.routers_reported.max(*routers);
                 Some(Exchange::Reply {
                     records: self.differing(now, buckets),
                     buckets: self.buckets(),
@@ -263,18 +263,18 @@
         }
     }
 
-    /// What changed a moment ago, for those that this router tells as a hub.
+    /// What changed a moment ago, for those to which this router sends as a hub.
     pub fn changes(&self, now: Instant) -> Vec<MemberRecord> {
-        let lately = |p: &&Peer| now.since(p.changed_at) < CHANGE_TOLD_FOR;
+        let lately = |p: &&Peer| now.since(p.changed_at) < CHANGE_SENT_FOR;
         let mut changed: Vec<(&VmId, &Peer)> =
             self.heard.iter().filter(|(_, p)| lately(p)).collect();
         changed.sort_unstable_by_key(|(_, p)| std::cmp::Reverse(p.changed_at));
-        changed.truncate(RECORDS_TOLD);
+        changed.truncate(RECORDS_SENT);
         let records = changed.into_iter();
         records.map(|(vm, p)| record(now, vm, p)).collect()
     }
 
-    /// Takes in what another router told; returns whom it brought to life here.
+    /// Takes in records of a peer; returns whom they brought to life here.
     pub fn on_records(&mut self, now: Instant, told: &Datagram) -> Vec<VmId> {
         let Some(Exchange::Records(records) | Exchange::Reply { records, .. }) = &told.exchange
         else {
@@ -291,16 +291,16 @@
         let ago = |ms: u32| now.before(Duration::from_millis(u64::from(ms)));
         let known = self.heard.get_mut(&told.vm);
         match (known, told.state) {
-            (None, ToldState::Alive { heard_ms }) => {
-                self.add(now, told, ago(heard_ms).before(TOLD_OLDER), None)
+            (None, RecordState::Alive { heard_ms }) => {
+                self.add(now, told, ago(heard_ms).before(REPORTED_OLDER), None)
             }
-            (None, ToldState::Gone { since_ms }) => {
+            (None, RecordState::Gone { since_ms }) => {
                 let since = ago(since_ms);
                 self.add(now, told, since, Some(since))
             }
-            (Some(peer), ToldState::Alive { heard_ms }) if peer.life() == told.life => {
-                let at = ago(heard_ms).before(TOLD_OLDER);
-                peer.told_heard = peer.told_heard.max(Some(at));
+            (Some(peer), RecordState::Alive { heard_ms }) if peer.life() == told.life => {
+                let at = ago(heard_ms).before(REPORTED_OLDER);
+                peer.reported_heard = peer.reported_heard.max(Some(at));
                 let back = peer.gone_at.is_some_and(|gone| at > gone + GONE_SLACK);
                 let revived = back && !peer.stopping;
                 if revived {
@@ -309,7 +309,7 @@
                 }
                 revived
             }
-            (Some(peer), ToldState::Gone { since_ms }) if peer.life() == told.life => {
+            (Some(peer), RecordState::Gone { since_ms }) if peer.life() == told.life => {
                 let since = ago(since_ms);
                 let is_news = peer.gone_at.is_none() && peer.last_heartbeat() <= since + GONE_SLACK;
                 if is_news {
@@ -318,7 +318,7 @@
                 }
                 false
             }
-            (Some(peer), ToldState::Alive { heard_ms }) if peer.may_be_followed_by(told.life) => {
+            (Some(peer), RecordState::Alive { heard_ms }) if peer.may_be_followed_by(told.life) => {
                 let former = peer.life();
                 let added = self.add(now, told, ago(heard_ms), None);
                 if let Some(peer) = self.heard.get_mut(&told.vm) {
@@ -340,7 +340,7 @@
         if now.since(heard) >= ADDRESS_KEPT {
             return false;
         }
-        let peer = Peer::told_of(told, now, heard, gone_at);
+        let peer = Peer::from_record(told, now, heard, gone_at);
         self.heard.insert(told.vm.clone(), peer);
         self.unheard.remove(&told.address);
         self.on_change(now, &told.vm);
@@ -357,7 +357,7 @@
         let kept = self.heard.iter().filter(|(vm, _)| differs(bucket(vm)));
         let mut records: Vec<MemberRecord> = kept.map(|(vm, p)| record(now, vm, p)).collect();
         records.sort_by_key(|r| from_first(&r.vm));
-        records.truncate(RECORDS_TOLD - 1);
+        records.truncate(RECORDS_SENT - 1);
         if differs(bucket(&self.me)) {
             records.insert(0, self.own_record());
         }
@@ -373,7 +373,7 @@
             strength: self.strength,
             address: self.own_address,
             life: self.life,
-            state: ToldState::Alive { heard_ms: 0 },
+            state: RecordState::Alive { heard_ms: 0 },
         }
     }
 
@@ -385,14 +385,14 @@
         buckets
     }
 
-    /// The lives that digests count: all that nobody said to be gone, this router's included.
+    /// The lives that digests count: all that no peer reported gone, this router's included.
     pub(super) fn counted(&self) -> impl Iterator<Item = (&VmId, Incarnation)> {
         let others = self.heard.iter().filter(|(_, p)| p.gone_at.is_none());
         let others = others.map(|(vm, p)| (vm, p.life()));
         others.chain(std::iter::once((&self.me, self.life)))
     }
 
-    /// Something is news of a router: others are told of it.
+    /// Something is news of a router.
     pub(super) fn on_change(&mut self, now: Instant, vm: &VmId) {
         if let Some(peer) = self.heard.get_mut(vm) {
             peer.changed_at = now;
@@ -411,8 +411,8 @@
         address: peer.address,
         life: peer.life(),
         state: match peer.gone_at {
-            Some(at) => ToldState::Gone { since_ms: ms(at) },
-            None => ToldState::Alive {
+            Some(at) => RecordState::Gone { since_ms: ms(at) },
+            None => RecordState::Alive {
                 heard_ms: ms(peer.last_heartbeat()),
             },
         },
--- a/tests/decisions/many_targets.rs
+++ b/tests/decisions/many_targets.rs
@@ -128,7 +128,7 @@
 }
 
 /// What is saved for routers that start was not written at all before 10,000 targets: the list of them alone took more than the
-/// largest value. The log line `prompts not saved` told so every two seconds.
+/// largest value. The log line `prompts not saved` stood there every two seconds.
 #[test]
 fn what_is_kept_of_targets_does_not_grow_with_them() {
     let kept = |targets: usize| {
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -13,7 +13,7 @@
         datagram::{Datagram, Stamp, Strength},
         peers::Peers,
         readers::{FleetStart, NextRead, ReadState},
-        records::{Exchange, MemberRecord, ToldState},
+        records::{Exchange, MemberRecord, RecordState},
     },
     store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
     units::{Instant, StoreRevision},
@@ -49,12 +49,12 @@
         strength: strength(n),
         address: address(n),
         life: Incarnation(1),
-        state: ToldState::Alive { heard_ms: 0 },
+        state: RecordState::Alive { heard_ms: 0 },
     }
 }
 
-/// A datagram that tells of routers, from one of them.
-fn told_of(from: usize, routers: usize, exchange: Exchange) -> Datagram {
+/// A datagram of one router with a step of a comparison.
+fn datagram_with(from: usize, routers: usize, exchange: Exchange) -> Datagram {
     let sender = record(from);
     Datagram {
         vm: sender.vm,
@@ -91,7 +91,7 @@
 /// Each router of a fleet, with all others known to it.
 fn fleet(n: usize) -> Vec<Peers> {
     let all: Vec<MemberRecord> = (0..n).map(record).collect();
-    let told = told_of(0, n, Exchange::Records(all));
+    let told = datagram_with(0, n, Exchange::Records(all));
     let knows_all = |me: usize| {
         let mut peers = alone(me, &[]);
         peers.on_records(SETTLED, &told);
@@ -115,7 +115,7 @@
 
 /// Three readers fed all: 985 routers before 10,000 targets made 13,900 calls to the store in a calm day and had a configuration five
 /// seconds after its change, or never. The log lines `reader does not answer` and, at the routers that refused keys, `call` with
-/// `config_too_old` told so.
+/// `config_too_old` settled it.
 #[rstest]
 #[case::the_size_to_design_for(380)]
 #[case::the_whole_fleet(985)]
@@ -189,12 +189,12 @@
     assert_eq!(peers.next_read(at(0), &state), NextRead::Wait);
     let routers = 900;
     let compared = Exchange::Compare { digest: 1, routers };
-    let told = told_of(0, 1, compared);
+    let told = datagram_with(0, 1, compared);
     peers.on_datagram(at(50), address(0), &told);
     peers.answer(at(50), &told);
     assert_eq!(peers.next_read(at(300), &state), NextRead::Wait);
     let all = (0..985).map(record).collect();
-    let told = told_of(0, 2, Exchange::Records(all));
+    let told = datagram_with(0, 2, Exchange::Records(all));
     peers.on_records(at(800), &told);
     assert_eq!(peers.next_read(at(900), &state), NextRead::Wait);
     let next = peers.next_read(at(1_400), &state);
