Where callers wait, a router that starts looks for the others for 1.5 s at most

What more readers cost is some hundred calls to the store each. Not measured on the whole fleet yet.

--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -57,9 +57,12 @@
 /// all targets by itself, which takes the store longer than it takes the routers to find one another.
 const MANY: usize = 32;
 
-/// The longest wait for that.
+/// The longest wait for that where nobody serves yet.
 const SETTLE_LONGEST: Duration = Duration::from_secs(4);
 
+/// The longest such wait where callers wait: some dozens of routers that take themselves for readers cost less than that.
+const SETTLE_LATER: Duration = Duration::from_millis(1_500);
+
 /// Whether the whole fleet starts for the first time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FleetStart {
@@ -126,11 +129,14 @@
     /// Whether this router has just started and does not know yet who else there is.
     fn looks_around(&self, now: Instant, start: FleetStart) -> bool {
         let alone = self.heard.is_empty();
-        let finds_others = match start {
-            FleetStart::First => now.0 < FIND_ONE_ANOTHER,
-            FleetStart::Later => now.0 < LOOK_AROUND && alone && !self.unheard.is_empty(),
+        let (finds_others, longest) = match start {
+            FleetStart::First => (now.0 < FIND_ONE_ANOTHER, SETTLE_LONGEST),
+            FleetStart::Later => {
+                let waits = alone && !self.unheard.is_empty();
+                (now.0 < LOOK_AROUND && waits, SETTLE_LATER)
+            }
         };
-        let learns = self.size() >= MANY && !self.is_settled(now) && now.0 < SETTLE_LONGEST;
+        let learns = self.size() >= MANY && !self.is_settled(now) && now.0 < longest;
         finds_others || learns
     }
 
