--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -22,7 +22,7 @@
 };
 
 /// How long after the store's return a missing entry still counts: live targets are back in the
-/// list within about two seconds (users' letter).
+/// list within about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_millis(1_900);
 
 /// The part of the saved targets that has to be missing from a router's first list for them to count
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -35,10 +35,9 @@
 /// UDP can carry.
 const DATAGRAM_LIMIT: usize = 60 << 10;
 
-/// How long after its start a router tells joining peers nothing of prompts: what it knows it has
-/// just been told itself, and routers that start together would tell all of it to one another.
-/// What it told until then it tells once more: all of such a fleet find one another, and their
-/// hubs, within about two seconds (bench, 68 VMs without power).
+/// How long after its start a router sends joining peers no hints of prompts: what it knows has just come from
+/// others, and routers that start together would send all of it to one another. The hints that it sent until then it
+/// sends once more: by then all of such a fleet have found one another, and their hubs.
 const TEACHES_AFTER: Duration = Duration::from_secs(3);
 
 /// Parts of prompts that one datagram tells of: some kilobytes. A hub passes on what all routers of
--- a/src/membership/pace.rs
+++ b/src/membership/pace.rs
@@ -11,8 +11,7 @@
 
 use std::time::Duration;
 
-/// How often counts that changed are told. Ten times a second kept the load bound with 85 routers
-/// (docs/design/rounds.md).
+/// How often counts that changed are sent in a small fleet: several times while a call is in progress.
 const TELL_EVERY: Duration = Duration::from_millis(100);
 
 /// What each router of the fleet adds to that time, so that hubs have no more to add up: the more
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -30,12 +30,12 @@
 const FIRST_WAIT_PER_ROUTER: Duration = Duration::from_millis(8);
 
 /// How long routers of a fleet that starts for the first time let one another be found: processes
-/// start within 0.3 s (users' pages), and it takes some rounds of datagrams from the few addresses
+/// start within some tenths of a second, and it takes some rounds of datagrams from the few addresses
 /// that are known.
 const FIND_ONE_ANOTHER: Duration = Duration::from_millis(800);
 
-/// How long those that are no readers then wait for one: nobody serves yet, and the readers of a
-/// hundred routers have told all by then (bench).
+/// How long those that are no readers then wait for one: nobody serves yet, and readers
+/// of up to a hundred routers have fed them all by then.
 const FIRST_START_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The pause of a router that is no reader between its own calls to a store that does not answer: each
--- a/src/outages.rs
+++ b/src/outages.rs
@@ -17,12 +17,11 @@
 /// the users' sheets).
 const AT_ONCE: Duration = Duration::from_millis(15);
 
-/// How long a target is left alone for it where others have room. On a day of flaps (grown puente)
-/// targets are down for about a second.
+/// How long a target is left alone for it where others have room: one that flaps is down for about a second.
 const LEFT_ALONE: Duration = Duration::from_millis(800);
 
 /// How many times that doubles where the target is still down when it is tried again: until its entry
-/// lapses, which takes three heartbeats of some 1.2 s (users' pages).
+/// lapses, which takes three heartbeats of more than a second.
 const DOUBLED: u32 = 2;
 
 /// How soon after it was left alone a target has to be down again for it to be the same outage that goes
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -188,8 +188,8 @@
         held
     }
 
-    /// What to tell peers of requests that are held back: those that no entry tells of, as the store is away or slow. Without it
-    /// four targets more end where four of seven routers start anew then (one day of the users' bench).
+    /// Requests that are held back and have no entry in the store, as that is away or slow. Without these notices routers that
+    /// start meanwhile send such a request on, and targets end under it again.
     pub fn held_notices(&self, now: Instant) -> Vec<HeldNotice> {
         let untold = self.held.iter().filter(|(_, held)| !held.is_stored);
         let notice = |(request, held): (&Fingerprint, &Held)| HeldNotice {
