A report that a peer is gone counts for nothing while that peer is heard; who joins over and over is sent prompts once

Cause, found by reading: where two data halls can't reach each other and a third reaches both, each half's hubs report the other's gone, and the third took that though it heard them: hubs changed and peers joined over and over, each time with all hints of prompts. The test (60 routers, three halls, 20 s) fails without the check.

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -184,7 +184,7 @@
 /// Tells a peer that joined all parts of prompts that are known to be read, if that is this router's to do.
 pub(super) fn teach(cx: &Gateway, udp: &UdpSocket, joined: &VmId, address: SocketAddr) {
     let now = cx.now();
-    if now.0 < TEACHES_AFTER || !cx.peers.borrow().is_teacher_of(now, joined) {
+    if now.0 < TEACHES_AFTER || !cx.peers.borrow_mut().take_teaching(now, joined) {
         return;
     }
     info!(cx.log, "prompts sent to peer"; "peer" => %joined);
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -34,6 +34,9 @@
 /// Routers that tell a peer that joined what it missed; two, as one may be about to go.
 const TEACHERS: usize = 2;
 
+/// How long a peer that joined is not sent the same again: one that some reach and others don't joins over and over.
+const TEACH_AGAIN: Duration = Duration::from_secs(10);
+
 /// What a datagram changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
@@ -63,6 +66,8 @@
     pub(super) hubs: RefCell<HubTable>,
     /// Routers that had nothing recent when they were asked, with when.
     pub(super) had_nothing: BTreeMap<SocketAddr, Instant>,
+    /// Peers that were sent what they had missed: which life of each, and when.
+    taught: BTreeMap<VmId, (Incarnation, Instant)>,
     /// The last tick.
     ticked: Option<Instant>,
 }
@@ -90,6 +95,7 @@
             observing_since: None,
             hubs: RefCell::default(),
             had_nothing: BTreeMap::new(),
+            taught: BTreeMap::new(),
             ticked: None,
         };
         for seed in seeds {
@@ -177,6 +183,21 @@
         keepers(joined.as_str(), all, TEACHERS).contains(&&self.me)
     }
 
+    /// Whether this router is to send a peer that joined what it missed now.
+    pub fn take_teaching(&mut self, now: Instant, joined: &VmId) -> bool {
+        self.taught
+            .retain(|_, (_, at)| now.since(*at) < TEACH_AGAIN);
+        let Some(life) = self.heard.get(joined).map(Peer::life) else {
+            return false;
+        };
+        let knows = self.taught.get(joined).is_some_and(|(l, _)| *l == life);
+        let is_due = !knows && self.is_teacher_of(now, joined);
+        if is_due {
+            self.taught.insert(joined.clone(), (life, now));
+        }
+        is_due
+    }
+
     /// Whether this router is the one that looks after a thing for all.
     pub fn is_keeper_of(&self, now: Instant, thing: &str) -> bool {
         self.keeper_of(now, thing).is_none()
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -12,6 +12,7 @@
 use super::{
     datagram::{Datagram, Strength},
     heartbeats::VmHash,
+    pace,
     peer::{Peer, Receiver},
     peers::{ADDRESS_KEPT, Peers},
 };
@@ -289,6 +290,7 @@
     /// Returns whether the router came to life.
     fn on_record(&mut self, now: Instant, told: &MemberRecord) -> bool {
         let ago = |ms: u32| now.before(Duration::from_millis(u64::from(ms)));
+        let silent_after = pace::silent_after(self.size());
         let known = self.heard.get_mut(&told.vm);
         match (known, told.state) {
             (None, RecordState::Alive { heard_ms }) => {
@@ -311,7 +313,10 @@
             }
             (Some(peer), RecordState::Gone { since_ms }) if peer.life() == told.life => {
                 let since = ago(since_ms);
-                let is_news = peer.gone_at.is_none() && peer.last_heartbeat() <= since + GONE_SLACK;
+                // Where two halls can't reach each other and a third reaches both, each takes the other's hubs for gone.
+                let speaks = peer.is_direct() && now.since(peer.heard) < silent_after;
+                let is_older = peer.last_heartbeat() <= since + GONE_SLACK;
+                let is_news = peer.gone_at.is_none() && is_older && !speaks;
                 if is_news {
                     peer.gone_at = Some(since);
                     self.on_change(now, &told.vm);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -361,6 +361,27 @@
     );
 }
 
+/// Two data halls can't reach each other and a third reaches both: nobody of that takes anybody for gone. Found by reading: what one hall's hub
+/// reported of the other's hubs counted also where these were heard.
+#[test]
+fn a_hall_that_reaches_two_others_does_not_take_their_reports_of_each_other() {
+    let n = 60;
+    let mut net = Net::new(n, 0.0);
+    for a in (0..n).filter(|i| i % 3 == 0) {
+        for b in (0..n).filter(|i| i % 3 == 1) {
+            net.cut.insert((a, b));
+            net.cut.insert((b, a));
+        }
+    }
+    for _ in 0..40 {
+        net.run(Duration::from_millis(500));
+        let between = net.routers.iter().filter(|(i, _)| *i % 3 == 2);
+        let hubs = between.filter(|(_, r)| r.peers.adds_up(net.now));
+        let alive: Vec<usize> = hubs.map(|(_, r)| r.peers.alive(net.now)).collect();
+        assert_eq!(alive, [n]);
+    }
+}
+
 /// How often each number occurs.
 fn counted(numbers: &[usize]) -> BTreeMap<usize, usize> {
     let mut counted = BTreeMap::new();
