--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -157,17 +157,22 @@
             let vm = name(&format!("vm-{peer}"));
             d.health.on_suspicions(Instant::default(), vm, Vec::new());
         }
-        let mut chat = 0;
-        let took = time(500, || {
-            chat += 1;
-            let now = Instant::from_millis(chat);
-            if let Ok(ticket) = d.choose(now, &turn(chat)) {
-                black_box(d.on_end(now, &ticket, None));
-            }
-        });
-        println!(
-            "placement: one of {n} targets beside {peers} peers in {took:.0} ns, with its end"
-        );
+        for (kind, is_chat) in [("chat's turn", true), ("prompt", false)] {
+            let mut chat = 0;
+            let took = time(500, || {
+                chat += 1;
+                let now = Instant::from_millis(chat);
+                let mut call = turn(chat);
+                call.chat = call.chat.filter(|_| is_chat);
+                call.hash = chat;
+                if let Ok(ticket) = d.choose(now, &call) {
+                    black_box(d.on_end(now, &ticket, None));
+                }
+            });
+            println!(
+                "placement: a {kind}, one of {n} targets beside {peers} peers in {took:.0} ns, with its end"
+            );
+        }
     }
 }
 
