Lines and figures that tell which life of the store is known, and who is behind

Now: line 'store era', line 'reader is behind', 'version_before' and 'revision_before' in 'config', gauges config_version, store_era, store_revision. No logic changes.

--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -20,7 +20,7 @@
     ids::Revision,
     membership::readers::{NextRead, ReadState},
     store::{Mirrored, StoreError, StoreNews},
-    units::{Instant, StoreRevision},
+    units::{Instant, StoreEra, StoreRevision},
 };
 
 /// How long one watch waits. The proof of the configuration is about this old at the most.
@@ -46,6 +46,8 @@
     upstream: Option<PeerConn>,
     listed: bool,
     backoff: Duration,
+    /// The life of the store that last answered here.
+    era: StoreEra,
     /// When the store may be called again.
     retry_at: Instant,
 }
@@ -57,6 +59,7 @@
         upstream: None,
         listed: false,
         backoff: FIRST_BACKOFF,
+        era: StoreEra::default(),
         retry_at: Instant::default(),
     };
     loop {
@@ -144,7 +147,7 @@
         match told {
             Mirrored::Changes(news) => take_news(cx, &news, false, reader),
             Mirrored::List(news) => take_news(cx, &news, true, reader),
-            Mirrored::Nothing => {}
+            Mirrored::Nothing => log_if_behind(cx, reader),
         }
         let is_fed = cx.peers.borrow().is_fed(cx.now());
         if let Some(proof) = proof.filter(|_| is_fed) {
@@ -190,7 +193,10 @@
             true => self.cx.store.watch(at, WATCH_WAIT).await,
         };
         match answer {
-            Ok(news) => self.on_answer(&news, sent, &unseen).await,
+            Ok(news) => {
+                self.note_era(&news);
+                self.on_answer(&news, sent, &unseen).await;
+            }
             Err(StoreError::HistoryGone) => {
                 self.cx.metrics.on_store_call("history_gone");
                 warn!(self.cx.log, "store history gone"; "after" => at.0);
@@ -249,6 +255,17 @@
         }
     }
 
+    /// Logs the life of the store that answers, where it is another one.
+    fn note_era(&mut self, news: &StoreNews) {
+        let era = self.cx.store.era();
+        let before = std::mem::replace(&mut self.era, era);
+        self.cx.metrics.store_era.set(era.0.cast_signed());
+        if before != era {
+            info!(self.cx.log, "store era"; "era" => era.0, "before" => before.0,
+                "revision" => news.revision.0, "known" => self.cx.mirror.borrow().revision().0);
+        }
+    }
+
     fn on_failure(&mut self, e: &StoreError) {
         let cx = &self.cx;
         let now = cx.now();
@@ -268,6 +285,15 @@
     }
 }
 
+/// Logs that a reader which had nothing newer knows less than this router.
+fn log_if_behind(cx: &Gateway, reader: SocketAddr) {
+    let known = cx.mirror.borrow().revision();
+    let theirs = cx.peers.borrow().mirror_of(reader);
+    if let Some(theirs) = theirs.filter(|theirs| *theirs < known) {
+        info!(cx.log, "reader is behind"; "reader" => %reader, "revision" => theirs.0, "known" => known.0);
+    }
+}
+
 /// Reads the accepted changes anew, for an operator's change that met another one.
 pub(super) async fn read_changes(cx: &Gateway) -> Result<(), StoreError> {
     cx.metrics.on_store_call("confirm");
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -247,6 +247,9 @@
         let mut serving = self.serving.borrow_mut();
         let newer = revision > serving.revision;
         if newer {
+            self.metrics
+                .config_version
+                .set(config.version.cast_signed());
             *serving = Rc::new(config);
             self.freshness.borrow_mut().on_applied(revision);
             self.config_arrived.notify_waiters();
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -55,6 +55,9 @@
     pub(crate) in_progress: Gauge,
     pub(crate) peers_alive: Gauge,
     pub(crate) config_age_ms: Gauge,
+    pub(crate) config_version: Gauge,
+    pub(crate) store_era: Gauge,
+    pub(crate) store_revision: Gauge,
     answered: Cell<u64>,
     refused: Cell<u64>,
     store_call_count: Cell<u64>,
@@ -87,6 +90,9 @@
             in_progress: Gauge::default(),
             peers_alive: Gauge::default(),
             config_age_ms: Gauge::default(),
+            config_version: Gauge::default(),
+            store_era: Gauge::default(),
+            store_revision: Gauge::default(),
         };
         all.register();
         all
@@ -178,6 +184,16 @@
         r.register("peers_alive", "Routers that live", self.peers_alive.clone());
         let age = self.config_age_ms.clone();
         r.register("config_age_ms", "Age of the configuration's proof", age);
+        let version = self.config_version.clone();
+        r.register("config_version", "The configuration in force", version);
+        let era = self.store_era.clone();
+        r.register("store_era", "The store's life that last answered here", era);
+        let revision = self.store_revision.clone();
+        r.register(
+            "store_revision",
+            "The store's revision known here",
+            revision,
+        );
     }
 
     /// A call ended with a code; 0 stands for a target's answer.
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -30,6 +30,8 @@
         }
     }
     cx.mirror_changed.notify_waiters();
+    let known = cx.mirror.borrow().revision();
+    cx.metrics.store_revision.set(known.0.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
     let (mut list, mut evacuated, mut changes) = (Vec::new(), Vec::new(), Vec::new());
@@ -118,9 +120,12 @@
 
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
+    let before = cx.serving().map(|s| (s.version, s.revision.0));
     let applied = cx.apply(config);
+    let (version_before, revision_before) = before.unzip();
     info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
-        "applied" => applied, "from" => %from);
+        "applied" => applied, "from" => %from, "version_before" => version_before,
+        "revision_before" => revision_before);
 }
 
 fn on_changes(
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -190,6 +190,12 @@
         ahead.max_by_key(|p| p.mirror).map(|p| p.address)
     }
 
+    /// The revision of the store up to which a peer said that it knows all.
+    pub fn mirror_of(&self, address: SocketAddr) -> Option<StoreRevision> {
+        let peer = self.heard.values().find(|p| p.address == address);
+        peer.map(|p| p.mirror)
+    }
+
     /// A peer announced when readers last heard from the store.
     pub(super) fn on_store_readers(&mut self, now: Instant, told: &[(VmId, u32)]) {
         for (reader, age_ms) in told {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,7 +13,7 @@
     config::serving::ServingConfig,
     discovery::TargetRecord,
     ids::{DataHall, TargetName},
-    units::StoreRevision,
+    units::{StoreEra, StoreRevision},
 };
 
 /// Why a call to the store did not succeed.
@@ -162,6 +162,8 @@
 /// An error of a call that writes leaves open whether it took effect: the caller settles that by
 /// reading, or writes what may be written twice.
 pub trait MetaStore {
+    /// The life of the store that gave its last answer.
+    fn era(&self) -> StoreEra;
     /// All that concerns the gateway, by consistent reads.
     fn list(&self) -> StoreCall<'_, StoreNews>;
     /// Waits for changes after a revision, at most so long; empty if there are none.
--- a/src/units.rs
+++ b/src/units.rs
@@ -95,6 +95,31 @@
     }
 }
 
+/// A life of the platform's store: it rises by one each time that the store comes back from an older copy. 0 where the store
+/// does not say.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for StoreEra {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        s.parse().map(Self).map_err(|_| IdError {
+            expected: "the number of an era of the store",
+            got: s.to_owned(),
+        })
+    }
+}
+
 /// How urgent a call is, 0 the most.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
