--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -135,7 +135,7 @@
     let old = fleet.store.backup();
     let newest = fleet.change("newer", vec![account_edit("newer", 1)]).await;
     until(async || fleet.live().all(|r| r.revision().0 == newest)).await;
-    fleet.store.restore(old);
+    fleet.store.set_back(old);
     until(async || fleet.live().any(|r| r.reverts_refused() > 0)).await;
     assert!(fleet.live().all(|r| r.revision().0 == newest));
     // What the store lost is written back, and changes go on from there.
