Configurations are ordered by the operators' own numbers

Callers were served by version 22 though versions 26, 29 (a key taken away) and 32 had been acknowledged seconds before. The readers had them 0.15 s after each and passed them over: they were written as revisions 22 to 25 of a store that had come back from an older copy, below the 26 of the one in force ('config', 'applied' false). A revision says nothing across a set-back; the operators' number does, and it is what peers vouch for now.

--- a/src/config/freshness.rs
+++ b/src/config/freshness.rs
@@ -1,12 +1,12 @@
 //! How old may what this router knows of the configuration be?
 //!
 //! A proof is a moment of this router's steady clock at which the store is known to have held
-//! the revision that is applied here. It is taken from when a call was *sent*, never from when
+//! the configuration that is applied here. It is taken from when a call was *sent*, never from when
 //! its answer was read: an answer may have waited in a socket while the process was paused.
 
 use std::time::Duration;
 
-use crate::units::{Instant, StoreRevision};
+use crate::units::{ConfigVersion, Instant};
 
 /// The part of the revocation bound for which a proof is relied on. A watch may hear nothing for
 /// a second while the store's history is dropped, which the rest has to cover: of five seconds
@@ -20,8 +20,8 @@
     pub echo: Instant,
     /// How old the peer's proof was when it answered.
     pub age: Duration,
-    /// The revision that the peer applies.
-    pub revision: StoreRevision,
+    /// The configuration that the peer applies.
+    pub version: ConfigVersion,
 }
 
 /// A moment of this router's clock, in microseconds, which may lie before the clock began: peers vouch with proofs that are older than
@@ -53,28 +53,28 @@
 #[derive(Debug, Default)]
 pub struct Freshness {
     proven_at: Option<ProvenAt>,
-    revision: StoreRevision,
+    version: ConfigVersion,
 }
 
 impl Freshness {
-    /// A newer configuration was applied. The proof stays: it says that nothing newer than the applied revision existed at that
-    /// moment, and a newer revision holds all that was revoked by then.
-    pub fn on_applied(&mut self, revision: StoreRevision) {
-        self.revision = self.revision.max(revision);
+    /// A newer configuration was applied. The proof stays: it says that nothing newer than the applied one existed at that
+    /// moment, and a newer one holds all that was revoked by then.
+    pub fn on_applied(&mut self, version: ConfigVersion) {
+        self.version = self.version.max(version);
     }
 
-    /// The store answered a consistent call sent at `sent`: nothing newer than `revision` exists.
-    pub fn on_confirmed(&mut self, sent: Instant, revision: StoreRevision) {
-        if revision == self.revision {
+    /// The store answered a consistent call sent at `sent`: nothing newer than `version` exists.
+    pub fn on_confirmed(&mut self, sent: Instant, version: ConfigVersion) {
+        if version == self.version {
             self.proven_at = self.proven_at.max(Some(ProvenAt::new(sent)));
         }
     }
 
-    /// A peer vouches for the revision that it applies. A later one that is applied here holds all
+    /// A peer vouches for the configuration that it applies. A later one that is applied here holds all
     /// that the peer's held; an earlier one is not vouched for.
     pub fn on_vouch(&mut self, vouch: Vouch) {
         let proof = ProvenAt::before(vouch.echo, vouch.age);
-        if vouch.revision <= self.revision {
+        if vouch.version <= self.version {
             self.proven_at = self.proven_at.max(Some(proof));
         }
     }
@@ -84,9 +84,9 @@
         self.proven_at.map(|at| at.age(now))
     }
 
-    /// The revision that is applied.
-    pub fn revision(&self) -> StoreRevision {
-        self.revision
+    /// The configuration that is applied.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
     }
 
     /// Whether a key that this configuration holds may still be relied on.
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -13,7 +13,7 @@
     discovery::{TargetRecord, TargetState},
     ids::{ClientAccountId, ModelName, Revision, ServiceName},
     limits::AccountLimits,
-    units::{Rank, StoreRevision, Tokens, Weight},
+    units::{ConfigVersion, Rank, StoreRevision, Tokens, Weight},
 };
 
 /// What the path of a plain service's calls begins with; the service's name follows.
@@ -55,7 +55,11 @@
 
 /// The configuration as calls see it.
 pub fn serving(config: &FleetConfig, revision: Revision, rules: &CallerRules) -> ServingConfig {
-    let mut serving = ServingConfig::new(StoreRevision(revision.0), revision.0, rules.limits);
+    let mut serving = ServingConfig::new(
+        StoreRevision(revision.0),
+        ConfigVersion(revision.0),
+        rules.limits,
+    );
     serving.keyed = true;
     for (id, account) in &config.accounts {
         add_keys(&mut serving, id, account);
--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -10,7 +10,7 @@
     admission::warm_up::WarmUp,
     ids::{ClientAccountId, ServiceName},
     limits::AccountLimits,
-    units::{Rank, StoreRevision, Tokens},
+    units::{ConfigVersion, Rank, StoreRevision, Tokens},
 };
 
 /// When a stream may be sent to another target after it may have run.
@@ -190,8 +190,8 @@
 pub struct ServingConfig {
     /// The write of the store that made it.
     pub revision: StoreRevision,
-    /// The operator's own version number.
-    pub version: u64,
+    /// The operators' own number.
+    pub version: ConfigVersion,
     /// Bounds on callers.
     pub limits: CallerLimits,
     /// Whether calls need keys at all.
@@ -213,7 +213,7 @@
 
 impl ServingConfig {
     /// A configuration of these parts.
-    pub fn new(revision: StoreRevision, version: u64, limits: CallerLimits) -> Self {
+    pub fn new(revision: StoreRevision, version: ConfigVersion, limits: CallerLimits) -> Self {
         Self {
             revision,
             version,
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Whether this one takes the place of another. The operators' numbers decide: revisions of the store go back with it.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        let order = |c: &Self| (c.version, c.revision);
+        order(self) > order(other)
+    }
+
     /// Adds a route; the longest fitting prefix is found first, and of these one for the method.
     pub fn add_route(&mut self, route: Route) {
         for (service, _) in &route.split {
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -130,11 +130,11 @@
             code: end.number,
             why: end.why.to_owned(),
         });
-        let freshness = self.cx.freshness.borrow();
-        let age = freshness.age(now);
+        let age = self.cx.freshness.borrow().age(now);
+        let revision = self.cx.serving().map(|c| c.revision);
         info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "route" => &self.route, "code" => end.name,
             "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
-            "took_ms" => took.as_millis() as u64, "config_revision" => freshness.revision().0,
+            "took_ms" => took.as_millis() as u64, "config_revision" => revision.map(|r| r.0),
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
     }
 }
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -9,7 +9,7 @@
 use crate::{
     config::freshness::Vouch,
     store::{Mirrored, StoreError},
-    units::{Instant, StoreRevision},
+    units::{ConfigVersion, Instant, StoreRevision},
 };
 
 /// How long an asked router waits for something newer.
@@ -45,8 +45,8 @@
 /// What one answer proves of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Proof {
-    /// The revision of the configuration that the asked router applies.
-    revision: StoreRevision,
+    /// The configuration that the asked router applies.
+    version: ConfigVersion,
     /// How old its proof was when it answered, in milliseconds.
     age_ms: u32,
     /// How long it held the question before, in milliseconds.
@@ -60,7 +60,7 @@
         Vouch {
             echo: asked + ms(self.held_ms),
             age: ms(self.age_ms),
-            revision: self.revision,
+            version: self.version,
         }
     }
 
@@ -117,7 +117,7 @@
     let freshness = cx.freshness.borrow();
     let age = freshness.age(now)?;
     Some(Proof {
-        revision: freshness.revision(),
+        version: freshness.version(),
         age_ms: age.as_millis().try_into().unwrap_or(u32::MAX),
         held_ms: held.as_millis() as u32,
     })
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -88,7 +88,7 @@
     /// The youngest moment at which the store is known to have held what the mirror holds.
     pub(crate) store_proven_at: Cell<Option<Instant>>,
     life: RefCell<RouterLife>,
-    serving: RefCell<Rc<ServingConfig>>,
+    serving: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) clock: Clock,
     wall_epoch_ms: u64,
 }
@@ -231,8 +231,7 @@
 
     /// The configuration in force; `None` before the first.
     pub(crate) fn serving(&self) -> Option<Rc<ServingConfig>> {
-        let serving = self.serving.borrow();
-        (serving.revision.0 > 0).then(|| Rc::clone(&serving))
+        self.serving.borrow().clone()
     }
 
     /// What callers may send.
@@ -243,15 +242,15 @@
 
     /// Puts a configuration in force, unless it is older than the one that is.
     pub(crate) fn apply(&self, config: ServingConfig) -> bool {
-        let revision = config.revision;
+        let version = config.version;
         let mut serving = self.serving.borrow_mut();
-        let newer = revision > serving.revision;
+        let newer = serving
+            .as_ref()
+            .is_none_or(|before| config.is_newer_than(before));
         if newer {
-            self.metrics
-                .config_version
-                .set(config.version.cast_signed());
-            *serving = Rc::new(config);
-            self.freshness.borrow_mut().on_applied(revision);
+            self.metrics.config_version.set(version.0.cast_signed());
+            *serving = Some(Rc::new(config));
+            self.freshness.borrow_mut().on_applied(version);
             self.config_arrived.notify_waiters();
         }
         newer
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -236,7 +236,7 @@
             micros: now.0.as_micros() as u64,
         },
         echo: None,
-        config: age.map(|a| (freshness.revision(), a.as_millis() as u32)),
+        config: age.map(|a| (freshness.version(), a.as_millis() as u32)),
         hall: cx.cfg.data_hall.clone(),
         strength: cx.cfg.strength,
         readers,
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -120,10 +120,10 @@
 
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
-    let before = cx.serving().map(|s| (s.version, s.revision.0));
+    let before = cx.serving().map(|s| (s.version.0, s.revision.0));
     let applied = cx.apply(config);
     let (version_before, revision_before) = before.unzip();
-    info!(cx.log, "config"; "version" => version, "revision" => revision.0, "routes" => routes,
+    info!(cx.log, "config"; "version" => version.0, "revision" => revision.0, "routes" => routes,
         "applied" => applied, "from" => %from, "version_before" => version_before,
         "revision_before" => revision_before);
 }
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,7 +10,7 @@
     prompt_cache::PartId,
     quarantine::{EndingNotice, HeldNotice},
     target_counts::{TargetCounts, TargetHash},
-    units::{StoreRevision, Tokens},
+    units::{ConfigVersion, StoreRevision, Tokens},
 };
 
 use super::{heartbeats::HallRoll, records::Exchange};
@@ -96,9 +96,8 @@
     pub sent: Stamp,
     /// The youngest stamp that the sender had from the receiver.
     pub echo: Option<Stamp>,
-    /// The revision of the configuration that the sender applies, and the age of its proof in
-    /// milliseconds.
-    pub config: Option<(StoreRevision, u32)>,
+    /// The configuration that the sender applies, and the age of its proof in milliseconds.
+    pub config: Option<(ConfigVersion, u32)>,
     /// How long ago routers that read the store heard from it, in milliseconds.
     pub readers: Vec<(VmId, u32)>,
     /// The revision of the store up to which the sender knows all.
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -152,11 +152,11 @@
     /// What a datagram vouches for, if it answers one of this life.
     pub fn vouch(&self, told: &Datagram) -> Option<Vouch> {
         let echo = told.echo.filter(|stamp| stamp.life == self.life)?;
-        let (revision, age_ms) = told.config?;
+        let (version, age_ms) = told.config?;
         Some(Vouch {
             echo: Instant(Duration::from_micros(echo.micros)),
             age: Duration::from_millis(u64::from(age_ms)),
-            revision,
+            version,
         })
     }
 
--- a/src/units.rs
+++ b/src/units.rs
@@ -95,6 +95,30 @@
     }
 }
 
+/// The operators' own number of a whole configuration; a later one has a higher number.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigVersion(pub u64);
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for ConfigVersion {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        s.parse().map(Self).map_err(|_| IdError {
+            expected: "the number of a configuration",
+            got: s.to_owned(),
+        })
+    }
+}
+
 /// A life of the platform's store: it rises by one each time that the store comes back from an older copy. 0 where the store
 /// does not say.
 #[derive(
--- a/tests/decisions/routes.rs
+++ b/tests/decisions/routes.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use scaleford::config::{
     KeyHash,
     serving::{Asked, CallKind, CallerLimits, Denied, KeyHolder, Route, ServingConfig},
 };
-use scaleford::units::{Rank, StoreRevision};
+use scaleford::units::{ConfigVersion, Rank, StoreRevision};
 
 fn route(host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
     Route {
@@ -29,7 +30,8 @@
 
 #[test]
 fn the_longest_fitting_prefix_and_the_key_decide() {
-    let mut config = ServingConfig::new(StoreRevision(1), 1, CallerLimits::default());
+    let mut config =
+        ServingConfig::new(StoreRevision(1), ConfigVersion(1), CallerLimits::default());
     config.keyed = true;
     config.add_route(route("a.example", "/x/", &[("one", 1)]));
     config.add_route(route("a.example", "/x/y/", &[("two", 1)]));
@@ -198,3 +200,22 @@
         }
     }
 }
+
+/// A configuration that was written after the store had been set back has a lower revision than the one in force.
+#[rstest]
+#[case::written_after_a_set_back((3, 4), (2, 16), true)]
+#[case::from_the_older_copy((1, 3), (2, 16), false)]
+#[case::found_in_the_store_again((2, 16), (2, 16), false)]
+#[case::written_again((2, 17), (2, 16), true)]
+fn the_operators_number_decides_which_configuration_is_newer(
+    #[case] (version, revision): (u64, u64),
+    #[case] (version_before, revision_before): (u64, u64),
+    #[case] is_newer: bool,
+) {
+    let config = |version, revision| {
+        let revision = StoreRevision(revision);
+        ServingConfig::new(revision, ConfigVersion(version), CallerLimits::default())
+    };
+    let before = config(version_before, revision_before);
+    assert_eq!(config(version, revision).is_newer_than(&before), is_newer);
+}
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -6,7 +6,7 @@
 use scaleford::{
     config::freshness::{Freshness, Vouch},
     store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
-    units::StoreRevision,
+    units::{ConfigVersion, StoreRevision},
 };
 
 use crate::{REVOKE, at};
@@ -17,8 +17,8 @@
 fn a_proof_is_relied_on_for_three_seconds_and_more_but_never_for_the_whole_bound() {
     let mut fresh = Freshness::default();
     assert!(!fresh.may_use_keys(at(0), REVOKE));
-    fresh.on_applied(StoreRevision(7));
-    fresh.on_confirmed(at(1_000), StoreRevision(7));
+    fresh.on_applied(ConfigVersion(7));
+    fresh.on_confirmed(at(1_000), ConfigVersion(7));
     assert!(fresh.may_use_keys(at(4_600), REVOKE));
     // A watch may hear nothing for a second: with that second the bound must still be kept.
     assert!(!fresh.may_use_keys(at(1_000 + 4_000), REVOKE));
@@ -28,11 +28,11 @@
 #[test]
 fn a_peer_vouches_only_for_what_it_knows_and_only_since_it_was_asked() {
     let mut fresh = Freshness::default();
-    fresh.on_applied(StoreRevision(7));
-    let vouch = |echo, age, revision| Vouch {
+    fresh.on_applied(ConfigVersion(7));
+    let vouch = |echo, age, version| Vouch {
         echo: at(echo),
         age: Duration::from_millis(age),
-        revision: StoreRevision(revision),
+        version: ConfigVersion(version),
     };
     fresh.on_vouch(vouch(5_000, 100, 8));
     assert_eq!(fresh.age(at(5_000)), None, "it knows a later revision");
@@ -44,7 +44,7 @@
         Some(Duration::from_millis(1_400)),
         "an older proof"
     );
-    fresh.on_applied(StoreRevision(9));
+    fresh.on_applied(ConfigVersion(9));
     fresh.on_vouch(vouch(6_000, 0, 8));
     assert_eq!(
         fresh.age(at(6_000)),
@@ -60,11 +60,11 @@
 #[test]
 fn a_proof_from_before_this_routers_start_is_as_old_as_it_is() {
     let mut fresh = Freshness::default();
-    fresh.on_applied(StoreRevision(7));
+    fresh.on_applied(ConfigVersion(7));
     fresh.on_vouch(Vouch {
         echo: at(50),
         age: Duration::from_millis(4_800),
-        revision: StoreRevision(7),
+        version: ConfigVersion(7),
     });
     assert_eq!(fresh.age(at(100)), Some(Duration::from_millis(4_850)));
     assert!(!fresh.may_use_keys(at(100), REVOKE));
@@ -79,17 +79,17 @@
     ) {
         let mut fresh = Freshness::default();
         let mut youngest: Option<i64> = None;
-        for (echo, age, revision, vouched) in steps {
-            let revision = StoreRevision(revision);
+        for (echo, age, version, vouched) in steps {
+            let version = ConfigVersion(version);
             if vouched {
-                if revision <= fresh.revision() {
+                if version <= fresh.version() {
                     youngest = youngest.max(Some(echo as i64 - age as i64));
                 }
-                let vouch = Vouch { echo: at(echo), age: Duration::from_millis(age), revision };
+                let vouch = Vouch { echo: at(echo), age: Duration::from_millis(age), version };
                 fresh.on_vouch(vouch);
             } else {
-                fresh.on_applied(revision);
-                fresh.on_confirmed(at(echo), fresh.revision());
+                fresh.on_applied(version);
+                fresh.on_confirmed(at(echo), fresh.version());
                 youngest = youngest.max(Some(echo as i64));
             }
         }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -11,7 +11,7 @@
         peers::{Heard, Peers},
         readers::{FleetStart, NextRead, ReadState},
     },
-    units::{Instant, StoreRevision},
+    units::{ConfigVersion, Instant, StoreRevision},
 };
 
 fn at(ms: u64) -> Instant {
@@ -118,7 +118,7 @@
 fn an_echo_of_another_life_vouches_for_nothing() {
     let seen = peers(0);
     let mut told = datagram(1, 1);
-    told.config = Some((StoreRevision(4), 100));
+    told.config = Some((ConfigVersion(4), 100));
     assert!(seen.vouch(&told).is_none(), "it answers nothing of ours");
     told.echo = Some(Stamp {
         life: Incarnation(7),
