--- a/src/config/freshness.rs
+++ b/src/config/freshness.rs
@@ -54,6 +54,8 @@
 pub struct Freshness {
     proven_at: Option<ProvenAt>,
     version: ConfigVersion,
+    /// The latest that any peer applies.
+    vouched: ConfigVersion,
 }
 
 impl Freshness {
@@ -63,9 +65,11 @@
         self.version = self.version.max(version);
     }
 
-    /// The store answered a consistent call sent at `sent`: nothing newer than `version` exists.
-    pub fn on_confirmed(&mut self, sent: Instant, version: ConfigVersion) {
-        if version == self.version {
+    /// The store answered a consistent call sent at `sent`, and held the configuration `stored`. One that holds an older
+    /// configuration than is in force anywhere has lost what came after it, and proves nothing.
+    pub fn on_confirmed(&mut self, sent: Instant, stored: Option<ConfigVersion>) {
+        let latest = self.version.max(self.vouched);
+        if stored.unwrap_or_default() >= latest {
             self.proven_at = self.proven_at.max(Some(ProvenAt::new(sent)));
         }
     }
@@ -74,6 +78,7 @@
     /// that the peer's held; an earlier one is not vouched for.
     pub fn on_vouch(&mut self, vouch: Vouch) {
         let proof = ProvenAt::before(vouch.echo, vouch.age);
+        self.vouched = self.vouched.max(vouch.version);
         if vouch.version <= self.version {
             self.proven_at = self.proven_at.max(Some(proof));
         }
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -121,13 +121,16 @@
     }
 }
 
+/// The last change that the store is known to hold.
+pub(crate) fn newest_stored(cx: &Gateway) -> Revision {
+    let mirror = cx.mirror.borrow();
+    let newest = mirror.last_key(own::CHANGE_PREFIX);
+    newest.and_then(own::change_of).unwrap_or_default()
+}
+
 /// Changes in force here that the store is not known to hold.
 pub(crate) fn unseen_changes(cx: &Gateway) -> Vec<Arc<Change>> {
-    let seen = {
-        let mirror = cx.mirror.borrow();
-        let newest = mirror.last_key(own::CHANGE_PREFIX);
-        newest.and_then(own::change_of).unwrap_or_default()
-    };
+    let seen = newest_stored(cx);
     cx.fleet.with_log(|log| {
         let unseen = log.recent().filter(|c| c.revision > seen);
         unseen.cloned().collect()
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -247,8 +247,9 @@
             waited if waited >= WATCH_WAIT && quiet => sent + WATCH_WAIT,
             _ => sent,
         };
-        let version = cx.freshness.borrow().version();
-        cx.freshness.borrow_mut().on_confirmed(proven, version);
+        cx.freshness
+            .borrow_mut()
+            .on_confirmed(proven, cx.stored_config());
         cx.store_proven_at.set(Some(proven));
         if !quiet && !is_list {
             tokio::time::sleep(WATCH_PAUSE).await;
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -11,7 +11,7 @@
 
 use super::{
     GatewayConfig, Rules, accounts::Accounts, claim_keeper::ClaimKeeper, conn::ConnPool,
-    endings::Endings, feed::Answers, fleet::Fleet, metrics::Metrics,
+    endings::Endings, feed::Answers, fleet, fleet::Fleet, metrics::Metrics,
 };
 use crate::{
     clock::Clock,
@@ -29,7 +29,7 @@
     retry::FleetShare,
     spans::Spans,
     store::{MetaStore, StoreMirror},
-    units::Instant,
+    units::{ConfigVersion, Instant},
 };
 
 /// What a program brings along.
@@ -89,6 +89,8 @@
     pub(crate) store_proven_at: Cell<Option<Instant>>,
     life: RefCell<RouterLife>,
     serving: RefCell<Option<Rc<ServingConfig>>>,
+    /// The number of the operators' configuration that the store was last known to hold.
+    pub(super) stored_config: Cell<Option<ConfigVersion>>,
     pub(crate) clock: Clock,
     wall_epoch_ms: u64,
 }
@@ -123,6 +125,7 @@
             rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
             serving: RefCell::default(),
+            stored_config: Cell::new(None),
             mirror: RefCell::default(),
             mirror_changed: Notify::new(),
             answers: RefCell::default(),
@@ -234,6 +237,14 @@
         self.serving.borrow().clone()
     }
 
+    /// The number of the configuration that the store holds, as it is known here.
+    pub(crate) fn stored_config(&self) -> Option<ConfigVersion> {
+        match self.cfg.own_config {
+            true => Some(ConfigVersion(fleet::newest_stored(self).0)),
+            false => self.stored_config.get(),
+        }
+    }
+
     /// What callers may send.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         let serving = self.serving();
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -34,6 +34,9 @@
     cx.metrics.store_revision.set(known.0.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
+    if is_list {
+        cx.stored_config.set(None);
+    }
     let (mut list, mut evacuated, mut changes) = (Vec::new(), Vec::new(), Vec::new());
     for item in news.items.iter().filter(|i| own::decode(i).is_none()) {
         let at = item.revision;
@@ -120,6 +123,7 @@
 
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
+    cx.stored_config.set(Some(version));
     let before = cx.serving().map(|s| (s.version.0, s.revision.0));
     let applied = cx.apply(config);
     let (version_before, revision_before) = before.unzip();
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use proptest::prelude::*;
+use rstest::rstest;
 use scaleford::{
     config::freshness::{Freshness, Vouch},
     store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
@@ -18,7 +19,7 @@
     let mut fresh = Freshness::default();
     assert!(!fresh.may_use_keys(at(0), REVOKE));
     fresh.on_applied(ConfigVersion(7));
-    fresh.on_confirmed(at(1_000), ConfigVersion(7));
+    fresh.on_confirmed(at(1_000), Some(ConfigVersion(7)));
     assert!(fresh.may_use_keys(at(4_600), REVOKE));
     // A watch may hear nothing for a second: with that second the bound must still be kept.
     assert!(!fresh.may_use_keys(at(1_000 + 4_000), REVOKE));
@@ -70,6 +71,28 @@
     assert!(!fresh.may_use_keys(at(100), REVOKE));
 }
 
+/// The store came back from an older copy, and the configuration with a key taken away was no longer in it.
+#[rstest]
+#[case::what_is_applied(Some(7), 0, true)]
+#[case::older(Some(6), 0, false)]
+#[case::none(None, 0, false)]
+#[case::older_than_a_peer_applies(Some(7), 8, false)]
+fn a_store_proves_a_configuration_that_it_holds(
+    #[case] stored: Option<u64>,
+    #[case] at_a_peer: u64,
+    #[case] is_proven: bool,
+) {
+    let mut fresh = Freshness::default();
+    fresh.on_applied(ConfigVersion(7));
+    fresh.on_vouch(Vouch {
+        echo: at(0),
+        age: Duration::from_secs(9),
+        version: ConfigVersion(at_a_peer),
+    });
+    fresh.on_confirmed(at(1_000), stored.map(ConfigVersion));
+    assert_eq!(fresh.may_use_keys(at(1_100), REVOKE), is_proven);
+}
+
 proptest! {
     /// Whatever is told in whatever order, a key is never relied on by a proof as old as the bound.
     #[test]
@@ -89,7 +112,7 @@
                 fresh.on_vouch(vouch);
             } else {
                 fresh.on_applied(version);
-                fresh.on_confirmed(at(echo), fresh.version());
+                fresh.on_confirmed(at(echo), Some(fresh.version()));
                 youngest = youngest.max(Some(echo as i64));
             }
         }
