--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -152,7 +152,7 @@
         }
         let targets = routes::targets(&cfg);
         d.discovery
-            .on_stated(Instant::default(), targets, StoreRevision(1));
+            .on_stated(Instant::default(), targets, StoreRevision::first_era(1));
         for peer in 0..peers {
             let vm = name(&format!("vm-{peer}"));
             d.health.on_suspicions(Instant::default(), vm, Vec::new());
@@ -190,19 +190,24 @@
         cold_for: Duration::ZERO,
     };
     let now = Instant::default();
-    let all = || (0..targets).map(|n| (record(n, 64), StoreRevision(1)));
+    let all = || (0..targets).map(|n| (record(n, 64), StoreRevision::first_era(1)));
     let list = time(20, || {
         let mut discovery = Discovery::default();
-        discovery.on_list(now, all().collect(), StoreRevision(1));
+        discovery.on_list(now, all().collect(), StoreRevision::first_era(1));
     });
     println!("entries: a list of {targets} in {list:.0} ns");
     let mut discovery = Discovery::default();
-    discovery.on_list(now, all().collect(), StoreRevision(1));
+    discovery.on_list(now, all().collect(), StoreRevision::first_era(1));
     let mut revision = 1;
     let together = time(20, || {
         revision += 1;
         let slots = 64 + revision as u32;
-        let put = |n| (ListChange::Put(record(n, slots)), StoreRevision(revision));
+        let put = |n| {
+            (
+                ListChange::Put(record(n, slots)),
+                StoreRevision::first_era(revision),
+            )
+        };
         discovery.on_changes(now, (0..512).map(put).collect());
     });
     println!("entries: 512 changes of {targets} together in {together:.0} ns");
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -56,7 +56,7 @@
 /// The configuration as calls see it.
 pub fn serving(config: &FleetConfig, revision: Revision, rules: &CallerRules) -> ServingConfig {
     let mut serving = ServingConfig::new(
-        StoreRevision(revision.0),
+        StoreRevision::first_era(revision.0),
         ConfigVersion(revision.0),
         rules.limits,
     );
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -78,6 +78,8 @@
     cold: HashMap<TargetId, Instant>,
     evacuations: Evacuations,
     grace_until: Option<Instant>,
+    /// When lists are to be believed again where they contradict what an earlier life of the store held.
+    settles_at: Option<Instant>,
     known: bool,
 }
 
@@ -132,6 +134,34 @@
         self.grace_until = self.grace_until.max(Some(until));
     }
 
+    /// The store came back from an older copy. What it lost is written again within [`RETURN_GRACE`]; until then its lists take
+    /// nothing back that is known from before: a target that left would get calls again.
+    pub fn on_set_back(&mut self, now: Instant) {
+        self.settles_at = Some(now + RETURN_GRACE);
+        self.on_store_back(now, Duration::ZERO);
+    }
+
+    /// Whether that time is over now, once: what the store holds then is to be listed again.
+    pub fn take_settled(&mut self, now: Instant) -> bool {
+        let is_over = self.settles_at.is_some_and(|at| now >= at);
+        if is_over {
+            self.settles_at = None;
+        }
+        is_over
+    }
+
+    /// Whether a listed entry takes back what was known from an earlier life of the store.
+    fn takes_back(&self, record: &TargetRecord, at: StoreRevision) -> bool {
+        let is_earlier = |known: StoreRevision| known.era < at.era;
+        let name = record.id.to_name();
+        match self.targets.get(&name) {
+            Some(l) if !is_earlier(l.revision) => false,
+            Some(l) if l.record.id != record.id => true,
+            Some(l) => l.record.state == TargetState::Leaving && record.state == TargetState::Ready,
+            None => self.removed.get(&name).is_some_and(|r| is_earlier(*r)),
+        }
+    }
+
     /// Takes one change that was written as `revision`; older news of an entry is passed over.
     pub fn on_change(
         &mut self,
@@ -171,7 +201,9 @@
         let listed: HashSet<TargetName> = list.iter().map(|(r, _)| r.id.to_name()).collect();
         let mut changes = Changes::new();
         for (record, at) in list {
-            changes.extend(self.put(now, record, at));
+            if self.settles_at.is_none() || !self.takes_back(&record, at) {
+                changes.extend(self.put(now, record, at));
+            }
         }
         let newer = |l: &Listed| l.revision > revision;
         let missing: Vec<TargetName> = self
@@ -272,7 +304,10 @@
         list: Vec<(DataHall, StoreRevision)>,
         revision: StoreRevision,
     ) -> Vec<DataHall> {
-        let changed = self.evacuations.on_list(now, list, revision);
+        let changed = match self.settles_at {
+            Some(_) => self.evacuations.on_copy(now, list),
+            None => self.evacuations.on_list(now, list, revision),
+        };
         if !changed.is_empty() {
             self.index();
         }
--- a/src/edge/ending.rs
+++ b/src/edge/ending.rs
@@ -134,7 +134,7 @@
         let revision = self.cx.serving().map(|c| c.revision);
         info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "route" => &self.route, "code" => end.name,
             "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
-            "took_ms" => took.as_millis() as u64, "config_revision" => revision.map(|r| r.0),
+            "took_ms" => took.as_millis() as u64, "config_revision" => revision.map(|r| r.number),
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
     }
 }
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -93,7 +93,7 @@
         let now = cx.now();
         let is_behind = after < cx.mirror.borrow().revision();
         // Whoever asks a router that lost the store had better ask another one; one that starts waits for its own list.
-        let is_useful = feeds(cx, now) || cx.mirror.borrow().revision().0 == 0;
+        let is_useful = feeds(cx, now) || cx.mirror.borrow().revision() == StoreRevision::default();
         if is_behind || now >= until || !is_useful {
             let body = answer(cx, after)?;
             return Ok((body, proof(cx, now, now.since(asked))));
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -20,7 +20,7 @@
     ids::Revision,
     membership::readers::{NextRead, ReadState},
     store::{Mirrored, StoreError, StoreNews},
-    units::{Instant, StoreEra, StoreRevision},
+    units::{Instant, StoreRevision},
 };
 
 /// How long one watch waits. The proof of the configuration is about this old at the most.
@@ -46,8 +46,6 @@
     upstream: Option<PeerConn>,
     listed: bool,
     backoff: Duration,
-    /// The life of the store that last answered here.
-    era: StoreEra,
     /// When the store may be called again.
     retry_at: Instant,
 }
@@ -59,7 +57,6 @@
         upstream: None,
         listed: false,
         backoff: FIRST_BACKOFF,
-        era: StoreEra::default(),
         retry_at: Instant::default(),
     };
     loop {
@@ -131,7 +128,7 @@
                 tokio::time::sleep(ASK_AGAIN).await;
             }
         }
-        self.listed |= self.cx.mirror.borrow().revision().0 > 0;
+        self.listed |= self.cx.mirror.borrow().revision() != StoreRevision::default();
     }
 
     /// Takes in a peer's answer, and what it proves.
@@ -193,13 +190,10 @@
             true => self.cx.store.watch(at, WATCH_WAIT).await,
         };
         match answer {
-            Ok(news) => {
-                self.note_era(&news);
-                self.on_answer(&news, sent, &unseen).await;
-            }
-            Err(StoreError::HistoryGone) => {
+            Ok(news) => self.on_answer(&news, sent, &unseen).await,
+            Err(StoreError::HistoryGone | StoreError::SetBack) => {
                 self.cx.metrics.on_store_call("history_gone");
-                warn!(self.cx.log, "store history gone"; "after" => at.0);
+                warn!(self.cx.log, "store history gone"; "after" => at.number, "era" => at.era.0);
                 self.listed = false;
             }
             Err(e) => {
@@ -214,10 +208,14 @@
         cx.metrics.on_store_call("answered");
         self.backoff = FIRST_BACKOFF;
         let now = cx.now();
-        if news.revision < cx.mirror.borrow().revision() {
+        let known = cx.mirror.borrow().revision();
+        if news.revision.era < known.era {
+            info!(cx.log, "answer of an earlier era"; "revision" => %news.revision, "known" => %known);
+            return;
+        }
+        if news.revision < known {
             // The mirror holds what the store held before this call was sent.
-            warn!(cx.log, "store was set back"; "revision" => news.revision.0,
-                "known" => cx.mirror.borrow().revision().0);
+            warn!(cx.log, "store was set back"; "revision" => %news.revision, "known" => %known);
             cx.mirror.borrow_mut().clear();
             if self.listed {
                 self.listed = false;
@@ -256,17 +254,6 @@
         }
     }
 
-    /// Logs the life of the store that answers, where it is another one.
-    fn note_era(&mut self, news: &StoreNews) {
-        let era = self.cx.store.era();
-        let before = std::mem::replace(&mut self.era, era);
-        self.cx.metrics.store_era.set(era.0.cast_signed());
-        if before != era {
-            info!(self.cx.log, "store era"; "era" => era.0, "before" => before.0,
-                "revision" => news.revision.0, "known" => self.cx.mirror.borrow().revision().0);
-        }
-    }
-
     fn on_failure(&mut self, e: &StoreError) {
         let cx = &self.cx;
         let now = cx.now();
@@ -291,7 +278,7 @@
     let known = cx.mirror.borrow().revision();
     let theirs = cx.peers.borrow().mirror_of(reader);
     if let Some(theirs) = theirs.filter(|theirs| *theirs < known) {
-        info!(cx.log, "reader is behind"; "reader" => %reader, "revision" => theirs.0, "known" => known.0);
+        info!(cx.log, "reader is behind"; "reader" => %reader, "revision" => %theirs, "known" => %known);
     }
 }
 
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -11,7 +11,7 @@
 use super::{
     StopReport, endings, exchange, follow,
     gateway::{Gateway, GatewayParts},
-    gossip, ingress, operators, peer_calls, prompts, stop,
+    gossip, ingress, news, operators, peer_calls, prompts, stop,
     stop::Signals,
     withdrawals,
 };
@@ -107,6 +107,7 @@
         }
         let now = cx.now();
         let gone = cx.dispatcher.borrow_mut().on_tick(now);
+        news::settle(&cx);
         endings::on_tick(&cx);
         withdrawals::on_tick(&cx);
         for target in gone {
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -22,6 +22,15 @@
 /// Takes in what the store or a reader told.
 pub(super) fn take_news(cx: &Gateway, news: &StoreNews, is_list: bool, from: SocketAddr) {
     let now = cx.now();
+    let known = cx.mirror.borrow().revision();
+    match news.revision.era {
+        // An answer that was on its way when a later life of the store was heard of.
+        era if era < known.era => return,
+        era if era > known.era && known != StoreRevision::default() => {
+            on_set_back(cx, known, news.revision, from);
+        }
+        _ => {}
+    }
     {
         let mut mirror = cx.mirror.borrow_mut();
         match is_list {
@@ -31,7 +40,8 @@
     }
     cx.mirror_changed.notify_waiters();
     let known = cx.mirror.borrow().revision();
-    cx.metrics.store_revision.set(known.0.cast_signed());
+    cx.metrics.store_era.set(known.era.0.cast_signed());
+    cx.metrics.store_revision.set(known.number.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_known();
     let saved = take_own(cx, &news.items, is_list);
     if is_list {
@@ -74,6 +84,28 @@
     }
 }
 
+/// The store came back from an older copy: entries that contradict what is known here may be about to be written again.
+fn on_set_back(cx: &Gateway, known: StoreRevision, revision: StoreRevision, from: SocketAddr) {
+    info!(cx.log, "store era"; "era" => revision.era.0, "before" => known.era.0,
+        "revision" => revision.number, "known" => known.number, "from" => %from);
+    if !cx.cfg.own_config {
+        let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+        discovery.on_set_back(cx.now());
+    }
+}
+
+/// Takes what the store holds once entries that it had lost are written again.
+pub(super) fn settle(cx: &Gateway) {
+    let is_settled = {
+        let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+        discovery.take_settled(cx.now())
+    };
+    if is_settled {
+        let held = cx.mirror.borrow().list();
+        take_news(cx, &held, true, cx.cfg.peers);
+    }
+}
+
 /// Takes in what other routers wrote. A whole configuration goes first: changes build on it. Returns
 /// what was saved of targets and prompts, which builds on the list of targets.
 pub(super) fn take_own(cx: &Gateway, items: &[StoreItem], is_list: bool) -> Option<prompts::Saved> {
@@ -124,10 +156,10 @@
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
     cx.stored_config.set(Some(version));
-    let before = cx.serving().map(|s| (s.version.0, s.revision.0));
+    let before = cx.serving().map(|s| (s.version.0, s.revision.number));
     let applied = cx.apply(config);
     let (version_before, revision_before) = before.unzip();
-    info!(cx.log, "config"; "version" => version.0, "revision" => revision.0, "routes" => routes,
+    info!(cx.log, "config"; "version" => version.0, "revision" => revision.number, "routes" => routes,
         "applied" => applied, "from" => %from, "version_before" => version_before,
         "revision_before" => revision_before);
 }
@@ -156,7 +188,7 @@
     }
     if is_many {
         let targets = cx.dispatcher.borrow().discovery.all().count();
-        info!(cx.log, "targets"; "changed" => changes.len(), "targets" => targets, "revision" => at.0);
+        info!(cx.log, "targets"; "changed" => changes.len(), "targets" => targets, "revision" => at.number);
     }
 }
 
@@ -164,7 +196,7 @@
 /// hold any more.
 fn log_unusable(cx: &Gateway, name: &TargetName, why: &str, at: StoreRevision) {
     cx.metrics.entries_unusable.inc();
-    warn!(cx.log, "target entry unusable"; "target" => %name, "why" => why, "revision" => at.0);
+    warn!(cx.log, "target entry unusable"; "target" => %name, "why" => why, "revision" => at.number);
 }
 
 fn on_hall(cx: &Gateway, now: Instant, hall: DataHall, is_evacuated: bool, at: StoreRevision) {
@@ -188,7 +220,7 @@
     cx.metrics
         .halls_evacuated
         .set(evacuations.evacuated().count() as i64);
-    info!(cx.log, "data hall"; "data_hall" => %hall, "verdict" => verdict, "revision" => at.0,
+    info!(cx.log, "data hall"; "data_hall" => %hall, "verdict" => verdict, "revision" => at.number,
         "store_age_ms" => cx.store_age().map(|age| age.as_millis() as u64));
 }
 
@@ -197,5 +229,5 @@
     if verdict.is_end() {
         cx.conns.forget(id);
     }
-    info!(cx.log, "target"; "target" => %id, "verdict" => verdict.name(), "revision" => at.0);
+    info!(cx.log, "target"; "target" => %id, "verdict" => verdict.name(), "revision" => at.number);
 }
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -51,7 +51,7 @@
 /// What is asked of a router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Ask {
-    /// `GET /store/REVISION/MS`: what is newer than the revision, or nothing after so long.
+    /// `GET /store/ERA.NUMBER/MS`: what is newer than the revision, or nothing after so long.
     Store(StoreRevision, Duration),
     /// `POST /claim`: take a step.
     Claim,
@@ -68,7 +68,7 @@
             (&Method::GET, "store", Some(asked)) => {
                 let (after, wait) = asked.split_once('/')?;
                 let wait = Duration::from_millis(wait.parse().ok()?);
-                let after = StoreRevision(after.parse().ok()?);
+                let after = after.parse().ok()?;
                 Some(Self::Store(after, wait.min(ASK_WAIT)))
             }
             (&Method::POST, "claim", None) => Some(Self::Claim),
--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -72,6 +72,16 @@
         changed
     }
 
+    /// Takes halls that are evacuated in an older copy of the store, where nothing else is stated of them here; returns these.
+    pub fn on_copy(&mut self, now: Instant, list: Vec<(DataHall, StoreRevision)>) -> Vec<DataHall> {
+        let is_new = |(hall, _): &(DataHall, StoreRevision)| !self.halls.contains_key(hall);
+        let new: Vec<_> = list.into_iter().filter(is_new).collect();
+        for (hall, at) in &new {
+            self.on_change(now, hall.clone(), true, *at);
+        }
+        new.into_iter().map(|(hall, _)| hall).collect()
+    }
+
     /// Whether a hall's targets are to get nothing.
     pub fn is_evacuated(&self, hall: &DataHall) -> bool {
         self.halls.get(hall).is_some_and(|s| s.is_evacuated)
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -60,6 +60,10 @@
         if news.revision < self.revision {
             return;
         }
+        if news.revision.era != self.revision.era {
+            // What was removed in another era says nothing of this one.
+            self.clear();
+        }
         let by_key = |item: &StoreItem| (item.key.clone(), item.clone());
         let before = std::mem::take(&mut self.items);
         self.items = news.items.iter().map(by_key).collect();
@@ -79,7 +83,18 @@
 
     /// Forgets everything: the store was set back to an older state.
     pub fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            most: self.most,
+            ..Self::default()
+        };
+    }
+
+    /// All that the store held.
+    pub fn list(&self) -> StoreNews {
+        StoreNews {
+            items: self.items.values().cloned().collect(),
+            revision: self.revision,
+        }
     }
 
     /// Takes changes that follow the mirror's revision.
@@ -110,14 +125,13 @@
         let revision = self.revision;
         match after {
             after if after >= revision => None,
-            after if self.knows_removals(after) => Some(Mirrored::Changes(StoreNews {
-                items: self.newer(after),
-                revision,
-            })),
-            _ => Some(Mirrored::List(StoreNews {
-                items: self.items.values().cloned().collect(),
-                revision,
-            })),
+            after if after.era == revision.era && self.knows_removals(after) => {
+                Some(Mirrored::Changes(StoreNews {
+                    items: self.newer(after),
+                    revision,
+                }))
+            }
+            _ => Some(Mirrored::List(self.list())),
         }
     }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,7 +13,7 @@
     config::serving::ServingConfig,
     discovery::TargetRecord,
     ids::{DataHall, TargetName},
-    units::{StoreEra, StoreRevision},
+    units::StoreRevision,
 };
 
 /// Why a call to the store did not succeed.
@@ -28,6 +28,9 @@
     /// The revision to go on from is no longer in the store's history.
     #[error("history is gone")]
     HistoryGone,
+    /// The store came back from an older copy between what the call builds on and its answer.
+    #[error("the store was set back meanwhile")]
+    SetBack,
     /// The answer is not understood.
     #[error("not understood: {0}")]
     Garbled(String),
@@ -162,8 +165,6 @@
 /// An error of a call that writes leaves open whether it took effect: the caller settles that by
 /// reading, or writes what may be written twice.
 pub trait MetaStore {
-    /// The life of the store that gave its last answer.
-    fn era(&self) -> StoreEra;
     /// All that concerns the gateway, by consistent reads.
     fn list(&self) -> StoreCall<'_, StoreNews>;
     /// Waits for changes after a revision, at most so long; empty if there are none.
--- a/src/units.rs
+++ b/src/units.rs
@@ -82,16 +82,47 @@
     }
 }
 
-/// A write of the platform's store; grows with each, and 0 is before all of them.
+/// A write of the platform's store. Numbers grow with each write, and are given out again in the next era: a write of a later
+/// era is later, whatever its number. The default is before all writes. Reads `ERA.NUMBER`.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
-pub struct StoreRevision(pub u64);
+pub struct StoreRevision {
+    /// The life of the store; the first field, as order goes by it first.
+    pub era: StoreEra,
+    /// The store's own number.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// A write of one life of the store.
+    pub const fn new(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// A write of a store that never came back from a copy.
+    pub const fn first_era(number: u64) -> Self {
+        Self::new(StoreEra(0), number)
+    }
+}
 
 impl fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+impl FromStr for StoreRevision {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        let fault = || IdError {
+            expected: "a revision of the store as ERA.NUMBER",
+            got: s.to_owned(),
+        };
+        let (era, number) = s.split_once('.').ok_or_else(fault)?;
+        let number = number.parse().map_err(|_| fault())?;
+        Ok(Self::new(era.parse()?, number))
     }
 }
 
--- a/tests/decisions/evacuation.rs
+++ b/tests/decisions/evacuation.rs
@@ -21,7 +21,8 @@
     let mut d = dispatcher(4);
     for n in 2..4 {
         let put = ListChange::Put(in_barn(n));
-        d.discovery.on_change(at(0), put, StoreRevision(2));
+        d.discovery
+            .on_change(at(0), put, StoreRevision::first_era(2));
     }
     d
 }
@@ -52,16 +53,17 @@
     let mut d = two_halls();
     assert!(
         d.discovery
-            .on_hall(at(10), hall("barn"), true, StoreRevision(3))
+            .on_hall(at(10), hall("barn"), true, StoreRevision::first_era(3))
     );
     assert_eq!(reached(&mut d, 20), ["yard"]);
     // A target that starts there gets nothing either.
     let put = ListChange::Put(in_barn(5));
-    d.discovery.on_change(at(100), put, StoreRevision(4));
+    d.discovery
+        .on_change(at(100), put, StoreRevision::first_era(4));
     assert_eq!(reached(&mut d, 110), ["yard"]);
     assert!(
         d.discovery
-            .on_hall(at(200), hall("barn"), false, StoreRevision(5))
+            .on_hall(at(200), hall("barn"), false, StoreRevision::first_era(5))
     );
     assert!(reached(&mut d, 10_000).contains(&"barn".to_owned()));
 }
@@ -72,7 +74,7 @@
     let mut d = two_halls();
     d.cache.on_peer(&record(2).id, part(1, 9_000), false);
     d.discovery
-        .on_hall(at(10), hall("barn"), true, StoreRevision(3));
+        .on_hall(at(10), hall("barn"), true, StoreRevision::first_era(3));
     let plan = plan(STREAM, vec![part(1, 9_000), part(2, 50)], 1);
     let ticket = d.choose(at(20), &plan).unwrap();
     assert_eq!(ticket.target.data_hall, hall("yard"));
@@ -85,7 +87,7 @@
     let mut d = two_halls();
     for name in ["barn", "yard"] {
         d.discovery
-            .on_hall(at(10), hall(name), true, StoreRevision(3));
+            .on_hall(at(10), hall(name), true, StoreRevision::first_era(3));
     }
     let plan = plan(STREAM, vec![part(1, 3_000)], 1);
     assert_eq!(d.choose(at(20), &plan).unwrap_err(), NoChoice::AllEvacuated);
@@ -110,7 +112,12 @@
     let mut halls = Evacuations::default();
     for (i, (stated, revision)) in changes.iter().enumerate() {
         let now = at(i as u64);
-        halls.on_change(now, hall("barn"), *stated, StoreRevision(*revision));
+        halls.on_change(
+            now,
+            hall("barn"),
+            *stated,
+            StoreRevision::first_era(*revision),
+        );
     }
     assert_eq!(halls.is_evacuated(&hall("barn")), is_evacuated);
 }
@@ -118,17 +125,17 @@
 #[test]
 fn a_list_states_all_halls_as_of_its_revision() {
     let mut halls = Evacuations::default();
-    halls.on_change(at(0), hall("barn"), true, StoreRevision(5));
-    let listed = vec![(hall("yard"), StoreRevision(6))];
-    let changed = halls.on_list(at(10), listed, StoreRevision(8));
+    halls.on_change(at(0), hall("barn"), true, StoreRevision::first_era(5));
+    let listed = vec![(hall("yard"), StoreRevision::first_era(6))];
+    let changed = halls.on_list(at(10), listed, StoreRevision::first_era(8));
     assert_eq!(changed, [hall("yard"), hall("barn")]);
     assert!(halls.is_evacuated(&hall("yard")) && !halls.is_evacuated(&hall("barn")));
     assert_eq!(halls.taken_back_at(&hall("barn")), Some(at(10)));
     // An older list knows nothing of what was stated since.
-    halls.on_change(at(20), hall("shed"), true, StoreRevision(9));
+    halls.on_change(at(20), hall("shed"), true, StoreRevision::first_era(9));
     assert!(
         halls
-            .on_list(at(30), Vec::new(), StoreRevision(4))
+            .on_list(at(30), Vec::new(), StoreRevision::first_era(4))
             .is_empty()
     );
     assert!(halls.is_evacuated(&hall("shed")) && halls.is_evacuated(&hall("yard")));
@@ -138,8 +145,8 @@
 #[test]
 fn a_hall_that_is_stated_anew_was_evacuated_since_the_first_time() {
     let mut halls = Evacuations::default();
-    halls.on_change(at(100), hall("barn"), true, StoreRevision(5));
-    assert!(!halls.on_change(at(900), hall("barn"), true, StoreRevision(6)));
+    halls.on_change(at(100), hall("barn"), true, StoreRevision::first_era(5));
+    assert!(!halls.on_change(at(900), hall("barn"), true, StoreRevision::first_era(6)));
     let evacuated: Vec<_> = halls.evacuated().collect();
     assert_eq!(evacuated, [(&hall("barn"), at(100))]);
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod prompts;
 mod quarantine;
 mod routes;
+mod set_back;
 mod streams;
 mod targets;
 mod trust;
@@ -103,8 +104,10 @@
 fn dispatcher(targets: usize) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(hall("yard"), &rules());
     let list = (0..targets)
-        .map(|n| (record(n), StoreRevision(1)))
+        .map(|n| (record(n), StoreRevision::first_era(1)))
         .collect();
-    dispatcher.discovery.on_list(at(0), list, StoreRevision(1));
+    dispatcher
+        .discovery
+        .on_list(at(0), list, StoreRevision::first_era(1));
     dispatcher
 }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -80,7 +80,8 @@
         ..(*first.target).clone()
     };
     let put = ListChange::Put(leaving);
-    d.discovery.on_change(at(100), put, StoreRevision(2));
+    d.discovery
+        .on_change(at(100), put, StoreRevision::first_era(2));
     let second = d.choose(at(200), &plan(RESUMABLE, prompt, 2)).unwrap();
     assert_ne!(second.target.id, first.target.id);
     let source = second.fetch_from.map(|t| t.id.clone());
@@ -258,7 +259,7 @@
             let before = all.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
             let mut fewer = dispatcher(20);
             let left = ListChange::Removed(record(gone).id.to_name());
-            fewer.discovery.on_change(at(0), left, StoreRevision(2));
+            fewer.discovery.on_change(at(0), left, StoreRevision::first_era(2));
             let after = fewer.choose(at(0), &turn(chat, 0)).unwrap().target.id.clone();
             prop_assert!(before == after || before == record(gone).id);
         }
@@ -272,8 +273,9 @@
         slots: if n == 0 { 32 } else { 64 },
         ..record(n)
     });
-    let list = list.map(|r| (r, StoreRevision(2))).collect();
-    d.discovery.on_list(at(0), list, StoreRevision(2));
+    let list = list.map(|r| (r, StoreRevision::first_era(2))).collect();
+    d.discovery
+        .on_list(at(0), list, StoreRevision::first_era(2));
     let mut calls = [0_u32; 4];
     for n in 0..140 {
         let ticket = d.choose(at(0), &turn(n + 2, 0)).unwrap();
@@ -292,8 +294,9 @@
         most_tokens: (n == 0).then_some(Tokens(1_000)),
         ..record(n)
     });
-    let list = list.map(|r| (r, StoreRevision(2))).collect();
-    d.discovery.on_list(at(0), list, StoreRevision(2));
+    let list = list.map(|r| (r, StoreRevision::first_era(2))).collect();
+    d.discovery
+        .on_list(at(0), list, StoreRevision::first_era(2));
     let mut at_small = 0;
     for n in 0..12 {
         let ticket = d.choose(at(0), &turn(n + 2, 0)).unwrap();
--- a/tests/decisions/routes.rs
+++ b/tests/decisions/routes.rs
@@ -30,8 +30,11 @@
 
 #[test]
 fn the_longest_fitting_prefix_and_the_key_decide() {
-    let mut config =
-        ServingConfig::new(StoreRevision(1), ConfigVersion(1), CallerLimits::default());
+    let mut config = ServingConfig::new(
+        StoreRevision::first_era(1),
+        ConfigVersion(1),
+        CallerLimits::default(),
+    );
     config.keyed = true;
     config.add_route(route("a.example", "/x/", &[("one", 1)]));
     config.add_route(route("a.example", "/x/y/", &[("two", 1)]));
@@ -213,7 +216,7 @@
     #[case] is_newer: bool,
 ) {
     let config = |version, revision| {
-        let revision = StoreRevision(revision);
+        let revision = StoreRevision::first_era(revision);
         ServingConfig::new(revision, ConfigVersion(version), CallerLimits::default())
     };
     let before = config(version_before, revision_before);
--- /dev/null
+++ b/tests/decisions/set_back.rs
@@ -0,0 +1,231 @@
+//! What routers know when the store comes back from an older copy.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::prelude::*;
+use rstest::rstest;
+use scaleford::{
+    discovery::{Discovery, ListChange, RETURN_GRACE, TargetRecord, TargetState},
+    ids::{ServiceName, TargetId, TargetName, UnixMillis},
+    store::{Mirrored, PackedValue, StoreItem, StoreMirror, StoreNews},
+    units::{Instant, StoreEra, StoreRevision},
+};
+
+use crate::{at, hall, record};
+
+const BEFORE: StoreEra = StoreEra(1);
+const AFTER: StoreEra = StoreEra(2);
+
+/// Writes of the store before it was set back.
+fn before(number: u64) -> StoreRevision {
+    StoreRevision::new(BEFORE, number)
+}
+
+/// Writes of it as it was found then.
+fn after(number: u64) -> StoreRevision {
+    StoreRevision::new(AFTER, number)
+}
+
+fn leaving(n: usize) -> TargetRecord {
+    TargetRecord {
+        state: TargetState::Leaving,
+        ..record(n)
+    }
+}
+
+/// A life of a target.
+fn life(n: usize, birth: u64) -> TargetRecord {
+    let name: TargetName = format!("t{n}").parse().unwrap();
+    TargetRecord {
+        id: TargetId::new(&name, Some(UnixMillis(birth))),
+        ..record(n)
+    }
+}
+
+fn list(records: Vec<TargetRecord>, revision: StoreRevision) -> Vec<(TargetRecord, StoreRevision)> {
+    records.into_iter().map(|r| (r, revision)).collect()
+}
+
+/// Targets that are called.
+fn called(discovery: &Discovery) -> Vec<String> {
+    let service: ServiceName = "writer".parse().unwrap();
+    let targets = discovery.serving(&service).iter();
+    let mut names: Vec<String> = targets.map(|t| t.id.to_string()).collect();
+    names.sort();
+    names
+}
+
+/// When the store is set back, and when what it lost has been written again.
+const SET_BACK: Instant = Instant(Duration::from_secs(10));
+
+fn settled() -> Instant {
+    SET_BACK + RETURN_GRACE
+}
+
+/// The older copy says otherwise than what was known, and nothing is written again.
+#[rstest]
+#[case::target_that_leaves(vec![record(1)], vec![leaving(1)], vec![record(1)], &[], &["t1"])]
+#[case::target_that_left(vec![record(1)], vec![], vec![record(1)], &[], &["t1"])]
+#[case::target_that_started_again(vec![life(1, 5)], vec![life(1, 7)], vec![life(1, 5)], &["t1~7"], &["t1~5"])]
+#[case::target_that_started(vec![], vec![record(1)], vec![], &["t1"], &[])]
+#[case::target_that_left_in_the_copy_too(vec![leaving(1)], vec![leaving(1)], vec![leaving(1)], &[], &[])]
+#[case::target_that_nobody_knew(vec![], vec![], vec![record(1)], &["t1"], &["t1"])]
+fn an_older_copy_takes_nothing_back_until_what_it_lost_is_written_again(
+    #[case] first: Vec<TargetRecord>,
+    #[case] known: Vec<TargetRecord>,
+    #[case] copy: Vec<TargetRecord>,
+    #[case] at_first: &[&str],
+    #[case] at_last: &[&str],
+) {
+    let mut discovery = Discovery::default();
+    discovery.on_list(at(0), list(first, before(3)), before(3));
+    discovery.on_list(at(1_000), list(known, before(20)), before(20));
+    discovery.on_set_back(SET_BACK);
+    discovery.on_list(SET_BACK, list(copy.clone(), after(3)), after(4));
+    assert_eq!(called(&discovery), at_first);
+    assert!(!discovery.take_settled(SET_BACK + RETURN_GRACE / 2));
+    discovery.on_tick(settled());
+    assert!(discovery.take_settled(settled()));
+    discovery.on_list(settled(), list(copy, after(3)), after(4));
+    assert_eq!(called(&discovery), at_last);
+    assert!(!discovery.take_settled(settled()), "once");
+}
+
+/// A change, other than a list, was written after the set-back.
+#[rstest]
+#[case::leaves(ListChange::Put(leaving(1)), &["t2"])]
+#[case::is_back(ListChange::Put(TargetRecord { slots: 9, ..record(3) }), &["t1", "t2", "t3"])]
+#[case::starts(ListChange::Put(record(4)), &["t1", "t2", "t4"])]
+fn what_is_written_after_a_set_back_holds_at_once(
+    #[case] change: ListChange,
+    #[case] expected: &[&str],
+) {
+    let mut discovery = Discovery::default();
+    let all = vec![record(1), record(2), record(3)];
+    discovery.on_list(at(0), list(all.clone(), before(3)), before(3));
+    discovery.on_change(at(1), ListChange::Put(leaving(3)), before(90));
+    discovery.on_set_back(SET_BACK);
+    discovery.on_list(SET_BACK, list(all, after(3)), after(4));
+    discovery.on_change(SET_BACK, change, after(5));
+    assert_eq!(called(&discovery), expected);
+}
+
+#[rstest]
+#[case::evacuated_since_the_copy(true, &[], true, false)]
+#[case::taken_back_since_the_copy(false, &["yard"], false, true)]
+fn an_older_copy_changes_no_evacuation_at_once(
+    #[case] known: bool,
+    #[case] copy: &[&str],
+    #[case] at_first: bool,
+    #[case] at_last: bool,
+) {
+    let mut discovery = Discovery::default();
+    let yard = hall("yard");
+    discovery.on_hall(at(0), yard.clone(), true, before(3));
+    discovery.on_hall(at(1), yard.clone(), known, before(9));
+    let listed = || copy.iter().map(|name| (hall(name), after(3))).collect();
+    discovery.on_set_back(SET_BACK);
+    discovery.on_halls(SET_BACK, listed(), after(4));
+    assert_eq!(discovery.evacuations().is_evacuated(&yard), at_first);
+    assert!(discovery.take_settled(settled()));
+    discovery.on_halls(settled(), listed(), after(4));
+    assert_eq!(discovery.evacuations().is_evacuated(&yard), at_last);
+}
+
+/// The store as it is written and set back.
+#[derive(Default)]
+struct Store {
+    items: BTreeMap<String, StoreItem>,
+    changes: Vec<StoreItem>,
+    revision: StoreRevision,
+}
+
+impl Store {
+    fn write(&mut self, key: u8, value: Option<&[u8]>) {
+        self.revision.number += 1;
+        let item = StoreItem {
+            key: format!("k{key}"),
+            value: value.map(PackedValue::pack),
+            revision: self.revision,
+        };
+        match &item.value {
+            Some(_) => self.items.insert(item.key.clone(), item.clone()),
+            None => self.items.remove(&item.key),
+        };
+        self.changes.push(item);
+    }
+
+    /// Loses the last writes. Items are read as of the new era from then on.
+    fn set_back(&mut self, lost: usize) {
+        let kept = self.changes.len().saturating_sub(lost);
+        let kept: Vec<StoreItem> = self.changes.drain(..).take(kept).collect();
+        let era = StoreEra(self.revision.era.0 + 1);
+        *self = Self::default();
+        self.revision.era = era;
+        for mut item in kept {
+            item.revision.era = era;
+            self.revision = item.revision;
+            match &item.value {
+                Some(_) => self.items.insert(item.key.clone(), item.clone()),
+                None => self.items.remove(&item.key),
+            };
+            self.changes.push(item);
+        }
+    }
+
+    fn list(&self) -> StoreNews {
+        StoreNews {
+            items: self.items.values().cloned().collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// A reader lists the store, or goes on watching it.
+    fn read(&self, reader: &mut StoreMirror) {
+        let seen = reader.revision();
+        let goes_on = seen.era == self.revision.era && seen <= self.revision && seen.number > 0;
+        match goes_on {
+            true => {
+                let newer = self.changes.iter().filter(|c| c.revision > seen);
+                reader.on_changes(&StoreNews {
+                    items: newer.cloned().collect(),
+                    revision: self.revision,
+                });
+            }
+            false => reader.on_list(&self.list()),
+        }
+    }
+}
+
+fn ask(asked: &StoreMirror, router: &mut StoreMirror) {
+    match asked.since(router.revision()) {
+        Some(Mirrored::Changes(news)) => router.on_changes(&news),
+        Some(Mirrored::List(news)) => router.on_list(&news),
+        Some(Mirrored::Nothing) | None => {}
+    }
+}
+
+proptest! {
+    /// Routers that ask readers of a store which is set back over and over end with what it holds.
+    #[test]
+    fn all_routers_end_with_what_a_store_holds_that_was_set_back(
+        steps in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..12), 1..300),
+    ) {
+        let mut store = Store::default();
+        let mut readers = [StoreMirror::default(), StoreMirror::default()];
+        let mut router = StoreMirror::default();
+        for (key, removed, what) in steps {
+            let reader = &mut readers[usize::from(what % 2)];
+            match what {
+                0 => store.set_back(usize::from(key) * 3),
+                1..=3 => ask(reader, &mut router),
+                4..=6 => store.read(reader),
+                _ => store.write(key, (!removed).then_some(b"value".as_slice())),
+            }
+        }
+        store.write(0, Some(b"last"));
+        store.read(&mut readers[0]);
+        ask(&readers[0], &mut router);
+        prop_assert_eq!(router.list(), store.list());
+    }
+}
--- a/tests/decisions/targets.rs
+++ b/tests/decisions/targets.rs
@@ -16,14 +16,18 @@
 #[test]
 fn an_entry_that_lapsed_in_an_outage_counts_for_a_moment_after_the_return() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
+    list.on_list(
+        at(0),
+        vec![(record(1), StoreRevision::first_era(1))],
+        StoreRevision::first_era(1),
+    );
     list.on_store_back(at(10_000), Duration::ZERO);
     let gone = ListChange::Removed("t1".parse().unwrap());
-    let changes = list.on_change(at(10_100), gone, StoreRevision(5));
+    let changes = list.on_change(at(10_100), gone, StoreRevision::first_era(5));
     assert_eq!(changes, [(record(1).id, Verdict::Kept)]);
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
     let back = ListChange::Put(record(1));
-    list.on_change(at(10_900), back, StoreRevision(9));
+    list.on_change(at(10_900), back, StoreRevision::first_era(9));
     assert!(list.on_tick(at(13_000)).is_empty(), "it is back");
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
 }
@@ -31,9 +35,13 @@
 #[test]
 fn an_entry_that_stays_away_is_gone_two_seconds_after_the_return() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
+    list.on_list(
+        at(0),
+        vec![(record(1), StoreRevision::first_era(1))],
+        StoreRevision::first_era(1),
+    );
     list.on_store_back(at(10_000), Duration::ZERO);
-    list.on_list(at(10_050), Vec::new(), StoreRevision(5));
+    list.on_list(at(10_050), Vec::new(), StoreRevision::first_era(5));
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 1);
     assert!(RETURN_GRACE <= Duration::from_secs(2));
     assert_eq!(list.on_tick(at(12_000)).len(), 1);
@@ -43,13 +51,21 @@
 #[test]
 fn a_leaving_target_gets_nothing_though_the_store_was_away() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(1), StoreRevision(1))], StoreRevision(1));
+    list.on_list(
+        at(0),
+        vec![(record(1), StoreRevision::first_era(1))],
+        StoreRevision::first_era(1),
+    );
     list.on_store_back(at(1_000), Duration::ZERO);
     let leaving = TargetRecord {
         state: TargetState::Leaving,
         ..record(1)
     };
-    let changes = list.on_change(at(1_100), ListChange::Put(leaving), StoreRevision(4));
+    let changes = list.on_change(
+        at(1_100),
+        ListChange::Put(leaving),
+        StoreRevision::first_era(4),
+    );
     assert_eq!(changes, [(record(1).id, Verdict::Leaving)]);
     assert!(list.serving(&"writer".parse().unwrap()).is_empty());
 }
@@ -57,15 +73,22 @@
 #[test]
 fn news_that_is_older_than_what_is_known_is_passed_over() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(1), StoreRevision(8))], StoreRevision(8));
+    list.on_list(
+        at(0),
+        vec![(record(1), StoreRevision::first_era(8))],
+        StoreRevision::first_era(8),
+    );
     let gone = ListChange::Removed("t1".parse().unwrap());
-    assert_eq!(list.on_change(at(1), gone.clone(), StoreRevision(5)), []);
     assert_eq!(
-        list.on_change(at(2), gone, StoreRevision(9)),
+        list.on_change(at(1), gone.clone(), StoreRevision::first_era(5)),
+        []
+    );
+    assert_eq!(
+        list.on_change(at(2), gone, StoreRevision::first_era(9)),
         [(record(1).id, Verdict::Gone)]
     );
     let old = ListChange::Put(record(1));
-    assert_eq!(list.on_change(at(3), old, StoreRevision(7)), []);
+    assert_eq!(list.on_change(at(3), old, StoreRevision::first_era(7)), []);
 }
 
 /// The store was away, entries lapsed, and all routers were lost: the first list of a new one has none
@@ -73,12 +96,20 @@
 #[test]
 fn targets_that_lapsed_before_this_life_count_for_a_moment() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(0), StoreRevision(9))], StoreRevision(9));
+    list.on_list(
+        at(0),
+        vec![(record(0), StoreRevision::first_era(9))],
+        StoreRevision::first_era(9),
+    );
     let lapsed = list.on_recalled(at(0), (0..4).map(record).collect());
     assert_eq!(lapsed.len(), 3);
     let service = "writer".parse().unwrap();
     assert_eq!(list.serving(&service).len(), 4);
-    list.on_change(at(900), ListChange::Put(record(1)), StoreRevision(12));
+    list.on_change(
+        at(900),
+        ListChange::Put(record(1)),
+        StoreRevision::first_era(12),
+    );
     let gone = list.on_tick(at(2_000));
     assert_eq!(gone.len(), 2, "those that are still missing");
     assert_eq!(list.serving(&service).len(), 2);
@@ -87,8 +118,10 @@
 #[test]
 fn a_target_that_left_before_this_life_is_not_taken_for_one_that_lapsed() {
     let mut list = Discovery::default();
-    let listed = (0..9).map(|n| (record(n), StoreRevision(9))).collect();
-    list.on_list(at(0), listed, StoreRevision(9));
+    let listed = (0..9)
+        .map(|n| (record(n), StoreRevision::first_era(9)))
+        .collect();
+    list.on_list(at(0), listed, StoreRevision::first_era(9));
     let lapsed = list.on_recalled(at(0), (0..10).map(record).collect());
     assert!(lapsed.is_empty(), "{lapsed:?}");
     assert_eq!(list.serving(&"writer".parse().unwrap()).len(), 9);
@@ -97,7 +130,7 @@
 #[test]
 fn a_target_that_was_leaving_before_this_life_gets_nothing() {
     let mut list = Discovery::default();
-    list.on_list(at(0), Vec::new(), StoreRevision(9));
+    list.on_list(at(0), Vec::new(), StoreRevision::first_era(9));
     let leaving = TargetRecord {
         state: TargetState::Leaving,
         ..record(0)
@@ -123,26 +156,29 @@
 #[test]
 fn a_target_that_starts_again_under_its_name_is_another_one_at_once() {
     let mut list = Discovery::default();
-    let first = vec![(born(1, 5_000), StoreRevision(1))];
-    list.on_list(at(0), first, StoreRevision(1));
+    let first = vec![(born(1, 5_000), StoreRevision::first_era(1))];
+    list.on_list(at(0), first, StoreRevision::first_era(1));
     let again = ListChange::Put(born(1, 9_000));
-    let changes = list.on_change(at(100), again, StoreRevision(2));
+    let changes = list.on_change(at(100), again, StoreRevision::first_era(2));
     let ended = (born(1, 5_000).id, Verdict::Restarted);
     assert_eq!(changes, [ended, (born(1, 9_000).id, Verdict::Added)]);
     assert_eq!(ids(&list), ["t1~9000"]);
     assert!(list.get(&born(1, 5_000).id).is_none());
     let late = ListChange::Put(born(1, 5_000));
-    assert_eq!(list.on_change(at(200), late, StoreRevision(1)), []);
+    assert_eq!(
+        list.on_change(at(200), late, StoreRevision::first_era(1)),
+        []
+    );
     let gone = ListChange::Removed("t1".parse().unwrap());
-    list.on_change(at(300), gone, StoreRevision(3));
+    list.on_change(at(300), gone, StoreRevision::first_era(3));
     assert!(ids(&list).is_empty(), "the entry is that of the later life");
 }
 
 #[test]
 fn a_saved_life_is_not_taken_for_one_that_lapsed_where_the_next_one_is_listed() {
     let mut list = Discovery::default();
-    let now = vec![(born(1, 9_000), StoreRevision(9))];
-    list.on_list(at(0), now, StoreRevision(9));
+    let now = vec![(born(1, 9_000), StoreRevision::first_era(9))];
+    list.on_list(at(0), now, StoreRevision::first_era(9));
     assert!(list.on_recalled(at(0), vec![born(1, 5_000)]).is_empty());
     assert_eq!(ids(&list), ["t1~9000"]);
 }
@@ -151,7 +187,7 @@
 #[test]
 fn nothing_known_of_a_former_life_applies_to_the_next_one() {
     let mut d = dispatcher(0);
-    let revision = StoreRevision(1);
+    let revision = StoreRevision::first_era(1);
     let list = vec![(born(0, 5_000), revision), (record(1), revision)];
     d.discovery.on_list(at(0), list, revision);
     let prompt = vec![part(1, 4_000), part(2, 100)];
@@ -166,7 +202,8 @@
     }
     assert_eq!(d.health.standing(at(20), &former), Standing::Paused);
     let again = ListChange::Put(born(0, 9_000));
-    d.discovery.on_change(at(30), again, StoreRevision(2));
+    d.discovery
+        .on_change(at(30), again, StoreRevision::first_era(2));
     let next = born(0, 9_000).id;
     assert_eq!(d.health.standing(at(30), &next), Standing::Well);
     // A peer that has not heard of the restart tells of the former life.
@@ -187,17 +224,25 @@
         ..record(1)
     };
     let hall = cold.data_hall.clone();
-    list.on_list(at(0), vec![(cold, StoreRevision(1))], StoreRevision(1));
+    list.on_list(
+        at(0),
+        vec![(cold, StoreRevision::first_era(1))],
+        StoreRevision::first_era(1),
+    );
     assert_eq!(list.cold_until(at(100), &record(1), lasts), Some(at(1_500)));
     assert_eq!(list.cold_until(at(1_500), &record(1), lasts), None);
-    list.on_change(at(600), ListChange::Put(record(1)), StoreRevision(2));
+    list.on_change(
+        at(600),
+        ListChange::Put(record(1)),
+        StoreRevision::first_era(2),
+    );
     assert_eq!(
         list.cold_until(at(700), &record(1), lasts),
         None,
         "it says so"
     );
-    list.on_hall(at(800), hall.clone(), true, StoreRevision(3));
-    list.on_hall(at(2_000), hall, false, StoreRevision(4));
+    list.on_hall(at(800), hall.clone(), true, StoreRevision::first_era(3));
+    list.on_hall(at(2_000), hall, false, StoreRevision::first_era(4));
     assert_eq!(
         list.cold_until(at(2_100), &record(1), lasts),
         Some(at(5_000))
@@ -210,17 +255,23 @@
 #[case::right_after_the_store_was_away(Some(at(0)))]
 fn an_entry_that_names_no_target_takes_the_one_before_out_at_once(#[case] back: Option<Instant>) {
     let mut list = Discovery::default();
-    let both = vec![(record(1), StoreRevision(1)), (record(2), StoreRevision(1))];
-    list.on_list(at(0), both, StoreRevision(1));
+    let both = vec![
+        (record(1), StoreRevision::first_era(1)),
+        (record(2), StoreRevision::first_era(1)),
+    ];
+    list.on_list(at(0), both, StoreRevision::first_era(1));
     back.into_iter()
         .for_each(|at| list.on_store_back(at, Duration::ZERO));
     let unusable = ListChange::Unusable("t1".parse().unwrap());
-    let changes = list.on_change(at(10), unusable.clone(), StoreRevision(4));
+    let changes = list.on_change(at(10), unusable.clone(), StoreRevision::first_era(4));
     assert_eq!(changes, [(record(1).id, Verdict::Unusable)]);
     assert_eq!(ids(&list), ["t2"], "the other one holds");
-    assert_eq!(list.on_change(at(11), unusable, StoreRevision(5)), []);
+    assert_eq!(
+        list.on_change(at(11), unusable, StoreRevision::first_era(5)),
+        []
+    );
     let own = ListChange::Put(record(1));
-    list.on_change(at(20), own, StoreRevision(6));
+    list.on_change(at(20), own, StoreRevision::first_era(6));
     assert_eq!(ids(&list), ["t1", "t2"], "it wrote its entry anew");
 }
 
@@ -228,21 +279,24 @@
 #[test]
 fn changes_that_come_together_are_taken_in_order() {
     let mut list = Discovery::default();
-    let both = vec![(record(1), StoreRevision(1)), (record(2), StoreRevision(1))];
-    list.on_list(at(0), both, StoreRevision(1));
+    let both = vec![
+        (record(1), StoreRevision::first_era(1)),
+        (record(2), StoreRevision::first_era(1)),
+    ];
+    list.on_list(at(0), both, StoreRevision::first_era(1));
     let leaving = TargetRecord {
         state: TargetState::Leaving,
         ..record(2)
     };
     let changes = vec![
-        (ListChange::Put(born(1, 9_000)), StoreRevision(2)),
-        (ListChange::Put(leaving), StoreRevision(3)),
-        (ListChange::Put(record(3)), StoreRevision(4)),
+        (ListChange::Put(born(1, 9_000)), StoreRevision::first_era(2)),
+        (ListChange::Put(leaving), StoreRevision::first_era(3)),
+        (ListChange::Put(record(3)), StoreRevision::first_era(4)),
         (
             ListChange::Unusable("t3".parse().unwrap()),
-            StoreRevision(5),
+            StoreRevision::first_era(5),
         ),
-        (ListChange::Put(record(3)), StoreRevision(4)),
+        (ListChange::Put(record(3)), StoreRevision::first_era(4)),
     ];
     let verdicts = list.on_changes(at(10), changes);
     let verdicts: Vec<_> = verdicts
@@ -264,9 +318,13 @@
 #[test]
 fn a_return_of_the_store_before_this_routers_start_is_over() {
     let mut list = Discovery::default();
-    list.on_list(at(0), vec![(record(0), StoreRevision(1))], StoreRevision(1));
+    list.on_list(
+        at(0),
+        vec![(record(0), StoreRevision::first_era(1))],
+        StoreRevision::first_era(1),
+    );
     list.on_store_back(at(100), Duration::from_secs(60));
     let removed = ListChange::Removed(record(0).id.to_name());
-    let changes = list.on_change(at(200), removed, StoreRevision(2));
+    let changes = list.on_change(at(200), removed, StoreRevision::first_era(2));
     assert_eq!(changes, [(record(0).id, Verdict::Gone)]);
 }
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -127,14 +127,14 @@
     StoreItem {
         key: key.to_owned(),
         value: value.map(|v| PackedValue::pack(v.as_bytes())),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::first_era(revision),
     }
 }
 
 fn news(items: Vec<StoreItem>, revision: u64) -> StoreNews {
     StoreNews {
         items,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::first_era(revision),
     }
 }
 
@@ -158,7 +158,7 @@
             }
         }
         pass_on(&first, &mut second);
-        prop_assert_eq!(first.since(StoreRevision(0)), second.since(StoreRevision(0)));
+        prop_assert_eq!(first.since(StoreRevision::first_era(0)), second.since(StoreRevision::first_era(0)));
         prop_assert_eq!(first.since(first.revision()), None);
     }
 }
@@ -183,7 +183,7 @@
         let text = format!("{revision}{routes}");
         mirror.on_changes(&news(vec![item("config", revision, Some(&text))], revision));
     }
-    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(1)) else {
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision::first_era(1)) else {
         panic!("the changes are known");
     };
     assert_eq!(told.items.len(), 1);
@@ -197,7 +197,7 @@
     let mut mirror = StoreMirror::default();
     mirror.on_list(&news(vec![item("a", 5, Some("new"))], 5));
     mirror.on_list(&news(vec![item("a", 3, Some("old"))], 3));
-    assert_eq!(mirror.revision(), StoreRevision(5));
+    assert_eq!(mirror.revision(), StoreRevision::first_era(5));
 }
 
 /// Each save of the prompts went in full from the readers to every router, which has no use for it.
@@ -207,13 +207,13 @@
     let prompts = |revision| item("scaleford/prompts", revision, Some("parts"));
     mirror.on_list(&news(vec![prompts(1)], 1));
     mirror.on_changes(&news(vec![prompts(2), item("a", 3, Some("a"))], 3));
-    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(1)) else {
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision::first_era(1)) else {
         panic!("the changes are known");
     };
     let keys: Vec<&str> = told.items.iter().map(|i| i.key.as_str()).collect();
     assert_eq!(keys, ["a"]);
-    assert_eq!(told.revision, StoreRevision(3));
-    let Some(Mirrored::List(all)) = mirror.since(StoreRevision(0)) else {
+    assert_eq!(told.revision, StoreRevision::first_era(3));
+    let Some(Mirrored::List(all)) = mirror.since(StoreRevision::first_era(0)) else {
         panic!("a router that starts is told all");
     };
     assert!(all.items.iter().any(|i| i.key == "scaleford/prompts"));
@@ -234,7 +234,7 @@
             mirror.on_changes(&news(vec![item(&key(n), back, Some("b"))], back));
         }
     }
-    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(3_000)) else {
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision::first_era(3_000)) else {
         panic!("all changes are known");
     };
     assert_eq!(told.items.len(), 3_000);
@@ -251,12 +251,12 @@
     mirror.on_list(&news(vec![a.clone(), b], 5));
     let c = item("c", 8, Some("1"));
     mirror.on_list(&news(vec![a, c.clone()], 9));
-    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision(5)) else {
+    let Some(Mirrored::Changes(told)) = mirror.since(StoreRevision::first_era(5)) else {
         panic!("the changes are known");
     };
     assert_eq!(told.items, [c, item("b", 9, None)]);
     // A peer that was ahead of the reader may hold what came and went between its lists.
-    let between = mirror.since(StoreRevision(7));
+    let between = mirror.since(StoreRevision::first_era(7));
     assert!(matches!(between, Some(Mirrored::List(_))), "{between:?}");
 }
 
@@ -282,7 +282,7 @@
             let reader = &mut readers[usize::from(what % 2)];
             match what {
                 0 | 1 => reader.on_list(&news(store.values().cloned().collect(), revision)),
-                2 | 3 if reader.revision().0 > 0 => {
+                2 | 3 if reader.revision() != StoreRevision::default() => {
                     let seen = reader.revision();
                     let newer = changes.iter().filter(|c| c.revision > seen);
                     reader.on_changes(&news(newer.cloned().collect(), revision));
@@ -295,7 +295,7 @@
             reader.on_list(&news(store.values().cloned().collect(), last));
         }
         pass_on(&readers[0], &mut router);
-        let Some(Mirrored::List(held)) = router.since(StoreRevision(0)) else {
+        let Some(Mirrored::List(held)) = router.since(StoreRevision::first_era(0)) else {
             panic!("a router that starts is told all");
         };
         prop_assert_eq!(held.items, store.into_values().collect::<Vec<_>>());
--- a/tests/decisions/withdrawals.rs
+++ b/tests/decisions/withdrawals.rs
@@ -51,13 +51,15 @@
     // Its entry lapses while the store is away, and comes back as ready.
     let name = record(0).id.to_name();
     let removed = ListChange::Removed(name);
-    d.discovery.on_change(at(1_000), removed, StoreRevision(2));
+    d.discovery
+        .on_change(at(1_000), removed, StoreRevision::first_era(2));
     d.on_tick(at(1_000));
     let put = ListChange::Put(TargetRecord {
         slots: 32,
         ..record(0)
     });
-    d.discovery.on_change(at(9_000), put, StoreRevision(3));
+    d.discovery
+        .on_change(at(9_000), put, StoreRevision::first_era(3));
     d.withdrawals.on_tick(at(600_000));
     assert_eq!(reached(&mut d, at(600_000)), ["t1"]);
 }
@@ -70,7 +72,8 @@
         id: "t0~7".parse().unwrap(),
         ..record(0)
     });
-    d.discovery.on_change(at(20), put, StoreRevision(2));
+    d.discovery
+        .on_change(at(20), put, StoreRevision::first_era(2));
     assert_eq!(reached(&mut d, at(20)), ["t0~7"]);
 }
 
@@ -130,7 +133,8 @@
         state: TargetState::Leaving,
         ..record(1)
     });
-    d.discovery.on_change(at(0), put, StoreRevision(2));
+    d.discovery
+        .on_change(at(0), put, StoreRevision::first_era(2));
     assert_eq!(reached(&mut d, at(10)), ["t2"]);
     say(&mut d, 20, 2, backoff("30"));
     let call = plan(ONCE, vec![part(1, 3_000)], 1);
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -65,7 +65,7 @@
         echo: None,
         config: None,
         readers: Vec::new(),
-        mirror: StoreRevision(0),
+        mirror: StoreRevision::first_era(0),
         store_back: None,
         calls: 0,
         stopping: false,
@@ -212,20 +212,20 @@
     let item = |n: u64, value: Option<PackedValue>, revision| StoreItem {
         key: format!("servers/i-{n}"),
         value,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::first_era(revision),
     };
     let there = |n| item(n, Some(PackedValue::pack(b"{}")), n + 1);
     let mut mirror = StoreMirror::default();
     mirror.on_list(&StoreNews {
         items: (0..targets).map(there).collect(),
-        revision: StoreRevision(targets),
+        revision: StoreRevision::first_era(targets),
     });
     mirror.on_changes(&StoreNews {
         items: (0..targets)
             .map(|n| item(n, None, targets + n + 1))
             .collect(),
-        revision: StoreRevision(2 * targets),
+        revision: StoreRevision::first_era(2 * targets),
     });
-    let told = mirror.since(StoreRevision(targets)).unwrap();
+    let told = mirror.since(StoreRevision::first_era(targets)).unwrap();
     assert!(matches!(told, Mirrored::Changes(news) if news.items.len() as u64 == targets));
 }
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -120,7 +120,8 @@
             d.cold.set_routers(known_routers(&load, n));
             let all = (0..load.targets).map(|n| record(n, load.slots));
             let at = Instant::default();
-            d.discovery.on_stated(at, all.collect(), StoreRevision(1));
+            d.discovery
+                .on_stated(at, all.collect(), StoreRevision::first_era(1));
             d
         };
         let mut model = Self {
--- a/tests/load/model/changes.rs
+++ b/tests/load/model/changes.rs
@@ -56,7 +56,7 @@
     }
 
     fn list(&mut self, targets: Range<usize>, revision: u64) {
-        let revision = StoreRevision(revision);
+        let revision = StoreRevision::first_era(revision);
         let record = |n: usize| TargetRecord {
             cold_for: self.targets[n].cold_until.since(self.now),
             ..record(n, self.load.slots)
--- a/tests/load/model/crashes.rs
+++ b/tests/load/model/crashes.rs
@@ -126,7 +126,7 @@
     pub(super) fn on_target_returns(&mut self) {
         self.targets.push(new_target(&self.load));
         self.starts += 1;
-        let revision = StoreRevision(1 + self.starts);
+        let revision = StoreRevision::first_era(1 + self.starts);
         let live = (0..self.targets.len()).filter(|n| !self.targets[*n].is_lost);
         let records: Vec<_> = live
             .map(|n| (record(n, self.load.slots), revision))
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -142,7 +142,7 @@
             echo: None,
             config: None,
             readers: Vec::new(),
-            mirror: StoreRevision(0),
+            mirror: StoreRevision::first_era(0),
             store_back: None,
             calls: 0,
             stopping: router.stopping,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -48,7 +48,7 @@
         echo: None,
         config: None,
         readers: Vec::new(),
-        mirror: StoreRevision(0),
+        mirror: StoreRevision::first_era(0),
         store_back: None,
         calls: 0,
         stopping: false,
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -113,8 +113,11 @@
         let router = |_| {
             let mut d = Dispatcher::new("hall".parse().unwrap(), &rules());
             let all = (0..engines).map(|n| record(n, TargetState::Ready));
-            d.discovery
-                .on_stated(Instant::default(), all.collect(), StoreRevision(1));
+            d.discovery.on_stated(
+                Instant::default(),
+                all.collect(),
+                StoreRevision::first_era(1),
+            );
             d
         };
         Self {
@@ -279,7 +282,10 @@
             true => ListChange::Put(record(n, TargetState::Ready)),
             false => ListChange::Removed(engine_id(n).to_name()),
         };
-        let (now, revision) = (Instant::from_millis(t_ms), StoreRevision(self.revision));
+        let (now, revision) = (
+            Instant::from_millis(t_ms),
+            StoreRevision::first_era(self.revision),
+        );
         for d in &mut self.routers {
             d.discovery.on_change(now, change.clone(), revision);
             if !joins {
