What routers entered in the store is entered again after a set-back

Found by reading, same class: a request that is held back counted as entered for good, and saved prompts as saved, though the store had lost both with the writes since its copy; routers that started later sent such a request on. Both are written again by their keepers.

--- a/src/prompt_cache.rs
+++ b/src/prompt_cache.rs
@@ -154,7 +154,12 @@
         gone.iter().for_each(|id| self.forget(id));
     }
 
-    /// Whether shared parts came to be known since the last call.
+    /// The store was set back, and may have lost what was saved.
+    pub fn on_set_back(&mut self) {
+        self.unsaved |= !self.holders.is_empty();
+    }
+
+    /// Whether shared parts came to be known since the last call, or what was saved of them may be lost.
     pub fn take_unsaved(&mut self) -> bool {
         std::mem::take(&mut self.unsaved)
     }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -258,6 +258,13 @@
         }
     }
 
+    /// The store was set back, and may have lost entries: what is held back is announced to peers and entered anew.
+    pub fn on_set_back(&mut self) {
+        self.held
+            .values_mut()
+            .for_each(|held| held.is_stored = false);
+    }
+
     /// Requests that are held back, and for how long still.
     pub fn held(&self, now: Instant) -> impl Iterator<Item = (Fingerprint, Duration)> {
         let held = self.held.iter();
--- a/tests/crashing_calls.rs
+++ b/tests/crashing_calls.rs
@@ -201,3 +201,29 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// The store came back from a copy in which the entry was not yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_request_stands_in_a_store_that_was_set_back() {
+    let plan = Plan {
+        routers: 3,
+        engines: 8,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan).await;
+    let copy = fleet.store.backup();
+    let fault = Fault::EndOn(CRASHES);
+    fleet.engines.iter().for_each(|e| e.set_fault(fault));
+    let entered = || fleet.store.keys_below(HELD);
+    while entered().is_empty() {
+        let at = fleet.callers_at(0);
+        fleet.caller.chat(at, &question(CRASHES)).await;
+        until_told(&fleet).await;
+    }
+    let before = entered();
+    fleet.store.set_back(copy);
+    assert!(entered().is_empty());
+    while entered() != before {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -234,3 +234,18 @@
     assert!(answered.on_held_notices(at(5_100), &told).is_empty());
     assert!(answered.held_for(at(5_200), REQUEST).is_none());
 }
+
+/// Entries of held requests were lost with the store, so routers that started later sent such requests on.
+#[test]
+fn a_held_request_is_entered_again_after_the_store_was_set_back() {
+    let mut quarantine = after_endings(3);
+    quarantine.on_saved(at(3_100), REQUEST);
+    assert!(quarantine.held_notices(at(3_200)).is_empty());
+    quarantine.on_set_back();
+    assert_eq!(quarantine.held_notices(at(3_200)).len(), 1);
+    assert!(quarantine.unsaved().is_empty(), "its keeper enters it");
+    quarantine.on_keeper(|_| true);
+    assert_eq!(quarantine.unsaved(), [REQUEST]);
+    quarantine.on_saved(at(3_300), REQUEST);
+    assert!(quarantine.held_notices(at(3_400)).is_empty());
+}
