--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,6 +15,7 @@
 mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
+mod set_backs;
 #[allow(dead_code)]
 #[path = "../../platform/tests/support/store.rs"]
 mod store;
@@ -47,6 +48,8 @@
             optional --crashes
             /// Targets say in answers that they leave, or want no calls for a while.
             optional --withdrawals
+            /// The store comes back from older copies.
+            optional --set-backs
             /// Print the verdict as JSON.
             optional --json
         }
@@ -63,6 +66,7 @@
     entries: bool,
     crashes: bool,
     withdrawals: bool,
+    set_backs: bool,
 }
 
 /// Gateways at the most: each takes some 10 MB, and an address of one network of 250.
@@ -82,6 +86,7 @@
         entries: flags.entries,
         crashes: flags.crashes,
         withdrawals: flags.withdrawals,
+        set_backs: flags.set_backs,
         program: flags.program.or(beside).unwrap_or_default(),
     };
     if !plan.program.is_file() {
@@ -128,8 +133,13 @@
             withdrawals::inject(&world, plan.seed, plan.faults_for).await;
         }
     };
+    let set_backs = async {
+        if plan.set_backs {
+            set_backs::inject(&world, plan.seed, plan.faults_for).await;
+        }
+    };
     let faults = faults::inject(&world, &mut rng, plan.faults_for);
-    tokio::join!(faults, entries, withdrawals);
+    tokio::join!(faults, entries, withdrawals, set_backs);
     world.heal().await;
     calling.until_served_again().await;
     if let Some(crashing) = crashing {
