--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -115,6 +115,24 @@
     assert_eq!(executions(&fleet, "bid-2"), 1);
 }
 
+/// Claims were lost with the store, and a call that had run ran again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_ran_runs_no_second_time_after_the_store_was_set_back() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let copy = fleet.store.backup();
+    let keys = ["bid-7", "bid-8", "bid-9"];
+    for key in keys {
+        let outcome = confirm(&fleet, 0, key).await;
+        assert_eq!(outcome.status, 200, "{outcome:?}");
+    }
+    fleet.store.set_back(copy);
+    for (i, key) in keys.iter().enumerate() {
+        let again = confirm(&fleet, i, key).await;
+        assert!([5002, 5003].contains(&again.code), "{again:?}");
+        assert_eq!(executions(&fleet, key), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn without_the_store_a_call_is_honestly_not_run_and_runs_later() {
     let fleet = Fleet::start(Plan::default()).await;
