Claims that were lost with the store are recorded again

A call with an idempotency key that had run ran a second time after the store had come back from an older copy: its claim was gone, and a keeper whose compare-and-swap failed read the shard anew and forgot what it had known. Now a keeper keeps what it knew until the shard is read in its era, and records again what the copy lacks of the last minute, at once when it hears of the era.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -33,6 +33,10 @@
 /// knows how it ended.
 pub const RUNNING_S: u64 = 3600;
 
+/// How old the copy is at the most from which the store comes back, in seconds. What was recorded before is in it, or was
+/// recorded by another keeper otherwise.
+pub const COPY_AGE_S: u64 = 60;
+
 /// Keys that one shard remembers at the most; beyond it calls are not run.
 pub const SHARD_LIMIT: usize = 100_000;
 
@@ -163,6 +167,8 @@
     standing: HashMap<ClaimKey, Standing>,
     last: Chunk,
     number: u64,
+    /// Records that the store has lost; the next write has them.
+    lost: Vec<Record>,
 }
 
 /// A write to try, and what to answer if it takes effect.
@@ -194,6 +200,25 @@
         self.last = chunk;
     }
 
+    /// Takes over what a store that was set back has lost: recent records of this shard as it was known before, on keys that it
+    /// does not have now, or has an earlier step of the same request on.
+    pub fn recover(&mut self, before: &Self, now_s: u64) {
+        let is_lost = |(key, known): &(&ClaimKey, &Standing)| match self.standing.get(*key) {
+            _ if known.at_s + COPY_AGE_S < now_s => false,
+            None => true,
+            Some(now) => now.request == known.request && now.kind == ClaimKind::Claim,
+        };
+        let lost = before.standing.iter().filter(is_lost);
+        let lost: Vec<Record> = lost.map(|(key, known)| known.record(*key)).collect();
+        lost.iter().for_each(|r| self.stand(r));
+        self.lost = lost;
+    }
+
+    /// Whether records that the store has lost are not written yet.
+    pub fn is_recovering(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Whether a chunk holds nothing that must still be remembered.
     pub fn is_expired(chunk: &Chunk, now_s: u64) -> bool {
         let old = |r: &Record| r.at_s + RETENTION_S < now_s;
@@ -218,6 +243,7 @@
             true => (self.number + 1, Chunk::default()),
             false => (self.number, self.last.clone()),
         };
+        chunk.records.extend(&self.lost);
         let mut after = HashMap::new();
         let mut verdicts = Vec::with_capacity(steps.len());
         for step in steps {
@@ -252,6 +278,7 @@
 
     /// Takes a batch that took effect.
     pub fn commit(&mut self, batch: Batch) {
+        self.lost.clear();
         self.load(batch.number, batch.chunk);
     }
 
@@ -264,6 +291,21 @@
     }
 }
 
+impl Standing {
+    fn record(&self, key: ClaimKey) -> Record {
+        let step = ClaimStep {
+            key,
+            request: self.request,
+            kind: self.kind,
+            outcome: self.outcome,
+        };
+        Record {
+            step,
+            at_s: self.at_s,
+        }
+    }
+}
+
 fn standing(record: &Record) -> Standing {
     let ClaimStep {
         request,
--- a/src/edge/claim_keeper.rs
+++ b/src/edge/claim_keeper.rs
@@ -33,10 +33,18 @@
     reply: oneshot::Sender<ClaimVerdict>,
 }
 
+/// What a shard's keeper is to do.
+enum Job {
+    /// To record a step.
+    Record(Waiting),
+    /// To see to it that the store holds what was recorded.
+    Recover,
+}
+
 /// Keeps shards of claims in the store.
 pub(crate) struct ClaimKeeper {
     store: Rc<dyn MetaStore>,
-    shards: RefCell<HashMap<u64, Sender<Waiting>>>,
+    shards: RefCell<HashMap<u64, Sender<Job>>>,
 }
 
 impl ClaimKeeper {
@@ -51,13 +59,21 @@
     pub(crate) async fn step(&self, step: ClaimStep) -> ClaimVerdict {
         let (reply, rx) = oneshot::channel();
         let queue = self.queue(step.key.shard());
-        match queue.try_send(Waiting { step, reply }) {
+        match queue.try_send(Job::Record(Waiting { step, reply })) {
             Ok(()) => rx.await.unwrap_or(ClaimVerdict::NotRecorded),
             Err(_) => ClaimVerdict::NotRecorded,
         }
     }
 
-    fn queue(&self, shard: u64) -> Sender<Waiting> {
+    /// The store was set back: what was recorded in the shards that this router keeps is written again.
+    pub(crate) fn on_set_back(&self) {
+        for queue in self.shards.borrow().values() {
+            // A queue that is full has steps to record, which does the same.
+            let _ = queue.try_send(Job::Recover);
+        }
+    }
+
+    fn queue(&self, shard: u64) -> Sender<Job> {
         let mut shards = self.shards.borrow_mut();
         let queue = shards.entry(shard).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(QUEUE);
@@ -68,31 +84,43 @@
     }
 }
 
+impl Job {
+    fn waiting(self) -> Option<Waiting> {
+        match self {
+            Self::Record(waiting) => Some(waiting),
+            Self::Recover => None,
+        }
+    }
+}
+
 /// A shard with the store's revision of its last chunk.
 struct Kept {
     shard: ClaimShard,
     revision: Option<StoreRevision>,
+    /// The store has another last chunk, or may have.
+    is_stale: bool,
 }
 
-async fn keep(number: u64, store: Rc<dyn MetaStore>, mut rx: Receiver<Waiting>) {
+async fn keep(number: u64, store: Rc<dyn MetaStore>, mut rx: Receiver<Job>) {
     let mut kept = None;
-    let mut waiting = Vec::new();
+    let mut jobs = Vec::new();
     let mut next = Instant::now();
-    while rx.recv_many(&mut waiting, BATCH).await > 0 {
+    while rx.recv_many(&mut jobs, BATCH).await > 0 {
         tokio::time::sleep_until(next).await;
-        while waiting.len() < BATCH
+        while jobs.len() < BATCH
             && let Ok(more) = rx.try_recv()
         {
-            waiting.push(more);
+            jobs.push(more);
         }
+        let waiting: Vec<Waiting> = jobs.drain(..).filter_map(Job::waiting).collect();
         let steps: Vec<_> = waiting.iter().map(|w| w.step).collect();
         let verdicts = record(number, &*store, &mut kept, &steps).await;
         next = Instant::now() + WRITE_EVERY;
         let verdicts = verdicts.unwrap_or_else(|_| {
-            kept = None;
+            kept.iter_mut().for_each(|k| k.is_stale = true);
             vec![ClaimVerdict::NotRecorded; steps.len()]
         });
-        for (w, verdict) in waiting.drain(..).zip(verdicts) {
+        for (w, verdict) in waiting.into_iter().zip(verdicts) {
             // The asker may have given up; its step stands all the same.
             let _ = w.reply.send(verdict);
         }
@@ -107,14 +135,15 @@
     steps: &[ClaimStep],
 ) -> Result<Vec<ClaimVerdict>, StoreError> {
     for _ in 0..TRIES {
-        let current = match kept.take() {
-            Some(k) => k,
-            None => load(number, store).await?,
-        };
+        if kept.as_ref().is_none_or(|k| k.is_stale) {
+            let loaded = load(number, store, kept.as_ref()).await?;
+            *kept = Some(loaded);
+        }
+        let Some(current) = kept else { continue };
         let batch = current.shard.decide(steps, wall_s());
         // A verdict drawn from memory may be older than another keeper's write, so even a batch
         // without a record confirms the chunk by writing it.
-        if let Some(verdicts) = write(number, store, kept, current, batch).await? {
+        if let Some(verdicts) = write(number, store, current, batch).await? {
             return Ok(verdicts);
         }
     }
@@ -124,8 +153,7 @@
 async fn write(
     number: u64,
     store: &dyn MetaStore,
-    kept: &mut Option<Kept>,
-    current: Kept,
+    current: &mut Kept,
     batch: Batch,
 ) -> Result<Option<Vec<ClaimVerdict>>, StoreError> {
     let value = serde_json::to_vec(&batch.chunk).map_err(|e| StoreError::Garbled(e.to_string()))?;
@@ -135,18 +163,18 @@
         .filter(|_| current.shard.number() == batch.number);
     let swap = match store.swap(&key, expected, value.clone()).await {
         Ok(swap) => swap,
+        Err(StoreError::SetBack) => Swap::Conflict,
         Err(_) => settle(store, &key, &value).await?,
     };
     match swap {
-        Swap::Conflict => Ok(None),
+        Swap::Conflict => {
+            current.is_stale = true;
+            Ok(None)
+        }
         Swap::Done(revision) => {
             let verdicts = batch.verdicts.clone();
-            let mut shard = current.shard;
-            shard.commit(batch);
-            *kept = Some(Kept {
-                shard,
-                revision: Some(revision),
-            });
+            current.shard.commit(batch);
+            current.revision = Some(revision);
             Ok(Some(verdicts))
         }
     }
@@ -163,12 +191,18 @@
     }
 }
 
-async fn load(number: u64, store: &dyn MetaStore) -> Result<Kept, StoreError> {
+/// Reads a shard, and recovers what the store has lost of it since it was known as `before`.
+async fn load(
+    number: u64,
+    store: &dyn MetaStore,
+    before: Option<&Kept>,
+) -> Result<Kept, StoreError> {
     let prefix = ClaimShard::store_prefix(number);
     let entries = store.range(&prefix).await?;
     let mut kept = Kept {
         shard: ClaimShard::default(),
         revision: None,
+        is_stale: false,
     };
     let newest = entries.last().map_or_else(String::new, |e| e.key.clone());
     for entry in entries {
@@ -183,6 +217,12 @@
         kept.shard.load(place, chunk);
         kept.revision = Some(entry.revision);
     }
+    // Within an era the last chunk stays, so one that is not there was lost with an era.
+    let era = |k: &Kept| k.revision.map(|r| r.era);
+    let is_lost = |b: &&Kept| era(b) != era(&kept) || b.shard.is_recovering();
+    if let Some(before) = before.filter(is_lost) {
+        kept.shard.recover(&before.shard, wall_s());
+    }
     Ok(kept)
 }
 
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -88,6 +88,7 @@
 fn on_set_back(cx: &Gateway, known: StoreRevision, revision: StoreRevision, from: SocketAddr) {
     info!(cx.log, "store era"; "era" => revision.era.0, "before" => known.era.0,
         "revision" => revision.number, "known" => known.number, "from" => %from);
+    cx.claims.on_set_back();
     let mut dispatcher = cx.dispatcher.borrow_mut();
     dispatcher.quarantine.on_set_back();
     dispatcher.cache.on_set_back();
--- a/tests/decisions/claims.rs
+++ b/tests/decisions/claims.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use scaleford::{
-    claims::{Batch, Chunk, ClaimKey, ClaimKind, ClaimShard, ClaimStep, ClaimVerdict},
+    claims::{Batch, COPY_AGE_S, Chunk, ClaimKey, ClaimKind, ClaimShard, ClaimStep, ClaimVerdict},
     ids::RequestId,
 };
 
@@ -119,3 +120,53 @@
         ClaimVerdict::Ran(201)
     );
 }
+
+fn step(key: u8, request: u128, kind: ClaimKind) -> ClaimStep {
+    ClaimStep {
+        key: ClaimKey([key; 16]),
+        request: RequestId(request),
+        kind,
+        outcome: 200 * u16::from(kind == ClaimKind::Done),
+    }
+}
+
+/// A shard after some steps, at second 100.
+fn after(steps: &[ClaimStep]) -> ClaimShard {
+    let mut shard = ClaimShard::default();
+    for step in steps {
+        let batch = shard.decide(&[*step], 100);
+        shard.commit(batch);
+    }
+    shard
+}
+
+/// The store lost what a keeper had recorded.
+#[rstest]
+#[case::claim(&[step(1, 7, ClaimKind::Claim)], &[], 110, ClaimVerdict::Running)]
+#[case::outcome(&[step(1, 7, ClaimKind::Claim), step(1, 7, ClaimKind::Done)], &[], 110, ClaimVerdict::Ran(200))]
+#[case::outcome_alone(
+    &[step(1, 7, ClaimKind::Claim), step(1, 7, ClaimKind::Done)], &[step(1, 7, ClaimKind::Claim)], 110, ClaimVerdict::Ran(200))]
+#[case::given_back(&[step(1, 7, ClaimKind::Claim), step(1, 7, ClaimKind::Release)], &[], 110, ClaimVerdict::Recorded)]
+#[case::claimed_by_another_since(
+    &[step(1, 7, ClaimKind::Claim)], &[step(1, 8, ClaimKind::Claim), step(1, 8, ClaimKind::Done)], 110, ClaimVerdict::Ran(200))]
+#[case::older_than_any_copy(&[step(1, 7, ClaimKind::Claim)], &[], 100 + COPY_AGE_S + 1, ClaimVerdict::Recorded)]
+fn claims_that_were_lost_with_the_store_are_recorded_again(
+    #[case] known: &[ClaimStep],
+    #[case] in_copy: &[ClaimStep],
+    #[case] now_s: u64,
+    #[case] expected: ClaimVerdict,
+) {
+    let mut shard = after(in_copy);
+    shard.recover(&after(known), now_s);
+    let again = [step(1, 9, ClaimKind::Claim)];
+    let batch = shard.decide(&again, now_s);
+    assert_eq!(batch.verdicts, [expected]);
+    // Whoever reads what is written then decides the same, and it is written once.
+    let mut reader = ClaimShard::default();
+    reader.load(batch.number, batch.chunk.clone());
+    let other = [step(1, 10, ClaimKind::Claim)];
+    let as_read = reader.decide(&other, now_s).verdicts;
+    shard.commit(batch);
+    assert_eq!(shard.decide(&other, now_s).verdicts, as_read);
+    assert!(!shard.is_recovering());
+}
