A store that was set back proves nothing until what it lost is written again

A key that was taken away right before the store went away is in the copy, and nobody may have seen the change: any answer of the store would have proved the configuration with that key. Found by reading; test in tests/decisions/trust.rs, which the code before has no call for.

--- a/src/config/freshness.rs
+++ b/src/config/freshness.rs
@@ -56,6 +56,8 @@
     version: ConfigVersion,
     /// The latest that any peer applies.
     vouched: ConfigVersion,
+    /// Until when the store, which was set back, may lack a configuration that nobody here has seen.
+    unsettled_until: Option<Instant>,
 }
 
 impl Freshness {
@@ -65,11 +67,22 @@
         self.version = self.version.max(version);
     }
 
+    /// The store was set back, and what it lost is written again by then.
+    pub fn on_set_back(&mut self, settled_at: Instant) {
+        self.unsettled_until = Some(settled_at);
+    }
+
+    /// The operators have written their configuration since the store was set back.
+    pub fn on_written_again(&mut self) {
+        self.unsettled_until = None;
+    }
+
     /// The store answered a consistent call sent at `sent`, and held the configuration `stored`. One that holds an older
     /// configuration than is in force anywhere has lost what came after it, and proves nothing.
     pub fn on_confirmed(&mut self, sent: Instant, stored: Option<ConfigVersion>) {
         let latest = self.version.max(self.vouched);
-        if stored.unwrap_or_default() >= latest {
+        let is_settled = self.unsettled_until.is_none_or(|until| sent >= until);
+        if is_settled && stored.unwrap_or_default() >= latest {
             self.proven_at = self.proven_at.max(Some(ProvenAt::new(sent)));
         }
     }
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -7,7 +7,7 @@
 use super::{endings, fleet, gateway::Gateway, prompts};
 use crate::{
     config::serving::ServingConfig,
-    discovery::{Changes, ListChange, Verdict},
+    discovery::{Changes, ListChange, RETURN_GRACE, Verdict},
     ids::{DataHall, TargetId, TargetName},
     store::{
         StoreChange, StoreItem, StoreNews,
@@ -89,6 +89,8 @@
     info!(cx.log, "store era"; "era" => revision.era.0, "before" => known.era.0,
         "revision" => revision.number, "known" => known.number, "from" => %from);
     cx.claims.on_set_back();
+    let settled_at = cx.now() + RETURN_GRACE;
+    cx.freshness.borrow_mut().on_set_back(settled_at);
     let mut dispatcher = cx.dispatcher.borrow_mut();
     dispatcher.quarantine.on_set_back();
     dispatcher.cache.on_set_back();
@@ -159,7 +161,14 @@
 fn apply(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
     cx.stored_config.set(Some(version));
-    let before = cx.serving().map(|s| (s.version.0, s.revision.number));
+    let before = cx.serving();
+    // A write has a number of its own, so one that is known by version and number was there before the store was set back.
+    let is_known = |b: &ServingConfig| (b.version, b.revision.number) == (version, revision.number);
+    let is_old = |b: &ServingConfig| version < b.version || is_known(b);
+    if !before.as_deref().is_some_and(is_old) {
+        cx.freshness.borrow_mut().on_written_again();
+    }
+    let before = before.map(|b| (b.version.0, b.revision.number));
     let applied = cx.apply(config);
     let (version_before, revision_before) = before.unzip();
     info!(cx.log, "config"; "version" => version.0, "revision" => revision.number, "routes" => routes,
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -93,6 +93,24 @@
     assert_eq!(fresh.may_use_keys(at(1_100), REVOKE), is_proven);
 }
 
+/// A key was taken away right before the store went away, and the copy holds the configuration before that, which is in force here.
+#[test]
+fn a_store_that_was_set_back_proves_nothing_until_what_it_lost_is_written_again() {
+    let mut fresh = Freshness::default();
+    let stored = Some(ConfigVersion(7));
+    fresh.on_applied(ConfigVersion(7));
+    fresh.on_confirmed(at(1_000), stored);
+    fresh.on_set_back(at(5_000));
+    fresh.on_confirmed(at(4_000), stored);
+    assert_eq!(fresh.age(at(4_000)), Some(Duration::from_secs(3)));
+    fresh.on_confirmed(at(5_000), stored);
+    assert_eq!(fresh.age(at(5_000)), Some(Duration::ZERO));
+    fresh.on_set_back(at(9_000));
+    fresh.on_written_again();
+    fresh.on_confirmed(at(7_000), stored);
+    assert_eq!(fresh.age(at(7_000)), Some(Duration::ZERO));
+}
+
 proptest! {
     /// Whatever is told in whatever order, a key is never relied on by a proof as old as the bound.
     #[test]
