--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -13,13 +13,16 @@
     time::Duration,
 };
 
-pub use crate::target_record::{TargetRecord, TargetState};
 use crate::{
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
     pools::Pools,
     units::{Instant, StoreRevision},
 };
+pub use crate::{
+    list_change::{Changes, ListChange, Verdict},
+    target_record::{TargetRecord, TargetState},
+};
 
 /// How long after the store's return a missing entry still counts: live targets are back in the
 /// list within about two seconds.
@@ -44,20 +47,6 @@
 /// Changes that come together from which on all targets are indexed anew.
 const CHANGES_APART: usize = 256;
 
-/// One change of the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ListChange {
-    /// An entry was written.
-    Put(TargetRecord),
-    /// An entry went.
-    Removed(TargetName),
-    /// An entry was written that names no target to use.
-    Unusable(TargetName),
-}
-
-/// Targets of which something changed, each with what became of it.
-pub type Changes = Vec<(TargetId, Verdict)>;
-
 #[derive(Debug)]
 struct Listed {
     record: Rc<TargetRecord>,
@@ -83,45 +72,6 @@
     known: bool,
 }
 
-/// What became of an entry, for the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is used from now on.
-    Added,
-    /// It changed.
-    Changed,
-    /// It takes no more work.
-    Leaving,
-    /// It is not used any more.
-    Gone,
-    /// It ended, and started again under its name.
-    Restarted,
-    /// Its entry was overwritten by one that names no target to use.
-    Unusable,
-    /// It went missing while the store was away and still counts for a moment.
-    Kept,
-}
-
-impl Verdict {
-    /// Whether the target's life is over for us.
-    pub fn is_end(self) -> bool {
-        matches!(self, Self::Gone | Self::Restarted | Self::Unusable)
-    }
-
-    /// Its name in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Added => "added",
-            Self::Changed => "changed",
-            Self::Leaving => "leaving",
-            Self::Gone => "gone",
-            Self::Restarted => "restarted",
-            Self::Unusable => "unusable",
-            Self::Kept => "kept for a moment",
-        }
-    }
-}
-
 impl Discovery {
     /// Whether a list was ever read.
     pub fn is_known(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod intent;
 mod lifecycle;
 pub mod limits;
+mod list_change;
 pub mod load_account;
 pub mod log;
 pub mod membership;
