--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -54,7 +54,7 @@
         matches!(answer, Ok(Ok(res)) if res.status() == 200)
     }
 
-    async fn call(&mut self, kind: &str, id: &str, key: &str) -> End {
+    pub async fn call(&mut self, kind: &str, id: &str, key: &str) -> End {
         self.send(kind, id, key, id).await
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -142,6 +142,9 @@
     tokio::join!(faults, entries, withdrawals, set_backs);
     world.heal().await;
     calling.until_served_again().await;
+    if plan.set_backs {
+        set_backs::check(&world).await;
+    }
     if let Some(crashing) = crashing {
         promises.on_settled(true);
         tokio::time::sleep(CRASHES_ON).await;
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -43,6 +43,8 @@
     StopCutsNothing,
     /// A router that had a configuration in force serves by no older one.
     ConfigNeverBack,
+    /// A configuration that was written after the store was set back is in force at all routers.
+    ConfigInForce,
     /// All routers together repeat no more than the budget allows.
     RetryBudget,
     /// A request under which three targets ended is held back by all gateways that can know.
--- a/soak/src/set_backs.rs
+++ b/soak/src/set_backs.rs
@@ -8,8 +8,10 @@
 use tokio::time::Instant;
 
 use crate::{
+    callers::Caller,
+    promises::{End, Promise},
     store::{Kv, StoreFault},
-    vm::World,
+    vm::{KEYS, Vm, World},
 };
 
 /// How old the copy is when the store goes away, how long it is away, and how soon what was lost is written again.
@@ -44,6 +46,55 @@
     }
 }
 
+/// How long after it was written a configuration may be in force nowhere yet: the rule's two seconds, and one for this
+/// machine being busy.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
+
+/// Writes of no concern that are lost: more than are made afterwards.
+const LOST: usize = 50;
+
+/// Sets the store back once more when all faults are over; what is written then has to be in force at all gateways.
+pub async fn check(world: &World) {
+    let copy = world.store.backup();
+    for n in 0..LOST {
+        world.store.put(&format!("other/{n}"), b"lost");
+    }
+    write_and_expect(world).await;
+    world.store.set_back(copy);
+    write_and_expect(world).await;
+}
+
+async fn write_and_expect(world: &World) {
+    world.write_config(&KEYS[..1]);
+    let version = world.version().get();
+    let until = Instant::now() + IN_FORCE_WITHIN;
+    for (n, vm) in world.vms.iter().enumerate() {
+        if tokio::time::timeout_at(until, until_served(vm, n, version))
+            .await
+            .is_err()
+        {
+            let how = format!("version {version} at {}", vm.callers);
+            world.promises.break_(Promise::ConfigInForce, how);
+        }
+    }
+}
+
+/// Calls the route that only this version of the configuration has until it is served.
+async fn until_served(vm: &Vm, n: usize, version: u64) {
+    let kind = format!("only-{version}");
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let id = format!("{kind}-check-{n}-{tries}");
+        if let Some(mut caller) = Caller::connect(vm.callers).await
+            && matches!(caller.call(&kind, &id, KEYS[0]).await, End::Answer(200, ..))
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
+
 async fn pause(rng: &mut Pcg64, ms: std::ops::Range<u64>) {
     tokio::time::sleep(Duration::from_millis(rng.random_range(ms))).await;
 }
