--- a/src/ids.rs
+++ b/src/ids.rs
@@ -208,6 +208,8 @@
     };
 }
 
+pub(crate) use number_id;
+
 number_id!(
     /// The place of a change in the one order of accepted changes; 0 is the empty configuration.
     Revision
--- a/src/units.rs
+++ b/src/units.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::IdError;
+use crate::ids::{IdError, number_id};
 
 /// A monotonic instant, as time since the process (or the replay) began.
 ///
@@ -126,54 +126,16 @@
     }
 }
 
-/// The operators' own number of a whole configuration; a later one has a higher number.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct ConfigVersion(pub u64);
-
-impl fmt::Display for ConfigVersion {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for ConfigVersion {
-    type Err = IdError;
-
-    fn from_str(s: &str) -> Result<Self, IdError> {
-        s.parse().map(Self).map_err(|_| IdError {
-            expected: "the number of a configuration",
-            got: s.to_owned(),
-        })
-    }
-}
+number_id!(
+    /// The operators' own number of a whole configuration; a later one has a higher number.
+    ConfigVersion
+);
 
-/// A life of the platform's store: it rises by one each time that the store comes back from an older copy. 0 where the store
-/// does not say.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
-
-impl fmt::Display for StoreEra {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for StoreEra {
-    type Err = IdError;
-
-    fn from_str(s: &str) -> Result<Self, IdError> {
-        s.parse().map(Self).map_err(|_| IdError {
-            expected: "the number of an era of the store",
-            got: s.to_owned(),
-        })
-    }
-}
+number_id!(
+    /// A life of the platform's store: it rises by one each time that the store comes back from an older copy. 0 where the store
+    /// does not say.
+    StoreEra
+);
 
 /// How urgent a call is, 0 the most.
 #[derive(
--- a/tests/crashing_calls.rs
+++ b/tests/crashing_calls.rs
@@ -38,6 +38,17 @@
     }
 }
 
+/// Sends a request that ends engines until its entry is in the store.
+async fn until_entered(fleet: &Fleet) {
+    let fault = Fault::EndOn(CRASHES);
+    fleet.engines.iter().for_each(|e| e.set_fault(fault));
+    while fleet.store.keys_below(HELD).is_empty() {
+        let at = fleet.callers_at(0);
+        fleet.caller.chat(at, &question(CRASHES)).await;
+        until_told(fleet).await;
+    }
+}
+
 /// One request of a caller came back again and again, each time as a new call at any router, and ended
 /// each engine that began to run it: 20 engines in 14 seconds, of which up to five of nine were away
 /// at once, while calls beside it broke off with them and others found no room. Nothing in the fleet
@@ -91,16 +102,7 @@
         ..Plan::default()
     };
     let mut fleet = Fleet::start(plan).await;
-    let fault = Fault::EndOn(CRASHES);
-    fleet.engines.iter().for_each(|e| e.set_fault(fault));
-    let entered = |fleet: &Fleet| fleet.store.keys_below(HELD);
-    while entered(&fleet).is_empty() {
-        fleet
-            .caller
-            .chat(fleet.callers_at(0), &question(CRASHES))
-            .await;
-        until_told(&fleet).await;
-    }
+    until_entered(&fleet).await;
     fleet.routers.clear();
     for i in 0..2 {
         let router = fleet.start_router(i).await;
@@ -132,7 +134,7 @@
     assert_eq!(ended(&fleet), before);
     // An operator who has mended what ended them removes the entry.
     fleet.engines.iter().for_each(|e| e.set_fault(Fault::None));
-    for key in entered(&fleet) {
+    for key in fleet.store.keys_below(HELD) {
         fleet.store.remove(&key);
     }
     let mut answers = Vec::new();
@@ -212,14 +214,8 @@
     };
     let fleet = Fleet::start(plan).await;
     let copy = fleet.store.backup();
-    let fault = Fault::EndOn(CRASHES);
-    fleet.engines.iter().for_each(|e| e.set_fault(fault));
+    until_entered(&fleet).await;
     let entered = || fleet.store.keys_below(HELD);
-    while entered().is_empty() {
-        let at = fleet.callers_at(0);
-        fleet.caller.chat(at, &question(CRASHES)).await;
-        until_told(&fleet).await;
-    }
     let before = entered();
     fleet.store.set_back(copy);
     assert!(entered().is_empty());
