--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -14,7 +14,7 @@
 };
 
 use scaleford::{
-    admission::{surge::Surge, warm_up::ColdRule},
+    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
     config::{
         ClientAccount, ConfigLog, FleetConfig, KeyHash, Model, Serves, Snapshot, Target,
         TargetIntent, routes,
@@ -130,6 +130,7 @@
             extra: 50.0,
         },
         cold: ColdRule::default(),
+        shares: ShareScope::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     };
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod account_rates;
 mod limit;
+pub mod shares;
 mod shortage;
 mod slot_time;
 mod startup;
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::{
     admission::{
         Admission, CallLimit, CallTraits,
+        shares::PoolShares,
         warm_up::{ColdShares, Warmth},
     },
     discovery::{Discovery, TargetRecord},
@@ -82,6 +83,8 @@
     pub budget: RetryBudget,
     /// Limits on the number of calls at targets.
     pub admission: Admission,
+    /// Division of contended pools by demand.
+    pub shares: PoolShares,
     /// This router's share of the calls at cold targets.
     pub cold: ColdShares,
     hall: DataHall,
@@ -105,6 +108,7 @@
             quarantine: Quarantine::default(),
             budget: RetryBudget::new(rules.budget),
             admission: Admission::new(hall.clone()),
+            shares: PoolShares::new(hall.clone(), rules.shares),
             cold: ColdShares::new(rules.cold),
             hall,
             cap_factor: rules.cap_factor,
@@ -117,6 +121,7 @@
         self.cap_factor = rules.cap_factor;
         self.budget.set_rule(rules.budget);
         self.cold.set_rule(rules.cold);
+        self.shares.set_scope(rules.shares);
     }
 
     /// Chooses a target for a call and reserves a place there; [`Self::on_end`] releases it.
@@ -295,6 +300,7 @@
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
+        self.shares.on_tick(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
             self.cache.sweep(listed);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -43,7 +43,7 @@
 pub use stop::{Signals, StopReport};
 
 use crate::{
-    admission::warm_up::ColdRule,
+    admission::{shares::ShareScope, warm_up::ColdRule},
     config::routes::CallerRules,
     ids::{DataHall, Region, VmId},
     membership::{datagram::Strength, readers::FleetStart},
@@ -103,6 +103,8 @@
     pub budget: BudgetRule,
     /// Upper bound on the calls that are sent to cold targets.
     pub cold: ColdRule,
+    /// Pools that are divided by demand while they are contended.
+    pub shares: ShareScope,
     /// Time for which callers are still accepted after a planned stop was requested, so that the load
     /// balancer can detect it.
     pub serve_on: Duration,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Error, Result, ResultCode,
-    admission::warm_up::ColdRule,
+    admission::{shares::ShareScope, warm_up::ColdRule},
     config::{routes::CallerRules, serving::CallerLimits},
     edge::{GatewayConfig, Rules},
     ids::{DataHall, Region, VmId},
@@ -180,6 +180,7 @@
                 cap_factor: self.load_bound.factor(),
                 budget: RETRY_BUDGET,
                 cold: ColdRule::default(),
+                shares: ShareScope::default(),
                 serve_on: self.drain_wait_ms.duration(),
                 stop_time: drain,
             },
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -21,7 +21,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use scaleford::{
-    admission::{surge::Surge, warm_up::ColdRule},
+    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher},
@@ -50,6 +50,7 @@
             extra: 10.0,
         },
         cold: ColdRule::default(),
+        shares: ShareScope::default(),
         serve_on: Duration::from_secs(3),
         stop_time: Duration::from_secs(8),
     }
--- a/tests/load/model/setup.rs
+++ b/tests/load/model/setup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use scaleford::{
-    admission::{surge::Surge, warm_up::ColdRule},
+    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::CallPlan,
@@ -49,6 +49,7 @@
             excess: 1.5,
             extra: 5.0,
         },
+        shares: ShareScope::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use scaleford::{
-    admission::{surge::Surge, warm_up::ColdRule},
+    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{ListChange, TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher, Ticket},
@@ -105,6 +105,7 @@
             extra: 50.0,
         },
         cold: ColdRule::default(),
+        shares: ShareScope::default(),
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
