Soak: a truncated answer counts as cut by a stop unless its target or link broke it

It also required that the process was no longer running, which is_running also says once until_exited has taken the child, and counted only calls that were sent after the stop was requested: streams that were in progress when SIGTERM arrived were never checked.

Targets now report when they refuse, fail, hang or truncate an attempt, and links when they break or hold back a connection; a call is excused only by its latest attempt. What was done to a process is kept with the process and not with the VM, so that a restart does not reset it: a call is checked against the process that its connection was opened to, and excused if that was killed, paused or resumed during the call. A call that lasts until its deadline is ended by that.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     promises::{CallOutcome, Promise, PromiseChecker},
+    stops::ProcessState,
     vm::{API_KEYS, LIFECYCLE_TIMEOUT, TestEnv, Vm},
 };
 
@@ -27,7 +28,7 @@
 const MAX_PAUSE_MS: u64 = 30;
 
 /// Deadline that a caller sends with a call, and its timeout for the response head and for each body frame.
-const CALL_DEADLINE: Duration = Duration::from_secs(3);
+pub const CALL_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Number of calls that must be served after the faults before the fleet counts as recovered.
 const MIN_SERVED_CALLS: u64 = 100;
@@ -140,7 +141,7 @@
     mut rng: Pcg64,
     name: String,
 ) {
-    let mut idle_caller: Option<Caller> = None;
+    let mut idle_caller: Option<(Caller, Rc<ProcessState>)> = None;
     let mut n = 0_u64;
     while !stop.get() {
         n += 1;
@@ -151,14 +152,15 @@
         let kind = ["safe", "once", "stream", version_kind.as_str()][rng.random_range(0..4)];
         let uses_second_key = rng.random_bool(0.2);
         let id = format!("{kind}-{name}-{n}");
-        let mut caller = match idle_caller.take().filter(|c| c.sender.is_ready()) {
-            Some(caller) => caller,
+        let connected = idle_caller.take();
+        let (mut caller, process) = match connected.filter(|(c, _)| c.sender.is_ready()) {
+            Some(connected) => connected,
             None => match Caller::connect(vm.caller_address).await {
-                Some(caller) => caller,
+                // A connection to an earlier process gets no response.
+                Some(caller) => (caller, vm.process()),
                 None => continue,
             },
         };
-        let is_shutting_down = vm.shutting_down.get();
         let served_version = vm.applied_version.get();
         let sent_at = Instant::now();
         promises.on_sent(&id, sent_at);
@@ -179,12 +181,9 @@
                 );
             }
         }
-        let is_truncated = matches!(outcome, CallOutcome::Response(200, _, false));
-        if is_truncated && is_shutting_down && !vm.disrupted.get() && !vm.is_running() {
-            promises.record_violation(Promise::StopCutsNothing, id);
-        }
+        promises.check_stop(&id, &outcome, &process, sent_at);
         if outcome != CallOutcome::NoResponse {
-            idle_caller = Some(caller);
+            idle_caller = Some((caller, process));
         }
     }
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -68,7 +68,7 @@
         }
     }
     if let Some(vm) = env.vms.choose(rng) {
-        vm.disrupted.set(true);
+        vm.process().on_disruption();
         vm.terminating.set(true);
         vm.signal(Signal::KILL);
     }
@@ -79,8 +79,7 @@
     if let Some(vm) = env.vms.choose(rng)
         && vm.is_running()
     {
-        vm.disrupted.set(vm.paused.get());
-        vm.shutting_down.set(true);
+        vm.process().on_stop_requested();
         vm.terminating.set(true);
         vm.signal(Signal::TERM);
     }
@@ -89,7 +88,7 @@
 /// Pauses a random router.
 fn pause_vm(env: &TestEnv, rng: &mut Pcg64) {
     if let Some(vm) = env.vms.choose(rng) {
-        vm.disrupted.set(true);
+        vm.process().on_disruption();
         vm.paused.set(true);
         vm.signal(Signal::STOP);
     }
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,97 @@
+//! Randomized soak test: real router processes, simulated targets and a simulated store, and links that fail.
+//!
+//! All random choices derive from one seed. The guarantees are checked by what callers and targets observe.
+
+mod budget;
+pub mod callers;
+mod crashes;
+mod entries;
+mod faults;
+#[allow(dead_code)]
+#[path = "../../tests/support/http.rs"]
+mod http;
+pub mod link;
+pub mod promises;
+#[path = "../../platform/tests/support/serve.rs"]
+mod serve;
+pub mod stops;
+#[allow(dead_code)]
+#[path = "../../platform/tests/support/store.rs"]
+mod store;
+mod store_reverts;
+pub mod target;
+mod vm;
+mod withdrawals;
+
+use std::{path::PathBuf, rc::Rc, time::Duration};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+/// Options of a run.
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Time for which faults are injected.
+    pub fault_duration: Duration,
+    /// Number of routers.
+    pub vms: usize,
+    /// Path of the router program.
+    pub program: PathBuf,
+    /// Whether to inject writes of store entries; see `entries`.
+    pub entries: bool,
+    /// Whether to send a request that crashes targets; see `crashes`.
+    pub crashes: bool,
+    /// Whether to let targets withdraw; see `withdrawals`.
+    pub withdrawals: bool,
+    /// Whether to revert the store; see `store_reverts`.
+    pub set_backs: bool,
+}
+
+/// Maximum number of routers. Each takes about 10 MB of memory and one of the 250 addresses of a network.
+pub const MAX_VMS: usize = 200;
+
+/// Time for which the request that crashes targets is still sent after the faults have ended. It is longer
+/// than the time within which routers have to know about the crashes.
+const CRASHES_AFTER_FAULTS: Duration = Duration::from_secs(6);
+
+/// Runs the soak test and returns its verdict.
+pub async fn run(options: &RunOptions) -> promises::Verdict {
+    let mut rng = Pcg64::seed_from_u64(options.seed);
+    let env = Rc::new(vm::TestEnv::start(options).await);
+    let promises = Rc::clone(&env.promises);
+    env.until_ready().await;
+    let caller_tasks = callers::start(&env, options.seed);
+    let crash_tasks = options.crashes.then(|| crashes::start(&env, options.seed));
+    let entries = async {
+        if options.entries {
+            entries::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
+    let withdrawals = async {
+        if options.withdrawals {
+            withdrawals::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
+    let reverts = async {
+        if options.set_backs {
+            store_reverts::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
+    let faults = faults::inject(&env, &mut rng, options.fault_duration);
+    tokio::join!(faults, entries, withdrawals, reverts);
+    env.clear_faults().await;
+    caller_tasks.until_recovered().await;
+    if options.set_backs {
+        store_reverts::check_config_after_revert(&env).await;
+    }
+    if let Some(crash_tasks) = crash_tasks {
+        promises.on_stability_change(true);
+        tokio::time::sleep(CRASHES_AFTER_FAULTS).await;
+        crash_tasks.stop();
+    }
+    caller_tasks.stop().await;
+    env.stop().await;
+    promises.verdict()
+}
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -45,6 +46,9 @@
     accept_task: RefCell<Option<AbortHandle>>,
     /// Notifies all connections that the link is closed.
     closed: Notify,
+    /// When the link last broke a connection or held back bytes of it, by the address from which the link
+    /// connected to the server.
+    interrupted_at: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 /// Interval at which a connection checks whether a fault has begun or ended.
@@ -64,6 +68,7 @@
             upstream_address: upstream,
             accept_task: RefCell::default(),
             closed: Notify::new(),
+            interrupted_at: RefCell::default(),
         });
         link.spawn_accept_loop(listener);
         Ok(link)
@@ -105,6 +110,22 @@
         self.fault.get() == LinkFault::None && !had_recent_fault
     }
 
+    /// Returns whether the link itself broke a connection, or held back bytes of it, at or after `since`.
+    ///
+    /// `connection` is the client's address as seen by the server behind the link.
+    pub fn has_interrupted(&self, connection: SocketAddr, since: Instant) -> bool {
+        let interrupted_at = self.interrupted_at.borrow();
+        interrupted_at
+            .get(&connection)
+            .is_some_and(|at| *at >= since)
+    }
+
+    /// Records that the link breaks a connection or holds back bytes of it.
+    fn on_interruption(&self, connection: SocketAddr) {
+        let mut interrupted_at = self.interrupted_at.borrow_mut();
+        interrupted_at.insert(connection, Instant::now());
+    }
+
     /// Starts the task that accepts connections.
     fn spawn_accept_loop(self: &Rc<Self>, listener: TcpListener) {
         let link = Rc::clone(self);
@@ -135,14 +156,17 @@
         reset_on_close(&client);
         return;
     };
+    let Ok(connection) = upstream.local_addr() else {
+        return;
+    };
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     tokio::select! {
-        () = forward(&link, client_read, upstream_write, LinkFault::StallRequests) => {}
-        () = forward(&link, upstream_read, client_write, LinkFault::StallResponses) => {}
-        () = until_reset(&link) => {}
-        () = link.closed.notified() => {}
+        () = forward(&link, connection, client_read, upstream_write, LinkFault::StallRequests) => {}
+        () = forward(&link, connection, upstream_read, client_write, LinkFault::StallResponses) => {}
+        () = until_reset(&link) => link.on_interruption(connection),
+        () = link.closed.notified() => link.on_interruption(connection),
     }
 }
 
@@ -154,7 +178,13 @@
 }
 
 /// Passes bytes in one direction until either end closes. Passes none while the fault `stall` is in force.
-async fn forward(link: &Link, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, stall: LinkFault) {
+async fn forward(
+    link: &Link,
+    connection: SocketAddr,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    stall: LinkFault,
+) {
     let mut buf = vec![0; READ_BUFFER_BYTES];
     loop {
         let n = match from.read(&mut buf).await {
@@ -162,6 +192,7 @@
             _ => return,
         };
         while link.fault.get() == stall {
+            link.on_interruption(connection);
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         if let LinkFault::Delay(delay) = link.fault.get() {
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -13,6 +13,7 @@
     RunOptions,
     budget::RetryBudget,
     crashes,
+    stops::{LatestAttempts, ProcessState},
     target::{LAST_EVENT, Target, event, expected_body},
     withdrawals,
 };
@@ -105,6 +106,7 @@
     budget: RetryBudget,
     crashes: crashes::CrashCounts,
     pub withdrawals: withdrawals::WithdrawalChecker,
+    pub attempts: LatestAttempts,
 }
 
 impl PromiseChecker {
@@ -249,6 +251,20 @@
         }
     }
 
+    /// Records a violation if the answer to a call was cut off by a planned stop of the process to which it was
+    /// sent at `sent_at`.
+    pub fn check_stop(
+        &self,
+        call: &str,
+        outcome: &CallOutcome,
+        process: &ProcessState,
+        sent_at: Instant,
+    ) {
+        if (self.attempts).was_cut_by_stop(call, outcome, process, sent_at) {
+            self.record_violation(Promise::StopCutsNothing, call.to_owned());
+        }
+    }
+
     /// Checks the body of a response with status 200.
     fn on_success(&self, call: &str, body: &[u8], is_complete: bool) {
         self.served.set(self.served.get() + 1);
@@ -294,6 +310,11 @@
 }
 
 impl Verdict {
+    /// Returns the guarantees that were violated, in the order in which that was noticed.
+    pub fn violations(&self) -> Vec<Promise> {
+        self.broken.iter().map(|(promise, _)| *promise).collect()
+    }
+
     /// Returns whether no guarantee was violated.
     pub fn all_kept(&self) -> bool {
         self.broken.is_empty()
--- /dev/null
+++ b/soak/src/stops.rs
@@ -0,0 +1,111 @@
+//! Check that a planned stop of a router cuts off no answer.
+//!
+//! Targets and links report the answers that they broke off themselves. Every other answer that ends early at a
+//! router that was asked to stop counts as cut off by the stop.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use tokio::time::Instant;
+
+use crate::{callers::CALL_DEADLINE, link::Link, promises::CallOutcome};
+
+/// What the run did to one router process.
+#[derive(Debug, Default)]
+pub struct ProcessState {
+    /// Whether the process was asked to stop gracefully.
+    stop_requested: Cell<bool>,
+    /// When the run last killed, paused or resumed the process.
+    disrupted_at: Cell<Option<Instant>>,
+}
+
+impl ProcessState {
+    /// Records that the process is asked to stop gracefully.
+    pub fn on_stop_requested(&self) {
+        self.stop_requested.set(true);
+    }
+
+    /// Records that the process is killed, paused or resumed, which may break off calls that are in progress.
+    pub fn on_disruption(&self) {
+        self.disrupted_at.set(Some(Instant::now()));
+    }
+
+    /// Returns whether the process was killed, paused or resumed at or after `since`.
+    fn was_disrupted(&self, since: Instant) -> bool {
+        self.disrupted_at.get().is_some_and(|at| at >= since)
+    }
+}
+
+/// An attempt of a call that reached a target.
+struct Attempt {
+    arrived_at: Instant,
+    /// Link through which it arrived, and the connection as seen by the target.
+    path: Option<(Rc<Link>, SocketAddr)>,
+    /// Whether the target gave no whole answer: it refused, failed, hung or truncated it.
+    failed_by_target: Arc<AtomicBool>,
+}
+
+/// Latest attempt of each call, by the call's id.
+#[derive(Default)]
+pub struct LatestAttempts(RefCell<HashMap<String, Attempt>>);
+
+impl LatestAttempts {
+    /// Records that an attempt arrives at a target, through its link and a connection of that link.
+    pub fn on_arrival(&self, call: &str, path: Option<(Rc<Link>, SocketAddr)>) {
+        let attempt = Attempt {
+            arrived_at: Instant::now(),
+            path,
+            failed_by_target: Arc::default(),
+        };
+        self.0.borrow_mut().insert(call.to_owned(), attempt);
+    }
+
+    /// Records that the target refuses, fails, hangs or truncates the latest attempt at this moment.
+    pub fn on_failed_by_target(&self, call: &str) {
+        self.failure_flag(call).store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the flag to be set when the target truncates the answer to the latest attempt.
+    pub fn failure_flag(&self, call: &str) -> Arc<AtomicBool> {
+        let attempts = self.0.borrow();
+        let flag = attempts.get(call).map(|a| Arc::clone(&a.failed_by_target));
+        flag.unwrap_or_default()
+    }
+
+    /// Returns whether the latest attempt was broken off by its target or by the link to it.
+    fn was_broken_off(&self, call: &str) -> bool {
+        let attempts = self.0.borrow();
+        attempts.get(call).is_some_and(|attempt| {
+            let is_link_cause = attempt.path.as_ref().is_some_and(|(link, connection)| {
+                link.has_interrupted(*connection, attempt.arrived_at)
+            });
+            attempt.failed_by_target.load(Ordering::Relaxed) || is_link_cause
+        })
+    }
+
+    /// Returns whether the answer to a call that was sent at `sent_at` was cut off by a planned stop of the
+    /// process.
+    ///
+    /// A call that lasts until its deadline is ended by that, not by the stop.
+    pub fn was_cut_by_stop(
+        &self,
+        call: &str,
+        outcome: &CallOutcome,
+        process: &ProcessState,
+        sent_at: Instant,
+    ) -> bool {
+        matches!(outcome, CallOutcome::Response(200, _, false))
+            && process.stop_requested.get()
+            && !process.was_disrupted(sent_at)
+            && sent_at.elapsed() < CALL_DEADLINE
+            && !self.was_broken_off(call)
+    }
+}
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -4,6 +4,10 @@
     cell::{Cell, OnceCell},
     net::SocketAddr,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -118,6 +122,9 @@
             self.crashed.notify_one();
             return std::future::pending().await;
         }
+        let connection = head.extensions.get::<SocketAddr>().copied();
+        let path = self.link.get().cloned().zip(connection);
+        self.promises.attempts.on_arrival(&call, path);
         self.promises.on_arrival(&call, &self);
         let expected = header_text(&head.headers, "x-expect-instance");
         let behavior = match self.withdrawal.get() {
@@ -132,6 +139,9 @@
                 self.run(&head.headers, &call, behavior).await
             }
         };
+        if res.status() != 200 {
+            self.promises.attempts.on_failed_by_target(&call);
+        }
         let headers = res.headers_mut();
         if let Ok(id) = call.parse() {
             headers.insert("x-attempt-id", id);
@@ -162,11 +172,15 @@
         let is_stream = call.starts_with("stream");
         match behavior {
             TargetBehavior::Failing => status_response(500),
-            TargetBehavior::Hanging => std::future::pending().await,
+            TargetBehavior::Hanging => {
+                self.promises.attempts.on_failed_by_target(call);
+                std::future::pending().await
+            }
             TargetBehavior::Truncating => {
-                Response::new(events(headers, call, LAST_EVENT / 2, true))
+                let flag = self.promises.attempts.failure_flag(call);
+                Response::new(events(headers, call, LAST_EVENT / 2, Some(flag)))
             }
-            _ if is_stream => Response::new(events(headers, call, LAST_EVENT, false)),
+            _ if is_stream => Response::new(events(headers, call, LAST_EVENT, None)),
             _ => Response::new(whole(expected_body(call))),
         }
     }
@@ -184,18 +198,20 @@
 
 /// Returns a stream of events up to `last` that resumes after the caller's `last-event-id`.
 ///
-/// If `ends_with_reset` is set, it ends with a connection reset.
-fn events(headers: &HeaderMap, call: &str, last: u64, ends_with_reset: bool) -> Body {
+/// If `reset_flag` is given, it ends with a connection reset, at which the flag is set.
+fn events(headers: &HeaderMap, call: &str, last: u64, reset_flag: Option<Arc<AtomicBool>>) -> Body {
     let first = header_text(headers, "last-event-id").parse().unwrap_or(0) + 1;
     let call = call.to_owned();
     let frames = stream::unfold(first, move |n| {
-        let call = call.clone();
+        let (call, reset_flag) = (call.clone(), reset_flag.clone());
         async move {
             tokio::time::sleep(PROCESSING_TIME).await;
             let frame = match n {
                 n if n <= last => Ok(Frame::data(Bytes::from(event(&call, n)))),
-                _ if ends_with_reset => Err(std::io::ErrorKind::ConnectionReset.into()),
-                _ => return None,
+                _ => {
+                    reset_flag?.store(true, Ordering::Relaxed);
+                    Err(std::io::ErrorKind::ConnectionReset.into())
+                }
             };
             Some((frame, n + 1))
         }
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -19,6 +19,7 @@
     callers::Caller,
     link::Link,
     promises::PromiseChecker,
+    stops::ProcessState,
     store::{Store, StoreFault},
     target::Target,
     withdrawals,
@@ -46,8 +47,8 @@
     /// Path of the router program.
     program: PathBuf,
     child: RefCell<Option<Child>>,
-    /// Whether it was asked to shut down gracefully, so that its calls must not be cut off.
-    pub shutting_down: Cell<bool>,
+    /// What was done to the current process.
+    process: RefCell<Rc<ProcessState>>,
     /// Whether it was killed or asked to shut down, even if it has not exited yet.
     pub terminating: Cell<bool>,
     /// Whether it is paused.
@@ -56,9 +57,6 @@
     pub store_link: Rc<Link>,
     /// Newest configuration version that this process was observed to have in force.
     pub applied_version: Cell<u64>,
-    /// Whether it was killed or paused since it was last started or asked to shut down, or was paused when
-    /// asked.
-    pub disrupted: Cell<bool>,
 }
 
 /// Routers, targets and store of a run.
@@ -247,8 +245,7 @@
         settings_path,
         program: options.program.clone(),
         child: RefCell::default(),
-        shutting_down: Cell::default(),
-        disrupted: Cell::default(),
+        process: RefCell::default(),
         paused: Cell::default(),
         terminating: Cell::default(),
         store_link,
@@ -270,9 +267,8 @@
             .kill_on_drop(true)
             .spawn();
         *self.child.borrow_mut() = Some(child.expect("the router program starts"));
-        self.shutting_down.set(false);
+        *self.process.borrow_mut() = Rc::default();
         self.terminating.set(false);
-        self.disrupted.set(false);
         self.applied_version.set(0);
         self.promises.withdrawals.on_vm_interrupted(self.index);
     }
@@ -291,9 +287,16 @@
         }
     }
 
+    /// Returns what was done to the current process.
+    pub fn process(&self) -> Rc<ProcessState> {
+        Rc::clone(&self.process.borrow())
+    }
+
     /// Resumes the process if it is paused.
     pub fn resume(&self) {
-        self.paused.set(false);
+        if self.paused.replace(false) {
+            self.process().on_disruption();
+        }
         self.signal(Signal::CONT);
     }
 
@@ -316,6 +319,7 @@
             .await
             .is_ok();
         if !has_exited {
+            self.process().on_disruption();
             // An error is ignored: the drop right after this kills the process as well.
             let _ = child.start_kill();
         }
