--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -180,7 +180,13 @@
                 let flag = self.promises.attempts.failure_flag(call);
                 Response::new(events(headers, call, LAST_EVENT / 2, Some(flag)))
             }
-            _ if is_stream => Response::new(events(headers, call, LAST_EVENT, None)),
+            _ if is_stream => {
+                if first_event(headers) > LAST_EVENT {
+                    // Only the end of the earlier answer was lost, which no router can resume.
+                    self.promises.attempts.on_failed_by_target(call);
+                }
+                Response::new(events(headers, call, LAST_EVENT, None))
+            }
             _ => Response::new(whole(expected_body(call))),
         }
     }
@@ -196,11 +202,16 @@
     format!("id: {n}\ndata: {call} {n}\n\n")
 }
 
+/// Returns the number of the first event that a call asks for.
+fn first_event(headers: &HeaderMap) -> u64 {
+    header_text(headers, "last-event-id").parse().unwrap_or(0) + 1
+}
+
 /// Returns a stream of events up to `last` that resumes after the caller's `last-event-id`.
 ///
 /// If `reset_flag` is given, it ends with a connection reset, at which the flag is set.
 fn events(headers: &HeaderMap, call: &str, last: u64, reset_flag: Option<Arc<AtomicBool>>) -> Body {
-    let first = header_text(headers, "last-event-id").parse().unwrap_or(0) + 1;
+    let first = first_event(headers);
     let call = call.to_owned();
     let frames = stream::unfold(first, move |n| {
         let (call, reset_flag) = (call.clone(), reset_flag.clone());
