First reads of routers that start together: ask whoever holds the content

Cause: from 32 known routers on, a router that started later than the first time read nothing until it had known of no further router for half a second. Of 80 routers that start within 0.3 s those that met 32 others late therefore had their configuration after 0.8 to 1 s, and the others listed the store for themselves.

A router now asks the first one that it learns to hold the content; while it knows none, a reader that it would choose, which answers once it has listed the store; a peer that does not answer in 150 ms is passed over. Only routers that see themselves among the readers list the store, and not before 0.1 s after their first contact. The wait to settle remains in fleets with feeders, and ends early only where three quarters are known.

--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -20,7 +20,10 @@
 use crate::{
     config::Change,
     ids::Revision,
-    membership::readers::{NextRead, ReadState},
+    membership::{
+        first_read::first_answer_timeout,
+        readers::{NextRead, ReadState},
+    },
     store::{MirrorReply, StoreError, StoreUpdate},
     units::{Instant, StoreRevision},
 };
@@ -57,6 +60,8 @@
     backoff: Duration,
     /// Earliest time of the next call to the store.
     retry_at: Instant,
+    /// Number of first requests to peers that were not answered in time.
+    unanswered: u32,
 }
 
 /// Keeps the copy of the store up to date until the router stops.
@@ -67,6 +72,7 @@
         listed: false,
         backoff: INITIAL_BACKOFF,
         retry_at: Instant::default(),
+        unanswered: 0,
     };
     loop {
         sync.step().await;
@@ -101,13 +107,21 @@
     /// Requests changes from a peer that reads the store.
     async fn request_from_reader(&mut self, reader: SocketAddr) {
         let existing = self.upstream.take().filter(|u| u.address() == reader);
+        let is_first = self.cx.peers.borrow().is_first_read(&self.read_state());
         let connected = match existing {
             Some(upstream) => Ok(upstream),
+            None if is_first => self.in_time(PeerConn::open(reader)).await,
             None => PeerConn::open(reader).await,
         };
         let sent = self.cx.now();
         let uses_feeders = self.cx.peers.borrow().uses_feeders(sent);
         let response = match connected {
+            Ok(upstream) if is_first => {
+                let request = upstream.request_changes(StoreRevision::default(), MAX_HOLD_TIME);
+                let response = self.in_time(request).await;
+                self.upstream = Some(upstream);
+                response
+            }
             Ok(upstream) => {
                 let after = self.cx.mirror.borrow().revision();
                 let wait = if uses_feeders {
@@ -137,6 +151,7 @@
             Ok((reply, proof)) => self.apply_reply(reader, sent, reply, proof).await,
             Err(e) => {
                 self.upstream = None;
+                self.unanswered += u32::from(is_first);
                 info!(self.cx.log, "reader does not answer"; "reader" => %reader, "why" => %e);
                 self.cx.peers.borrow_mut().on_nothing_recent(now, reader);
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -145,6 +160,18 @@
         self.listed |= self.cx.mirror.borrow().revision() != StoreRevision::default();
     }
 
+    /// Waits for the answer to a first request, or for its connection, as long as first requests may take.
+    ///
+    /// The caller then asks another peer: callers of this router wait for the answer.
+    async fn in_time<T>(
+        &self,
+        answer: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let timeout = first_answer_timeout(self.unanswered);
+        let answered = tokio::time::timeout(timeout, answer).await;
+        answered.unwrap_or_else(|e| Err(StoreError::NoAnswer(e.to_string())))
+    }
+
     /// Applies a peer's response and the confirmation of the configuration that comes with it.
     async fn apply_reply(
         &self,
--- a/src/membership/feeders.rs
+++ b/src/membership/feeders.rs
@@ -23,7 +23,7 @@
 };
 
 /// Fleet size from which feeders stand between the readers and the other routers.
-const MIN_FLEET_WITH_FEEDERS: usize = 128;
+pub(super) const MIN_FLEET_WITH_FEEDERS: usize = 128;
 
 /// Average number of routers per feeder.
 const ROUTERS_PER_FEEDER: usize = 24;
@@ -91,12 +91,16 @@
             true => readers.into_iter().chain(feeders),
             false => feeders.into_iter().chain(readers),
         };
-        let is_paused = |address: &SocketAddr| {
-            let at = self.failed_sources.get(address);
-            at.is_some_and(|at| now.since(*at) < PARENT_RETRY_INTERVAL)
-        };
         let addresses = candidates.filter_map(|vm| self.by_vm.get(vm).map(|p| p.address));
-        addresses.into_iter().find(|address| !is_paused(address))
+        addresses
+            .into_iter()
+            .find(|address| !self.is_paused_source(now, *address))
+    }
+
+    /// Whether the router at this address had nothing recent or did not answer a moment ago.
+    pub(super) fn is_paused_source(&self, now: Instant, address: SocketAddr) -> bool {
+        let at = self.failed_sources.get(&address);
+        at.is_some_and(|at| now.since(*at) < PARENT_RETRY_INTERVAL)
     }
 
     /// Returns the feeders of a data hall: its routers of higher capacity, and others if these are
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod datagram;
 mod feeders;
+pub mod first_read;
 pub mod heartbeats;
 mod hubs;
 mod peer;
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{peer::Peer, peers::Peers};
+use super::{feeders::MIN_FLEET_WITH_FEEDERS, peer::Peer, peers::Peers};
 use crate::{
     ids::VmId,
     placement::owner,
@@ -13,10 +13,10 @@
 ///
 /// If a third of the routers are cut off from the store, one of three nearly always still reaches
 /// it. If none does, as many of the routers that reach it replace them.
-const READER_COUNT: usize = 3;
+pub(super) const READER_COUNT: usize = 3;
 
 /// Key by which readers are selected with rendezvous hashing.
-const READERS_KEY: &str = "store readers";
+pub(super) const READERS_KEY: &str = "store readers";
 
 /// Maximum time since a reader's last answer from the store for others to rely on that reader: one
 /// watch, its pause and a datagram.
@@ -66,7 +66,8 @@
 /// live router at one of the known addresses answers within this time.
 const FIRST_CONTACT_WAIT: Duration = Duration::from_millis(250);
 
-/// Fleet size from which a starting router waits until it knows the others.
+/// Fleet size from which a router of a fleet that starts for the first time waits until it knows the others; a
+/// router that starts later does so in a fleet with feeders.
 ///
 /// Otherwise each router of a fleet that starts together lists all targets by itself, which takes
 /// the store longer than the routers take to discover one another.
@@ -79,6 +80,10 @@
 /// cost less than a longer wait.
 const MAX_SETTLE_LATER_START: Duration = Duration::from_millis(1_500);
 
+/// Fraction of the reported fleet that a router must know to end that wait early: one that the others answer
+/// late has not changed for a while either, and would take itself for a reader.
+const SETTLED_FRACTION: f64 = 0.75;
+
 /// Whether the whole fleet starts for the first time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FleetStart {
@@ -127,6 +132,9 @@
         if self.uses_feeders(now) {
             return self.next_read_via_feeders(now, state);
         }
+        if self.is_first_read(state) {
+            return self.first_read(now, state);
+        }
         let is_reader = self.is_active_reader(now, state);
         let first_wait = match state.start {
             FleetStart::First => FIRST_START_WAIT,
@@ -146,16 +154,21 @@
     /// Whether this router has just started and is still discovering the others.
     fn is_discovering(&self, now: Instant, start: FleetStart) -> bool {
         let knows_none = self.by_vm.is_empty();
-        let (is_discovering, longest) = match start {
-            FleetStart::First => (now.0 < DISCOVERY_TIME, MAX_SETTLE_FIRST_START),
+        let size = self.fleet_size();
+        match start {
+            FleetStart::First => {
+                let is_learning = size >= MIN_FLEET_TO_SETTLE && !self.is_settled(now);
+                now.0 < DISCOVERY_TIME || (is_learning && now.0 < MAX_SETTLE_FIRST_START)
+            }
             FleetStart::Later => {
                 let waits = knows_none && !self.unconfirmed_addresses.is_empty();
-                (now.0 < FIRST_CONTACT_WAIT && waits, MAX_SETTLE_LATER_START)
+                let knows_most = self.live_count(now) as f64 >= size as f64 * SETTLED_FRACTION;
+                let is_learning =
+                    size >= MIN_FLEET_WITH_FEEDERS && !(knows_most && self.is_settled(now));
+                (waits && now.0 < FIRST_CONTACT_WAIT)
+                    || (is_learning && now.0 < MAX_SETTLE_LATER_START)
             }
-        };
-        let is_learning =
-            self.fleet_size() >= MIN_FLEET_TO_SETTLE && !self.is_settled(now) && now.0 < longest;
-        is_discovering || is_learning
+        }
     }
 
     /// Whether this router reads the store on behalf of the fleet, as a designated reader or as a
@@ -238,7 +251,11 @@
 
     /// Returns the designated readers that recently received an answer from the store, `me`
     /// included if given; if there are none, a few other routers that did.
-    fn acting_readers<'a>(&'a self, now: Instant, me: Option<&'a VmId>) -> Vec<&'a VmId> {
+    pub(super) fn acting_readers<'a>(
+        &'a self,
+        now: Instant,
+        me: Option<&'a VmId>,
+    ) -> Vec<&'a VmId> {
         let fresh = |(_, p): &(&VmId, &Peer)| self.is_fresh_reader(now, p);
         let fresh = self.by_vm.iter().filter(fresh);
         let fresh = fresh.map(|(vm, p)| (vm, p.capacity));
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -133,6 +133,8 @@
 pub(super) struct ComparisonState {
     /// Time of the last change in the membership.
     last_change_at: Instant,
+    /// Time at which this router learned of the first other one.
+    first_contact_at: Option<Instant>,
     /// Highest number of routers that a peer reported.
     routers_reported: u32,
     /// Address of a hub whose member digest differs from what is known here.
@@ -146,6 +148,7 @@
     fn default() -> Self {
         Self {
             last_change_at: Instant::default(),
+            first_contact_at: None,
             routers_reported: 0,
             differs_from: None,
             turn: 0,
@@ -158,6 +161,7 @@
 impl ComparisonState {
     pub(super) fn note_change(&mut self, now: Instant) {
         self.last_change_at = now;
+        self.first_contact_at.get_or_insert(now);
     }
 
     pub(super) fn on_difference(&mut self, from: SocketAddr) {
@@ -199,6 +203,11 @@
         now.since(self.comparison.last_change_at) >= SETTLE_TIME
     }
 
+    /// Returns the time since this router learned of the first other one.
+    pub(super) fn time_since_contact(&self, now: Instant) -> Option<Duration> {
+        self.comparison.first_contact_at.map(|at| now.since(at))
+    }
+
     /// Returns the number of routers in the fleet, as known here or reported by a peer, whichever
     /// is higher.
     pub fn fleet_size(&self) -> usize {
