--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -20,7 +20,7 @@
 pub use limit::{CallLimit, CallTraits};
 use shortage::Shortage;
 use slot_time::MeanSlotTime;
-pub use startup::wait_for_config;
+pub use startup::{MAX_WAITING_CALLS, wait_for_config};
 use surge::{Surge, SurgeDetector};
 
 use crate::{
--- a/src/admission/shortage.rs
+++ b/src/admission/shortage.rs
@@ -19,7 +19,7 @@
 
 /// Maximum retry delay as a fraction of the time for which a caller waits. A caller that retries
 /// then still has most of its time, and clients do not honour longer delays.
-const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
+pub(super) const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
 
 /// Fraction of the delay over which callers that were refused together are spread.
 const JITTER_FRACTION: f64 = 0.4;
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -40,16 +40,35 @@
     pub(crate) received: Instant,
 }
 
-/// Waits for the first configuration if the router has just started and one is expected soon.
+/// A call that waits for the first configuration; dropped when the wait ends or its caller is gone.
+struct WaitingCall<'a>(&'a Gateway);
+
+impl<'a> WaitingCall<'a> {
+    fn new(cx: &'a Gateway) -> Self {
+        cx.awaiting_config.set(cx.awaiting_config.get() + 1);
+        Self(cx)
+    }
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        let waiting = &self.0.awaiting_config;
+        waiting.set(waiting.get() - 1);
+    }
+}
+
+/// Waits for the first configuration if the router has just started, one is expected soon, and few calls wait.
 pub(crate) async fn await_config(cx: &Gateway, incoming_call: &IncomingCall) {
     if cx.serving().is_some() {
         return;
     }
     let arrival = cx.config_arrived.notified();
-    let wait = wait_for_config(cx.now().0, deadline(cx, incoming_call));
+    let time_left = deadline(cx, incoming_call).unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    let wait = wait_for_config(cx.now().0, time_left, cx.awaiting_config.get());
     let Some(wait) = wait else {
         return;
     };
+    let _waiting = WaitingCall::new(cx);
     let until = cx.now() + wait;
     let has_arrived = cx.clock.timeout_at(until, arrival).await.is_some();
     info!(cx.log, "waited for a configuration"; "id" => incoming_call.id.as_deref(), "came" => has_arrived,
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -87,6 +87,8 @@
     pub(crate) store_unavailable_since: Cell<Option<Instant>>,
     /// Wakes calls that wait for the first configuration.
     pub(crate) config_arrived: Notify,
+    /// Number of calls that wait for the first configuration.
+    pub(crate) awaiting_config: Cell<usize>,
     /// Instant at which the store last became available again.
     pub(crate) store_regained_at: Cell<Option<Instant>>,
     /// Latest instant at which the store is known to have held the contents of the mirror.
@@ -138,6 +140,7 @@
             response_cache: RefCell::default(),
             store_unavailable_since: Cell::new(None),
             config_arrived: Notify::new(),
+            awaiting_config: Cell::new(0),
             store_regained_at: Cell::new(None),
             store_confirmed_at: Cell::new(None),
             accepted_changes: AcceptedChanges::default(),
