--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -108,6 +108,8 @@
     revoke_bound: RevokeBound = Some("none"), false, "none, or milliseconds from 1000";
     /// Maximum load of a target, as a multiple of its pool's mean.
     load_bound: LoadBound = Some("2"), false, "a factor from 1.01 to 10";
+    /// Pools that are divided among callers by demand while they are contended.
+    demand_shares: ShareScope = Some("small-pools"), false, "off, small-pools or all-pools";
     /// Maximum size of a request body.
     body_limit: ByteCount = Some("4m"), false, "bytes, optionally with the suffix k or m";
     /// Maximum size of a request head.
@@ -180,7 +182,7 @@
                 cap_factor: self.load_bound.factor(),
                 budget: RETRY_BUDGET,
                 cold: ColdRule::default(),
-                shares: ShareScope::default(),
+                shares: self.demand_shares,
                 serve_on: self.drain_wait_ms.duration(),
                 stop_time: drain,
             },
