Send reports on contended pools between routers

Datagrams carry a router's own report and, from hubs, the sums of data halls, encoded once for all receivers. They go with every send of counts: a surge lasts 3 to 7 s, and rates of accounts are sent every 500 ms only.

Where no pool is contended a datagram grows by two bytes, the lengths of the empty fields.

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -9,7 +9,7 @@
 use super::{
     accounts, crash_checks, exchange,
     gateway::Gateway,
-    sums::{EncodedSums, RateReportSchedule, RateReports},
+    sums::{self, EncodedSums, RateReportSchedule, RateReports},
 };
 use crate::{
     admission::account_rates::RateReport,
@@ -21,6 +21,7 @@
         heartbeats::HubDigests,
         peers::DatagramEffect,
         records::Exchange,
+        share_reports,
         timing::{HEARTBEAT_INTERVAL, SendContent, SendSchedule},
     },
     prompt_cache::{PartLocation, PromptPart},
@@ -124,6 +125,9 @@
     let mut outgoing = new_datagram(cx, take_prompt_announcements(cx));
     outgoing.load = (!is_large).then(|| cx.dispatcher.borrow_mut().load.own_counts());
     outgoing.rates = rates.to_vec();
+    if !is_large {
+        sums::own_shares(cx).write(&mut outgoing, true);
+    }
     for to in cx.peers.borrow().all_receivers() {
         outgoing.echo = to.echo;
         send_to(cx, udp, &outgoing, to.address);
@@ -131,11 +135,12 @@
 }
 
 /// Sends a datagram to the hubs. If this router aggregates for its data hall, sends the sums to all
-/// routers that need them, with digests of the live routers and rates of the accounts.
+/// routers that need them, with digests of the live routers, rates of the accounts and reports on
+/// contended pools.
 fn send_to_frequent_receivers(cx: &Gateway, udp: &UdpSocket, rates: &RateReports) {
     let now = cx.now();
     let mut outgoing = new_datagram(cx, take_prompt_announcements(cx));
-    let (sums, digests) = match cx.is_aggregator.get() {
+    let (counts, digests) = match cx.is_aggregator.get() {
         true => {
             let mut peers = cx.peers.borrow_mut();
             let changes = peers.recent_changes(now);
@@ -146,17 +151,21 @@
         false => (EncodedSums::default(), HubDigests::default()),
     };
     outgoing.load = Some(cx.dispatcher.borrow_mut().load.own_counts());
+    let shares = match cx.is_aggregator.get() {
+        true => sums::hall_shares(cx),
+        false => sums::own_shares(cx),
+    };
     for to in cx.peers.borrow().frequent_receivers(now) {
         outgoing.echo = to.echo;
         let is_own_hall = to.hall.as_ref() == Some(&cx.cfg.data_hall);
         let (halls, digests, of_halls) = match is_own_hall {
             true => (
-                &sums.for_own_hall,
+                &counts.for_own_hall,
                 &digests.for_own_hall,
                 &rates.halls.for_own_hall,
             ),
             false => (
-                &sums.for_other_halls,
+                &counts.for_other_halls,
                 &digests.for_other_halls,
                 &rates.halls.for_other_halls,
             ),
@@ -164,6 +173,7 @@
         outgoing.rates = of_halls.iter().chain(&rates.own).cloned().collect();
         outgoing.halls.clone_from(halls);
         outgoing.member_digests.clone_from(digests);
+        shares.write(&mut outgoing, is_own_hall);
         send_to(cx, udp, &outgoing, to.address);
     }
 }
@@ -277,6 +287,8 @@
         stopping: cx.phase() != Phase::Serving,
         load: None,
         parts,
+        shares: Vec::new(),
+        share_sums: Vec::new(),
     }
 }
 
@@ -306,7 +318,7 @@
     }
 }
 
-fn on_datagram(cx: &Gateway, udp: &UdpSocket, from: SocketAddr, received: Datagram) {
+fn on_datagram(cx: &Gateway, udp: &UdpSocket, from: SocketAddr, mut received: Datagram) {
     let now = cx.now();
     let effect = cx.peers.borrow_mut().on_datagram(now, from, &received);
     let joined = match effect {
@@ -325,6 +337,10 @@
         cx.freshness.borrow_mut().on_peer_confirmation(confirmation);
     }
     crash_checks::on_notices(cx, now, &received.crashes, &received.quarantined);
+    let shares = share_reports::take(&mut received).unwrap_or_else(|e| {
+        debug!(cx.log, "shares not decoded"; "from" => %from, "why" => %e);
+        Vec::new()
+    });
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = received.store_regained_ms {
         let ago = Duration::from_millis(u64::from(ago));
@@ -332,6 +348,9 @@
     }
     let admission = &mut dispatcher.admission;
     admission.on_rate_reports(now, &received.vm, &received.hall, received.rates);
+    if !shares.is_empty() {
+        (dispatcher.shares).on_reports(now, &received.vm, &received.hall, shares);
+    }
     let peer = received.vm.clone();
     let outages = dispatcher.health.outages.on_notices(now, &received.outages);
     if outages > 0 {
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -126,7 +126,11 @@
         cx.conns.on_tick(now);
         let live = cx.peers.borrow().live_count(now);
         let size = cx.peers.borrow().fleet_size();
-        cx.dispatcher.borrow_mut().load.set_fleet_size(size);
+        {
+            let mut dispatcher = cx.dispatcher.borrow_mut();
+            dispatcher.load.set_fleet_size(size);
+            dispatcher.shares.set_fleet_size(size);
+        }
         cx.metrics.peers_alive.set(live as i64);
         let age = cx.freshness.borrow().age(now);
         cx.metrics
--- a/src/edge/sums.rs
+++ b/src/edge/sums.rs
@@ -1,4 +1,5 @@
-//! Aggregates that hubs compute for other routers: counts of calls, and rates of accounts.
+//! Aggregates that hubs compute for other routers: counts of calls, rates of accounts, and reports on
+//! contended pools.
 
 use slog::debug;
 
@@ -8,7 +9,7 @@
         HallRates,
         account_rates::{RATE_REPORT_INTERVAL, RateReport},
     },
-    membership::datagram::HallSums,
+    membership::{datagram::HallSums, share_reports::ShareSends},
     units::Instant,
 };
 
@@ -40,6 +41,21 @@
     }
 }
 
+/// Returns this router's own report on contended pools, to be sent to its hubs or to all peers of a
+/// small fleet.
+pub(super) fn own_shares(cx: &Gateway) -> ShareSends {
+    ShareSends::own(cx.dispatcher.borrow().shares.own_report(cx.now()))
+}
+
+/// Returns the sums of reports on contended pools that this router sends as a hub.
+pub(super) fn hall_shares(cx: &Gateway) -> ShareSends {
+    let reports = cx.dispatcher.borrow().shares.hall_reports(cx.now());
+    ShareSends::sums(reports).unwrap_or_else(|e| {
+        debug!(cx.log, "cannot encode shares"; "why" => %e);
+        ShareSends::default()
+    })
+}
+
 /// Account rates to report.
 #[derive(Default)]
 pub(super) struct RateReports {
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    admission::account_rates::RateReport,
+    admission::{account_rates::RateReport, shares::ShareReport},
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     outages::OutageNotice,
@@ -135,4 +135,10 @@
     pub suspected: Vec<TargetHash>,
     /// Shared prompt parts that were sent to a target for the first time.
     pub parts: Vec<(PartId, Tokens, TargetId)>,
+    /// Sender's own report on contended pools; usually empty. This field and the next are last: a
+    /// datagram of an earlier version ends before them, so that it can't be decoded as another one.
+    pub shares: Vec<ShareReport>,
+    /// Reports on contended pools of all routers of some data halls: a `Vec<ShareReport>`, encoded
+    /// once for all receivers. Empty unless the sender aggregates for its data hall.
+    pub share_sums: Vec<u8>,
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,4 +8,5 @@
 pub mod peers;
 pub mod readers;
 pub mod records;
+pub mod share_reports;
 pub mod timing;
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -80,6 +80,8 @@
         rates: Vec::new(),
         suspected: Vec::new(),
         parts: Vec::new(),
+        shares: Vec::new(),
+        share_sums: Vec::new(),
     }
 }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -163,6 +163,8 @@
             rates: Vec::new(),
             suspected: Vec::new(),
             parts: Vec::new(),
+            shares: Vec::new(),
+            share_sums: Vec::new(),
         }
     }
 
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -62,6 +62,8 @@
         rates: Vec::new(),
         suspected: Vec::new(),
         parts: Vec::new(),
+        shares: Vec::new(),
+        share_sums: Vec::new(),
     }
 }
 
