Show operators contended pools

status, metrics, two log lines, the command and explain tell a pool's capacity, who asks for it and what is admitted.

--- a/src/bin/scaleford/show.rs
+++ b/src/bin/scaleford/show.rs
@@ -122,6 +122,47 @@
             t["kept"]
         );
     }
+    for pool in rows(&s["contended"]) {
+        contended_pool(pool);
+    }
+}
+
+/// Prints a contended pool: who asks for it, and what its targets are offered.
+fn contended_pool(p: &Value) {
+    println!(
+        "\ncontended pool {}: {:.1} calls/s of {:.1} asked for, {:.3} admitted",
+        text(&p["service"]),
+        number(&p["capacity_per_s"]),
+        number(&p["demand_per_s"]),
+        number(&p["admitted"])
+    );
+    println!(
+        "{:>4} {:<24} {:<9} {:>10} {:>9}",
+        "RANK", "ACCOUNT", "RETURNING", "DEMAND/S", "ADMITTED"
+    );
+    for c in rows(&p["claims"]) {
+        let returning = c["returning"].as_bool().unwrap_or_default();
+        println!(
+            "{:>4} {:<24} {:<9} {:>10.1} {:>9.3}",
+            c["rank"],
+            c["account"].as_str().unwrap_or("-"),
+            if returning { "yes" } else { "no" },
+            number(&c["demand_per_s"]),
+            number(&c["admitted"])
+        );
+    }
+    println!("{:<24} {:>10}", "TARGET", "OFFERED/S");
+    for t in rows(&p["targets"]) {
+        println!(
+            "{:<24} {:>10.1}",
+            text(&t["target"]),
+            number(&t["offered_per_s"])
+        );
+    }
+}
+
+fn number(v: &Value) -> f64 {
+    v.as_f64().unwrap_or_default()
 }
 
 /// Returns the text that is shown instead of the health of a target that accepts no calls.
--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -280,6 +280,11 @@
         self.keys.get(&KeyHash::of(key))
     }
 
+    /// Iterates over the accounts that have keys; an account with several keys occurs several times.
+    pub fn accounts(&self) -> impl Iterator<Item = &ClientAccountId> {
+        self.keys.values().map(|owner| &owner.account)
+    }
+
     /// Returns the route and the account of a request, or why it is not allowed.
     pub fn admit(
         &self,
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -20,6 +20,7 @@
         freshness::Freshness,
         serving::{CallerLimits, ServingConfig},
     },
+    contention::ContentionWatch,
     dialect::Dialect,
     dispatcher::Dispatcher,
     explain::{Decision, ExplainRing},
@@ -68,6 +69,7 @@
     pub(crate) accounts: Accounts,
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
+    pub(super) contention: RefCell<ContentionWatch>,
     pub(crate) explain: ExplainRing,
     pub(crate) rules: Cell<Rules>,
     /// Number of calls in progress at this router.
@@ -144,6 +146,7 @@
             accounts: Accounts::default(),
             claims: ClaimRecorder::new(Rc::clone(&store)),
             crash_checks: CrashChecks::default(),
+            contention: RefCell::default(),
             explain: ExplainRing::new(cfg.explain_kept),
             conns: Rc::default(),
             metrics: Metrics::default(),
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    StopReport, crash_checks, exchange,
+    StopReport, contended, crash_checks, exchange,
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, saved_state, stop,
     stop::Signals,
@@ -112,6 +112,7 @@
         store_updates::apply_settled_content(&cx);
         crash_checks::on_tick(&cx);
         withdrawals::on_tick(&cx);
+        contended::on_tick(&cx);
         for target in removed {
             cx.conns.close_idle(&target);
             info!(cx.log, "target"; "target" => %target, "verdict" => "gone", "why" => "still missing after the store became available again");
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms of a gateway, in the text format that scrapers read.
 
-use std::{cell::Cell, fmt::Write, time::Duration};
+use std::{cell::Cell, fmt::Write, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -8,7 +8,12 @@
     registry::Registry,
 };
 
-use crate::ids::ServiceName;
+use crate::{
+    admission::shares::PoolStatus,
+    contention::{self, HashedNames},
+    ids::ServiceName,
+    units::Rank,
+};
 
 /// Upper bounds of the histogram buckets in seconds, from the typical duration of a plain call to the
 /// longest deadline.
@@ -33,6 +38,64 @@
     service: String,
 }
 
+/// Label for refusals of calls to a contended pool.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabel {
+    service: String,
+    rank: u32,
+    reason: &'static str,
+}
+
+/// Gauges of the pools that are contended at the moment.
+#[derive(Debug, Default)]
+struct ContendedPools {
+    capacity: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    demand: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    admitted: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    count: Cell<usize>,
+}
+
+impl ContendedPools {
+    fn register(&self, r: &mut Registry) {
+        let gauges = [
+            (
+                "contended_capacity",
+                "Calls per second that a contended pool is offered at most",
+                &self.capacity,
+            ),
+            (
+                "contended_demand",
+                "Calls per second that arrive for a contended pool",
+                &self.demand,
+            ),
+            (
+                "contended_admitted",
+                "Fraction of the calls to a contended pool that is admitted",
+                &self.admitted,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            r.register(name, help, gauge.clone());
+        }
+    }
+
+    fn set(&self, pools: &[PoolStatus], names: &HashedNames) {
+        self.count.set(pools.len());
+        for family in [&self.capacity, &self.demand, &self.admitted] {
+            family.clear();
+        }
+        for pool in pools {
+            let label = ServiceLabel {
+                service: names.service(pool.service),
+            };
+            let (demand, admitted) = contention::demand_and_admitted(pool);
+            self.capacity.get_or_create(&label).set(pool.capacity);
+            self.demand.get_or_create(&label).set(demand);
+            self.admitted.get_or_create(&label).set(admitted);
+        }
+    }
+}
+
 /// All metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -41,6 +104,8 @@
     store_calls: Family<ReasonLabel, Counter>,
     withdrawn: Family<ReasonLabel, Gauge>,
     slot_time_ms: Family<ServiceLabel, Gauge>,
+    contended: ContendedPools,
+    contended_refusals: Family<RefusalLabel, Counter>,
     retry_after: Histogram,
     counts_age: Histogram,
     call_time: Histogram,
@@ -73,6 +138,8 @@
             store_calls: Family::default(),
             withdrawn: Family::default(),
             slot_time_ms: Family::default(),
+            contended: ContendedPools::default(),
+            contended_refusals: Family::default(),
             retry_after: Histogram::new(BUCKET_BOUNDS_SECONDS),
             counts_age: Histogram::new(BUCKET_BOUNDS_SECONDS),
             call_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
@@ -129,6 +196,12 @@
             "How long a call holds a slot of a target, by service",
             self.slot_time_ms.clone(),
         );
+        self.contended.register(r);
+        r.register(
+            "contended_refusals",
+            "Calls to contended pools that were refused, by rank and why",
+            self.contended_refusals.clone(),
+        );
         r.register(
             "come_back_seconds",
             "When callers that found no room were asked back",
@@ -233,6 +306,31 @@
         gauge.set(slot_time.as_millis() as i64);
     }
 
+    /// Sets the metrics of the pools that are contended, and drops those of all others.
+    pub(crate) fn on_contended_pools(&self, pools: &[PoolStatus], names: &HashedNames) {
+        self.contended.set(pools, names);
+    }
+
+    /// Returns whether there are metrics of contended pools.
+    pub(crate) fn has_contended_pools(&self) -> bool {
+        self.contended.count.get() > 0
+    }
+
+    /// Counts a refusal of a call to a contended pool.
+    pub(crate) fn on_contended_refusal(
+        &self,
+        service: &ServiceName,
+        rank: Rank,
+        reason: &'static str,
+    ) {
+        let label = RefusalLabel {
+            service: service.to_string(),
+            rank: u32::from(rank.0),
+            reason,
+        };
+        self.contended_refusals.get_or_create(&label).inc();
+    }
+
     /// Sets the number of targets that are leaving, and of those that accept no calls for a while.
     pub(crate) fn on_withdrawn(&self, leaving: usize, backed_off: usize) {
         for (reason, n) in [("leaving", leaving), ("backoff", backed_off)] {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,6 +16,7 @@
 mod claimed_calls;
 mod confirm;
 mod conn;
+mod contended;
 mod crash_checks;
 mod exchange;
 mod feed;
@@ -38,6 +39,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 pub(crate) use body::AnswerBody;
+pub use contended::{ContendedRefusal, ShareDecision};
 pub use gateway::{Gateway, GatewayParts};
 pub use listening::ListeningGateway;
 pub use stop::{Signals, StopReport};
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -7,9 +7,10 @@
 use serde::Serialize;
 use slog::info;
 
-use super::{body::AnswerBody, gateway::Gateway, peer_calls};
+use super::{body::AnswerBody, contended, gateway::Gateway, peer_calls};
 use crate::{
     config::{Change, Digest},
+    contention::PoolView,
     explain::DecisionRecord,
     health::HealthStatus,
     ids::{DataHall, Region, Revision, ServiceName, TargetId, VmId},
@@ -41,6 +42,8 @@
     targets: Vec<TargetStatus>,
     evacuated: Vec<EvacuatedHall>,
     held_back: Vec<QuarantinedRequest>,
+    /// Pools that are divided by demand because they are contended.
+    contended: Vec<PoolView>,
 }
 
 /// A data hall whose targets receive no calls.
@@ -135,6 +138,7 @@
         targets: targets(cx),
         evacuated: evacuated(cx),
         held_back: quarantined_requests(cx),
+        contended: contended::pools(cx),
     }
 }
 
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -7,10 +7,11 @@
 use crate::{
     ids::{TargetId, VmId},
     result_code::ResultCode,
+    units::Rank,
 };
 
 /// One decision on a call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
 pub enum Decision {
     /// The call was received.
@@ -20,6 +21,21 @@
         /// Service that the call is routed to.
         pool: String,
     },
+    /// The call's pool was contended, and a fraction of the calls of its claim was admitted.
+    Divided {
+        /// Account that sent the call; empty if it had no key.
+        account: String,
+        /// Urgency of the call.
+        rank: Rank,
+        /// Whether its caller was refused before and has returned.
+        returning: bool,
+        /// Fraction of the claim's calls that was admitted.
+        fraction: f64,
+        /// The call's draw, from 0 to 1; a call is admitted if it is below the fraction.
+        draw: f64,
+        /// Whether the call was admitted.
+        admitted: bool,
+    },
     /// A target was chosen for the call.
     Tried {
         /// The target.
@@ -55,6 +71,32 @@
     pub fn sentence(&self) -> String {
         match self {
             Self::Received { account, pool } => format!("{account} asked for {pool}."),
+            Self::Divided {
+                account,
+                rank,
+                returning,
+                fraction,
+                draw,
+                admitted,
+            } => {
+                let calls = if *returning {
+                    "returning calls"
+                } else {
+                    "calls"
+                };
+                let account = match account.as_str() {
+                    "" => "without an account",
+                    account => &format!("of {account}"),
+                };
+                let verdict = if *admitted {
+                    "was admitted"
+                } else {
+                    "was refused"
+                };
+                format!(
+                    "The pool was contended: of the {calls} {account} with rank {rank}, a fraction of {fraction:.3} was admitted; this one drew {draw:.3} and {verdict}."
+                )
+            }
             Self::Tried {
                 target,
                 calls,
@@ -75,7 +117,7 @@
 }
 
 /// A decision with its time, router and call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DecisionRecord {
     /// Unix time in milliseconds, which orders the records of several routers approximately.
     pub at_ms: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod claims;
 pub mod clock;
 pub mod config;
+pub mod contention;
 pub mod dialect;
 pub mod discovery;
 pub mod dispatcher;
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -4,10 +4,11 @@
 
 use std::process::{Command, Output};
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{
     caller::TOKEN,
     fleet::{Fleet, Plan},
+    http,
 };
 
 const COMMAND: &str = env!("CARGO_BIN_EXE_scaleford");
@@ -49,6 +50,32 @@
     assert_eq!(run(COMMAND, &["status"]).status.code(), Some(2));
 }
 
+/// Guards against a command that leaves contended pools out, or breaks off at what it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_command_shows_contended_pools() {
+    let pool = json!({"service": "bid-desk", "capacity_per_s": 60.0, "demand_per_s": 120.0,
+        "admitted": 0.5, "claims": [
+            {"rank": 0, "returning": true, "account": "green-hammer", "demand_per_s": 20.0, "admitted": 1.0},
+            {"rank": 2, "returning": false, "account": null, "demand_per_s": 100.0, "admitted": 0.4}],
+        "targets": [{"target": "desk-1", "offered_per_s": 40.0}, {"target": "desk-2", "offered_per_s": 20.0}]});
+    let status = json!({"vm": "vm-1", "region": "region-1", "data_hall": "hall-1",
+        "state": "serving", "contended": [pool]});
+    let router = http::serve("127.0.0.1:0", move |_| {
+        let answer = http::json(200, &status);
+        async move { Ok(answer) }
+    })
+    .await;
+    let operator = router.address.to_string();
+    let out = run(
+        COMMAND,
+        &["--operator", &operator, "--token", TOKEN, "status"],
+    );
+    assert!(out.status.success());
+    let text = String::from_utf8(out.stdout).unwrap();
+    let shown = text.split_once("contended pool").unwrap().1;
+    insta::assert_snapshot!(format!("contended pool{shown}"));
+}
+
 /// A temporary file of a test, removed when dropped.
 struct TempFile(std::path::PathBuf);
 
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -1,5 +1,7 @@
 //! Reports of contended pools in datagrams: round trips, sizes and receivers.
 
+mod support;
+
 use rstest::rstest;
 use scaleford::{
     admission::{
@@ -16,6 +18,7 @@
     },
     units::{Rank, StoreRevision},
 };
+use support::fleet::{Fleet, Plan, status};
 
 fn hall(n: usize) -> DataHall {
     format!("hall-{n}").parse().unwrap()
@@ -248,3 +251,35 @@
     let older = &bytes[..bytes.len() - 2];
     assert!(postcard::from_bytes::<Message>(older).is_err());
 }
+
+/// Guards against a router that fails at the datagrams of an earlier version: they are passed over,
+/// and the next ones are read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_passes_over_datagrams_that_it_cannot_decode() {
+    let fleet = Fleet::start(Plan {
+        routers: 1,
+        ..Plan::default()
+    })
+    .await;
+    let peers = fleet.live().next().unwrap().addresses().peers;
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let named = |vm: &str, number: u64| {
+        encoded(Datagram {
+            vm: vm.parse().unwrap(),
+            number,
+            ..datagram()
+        })
+    };
+    for number in 1.. {
+        let older = named("vm-older", number);
+        let older = &older[..older.len() - 2];
+        socket.send_to(older, peers).await.unwrap();
+        let own = named("vm-same", number);
+        socket.send_to(&own, peers).await.unwrap();
+        let shown = status(fleet.operators_at(0)).await["routers"].to_string();
+        assert!(!shown.contains("vm-older"));
+        if shown.contains("vm-same") {
+            break;
+        }
+    }
+}
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -81,7 +81,10 @@
     }
 
     /// Runs a query on the router's thread and returns its result.
-    fn query<T: Send + 'static>(&self, query: impl FnOnce(&Gateway) -> T + Send + 'static) -> T {
+    pub fn query<T: Send + 'static>(
+        &self,
+        query: impl FnOnce(&Gateway) -> T + Send + 'static,
+    ) -> T {
         let (tx, rx) = std::sync::mpsc::channel();
         let query = Box::new(move |g: &Gateway| drop(tx.send(query(g))));
         assert!(self.queries.send(query).is_ok(), "the router runs");
@@ -112,6 +115,12 @@
         self.query(Gateway::hop_spans)
     }
 
+    /// Returns the address on which the router serves its metrics.
+    pub fn metrics_address(&self) -> SocketAddr {
+        let address = self.query(|gateway| gateway.config().metrics);
+        address.expect("the settings serve metrics")
+    }
+
     /// Stops the router gracefully and returns its report.
     pub async fn stop(mut self) -> StopReport {
         self.stop.send(()).await.expect("the router runs");
