--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -138,7 +138,7 @@
     /// Sender's own report on contended pools; usually empty. This field and the next are last: a
     /// datagram of an earlier version ends before them, so that it can't be decoded as another one.
     pub shares: Vec<ShareReport>,
-    /// Reports on contended pools of all routers of some data halls: a `Vec<ShareReport>`, encoded
-    /// once for all receivers. Empty unless the sender aggregates for its data hall.
+    /// Reports on contended pools of all routers of some data halls, encoded once for all receivers;
+    /// see [`super::share_reports`]. Empty unless the sender aggregates for its data hall.
     pub share_sums: Vec<u8>,
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod feeders;
 pub mod heartbeats;
 mod hubs;
+mod packed_sums;
 mod peer;
 pub mod peers;
 pub mod readers;
--- a/src/membership/share_reports.rs
+++ b/src/membership/share_reports.rs
@@ -3,7 +3,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use super::datagram::Datagram;
+use super::{datagram::Datagram, packed_sums::PackedSums};
 use crate::admission::shares::{
     Claim, HallShareReports, PoolReport, ShareReport, TargetRates, TenthsPerSecond,
 };
@@ -194,7 +194,7 @@
     }
 }
 
-/// Encodes reports in at most [`MAX_SUM_BYTES`], with fewer entries if necessary.
+/// Encodes the sums of data halls in at most [`MAX_SUM_BYTES`], with fewer entries if necessary.
 fn encode(mut reports: Vec<ShareReport>) -> postcard::Result<Vec<u8>> {
     reports.retain(has_pools);
     if reports.is_empty() {
@@ -203,7 +203,7 @@
     let mut bounds = ReportBounds::HALL;
     loop {
         reports = reports.into_iter().map(|r| bounded(r, bounds)).collect();
-        let bytes = postcard::to_stdvec(&reports)?;
+        let bytes = postcard::to_stdvec(&PackedSums::from(reports.as_slice()))?;
         if bytes.len() <= MAX_SUM_BYTES {
             return Ok(bytes);
         }
@@ -221,8 +221,8 @@
 pub fn take(datagram: &mut Datagram) -> postcard::Result<Vec<ShareReport>> {
     let mut reports = std::mem::take(&mut datagram.shares);
     if !datagram.share_sums.is_empty() {
-        let sums: Vec<ShareReport> = postcard::from_bytes(&datagram.share_sums)?;
-        reports.extend(sums);
+        let sums: PackedSums = postcard::from_bytes(&datagram.share_sums)?;
+        reports.extend(sums.into_reports());
     }
     Ok(reports)
 }
