Soak: surges that overload a small plain service

A refused call must not have run, and some calls are answered in each window while a router is steady. The retry budget is counted per service, so that the surge's calls don't widen that of the main service.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -19,6 +19,7 @@
 #[path = "../../platform/tests/support/store.rs"]
 mod store;
 mod store_reverts;
+mod surge;
 mod target;
 mod vm;
 mod withdrawals;
@@ -50,6 +51,8 @@
             optional --withdrawals
             /// Also revert the store to older copies.
             optional --set-backs
+            /// Also overload a small plain service over and over.
+            optional --surge
             /// Print the verdict as JSON.
             optional --json
         }
@@ -75,6 +78,8 @@
     withdrawals: bool,
     /// Whether to revert the store; see `store_reverts`.
     set_backs: bool,
+    /// Whether to overload a small plain service; see `surge`.
+    surge: bool,
 }
 
 /// Maximum number of routers. Each takes about 10 MB of memory and one of the 250 addresses of a network.
@@ -95,6 +100,7 @@
         crashes: flags.crashes,
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
+        surge: flags.surge,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
     if !options.program.is_file() {
@@ -148,8 +154,13 @@
             store_reverts::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let surges = async {
+        if options.surge {
+            surge::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let faults = faults::inject(&env, &mut rng, options.fault_duration);
-    tokio::join!(faults, entries, withdrawals, reverts);
+    tokio::join!(faults, entries, withdrawals, reverts, surges);
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -12,7 +12,7 @@
 use crate::{
     RunOptions,
     budget::RetryBudget,
-    crashes,
+    crashes, surge,
     target::{LAST_EVENT, Target, event, expected_body},
     withdrawals,
 };
@@ -52,6 +52,8 @@
     /// A target that announced in a response that it accepts no calls gets none from the router that received
     /// the announcement, or that forwarded it to the caller.
     WithdrawnGetsNothing,
+    /// While a small service is overloaded, calls to it go on being answered.
+    SurgeAnswered,
     /// Calls are served again after the faults.
     Recovery,
 }
@@ -102,7 +104,10 @@
     asked: Cell<u64>,
     /// Number of calls that got status 200.
     served: Cell<u64>,
+    /// Retry budget of the main service.
     budget: RetryBudget,
+    /// Retry budget of the service that surges overload.
+    surge_budget: RetryBudget,
     crashes: crashes::CrashCounts,
     pub withdrawals: withdrawals::WithdrawalChecker,
 }
@@ -173,15 +178,23 @@
         let record = calls.entry(call.to_owned()).or_default();
         record.arrivals += 1;
         let is_first = record.arrivals == 1;
-        if let Some(description) = self.budget.on_arrival(call, is_first) {
+        if let Some(description) = self.budget_of(call).on_arrival(call, is_first) {
             self.record_violation(Promise::RetryBudget, description);
         }
     }
 
+    /// Returns the retry budget of a call's service.
+    fn budget_of(&self, call: &str) -> &RetryBudget {
+        match surge::is_surge_call(call) {
+            true => &self.surge_budget,
+            false => &self.budget,
+        }
+    }
+
     /// Records that a caller sends a call.
     pub fn on_sent(&self, call: &str, at: Instant) {
         self.withdrawals.on_sent(call, at);
-        self.budget.on_sent(call);
+        self.budget_of(call).on_sent(call);
     }
 
     /// Records that a target starts to run a call.
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -55,6 +55,12 @@
     pub link: OnceCell<Rc<Link>>,
     /// Notified when it runs the request that crashes it.
     pub crashed: Notify,
+    /// Maximum number of calls that it runs at once; `None` for no limit.
+    slots: Option<usize>,
+    /// Time that a plain call takes.
+    call_time: Duration,
+    /// Number of calls that it runs.
+    running: Cell<usize>,
     promises: Rc<PromiseChecker>,
 }
 
@@ -65,8 +71,20 @@
 pub const LAST_EVENT: u64 = 12;
 
 impl Target {
-    /// Starts the target, and returns it with the address at which it accepts connections.
+    /// Starts a target without a limit on calls, and returns it with the address at which it accepts
+    /// connections.
     pub async fn start(id: &str, promises: &Rc<PromiseChecker>) -> (Rc<Self>, SocketAddr) {
+        Self::start_limited(id, None, PROCESSING_TIME, promises).await
+    }
+
+    /// Starts a target that runs at most `slots` calls at once, each for `call_time`, and rejects
+    /// others.
+    pub async fn start_limited(
+        id: &str,
+        slots: Option<usize>,
+        call_time: Duration,
+        promises: &Rc<PromiseChecker>,
+    ) -> (Rc<Self>, SocketAddr) {
         let target = Rc::new(Self {
             id: id.to_owned(),
             behavior: Cell::default(),
@@ -75,6 +93,9 @@
             started_at: Cell::new(Instant::now()),
             link: OnceCell::new(),
             crashed: Notify::new(),
+            slots,
+            call_time,
+            running: Cell::default(),
             promises: Rc::clone(promises),
         });
         let handler_target = Rc::clone(&target);
@@ -122,6 +143,7 @@
         let expected = header_text(&head.headers, "x-expect-instance");
         let behavior = match self.withdrawal.get() {
             Withdrawal::Backoff(_) => TargetBehavior::Refusing,
+            _ if self.slots.is_some_and(|n| self.running.get() >= n) => TargetBehavior::Refusing,
             _ => self.behavior.get(),
         };
         let mut res = match () {
@@ -158,7 +180,10 @@
         call: &str,
         behavior: TargetBehavior,
     ) -> Response<Body> {
-        tokio::time::sleep(PROCESSING_TIME).await;
+        {
+            let _slot = Slot::take(self);
+            tokio::time::sleep(self.call_time).await;
+        }
         let is_stream = call.starts_with("stream");
         match behavior {
             TargetBehavior::Failing => status_response(500),
@@ -172,6 +197,22 @@
     }
 }
 
+/// A slot that a call occupies until this is dropped.
+struct Slot<'a>(&'a Target);
+
+impl<'a> Slot<'a> {
+    fn take(target: &'a Target) -> Self {
+        target.running.set(target.running.get() + 1);
+        Self(target)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
 /// Returns the expected body of the response to a plain call.
 pub fn expected_body(call: &str) -> String {
     format!("answer to {call}")
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -20,6 +20,7 @@
     link::Link,
     promises::PromiseChecker,
     store::{Store, StoreFault},
+    surge,
     target::Target,
     withdrawals,
 };
@@ -68,6 +69,8 @@
     pub targets: Vec<(Rc<Target>, Rc<Link>)>,
     pub store: Rc<Store>,
     pub promises: Rc<PromiseChecker>,
+    /// Whether there is a small service that surges overload.
+    surge: bool,
     /// Version of the configuration that was written last.
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
@@ -104,9 +107,13 @@
             targets,
             store,
             promises,
+            surge: options.surge,
             version: Rc::default(),
             dir,
         };
+        if env.surge {
+            env.start_small_service().await;
+        }
         for (target, _) in &env.targets {
             env.write_entry(&target.id, "ready");
         }
@@ -115,6 +122,21 @@
         env
     }
 
+    /// Starts the targets that surges overload, and writes their entries.
+    async fn start_small_service(&self) {
+        for n in 0..surge::TARGET_COUNT {
+            let id = format!("s-{n}");
+            let slots = Some(surge::SLOTS);
+            let started = Target::start_limited(&id, slots, surge::CALL_TIME, &self.promises);
+            let (_, address) = started.await;
+            let entry = json!({"service": surge::SERVICE, "address": address.to_string(),
+                "zone": "yard", "version": "v1", "slots": surge::SLOTS, "state": "ready",
+                "coldLeftMs": 0, "callSeq": 0, "born": 1_764_720_000_000_u64});
+            self.store
+                .put(&format!("servers/{id}"), entry.to_string().as_bytes());
+        }
+    }
+
     /// Waits until all routers are ready.
     ///
     /// Panics if one of them takes too long.
@@ -137,11 +159,20 @@
                 "type": kind, "timeoutMs": 4_000, "goalMs": 200, "service": "desk",
                 "maxAttempts": 2, "resumable": resumable, "gapTargetMs": 200})
         };
-        let config = json!({"version": self.version.get(),
-            "routes": [route("safe", false, "safe"), route("unsafe", false, "once"),
-                route("streaming", true, "stream"),
-                route("safe", false, &format!("only-{}", self.version.get()))],
-            "services": [{"name": "desk", "maxConns": 400}],
+        let mut routes = vec![
+            route("safe", false, "safe"),
+            route("unsafe", false, "once"),
+            route("streaming", true, "stream"),
+            route("safe", false, &format!("only-{}", self.version.get())),
+        ];
+        let mut services = vec![json!({"name": "desk", "maxConns": 400})];
+        if self.surge {
+            let mut small = route("unsafe", false, surge::SERVICE);
+            small["service"] = surge::SERVICE.into();
+            routes.push(small);
+            services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
+        }
+        let config = json!({"version": self.version.get(), "routes": routes, "services": services,
             "tenants": [{"name": "farm", "apiKeys": keys}]});
         self.store.put("op/config", config.to_string().as_bytes());
     }
