--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,6 +19,7 @@
 #[path = "../../platform/tests/support/store.rs"]
 mod store;
 mod store_reverts;
+mod surge;
 pub mod target;
 mod vm;
 mod withdrawals;
@@ -47,6 +48,8 @@
     pub withdrawals: bool,
     /// Whether to revert the store; see `store_reverts`.
     pub set_backs: bool,
+    /// Whether to overload a small plain service; see `surge`.
+    pub surge: bool,
 }
 
 /// Maximum number of routers. Each takes about 10 MB of memory and one of the 250 addresses of a network.
@@ -79,13 +82,21 @@
             store_reverts::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let surges = async {
+        if options.surge {
+            surge::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let faults = faults::inject(&env, &mut rng, options.fault_duration);
-    tokio::join!(faults, entries, withdrawals, reverts);
+    tokio::join!(faults, entries, withdrawals, reverts, surges);
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
         store_reverts::check_config_after_revert(&env).await;
     }
+    if options.surge {
+        surge::check_after_faults(&env, options.seed).await;
+    }
     if let Some(crash_tasks) = crash_tasks {
         promises.on_stability_change(true);
         tokio::time::sleep(CRASHES_AFTER_FAULTS).await;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,8 @@
             optional --withdrawals
             /// Also revert the store to older copies.
             optional --set-backs
+            /// Also overload a small plain service over and over.
+            optional --surge
             /// Print the verdict as JSON.
             optional --json
         }
@@ -47,6 +49,7 @@
         crashes: flags.crashes,
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
+        surge: flags.surge,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
     if !options.program.is_file() {
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    StopReport, crash_checks, exchange,
+    StopReport, contended, crash_checks, exchange,
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, saved_state, stop,
     stop::Signals,
@@ -112,6 +112,7 @@
         store_updates::apply_settled_content(&cx);
         crash_checks::on_tick(&cx);
         withdrawals::on_tick(&cx);
+        contended::on_tick(&cx);
         for target in removed {
             cx.conns.close_idle(&target);
             info!(cx.log, "target"; "target" => %target, "verdict" => "gone", "why" => "still missing after the store became available again");
@@ -126,7 +127,11 @@
         cx.conns.on_tick(now);
         let live = cx.peers.borrow().live_count(now);
         let size = cx.peers.borrow().fleet_size();
-        cx.dispatcher.borrow_mut().load.set_fleet_size(size);
+        {
+            let mut dispatcher = cx.dispatcher.borrow_mut();
+            dispatcher.load.set_fleet_size(size);
+            dispatcher.shares.set_fleet_size(size);
+        }
         cx.metrics.peers_alive.set(live as i64);
         let age = cx.freshness.borrow().age(now);
         cx.metrics
