--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -14,7 +14,11 @@
 };
 
 use scaleford::{
-    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
+    admission::{
+        shares::{Claim, ShareScope},
+        surge::Surge,
+        warm_up::ColdRule,
+    },
     config::{
         ClientAccount, ConfigLog, FleetConfig, KeyHash, Model, Serves, Snapshot, Target,
         TargetIntent, routes,
@@ -242,6 +246,7 @@
         engine: None,
         goal: Duration::from_secs(1),
         surge: Surge::None,
+        claim: Claim::default(),
         warm_up: None,
         tried: Vec::new(),
     }
--- a/src/admission/shares/report.rs
+++ b/src/admission/shares/report.rs
@@ -22,7 +22,9 @@
 }
 
 /// Who asks for room at a pool: calls that are admitted in the same proportion.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Claim {
     /// Urgency of the calls.
     pub rank: Rank,
--- a/src/call_plan.rs
+++ b/src/call_plan.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    admission::{surge::Surge, warm_up::WarmUp},
+    admission::{shares::Claim, surge::Surge, warm_up::WarmUp},
     config::serving::{CallKind, EngineSpec},
     ids::{ConversationKey, ServiceName, TargetId},
     prompt_cache::PromptPart,
@@ -38,6 +38,8 @@
     pub warm_up: Option<WarmUp>,
     /// Whether the call's account sends many times its usual rate.
     pub surge: Surge,
+    /// Calls with which it competes for room at a pool that is divided by demand.
+    pub claim: Claim,
     /// Targets to which the call was already sent.
     pub tried: Vec<TargetId>,
 }
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     ResultCode,
-    admission::{surge::Surge, wait_for_config},
+    admission::{shares::Claim, surge::Surge, wait_for_config},
     config::serving::{Denied, KeyOwner, Route},
     dialect::{CallInfo, Refusal},
     dispatcher::CallPlan,
@@ -144,6 +144,12 @@
         let admission = &mut cx.dispatcher.borrow_mut().admission;
         admission.on_call(received, account)
     });
+    let rank = rank(&facts, &route, key_owner.as_ref());
+    let claim = Claim {
+        rank,
+        returning: false,
+        account: account.map(Into::into),
+    };
     let plan = CallPlan {
         kind: route.kind,
         prompt: facts.prompt.clone(),
@@ -157,6 +163,7 @@
         hash,
         engine,
         surge,
+        claim,
         warm_up: spec.and_then(|s| s.warm_up),
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
         tried: Vec::new(),
@@ -165,7 +172,7 @@
     let call = Call {
         fingerprint,
         deadline: received + call_timeout(&facts, &route),
-        rank: rank(&facts, &route, key_owner.as_ref()),
+        rank,
         last_event: facts.last_event_id,
         attempts: Attempts::default(),
         conn_limit: spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns)),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -21,7 +21,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use scaleford::{
-    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
+    admission::{
+        shares::{Claim, ShareScope},
+        surge::Surge,
+        warm_up::ColdRule,
+    },
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher},
@@ -97,6 +101,7 @@
         }),
         goal: Duration::from_secs(1),
         surge: Surge::None,
+        claim: Claim::default(),
         warm_up: None,
         tried: Vec::new(),
     }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -5,5 +5,6 @@
 mod lock_out;
 mod model;
 mod overload;
+mod pool_shares;
 mod stale_counts;
 mod withdrawals;
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -20,12 +20,12 @@
 use crashes::{CRASHING_REQUEST, CrashResults};
 use figures::Figures;
 pub use figures::Outcome;
-pub use load::{Change, Fleet, Load, Service};
+pub use load::{Change, Fleet, Load, Service, Slowdown};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64;
 use scaleford::{
-    admission::HallRates,
+    admission::{HallRates, shares::ShareReport},
     discovery::TargetRecord,
     dispatcher::{CallPlan, Dispatcher, Ticket},
     fingerprint::Fingerprint,
@@ -50,9 +50,6 @@
 /// Range of answer times, as factors on the mean.
 const ANSWER_TIME_FACTORS: Range<f64> = 0.1..1.9;
 
-/// Time for which a call of a plain service occupies its slot.
-const PLAIN_CALL_TIME: Duration = Duration::from_millis(30);
-
 /// Maximum number of targets that one call is sent to.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -63,6 +60,8 @@
 struct Call {
     /// When it was first tried.
     at: Instant,
+    /// When it was last tried.
+    tried_at: Instant,
     account: usize,
     prompt: u64,
     tries: u32,
@@ -106,6 +105,8 @@
     figures: Vec<Figures>,
     /// Sums that hubs received, which they pass on with their next updates.
     sums_at_hubs: Option<HallSums>,
+    /// Share reports that hubs know.
+    shares_at_hubs: Vec<ShareReport>,
     /// Account rates that hubs know.
     rates_at_hubs: Option<HallRates>,
     /// When hubs last reported account rates.
@@ -119,7 +120,8 @@
 impl Model {
     pub fn new(load: Load) -> Self {
         let router = |n| {
-            let mut d = Dispatcher::new(hall(), &rules());
+            let mut d = Dispatcher::new(hall(), &rules(load.shares));
+            d.shares.set_fleet_size(load.routers);
             d.cold.set_routers(known_routers(&load, n));
             let all = (0..load.targets).map(|n| record(n, load.slots));
             let at = Instant::default();
@@ -139,6 +141,7 @@
             rng: Pcg64::seed_from_u64(load.seed),
             figures: Vec::new(),
             sums_at_hubs: None,
+            shares_at_hubs: Vec::new(),
             rates_at_hubs: None,
             rates_reported_at: Instant::default(),
             crash_results: CrashResults::default(),
@@ -211,6 +214,7 @@
         self.after(Duration::from_secs_f64(pause), Event::CallArrives);
         let call = Call {
             at: self.now,
+            tried_at: self.now,
             account,
             prompt: self.rng.random_range(0..load.prompts as u64),
             tries: 0,
@@ -218,7 +222,7 @@
         };
         let figures = self.figures_of(&call);
         figures.calls += 1;
-        figures.others += u64::from(account != 0);
+        figures.by_account[account].calls += 1;
         self.on_call(call);
     }
 
@@ -228,11 +232,13 @@
         self.count += 1;
         let n = self.count;
         let account = format!("a{}", call.account).parse().unwrap();
+        (self.routers[router].budget).on_call(self.now, &service());
         let admission = &mut self.routers[router].admission;
         let surge = admission.on_call(self.now, &account);
         let plan = self.plan(&call, n, surge);
         let call = Call {
             tries: call.tries + 1,
+            tried_at: self.now,
             ..call
         };
         self.choose(n, call, router, plan);
@@ -245,6 +251,7 @@
         }
         let chosen = match plan.tried.len() {
             MAX_ATTEMPTS.. => Err(PlacementError::NoTarget),
+            1.. if !self.may_retry(router) => Err(PlacementError::NoTarget),
             _ => self.routers[router].choose(self.now, &plan),
         };
         match chosen {
@@ -298,7 +305,7 @@
         self.figures_of(&call).moved_tokens += moved;
         let to_first_event = match self.load.service {
             Service::Engines => SET_UP_TIME + READ_TIME_PER_TOKEN * read as u32,
-            Service::Plain => PLAIN_CALL_TIME,
+            Service::Plain => self.load.plain_call_time,
         };
         let run = Run {
             call: n,
@@ -317,10 +324,17 @@
             return;
         }
         if let Some(run) = self.targets[target].on_arrival(run) {
-            self.begin(run);
+            self.begin(target, run);
         }
     }
 
+    /// Returns whether the retry budget allows a router to send a call to another target.
+    fn may_retry(&mut self, router: usize) -> bool {
+        let share = 1.0 / self.load.routers as f64;
+        let budget = &mut self.routers[router].budget;
+        !self.load.bounded_retries || budget.take(self.now, &service(), share)
+    }
+
     /// Sends a call that a target did not complete to another target.
     fn send_elsewhere(
         &mut self,
@@ -343,8 +357,11 @@
         self.targets[target].calls() as f64 > 2.0 * mean + 3.0
     }
 
-    fn begin(&mut self, run: Run) {
-        self.after(run.to_first_event, Event::AnswerStarts(run.call));
+    fn begin(&mut self, target: usize, run: Run) {
+        let slowdown = self.load.slowdown;
+        let is_slow = |s: &Slowdown| target < s.targets && self.now.0 >= s.from;
+        let factor = slowdown.filter(is_slow).map_or(1, |s| s.factor);
+        self.after(run.to_first_event * factor, Event::AnswerStarts(run.call));
     }
 
     fn on_first_event(&mut self, n: u64) {
@@ -369,7 +386,9 @@
             true => figures.in_time += 1,
             false => figures.late += 1,
         }
-        figures.others_in_time += u64::from(is_in_time && call.account != 0);
+        let is_in_time = now.since(call.tried_at) <= goal;
+        figures.by_account[call.account].in_time += u64::from(is_in_time);
+        self.figures_now().answers_in_time += u64::from(is_in_time);
         let answer = match self.load.service {
             Service::Engines => {
                 MEAN_ANSWER_TIME.mul_f64(self.rng.random_range(ANSWER_TIME_FACTORS))
@@ -388,7 +407,7 @@
         router.on_end(self.now, &sent.ticket, Some(Health::Good));
         router.quarantine.on_answered(self.now, request);
         if let Some(next) = self.targets[sent.target].on_end(n) {
-            self.begin(next);
+            self.begin(sent.target, next);
         }
     }
 
--- a/tests/load/model/crashes.rs
+++ b/tests/load/model/crashes.rs
@@ -67,6 +67,7 @@
         self.after(crashes.interval, Event::CrashingRequestArrives);
         let call = Call {
             at: self.now,
+            tried_at: self.now,
             account: 0,
             prompt: 0,
             tries: 0,
--- a/tests/load/model/figures.rs
+++ b/tests/load/model/figures.rs
@@ -4,7 +4,7 @@
 
 use scaleford::units::Instant;
 
-use super::{Call, Model, target::Target};
+use super::{ACCOUNTS, Call, Model, target::Target};
 
 /// Whether a call's first event arrived within the goal, counted from the call's first try.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,9 +22,11 @@
     pub(super) calls: u64,
     pub(super) in_time: u64,
     pub(super) late: u64,
-    /// Number of calls of all accounts except the first one, which may surge.
-    pub(super) others: u64,
-    pub(super) others_in_time: u64,
+    /// Calls of each account, and those of them in time.
+    pub(super) by_account: [AccountFigures; ACCOUNTS],
+    /// Number of answers that began within the goal after the try that they belong to, by the second in
+    /// which they began.
+    pub(super) answers_in_time: u64,
     /// Number of calls that were refused at their first try.
     pub(super) refused_first: u64,
     /// Number of calls that were refused at their retry.
@@ -41,6 +43,20 @@
     pub(super) sent_to_lost: u64,
 }
 
+/// Counts of one account for one second of a run. A call is in time here if its first event arrived within the
+/// goal after the try that was answered, because callers that were refused return later than the goal.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct AccountFigures {
+    pub(super) calls: u64,
+    pub(super) in_time: u64,
+}
+
+impl Figures {
+    fn account_sum(&self, accounts: &Range<usize>, of: impl Fn(&AccountFigures) -> u64) -> u64 {
+        self.by_account[accounts.clone()].iter().map(of).sum()
+    }
+}
+
 impl Model {
     pub(super) fn figures_of(&mut self, call: &Call) -> &mut Figures {
         self.figures_at(call.at)
@@ -69,7 +85,22 @@
 
     /// Returns the fraction of the calls of all accounts except the first one that were answered in time.
     pub fn others_in_time(&self, seconds: Range<usize>) -> f64 {
-        self.ratio(seconds, |f| f.others_in_time, |f| f.others)
+        self.accounts_in_time(seconds, 1..ACCOUNTS)
+    }
+
+    /// Returns the fraction of the calls of these accounts that were answered in time.
+    pub fn accounts_in_time(&self, seconds: Range<usize>, accounts: Range<usize>) -> f64 {
+        self.ratio(
+            seconds,
+            |f| f.account_sum(&accounts, |a| a.in_time),
+            |f| f.account_sum(&accounts, |a| a.calls),
+        )
+    }
+
+    /// Returns the number of answers that targets gave within the goal in each of these seconds.
+    pub fn answers_in_time(&self, seconds: Range<usize>) -> Vec<u64> {
+        let answers = self.figures[seconds].iter().map(|f| f.answers_in_time);
+        answers.collect()
     }
 
     /// Returns the maximum number of calls that arrived at one cold target within a second.
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use scaleford::admission::warm_up::WarmUp;
+use scaleford::admission::{shares::ShareScope, warm_up::WarmUp};
 
 use super::{crashes::CrashSchedule, withdrawals::WithdrawalSchedule};
 
@@ -37,6 +37,31 @@
     pub crashes: Option<CrashSchedule>,
     /// Targets that accept no calls; `None` if all accept calls.
     pub withdrawing: Option<WithdrawalSchedule>,
+    /// Targets that become slower during a run; `None` if none do.
+    pub slowdown: Option<Slowdown>,
+    /// Time for which a call of a plain service occupies its slot.
+    pub plain_call_time: Duration,
+    /// Number of calls beyond its slots that a target of a plain service queues before it rejects more.
+    pub plain_queue: usize,
+    /// Number of accounts, from the last one, whose calls have a lower rank.
+    pub low_rank_accounts: usize,
+    /// Whether a call that a target rejected is sent to another one only as far as the retry budget allows.
+    pub bounded_retries: bool,
+    /// Pools that routers divide by demand.
+    pub shares: ShareScope,
+    /// Time in which no hub sends sums; `None` if hubs always do.
+    pub hubs_silent: Option<(Duration, Duration)>,
+}
+
+/// Targets that become slower during a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Slowdown {
+    /// When they become slower, counted from the start of the run.
+    pub from: Duration,
+    /// Number of targets, from the first.
+    pub targets: usize,
+    /// Factor on the time for which a call occupies its slot.
+    pub factor: u32,
 }
 
 /// Which other routers each router knows.
@@ -98,5 +123,12 @@
         fleet: Fleet::Whole,
         crashes: None,
         withdrawing: None,
+        slowdown: None,
+        plain_call_time: Duration::from_millis(30),
+        plain_queue: 6,
+        low_rank_accounts: 0,
+        bounded_retries: false,
+        shares: ShareScope::SmallPools,
+        hubs_silent: None,
     };
 }
--- a/tests/load/model/setup.rs
+++ b/tests/load/model/setup.rs
@@ -3,20 +3,24 @@
 use std::time::Duration;
 
 use scaleford::{
-    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
+    admission::{
+        shares::{Claim, ShareScope},
+        surge::Surge,
+        warm_up::ColdRule,
+    },
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{TargetRecord, TargetState},
     dispatcher::CallPlan,
     edge::Rules,
-    ids::{DataHall, ServiceName},
+    ids::{ClientAccountId, DataHall, ServiceName},
     membership::heartbeats::VmHash,
     prompt_cache::{PartId, PromptPart},
     retry::BudgetRule,
-    units::Tokens,
+    units::{Rank, Tokens},
 };
 
 use super::{
-    Call, Fleet, Load, Model, Service,
+    ACCOUNTS, Call, Fleet, Load, Model, Service,
     target::{self, Target},
 };
 
@@ -25,8 +29,8 @@
 /// Number of tokens of the part of a prompt that is a call's own.
 pub(super) const OWN_TOKENS: u64 = 300;
 
-/// Number of calls beyond its slots that a target of a plain service queues before it rejects more.
-const PLAIN_QUEUE: usize = 6;
+/// Rank of calls that are less urgent than others.
+const LOW_RANK: Rank = Rank(3);
 
 pub(super) fn service() -> ServiceName {
     "writer".parse().unwrap()
@@ -36,7 +40,7 @@
     "yard".parse().unwrap()
 }
 
-pub(super) fn rules() -> Rules {
+pub(super) fn rules(shares: ShareScope) -> Rules {
     Rules {
         revoke_bound: None,
         cap_factor: 2.0,
@@ -49,7 +53,7 @@
             excess: 1.5,
             extra: 5.0,
         },
-        shares: ShareScope::default(),
+        shares,
         serve_on: Duration::ZERO,
         stop_time: Duration::ZERO,
     }
@@ -83,12 +87,22 @@
 pub(super) fn new_target(load: &Load) -> Target {
     let queue = match load.service {
         Service::Engines => usize::MAX,
-        Service::Plain => PLAIN_QUEUE,
+        Service::Plain => load.plain_queue,
     };
     Target::new(load.slots, queue)
 }
 
 impl Model {
+    fn claim(&self, call: &Call) -> Claim {
+        let is_low = call.account >= ACCOUNTS - self.load.low_rank_accounts;
+        let account: ClientAccountId = format!("a{}", call.account).parse().unwrap();
+        Claim {
+            rank: if is_low { LOW_RANK } else { Rank(0) },
+            returning: call.tries > 0,
+            account: Some((&account).into()),
+        }
+    }
+
     pub(super) fn plan(&self, call: &Call, n: u64, surge: Surge) -> CallPlan {
         let part = |id, tokens| PromptPart {
             id: PartId(id),
@@ -118,6 +132,7 @@
             }),
             goal: self.load.goal,
             surge,
+            claim: self.claim(call),
             warm_up: self.load.warm_up,
             tried: Vec::new(),
         }
--- a/tests/load/model/updates.rs
+++ b/tests/load/model/updates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use scaleford::{
-    admission::{HallRates, account_rates::RATE_REPORT_INTERVAL},
+    admission::{HallRates, account_rates::RATE_REPORT_INTERVAL, shares::ShareReport},
     dispatcher::Dispatcher,
     membership::datagram::HallSums,
     prompt_cache::PromptPart,
@@ -17,9 +17,13 @@
 /// Interval between updates per router of the fleet, used with hubs where it comes to more than the minimum.
 const SEND_INTERVAL_PER_ROUTER: Duration = Duration::from_micros(1_200);
 
+/// Maximum interval between updates.
+const MAX_SEND_INTERVAL: Duration = Duration::from_millis(500);
+
 impl Model {
     pub(super) fn send_interval(&self) -> Duration {
         let interval = SEND_INTERVAL_PER_ROUTER * self.load.routers as u32;
+        let interval = interval.min(MAX_SEND_INTERVAL);
         if self.load.hubs {
             MIN_SEND_INTERVAL.max(interval)
         } else {
@@ -44,12 +48,13 @@
             .iter_mut()
             .map(|d| d.load.own_counts())
             .collect();
-        let mut hub = Dispatcher::new(hall(), &rules());
+        let mut hub = Dispatcher::new(hall(), &rules(self.load.shares));
         for (n, counts) in own_counts.into_iter().enumerate() {
             let vm = format!("vm-{n}").parse().unwrap();
             hub.load.on_peer(now, vm, hall(), counts);
         }
         let rates = self.hub_rates(&mut hub);
+        let shares = self.hub_shares(&mut hub);
         let sums = self.hub_sums(vec![hub.load.own_hall_sum(now)]);
         let notices = self.routers.iter().map(|d| d.health.outages.notices(now));
         let notices: Vec<_> = notices.flatten().collect();
@@ -59,8 +64,13 @@
             .map(|d| d.cache.take_announcements(60, false));
         let announcements: Vec<_> = announcements.flatten().collect();
         self.exchange_crash_notices();
+        let is_silent = self.hubs_are_silent();
         for router in &mut self.routers {
-            router.load.on_hall_sums(now, sums.clone());
+            if !is_silent {
+                router.load.on_hall_sums(now, sums.clone());
+                let vm = "hub".parse().unwrap();
+                (router.shares).on_reports(now, &vm, &hall(), shares.clone());
+            }
             router.health.outages.on_notices(now, &notices);
             for (id, tokens, target) in &announcements {
                 let (id, tokens) = (*id, *tokens);
@@ -94,6 +104,33 @@
         self.rates_at_hubs.replace(received)
     }
 
+    fn hubs_are_silent(&self) -> bool {
+        let silent = self.load.hubs_silent;
+        silent.is_some_and(|(from, until)| (from..until).contains(&self.now.0))
+    }
+
+    /// Returns the share reports that routers receive now: with hubs, the sums of the round before.
+    fn hub_shares(&mut self, hub: &mut Dispatcher) -> Vec<ShareReport> {
+        let now = self.now;
+        for (n, router) in self.routers.iter().enumerate() {
+            let vm = format!("vm-{n}").parse().unwrap();
+            let own = router.shares.own_report(now).into_iter().collect();
+            hub.shares.on_reports(now, &vm, &hall(), own);
+        }
+        let received = hub.shares.hall_reports(now).for_own_hall;
+        if !self.load.hubs {
+            return received;
+        }
+        let interval = self.send_interval();
+        let mut reports = std::mem::replace(&mut self.shares_at_hubs, received);
+        for report in &mut reports {
+            if let ShareReport::Hall { age_ms, .. } = report {
+                *age_ms += interval.as_millis() as u16;
+            }
+        }
+        reports
+    }
+
     /// Returns the sums that routers receive now, given those that hubs receive now.
     ///
     /// With hubs, which send at an interval of their own, these are the sums of the round before, whose age
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -15,7 +15,11 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use scaleford::{
-    admission::{shares::ShareScope, surge::Surge, warm_up::ColdRule},
+    admission::{
+        shares::{Claim, ShareScope},
+        surge::Surge,
+        warm_up::ColdRule,
+    },
     config::serving::{CallKind, EngineSpec, StreamRepeats},
     discovery::{ListChange, TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher, Ticket},
@@ -189,6 +193,7 @@
             }),
             goal: Duration::from_secs(1),
             surge: Surge::None,
+            claim: Claim::default(),
             warm_up: None,
             tried: Vec::new(),
             prompt,
