--- a/src/admission/shares/capacity.rs
+++ b/src/admission/shares/capacity.rs
@@ -77,10 +77,7 @@
     let is_busy = t.busy > slots * BUSY_FRACTION;
     let rejects = t.turned_away > (t.answered + t.turned_away) * MAX_TURNED_AWAY;
     let raise = t.answered.max(MIN_ANSWERS) * MAX_RAISE;
-    let capacity = match is_busy && rejects {
-        true => t.answered,
-        false => (t.answered / utilization(t.busy, slots)).min(raise),
-    };
+    let capacity = (t.answered / utilization(t.busy, slots)).min(raise);
     // Time of a call that does not wait.
     let unqueued = slots / capacity;
     let excess = time - (goal * TIME_FRACTION).max(unqueued);
--- a/src/admission/shares/fractions.rs
+++ b/src/admission/shares/fractions.rs
@@ -8,6 +8,11 @@
 /// Part of the capacity/demand ratio of the whole pool that every claim gets.
 const FLOOR_FRACTION: f64 = 0.5;
 
+/// Multiple of the capacity up to which all calls are admitted. Demand that was measured over half a second
+/// is off by a tenth, and while it falls it is already lower; what is too much waits in the queues of
+/// targets for the next sums.
+const DEMAND_SLACK: f64 = 1.15;
+
 /// Fractions of the calls that are admitted, by claim.
 #[derive(Debug, Default)]
 pub(super) struct Fractions {
@@ -42,7 +47,7 @@
     /// Divides `capacity` calls per second among the claims.
     pub(super) fn new(demand: &HashMap<Claim, f64>, capacity: f64) -> Self {
         let total: f64 = demand.values().sum();
-        if total <= capacity {
+        if total <= capacity * DEMAND_SLACK {
             return Self {
                 floor: 1.0,
                 ..Self::default()
