--- a/src/call_plan.rs
+++ b/src/call_plan.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    admission::{surge::Surge, warm_up::WarmUp},
+    admission::{shares::Claim, surge::Surge, warm_up::WarmUp},
     config::serving::{CallKind, EngineSpec},
     ids::{ConversationKey, ServiceName, TargetId},
     prompt_cache::PromptPart,
@@ -38,6 +38,8 @@
     pub warm_up: Option<WarmUp>,
     /// Whether the call's account sends many times its usual rate.
     pub surge: Surge,
+    /// Calls with which it competes for room at a pool that is divided by demand.
+    pub claim: Claim,
     /// Targets to which the call was already sent.
     pub tried: Vec<TargetId>,
 }
@@ -65,6 +67,17 @@
         xxh3_64(&self.hash.to_be_bytes()) as f64 / u64::MAX as f64
     }
 
+    /// Returns the claim with which the call competes: if its account surges, a part of the account's calls
+    /// counts as beyond its usual rate. Their choice is independent of [`Self::draw`], which selects among
+    /// the calls of a claim.
+    pub(crate) fn current_claim(&self) -> Claim {
+        let draw = || xxh3_64_with_seed(&self.hash.to_be_bytes(), 1) as f64 / u64::MAX as f64;
+        match self.surge {
+            Surge::AdmitFraction(part) if draw() >= part => self.claim.beyond_usual(),
+            _ => self.claim,
+        }
+    }
+
     /// Counts the tokens of the prompt that no target has read before: the last message, and the part that
     /// belongs to this request only.
     pub(crate) fn new_tokens(&self) -> Tokens {
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     ResultCode,
-    admission::{surge::Surge, wait_for_config},
+    admission::{shares::Claim, surge::Surge, wait_for_config},
     config::serving::{Denied, KeyOwner, Route},
     dialect::{CallInfo, Refusal},
     dispatcher::CallPlan,
@@ -163,6 +163,13 @@
         let admission = &mut cx.dispatcher.borrow_mut().admission;
         admission.on_call(received, account)
     });
+    let rank = rank(&facts, &route, key_owner.as_ref());
+    let timeout = call_timeout(&facts, &route);
+    let claim = Claim {
+        rank,
+        returning: is_returning(cx, received, &facts, &route),
+        account: account.map(Into::into),
+    };
     let plan = CallPlan {
         kind: route.kind,
         prompt: facts.prompt.clone(),
@@ -176,6 +183,7 @@
         hash,
         engine,
         surge,
+        claim,
         warm_up: spec.and_then(|s| s.warm_up),
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
         tried: Vec::new(),
@@ -183,8 +191,8 @@
     };
     let call = Call {
         fingerprint,
-        deadline: received + call_timeout(&facts, &route),
-        rank: rank(&facts, &route, key_owner.as_ref()),
+        deadline: received + timeout,
+        rank,
         last_event: facts.last_event_id,
         attempts: Attempts::default(),
         conn_limit: spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns)),
@@ -200,6 +208,13 @@
     Ok((call, account_place))
 }
 
+/// Returns whether the caller was probably refused before: it waits for less time than others usually do.
+fn is_returning(cx: &Gateway, received: Instant, facts: &CallInfo, route: &Route) -> bool {
+    let usual = &mut cx.dispatcher.borrow_mut().shares.usual_time_left;
+    let left = facts.deadline;
+    left.is_some_and(|left| usual.is_returning(received, &route.name, left))
+}
+
 fn fingerprint(
     head: &request::Parts,
     body: &Bytes,
