--- a/src/membership/packed_sums.rs
+++ b/src/membership/packed_sums.rs
@@ -33,6 +33,7 @@
 struct PackedPool {
     demand: BTreeMap<Claim, Vec<TenthsPerSecond>>,
     targets: BTreeMap<TargetHash, Vec<PackedRates>>,
+    refused: Vec<TenthsPerSecond>,
 }
 
 impl From<&[ShareReport]> for PackedSums {
@@ -55,6 +56,7 @@
                 for (claim, rate) in &pool.demand {
                     set(entry.demand.entry(*claim).or_default(), i, *rate);
                 }
+                set(&mut entry.refused, i, pool.refused);
                 for rates in &pool.targets {
                     let values = (rates.answered, rates.turned_away, rates.mean_time_ms);
                     set(entry.targets.entry(rates.target).or_default(), i, values);
@@ -104,8 +106,10 @@
                 .filter_map(|(claim, rates)| Some((*claim, rate(rates)?)))
                 .collect(),
             targets: targets.collect(),
+            refused: rate(&self.refused).unwrap_or_default(),
         };
-        let is_empty = report.demand.is_empty() && report.targets.is_empty();
+        let is_silent = report.refused == TenthsPerSecond::default();
+        let is_empty = is_silent && report.demand.is_empty() && report.targets.is_empty();
         (!is_empty).then_some(report)
     }
 }
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -51,6 +51,7 @@
             .map(|n| (claim(n), TenthsPerSecond(100 + n as u32)))
             .collect(),
         targets: (0..targets).map(rates).collect(),
+        refused: TenthsPerSecond(70),
     }
 }
 
