--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod flood;
 pub mod hosted;
 pub mod http;
 pub mod service;
