Hold answers up to bounds derived from memory, and give up callers that do not read

A router queued 16 events for a slow caller and then read nothing more from its target. Request bodies are bounded too (router_full).

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -12,6 +12,7 @@
     attempt::Call,
     call_end::{CallGuard, QUARANTINE_TEXT},
     crash_checks,
+    flow::{AnswerAccount, CallerConn},
     gateway::Gateway,
 };
 use crate::{
@@ -38,6 +39,8 @@
     pub(crate) id: Option<String>,
     /// Instant at which the head was read.
     pub(crate) received: Instant,
+    /// Connection on which it arrived.
+    pub(crate) conn: Rc<CallerConn>,
 }
 
 /// Waits for the first configuration if the router has just started and one is expected soon.
@@ -95,6 +98,7 @@
         body,
         id,
         received,
+        conn,
     } = incoming_call;
     let too_large = Refusal::new(ResultCode::BodyTooLarge, "body above the limit");
     let body = body.ok_or(too_large)?;
@@ -162,7 +166,10 @@
         tried: Vec::new(),
         service,
     };
+    let is_stream = route.kind.is_stream() && !route.claimed;
+    let call_id = id.as_deref().unwrap_or("-");
     let call = Call {
+        answer: AnswerAccount::open(cx, call_id, &conn, account, is_stream),
         fingerprint,
         deadline: received + call_timeout(&facts, &route),
         rank: rank(&facts, &route, key_owner.as_ref()),
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -17,6 +17,7 @@
     attempt_guard::AttemptGuard,
     conn::{Conn, ConnectError},
     crash_checks,
+    flow::AnswerAccount,
     gateway::Gateway,
     withdrawals,
 };
@@ -56,6 +57,8 @@
     pub(crate) rank: Rank,
     /// Id of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// Account of the bytes that are held of the answer.
+    pub(crate) answer: AnswerAccount,
 }
 
 impl Call {
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -1,60 +1,73 @@
 //! Body of a response to a caller: complete, or a stream of events.
 
 use std::{
+    collections::VecDeque,
     pin::Pin,
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::flow::{HeldCount, OfferedBytes};
+
 /// A stream ended before its last event; the caller's connection is closed without the end of the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
 pub(crate) struct StreamAborted;
 
-/// Sending half of a stream of events.
-pub(crate) type EventSender = mpsc::Sender<Result<Bytes, StreamAborted>>;
-
-/// Maximum number of events that wait for a slow caller; beyond it, no more is read from the target, which
-/// slows the target down.
-const MAX_QUEUED_EVENTS: usize = 16;
+/// Sending half of a stream of events. What waits for a slow caller is bounded by [`crate::flow`].
+pub(crate) type EventSender = mpsc::UnboundedSender<Result<OfferedBytes, StreamAborted>>;
 
 /// Body of a response.
 pub(crate) enum AnswerBody {
-    /// Complete body.
-    Whole(Full<Bytes>),
+    /// Complete body: the pieces that are not sent yet, and their total size in bytes.
+    Whole(VecDeque<OfferedBytes>, u64),
     /// Events as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, StreamAborted>>),
+    Events(mpsc::UnboundedReceiver<Result<OfferedBytes, StreamAborted>>),
 }
 
 impl AnswerBody {
-    /// Creates a complete body.
+    /// Creates a complete body of a response of the router itself.
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Full::new(bytes.into()))
+        let bytes = bytes.into();
+        Self::of_pieces(std::iter::once(OfferedBytes::uncounted(bytes)))
+    }
+
+    /// Creates a complete body of a target's answer.
+    pub(crate) fn collected(body: CollectedBody) -> Self {
+        let CollectedBody { pieces, mut count } = body;
+        Self::of_pieces(pieces.into_iter().map(|piece| count.offer(piece)))
+    }
+
+    fn of_pieces(pieces: impl Iterator<Item = OfferedBytes>) -> Self {
+        let pieces: VecDeque<_> = pieces.filter(|p| p.len() > 0).collect();
+        let size = pieces.iter().map(|p| p.len() as u64).sum();
+        Self::Whole(pieces, size)
     }
 
     /// Creates a stream, and returns the sender of its events.
     pub(crate) fn events() -> (EventSender, Self) {
-        let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
+        let (tx, rx) = mpsc::unbounded_channel();
         (tx, Self::Events(rx))
     }
 }
 
 impl Body for AnswerBody {
-    type Data = Bytes;
+    type Data = OfferedBytes;
     type Error = StreamAborted;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+    ) -> Poll<Option<Result<Frame<OfferedBytes>, StreamAborted>>> {
         match self.get_mut() {
-            Self::Whole(full) => Pin::new(full)
-                .poll_frame(cx)
-                .map(|frame| frame.map(|f| f.map_err(|never| match never {}))),
+            Self::Whole(pieces, size) => {
+                let piece = pieces.pop_front();
+                *size -= piece.as_ref().map_or(0, |p| p.len() as u64);
+                Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
+            }
             Self::Events(rx) => rx
                 .poll_recv(cx)
                 .map(|event| event.map(|e| e.map(Frame::data))),
@@ -63,15 +76,37 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(full) => full.is_end_stream(),
+            Self::Whole(pieces, _) => pieces.is_empty(),
             Self::Events(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(full) => full.size_hint(),
+            Self::Whole(_, size) => SizeHint::with_exact(*size),
             Self::Events(_) => SizeHint::default(),
         }
     }
 }
+
+/// Complete body of a target's answer, with the count of its bytes.
+pub(crate) struct CollectedBody {
+    pieces: Vec<Bytes>,
+    count: HeldCount,
+}
+
+impl CollectedBody {
+    /// Creates an empty body; `count` counts what is added to it.
+    pub(crate) fn empty(count: HeldCount) -> Self {
+        Self {
+            pieces: Vec::new(),
+            count,
+        }
+    }
+
+    /// Adds bytes with their count.
+    pub(crate) fn push(&mut self, bytes: Bytes, count: HeldCount) {
+        self.pieces.push(bytes);
+        self.count.add(count);
+    }
+}
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -3,9 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
-    HeaderMap, Request, Response,
+    Request, Response,
     body::Incoming,
     header,
     http::{request, response},
@@ -17,10 +16,12 @@
     admission::{IncomingCall, admit, await_config},
     attempt::{AttemptFailure, Call, StartedAnswer, attempt},
     attempt_end::AttemptEnd,
-    body::AnswerBody,
+    body::{AnswerBody, CollectedBody},
     call_end::{CallGuard, give_up, pass_on, refuse},
     claimed_calls,
+    flow::CallerConn,
     gateway::Gateway,
+    read_body::{self, BodyError},
     stream, view,
 };
 use crate::{
@@ -31,9 +32,6 @@
     retry::Execution,
 };
 
-/// Maximum size of a plain (not streamed) answer, in bytes; it is read completely before it is passed on.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// Multiple of the route's latency goal that a repeatable plain call waits for its answer before it
 /// is sent to another target. The tail of a target's own latencies is well within it.
 const GOAL_TIMEOUT_FACTOR: f64 = 1.5;
@@ -50,6 +48,7 @@
 /// Handles one request of a caller: a page of the router itself, or a call to a target.
 pub(crate) async fn on_call(
     cx: &Rc<Gateway>,
+    conn: &Rc<CallerConn>,
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, RequestAborted> {
     let received = cx.now();
@@ -62,19 +61,28 @@
         return Ok(res);
     }
     let mut call_guard = CallGuard::new(cx, id.as_deref());
-    let body = match read_body(cx, &head.headers, body_stream).await {
-        Ok(body) => body,
+    let body = match read_body::read_request(cx, &head.headers, body_stream).await {
+        Ok((body, count)) => {
+            call_guard.set_request_count(count);
+            body
+        }
         Err(BodyError::Aborted) => return Err(RequestAborted),
         Err(BodyError::TimedOut) => {
             let refusal = Refusal::new(ResultCode::SlowSender, "the body did not arrive in time");
             return Ok(refuse(cx, &call_guard, refusal));
         }
+        Err(BodyError::NoRoom) => {
+            let why = "the maximum number of bytes of request bodies is held";
+            let refusal = Refusal::new(ResultCode::RouterFull, why);
+            return Ok(refuse(cx, &call_guard, refusal));
+        }
     };
     let incoming_call = IncomingCall {
         head,
         body,
         id,
         received,
+        conn: Rc::clone(conn),
     };
     await_config(cx, &incoming_call).await;
     let (call, account_place) = match admit(cx, incoming_call, &mut call_guard) {
@@ -83,6 +91,7 @@
     };
     call_guard.route.clone_from(&call.route.name);
     call_guard.set_account_place(account_place);
+    call_guard.set_answer(call.answer.clone());
     Ok(match () {
         () if call.route.claimed => claimed_calls::serve_claimed(cx, call, call_guard).await,
         () if call.route.kind.is_stream() => stream::serve(cx, call, call_guard).await,
@@ -140,36 +149,6 @@
     })
 }
 
-/// Reason why the body of a request could not be read.
-enum BodyError {
-    /// The caller closed the connection before the body was complete.
-    Aborted,
-    /// The body did not arrive within the time limit.
-    TimedOut,
-}
-
-/// Reads the whole body of a request; returns `None` if it is above the size limit.
-async fn read_body(
-    cx: &Gateway,
-    headers: &HeaderMap,
-    body_stream: Incoming,
-) -> Result<Option<Bytes>, BodyError> {
-    let limits = cx.caller_limits();
-    let content_length = headers.get(header::CONTENT_LENGTH);
-    let content_length = content_length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-    if content_length.is_some_and(|n| n > limits.body_bytes) {
-        return Ok(None);
-    }
-    let reading = Limited::new(body_stream, limits.body_bytes).collect();
-    let until = cx.now() + limits.body_time;
-    match cx.clock.timeout_at(until, reading).await {
-        Some(Ok(body)) => Ok(Some(body.to_bytes())),
-        Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Ok(None),
-        Some(Err(_)) => Err(BodyError::Aborted),
-        None => Err(BodyError::TimedOut),
-    }
-}
-
 /// Result of a call whose answer is read completely before it is passed on.
 pub(crate) enum CallResult {
     /// A target answered.
@@ -275,7 +254,7 @@
 }
 
 /// Head and complete body of a target's answer.
-pub(crate) type CompleteAnswer = (response::Parts, Bytes);
+pub(crate) type CompleteAnswer = (response::Parts, CollectedBody);
 
 async fn read_answer(
     cx: &Gateway,
@@ -289,7 +268,7 @@
         conn,
         guard,
     } = started_answer;
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let reading = read_body::read_answer(body, &call.answer);
     let read = cx.clock.timeout_at(call.deadline, reading).await;
     let end = match &read {
         Some(Ok(_)) if head.status.is_server_error() => AttemptEnd::TargetError,
@@ -299,7 +278,7 @@
     };
     guard.end(end);
     call.attempts.on_attempt_end(Execution::Ran);
-    let Some(Ok(collected)) = read else {
+    let Some(Ok(body)) = read else {
         return Err(AttemptFailure {
             execution: Execution::Ran,
             end,
@@ -308,7 +287,7 @@
     };
     return_to_pool(cx, conn, &facts).await;
     strip_connection_headers(&mut head.headers);
-    Ok((head, collected.to_bytes()))
+    Ok((head, body))
 }
 
 /// Returns a connection to the pool for the next call, unless it is closed or the target will close it.
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -15,6 +15,7 @@
     body::AnswerBody,
     call::CompleteAnswer,
     crash_checks,
+    flow::{AnswerAccount, RequestCount},
     gateway::Gateway,
 };
 use crate::{
@@ -61,6 +62,8 @@
     received: Instant,
     is_logged: Cell<bool>,
     account_place: Option<AccountPermit>,
+    request_count: Option<RequestCount>,
+    answer: Option<AnswerAccount>,
     _guard: InProgressGuard,
 }
 
@@ -113,6 +116,8 @@
             received: cx.now(),
             is_logged: Cell::new(false),
             account_place: None,
+            request_count: None,
+            answer: None,
             _guard: InProgressGuard::new(cx),
         }
     }
@@ -122,6 +127,16 @@
         self.account_place = account_place;
     }
 
+    /// Keeps the count of the request's body until the call ends.
+    pub(crate) fn set_request_count(&mut self, count: RequestCount) {
+        self.request_count = Some(count);
+    }
+
+    /// Sets the account of the call's answer, which tells whether the caller was given up.
+    pub(crate) fn set_answer(&mut self, answer: AnswerAccount) {
+        self.answer = Some(answer);
+    }
+
     /// Records the end of the call in the log, the metrics and the trace.
     pub(crate) fn record_end(&self, end: CallEnd<'_>, attempts: Attempts) {
         self.is_logged.set(true);
@@ -144,9 +159,14 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         if !self.is_logged.get() {
+            let given_up = self.answer.as_ref().and_then(AnswerAccount::given_up);
+            let (code, why) = match given_up {
+                Some(reason) => (ResultCode::AnswerNotRead, reason.text()),
+                None => (ResultCode::CallerGone, "caller left"),
+            };
             let end = CallEnd {
                 status: 0,
-                ..CallEnd::failed(ResultCode::CallerGone, "caller left")
+                ..CallEnd::failed(code, why)
             };
             self.record_end(end, Attempts::default());
         }
@@ -162,10 +182,11 @@
 ) -> Response<AnswerBody> {
     let (head, body) = answer;
     call_guard.record_end(CallEnd::answered(head.status), call.attempts);
+    call.answer.on_complete();
     finish_response(
         cx,
         call_guard,
-        Response::from_parts(head, AnswerBody::whole(body)),
+        Response::from_parts(head, AnswerBody::collected(body)),
     )
 }
 
--- /dev/null
+++ b/src/edge/flow.rs
@@ -0,0 +1,319 @@
+//! Counts the bytes that are held for callers in [`crate::flow`], and closes the connections of callers that
+//! are given up.
+//!
+//! Every count is released when its guard is dropped: with the bytes that were written, with the queue of a
+//! connection that closed, or with the call.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::{Rc, Weak},
+};
+
+use bytes::{Buf, Bytes};
+use slog::info;
+use tokio::sync::Notify;
+
+use super::gateway::Gateway;
+use crate::{
+    ResultCode,
+    explain::Decision,
+    flow::{AnswerId, Flow, FlowBounds, GiveUpReason, GivenUp, HoldVerdict},
+    ids::ClientAccountId,
+};
+
+/// Connection of a caller, as far as a call may close it.
+#[derive(Default)]
+pub(crate) struct CallerConn {
+    close: Notify,
+}
+
+impl CallerConn {
+    /// Waits until the caller is given up.
+    pub(crate) async fn given_up(&self) {
+        self.close.notified().await;
+    }
+}
+
+/// What a router holds for its callers.
+pub(crate) struct FlowControl {
+    flow: RefCell<Flow>,
+    answers: RefCell<HashMap<AnswerId, Weak<AnswerState>>>,
+    /// Wakes answers that wait until bytes are released.
+    released: Notify,
+}
+
+impl FlowControl {
+    /// Creates the control of a router that holds nothing.
+    pub(crate) fn new(bounds: FlowBounds) -> Self {
+        Self {
+            flow: RefCell::new(Flow::new(bounds)),
+            answers: RefCell::default(),
+            released: Notify::new(),
+        }
+    }
+
+    /// Returns a view of what is held.
+    pub(crate) fn with_flow<T>(&self, view: impl FnOnce(&Flow) -> T) -> T {
+        view(&self.flow.borrow())
+    }
+
+    fn release(&self, id: AnswerId, n: usize, offered: usize) {
+        self.flow.borrow_mut().release(id, n, offered);
+        self.released.notify_waiters();
+    }
+}
+
+/// State of one answer, shared by everything that holds a part of it.
+struct AnswerState {
+    cx: Rc<Gateway>,
+    id: AnswerId,
+    call: String,
+    conn: Rc<CallerConn>,
+    given_up: Cell<Option<GiveUpReason>>,
+    /// Wakes the call that waits until nothing of its answer is held any more.
+    drained: Notify,
+}
+
+impl Drop for AnswerState {
+    fn drop(&mut self) {
+        let flow = &self.cx.flow;
+        flow.flow.borrow_mut().close(self.id);
+        flow.answers.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Account of the bytes that are held for the answer to one call.
+#[derive(Clone)]
+pub(crate) struct AnswerAccount(Rc<AnswerState>);
+
+impl AnswerAccount {
+    /// Opens the account of a call's answer: a stream, or an answer that is read completely before it is
+    /// passed on.
+    pub(crate) fn open(
+        cx: &Rc<Gateway>,
+        call: &str,
+        conn: &Rc<CallerConn>,
+        account: Option<&ClientAccountId>,
+        is_stream: bool,
+    ) -> Self {
+        let id = cx.flow.flow.borrow_mut().open(account, is_stream);
+        let state = Rc::new(AnswerState {
+            cx: Rc::clone(cx),
+            id,
+            call: call.to_owned(),
+            conn: Rc::clone(conn),
+            given_up: Cell::new(None),
+            drained: Notify::new(),
+        });
+        let mut answers = cx.flow.answers.borrow_mut();
+        answers.insert(id, Rc::downgrade(&state));
+        Self(state)
+    }
+
+    /// Returns why the caller was given up, if it was.
+    pub(crate) fn given_up(&self) -> Option<GiveUpReason> {
+        self.0.given_up.get()
+    }
+
+    /// Counts `n` bytes that have arrived from a target, and gives up the callers that the bounds require.
+    ///
+    /// Waits while the bytes of callers that were given up are released. If this caller is itself given up,
+    /// it does not return; its connection is being closed, which ends the call.
+    pub(crate) async fn hold(&self, n: usize) -> HeldCount {
+        let control = &self.0.cx.flow;
+        loop {
+            let released = control.released.notified();
+            let verdict = control.flow.borrow_mut().hold(self.0.id, n);
+            match verdict {
+                HoldVerdict::Held => {
+                    return HeldCount {
+                        answer: self.clone(),
+                        n,
+                    };
+                }
+                HoldVerdict::Wait => {}
+                HoldVerdict::GiveUp(callers) => give_up(&self.0.cx, &callers),
+            }
+            released.await;
+        }
+    }
+
+    /// Returns a count of no bytes.
+    pub(crate) fn hold_nothing(&self) -> HeldCount {
+        HeldCount {
+            answer: self.clone(),
+            n: 0,
+        }
+    }
+
+    /// Records that the target has sent the complete answer.
+    pub(crate) fn on_complete(&self) {
+        let mut flow = self.0.cx.flow.flow.borrow_mut();
+        flow.on_complete(self.0.id);
+    }
+
+    /// Waits until nothing of the answer is held: the caller's socket has taken all of it.
+    pub(crate) async fn drained(&self) {
+        loop {
+            let drained = self.0.drained.notified();
+            if self.0.cx.flow.with_flow(|f| f.held_of(self.0.id)) == 0 {
+                return;
+            }
+            drained.await;
+        }
+    }
+
+    fn release(&self, n: usize, offered: usize) {
+        self.0.cx.flow.release(self.0.id, n, offered);
+        self.0.drained.notify_waiters();
+    }
+}
+
+/// Bytes of an answer that have arrived, and that the caller can't read yet.
+pub(crate) struct HeldCount {
+    answer: AnswerAccount,
+    n: usize,
+}
+
+impl HeldCount {
+    /// Adds another count of the same answer to this one.
+    pub(crate) fn add(&mut self, mut other: Self) {
+        self.n += std::mem::take(&mut other.n);
+    }
+
+    /// Makes bytes readable for the caller. They must be part of this count.
+    pub(crate) fn offer(&mut self, bytes: Bytes) -> OfferedBytes {
+        let n = bytes.len().min(self.n);
+        self.n -= n;
+        let state = &self.answer.0;
+        state.cx.flow.flow.borrow_mut().offer(state.id, n);
+        OfferedBytes {
+            bytes,
+            count: Some((self.answer.clone(), n)),
+        }
+    }
+}
+
+impl Drop for HeldCount {
+    fn drop(&mut self) {
+        if self.n > 0 {
+            self.answer.release(self.n, 0);
+        }
+    }
+}
+
+/// Bytes of a response body, held until they are written to the caller's socket.
+pub(crate) struct OfferedBytes {
+    bytes: Bytes,
+    /// Answer that they belong to, and their number; `None` for a response of the router itself.
+    count: Option<(AnswerAccount, usize)>,
+}
+
+impl OfferedBytes {
+    /// Creates bytes of a response of the router itself, which are not counted.
+    pub(crate) fn uncounted(bytes: Bytes) -> Self {
+        Self { bytes, count: None }
+    }
+
+    /// Returns their number.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+}
+
+impl Buf for OfferedBytes {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, n: usize) {
+        self.bytes.advance(n);
+        if let Some((AnswerAccount(state), _)) = &self.count {
+            state.cx.flow.flow.borrow_mut().on_progress(state.id);
+        }
+    }
+}
+
+impl Drop for OfferedBytes {
+    fn drop(&mut self) {
+        if let Some((answer, n)) = self.count.take() {
+            answer.release(n, n);
+        }
+    }
+}
+
+/// Bytes of a request body that are held until the call ends.
+pub(crate) struct RequestCount {
+    cx: Rc<Gateway>,
+    n: usize,
+}
+
+/// Request bodies have reached their bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NoRoomForRequest;
+
+impl RequestCount {
+    /// Starts the count of a request body of which `announced` bytes are announced, if they fit into the
+    /// bound.
+    pub(crate) fn start(cx: &Rc<Gateway>, announced: usize) -> Result<Self, NoRoomForRequest> {
+        match cx.flow.with_flow(|f| f.has_room_for_request(announced)) {
+            true => Ok(Self {
+                cx: Rc::clone(cx),
+                n: 0,
+            }),
+            false => Err(NoRoomForRequest),
+        }
+    }
+
+    /// Counts `n` bytes that have arrived, if they fit into the bound.
+    pub(crate) fn grow(&mut self, n: usize) -> Result<(), NoRoomForRequest> {
+        match self.cx.flow.flow.borrow_mut().hold_request(n) {
+            true => {
+                self.n += n;
+                Ok(())
+            }
+            false => Err(NoRoomForRequest),
+        }
+    }
+}
+
+impl Drop for RequestCount {
+    fn drop(&mut self) {
+        self.cx.flow.flow.borrow_mut().release_request(self.n);
+    }
+}
+
+/// Gives up the callers that have read nothing for too long, and updates the metrics.
+pub(super) fn on_tick(cx: &Gateway) {
+    let now = cx.now();
+    let callers = cx.flow.flow.borrow_mut().on_tick(now);
+    give_up(cx, &callers);
+    let (answers, requests) = cx.flow.with_flow(|f| (f.held(), f.request_bytes()));
+    cx.metrics.on_held(answers, requests);
+}
+
+/// Closes the connections of callers, which also ends their runs at targets.
+fn give_up(cx: &Gateway, callers: &[GivenUp]) {
+    for caller in callers {
+        let answers = cx.flow.answers.borrow();
+        let Some(answer) = answers.get(&caller.answer).and_then(Weak::upgrade) else {
+            continue;
+        };
+        drop(answers);
+        answer.given_up.set(Some(caller.reason));
+        answer.conn.close.notify_one();
+        cx.metrics.on_caller_given_up(caller.reason);
+        let code = ResultCode::AnswerNotRead;
+        info!(cx.log, "caller given up"; "id" => &answer.call, "code" => code.name(), "reason" => caller.reason.name(),
+            "held_bytes" => caller.held, "stalled_ms" => caller.stalled.as_millis() as u64);
+        cx.record_decision(&answer.call, || Decision::Ended {
+            code: code.number(),
+            why: caller.reason.text().to_owned(),
+        });
+    }
+}
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -12,7 +12,7 @@
 use super::{
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
     claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks, feed::ResponseCache,
-    metrics::Metrics,
+    flow::FlowControl, metrics::Metrics,
 };
 use crate::{
     clock::Clock,
@@ -23,6 +23,7 @@
     dialect::Dialect,
     dispatcher::Dispatcher,
     explain::{Decision, ExplainRing},
+    flow::FlowBounds,
     ids::{Incarnation, Revision, ServiceName},
     lifecycle::{Phase, RouterEvent, RouterLifecycle},
     log::LogFlusher,
@@ -68,6 +69,7 @@
     pub(crate) accounts: Accounts,
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
+    pub(crate) flow: FlowControl,
     pub(crate) explain: ExplainRing,
     pub(crate) rules: Cell<Rules>,
     /// Number of calls in progress at this router.
@@ -144,6 +146,7 @@
             accounts: Accounts::default(),
             claims: ClaimRecorder::new(Rc::clone(&store)),
             crash_checks: CrashChecks::default(),
+            flow: FlowControl::new(FlowBounds::from_memory(cfg.memory)),
             explain: ExplainRing::new(cfg.explain_kept),
             conns: Rc::default(),
             metrics: Metrics::default(),
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -1,6 +1,6 @@
 //! Serves connections of callers, readiness checks of the load balancer, and scrapers of metrics.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, pin::Pin, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
@@ -12,8 +12,8 @@
     sync::Notify,
 };
 
-use super::{body::AnswerBody, call, conn::set_socket_options, gateway::Gateway};
-use crate::lifecycle::Phase;
+use super::{body::AnswerBody, call, conn::set_socket_options, flow::CallerConn, gateway::Gateway};
+use crate::{flow::FlowBounds, lifecycle::Phase};
 
 /// Pause after a connection could not be accepted, most likely because the process is out of file
 /// descriptors.
@@ -65,16 +65,20 @@
 
 async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) {
     set_socket_options(&stream);
+    bound_send_buffer(&cx, &stream);
     let limits = cx.caller_limits();
     let activity = Rc::new(ConnActivity::default());
     activity.idle_since.set(cx.now());
+    let caller = Rc::new(CallerConn::default());
     let service = {
         let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
+        let caller = Rc::clone(&caller);
         service_fn(move |req: Request<Incoming>| {
             let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
+            let caller = Rc::clone(&caller);
             async move {
                 activity.busy.set(true);
-                let answer = call::on_call(&cx, req).await;
+                let answer = call::on_call(&cx, &caller, req).await;
                 activity.idle_since.set(cx.now());
                 activity.busy.set(false);
                 activity.call_ended.notify_one();
@@ -87,14 +91,38 @@
         .header_read_timeout(MAX_HEADER_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // A broken connection ends its own call, and the error can't be sent to the caller.
-        _ = connection.as_mut() => return,
-        () = wait_for_idle_timeout(&cx, &activity) => {}
+    let mut connection = connection;
+    let given_up = async {
+        tokio::select! {
+            // A broken connection ends its own call, and the error can't be sent to the caller.
+            _ = &mut connection => return false,
+            () = caller.given_up() => return true,
+            () = wait_for_idle_timeout(&cx, &activity) => {}
+        }
+        Pin::new(&mut connection).graceful_shutdown();
+        tokio::select! {
+            _ = &mut connection => false,
+            () = caller.given_up() => true,
+        }
+    };
+    if given_up.await {
+        reset(connection.into_parts().io.inner());
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+}
+
+/// Bounds what the operating system holds for a caller that does not read. Without the bound, it holds up
+/// to several megabytes.
+fn bound_send_buffer(cx: &Gateway, stream: &TcpStream) {
+    let size = FlowBounds::send_buffer(cx.cfg.memory, cx.cfg.max_connections);
+    // A connection with the system's own size still works.
+    let _ = socket2::SockRef::from(stream).set_send_buffer_size(size);
+}
+
+/// Has the connection reset when it is closed, so that the operating system discards what the caller has
+/// not read.
+fn reset(stream: &TcpStream) {
+    // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 /// Waits until the connection exceeds the idle timeout, or until a planned stop closes it.
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    StopReport, crash_checks, exchange,
+    StopReport, crash_checks, exchange, flow,
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, peer_calls, saved_state, stop,
     stop::Signals,
@@ -111,6 +111,7 @@
         let removed = cx.dispatcher.borrow_mut().on_tick(now);
         store_updates::apply_settled_content(&cx);
         crash_checks::on_tick(&cx);
+        flow::on_tick(&cx);
         withdrawals::on_tick(&cx);
         for target in removed {
             cx.conns.close_idle(&target);
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -8,7 +8,7 @@
     registry::Registry,
 };
 
-use crate::ids::ServiceName;
+use crate::{flow::GiveUpReason, ids::ServiceName};
 
 /// Upper bounds of the histogram buckets in seconds, from the typical duration of a plain call to the
 /// longest deadline.
@@ -40,6 +40,9 @@
     attempts: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     withdrawn: Family<ReasonLabel, Gauge>,
+    callers_given_up: Family<ReasonLabel, Counter>,
+    answer_bytes: Gauge,
+    request_bytes: Gauge,
     slot_time_ms: Family<ServiceLabel, Gauge>,
     retry_after: Histogram,
     counts_age: Histogram,
@@ -72,6 +75,9 @@
             attempts: Family::default(),
             store_calls: Family::default(),
             withdrawn: Family::default(),
+            callers_given_up: Family::default(),
+            answer_bytes: Gauge::default(),
+            request_bytes: Gauge::default(),
             slot_time_ms: Family::default(),
             retry_after: Histogram::new(BUCKET_BOUNDS_SECONDS),
             counts_age: Histogram::new(BUCKET_BOUNDS_SECONDS),
@@ -139,6 +145,21 @@
             "How old the counts of others' calls were where a target was chosen",
             self.counts_age.clone(),
         );
+        r.register(
+            "callers_given_up",
+            "Callers that were given up, by why",
+            self.callers_given_up.clone(),
+        );
+        r.register(
+            "answer_bytes_held",
+            "Bytes of answers that are held",
+            self.answer_bytes.clone(),
+        );
+        r.register(
+            "request_bytes_held",
+            "Bytes of request bodies that are held",
+            self.request_bytes.clone(),
+        );
         let first = self.first_event_time.clone();
         r.register(
             "first_event_seconds",
@@ -241,6 +262,28 @@
         }
     }
 
+    /// Counts a caller that was given up.
+    pub(crate) fn on_caller_given_up(&self, reason: GiveUpReason) {
+        let label = ReasonLabel {
+            reason: reason.name(),
+        };
+        self.callers_given_up.get_or_create(&label).inc();
+    }
+
+    /// Returns the number of callers that were given up for a reason.
+    pub(crate) fn callers_given_up(&self, reason: GiveUpReason) -> u64 {
+        let label = ReasonLabel {
+            reason: reason.name(),
+        };
+        self.callers_given_up.get(&label).map_or(0, |n| n.get())
+    }
+
+    /// Sets the bytes that are held of answers and of request bodies.
+    pub(crate) fn on_held(&self, answers: usize, requests: usize) {
+        self.answer_bytes.set(answers as i64);
+        self.request_bytes.set(requests as i64);
+    }
+
     /// Records the delay after which a caller that was refused for lack of capacity should retry.
     pub(crate) fn on_capacity_refused(&self, retry_after: Duration) {
         self.retry_after.observe(retry_after.as_secs_f64());
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -19,6 +19,7 @@
 mod crash_checks;
 mod exchange;
 mod feed;
+mod flow;
 mod gateway;
 mod gossip;
 mod ingress;
@@ -26,6 +27,7 @@
 mod metrics;
 mod operators;
 mod peer_calls;
+mod read_body;
 mod saved_state;
 mod stop;
 mod store_sync;
@@ -49,6 +51,7 @@
     membership::{datagram::Strength, readers::FleetStart},
     retry::BudgetRule,
     settings::OperatorToken,
+    units::ByteCount,
 };
 
 /// Configuration of a gateway, resolved and checked by the settings or by an adapter.
@@ -80,6 +83,8 @@
     pub max_connections: usize,
     /// Maximum number of calls in progress at this VM.
     pub max_calls: usize,
+    /// Memory that this router may use; the bounds on held answers and request bodies follow from it.
+    pub memory: ByteCount,
     /// Whether the configuration consists of changes that operators confirm at the routers; otherwise it
     /// is the one that the adapter decodes.
     pub own_config: bool,
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -10,17 +10,14 @@
     attempt::{AttemptFailure, Call, StartedAnswer, attempt},
     attempt_end::AttemptEnd,
     attempt_guard::AttemptGuard,
-    body::{AnswerBody, EventSender, StreamAborted},
+    body::{AnswerBody, CollectedBody, EventSender, StreamAborted},
     call::{attempt_timeout, return_to_pool, strip_connection_headers, take_retry},
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
+    flow::{AnswerAccount, HeldCount, OfferedBytes},
     gateway::Gateway,
+    read_body,
 };
-use crate::{
-    ResultCode,
-    event_stream::{Event, EventSplitter},
-    retry::Execution,
-    units::Instant,
-};
+use crate::{ResultCode, event_stream::EventSplitter, retry::Execution, units::Instant};
 
 /// Multiple of the route's latency goal that a resumable stream waits for its first event before the
 /// call is sent to another target. Waiting a little costs less than reading the prompt again there.
@@ -37,11 +34,20 @@
 struct EventSource {
     body: Incoming,
     splitter: EventSplitter,
+    answer: AnswerAccount,
+    /// Count of the bytes in `splitter`.
+    count: HeldCount,
     conn: super::conn::Conn,
     guard: AttemptGuard,
     facts: crate::dialect::ResponseInfo,
 }
 
+/// A complete event that the caller can read.
+struct Event {
+    id: Option<u64>,
+    bytes: OfferedBytes,
+}
+
 /// Next item of a target's stream.
 enum Next {
     Event(Event),
@@ -55,7 +61,13 @@
     async fn next(&mut self, cx: &Gateway, until: Instant) -> Next {
         loop {
             match self.splitter.next_event() {
-                Ok(Some(event)) => return Next::Event(event),
+                Ok(Some(event)) => {
+                    let bytes = self.count.offer(event.bytes);
+                    return Next::Event(Event {
+                        id: event.id,
+                        bytes,
+                    });
+                }
                 Ok(None) => {}
                 Err(_) => return Next::Broken(AttemptEnd::EventTooLarge),
             }
@@ -65,6 +77,7 @@
                 Some(Some(Err(_))) => return Next::Broken(AttemptEnd::AnswerTruncated),
                 Some(Some(Ok(frame))) => {
                     let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
+                    self.count.add(self.answer.hold(data.len()).await);
                     self.splitter.push(data);
                 }
                 Some(None) if self.splitter.has_incomplete_event() => {
@@ -88,8 +101,8 @@
             Ok(AnswerStart::Stream(head, source, first)) => {
                 return relay(cx, call, call_guard, head, source, first);
             }
-            Ok(AnswerStart::Whole(head, bytes)) => {
-                return pass_on(cx, &call_guard, &call, (head, bytes));
+            Ok(AnswerStart::Whole(head, body)) => {
+                return pass_on(cx, &call_guard, &call, (head, body));
             }
             Err(failed) => failed,
         };
@@ -105,7 +118,7 @@
     /// The first event has arrived, and more follow.
     Stream(response::Parts, Box<EventSource>, Event),
     /// The answer is complete: an error response of the target, or a stream without events.
-    Whole(response::Parts, bytes::Bytes),
+    Whole(response::Parts, CollectedBody),
 }
 
 /// Makes one attempt and waits for its first event.
@@ -128,6 +141,8 @@
     let mut source = Box::new(EventSource {
         body,
         splitter: EventSplitter::default(),
+        answer: call.answer.clone(),
+        count: call.answer.hold_nothing(),
         conn,
         guard,
         facts,
@@ -145,7 +160,8 @@
             guard.end(AttemptEnd::Answered);
             return_to_pool(cx, conn, &facts).await;
             call.attempts.on_attempt_end(Execution::Ran);
-            Ok(AnswerStart::Whole(head, bytes::Bytes::new()))
+            let nothing = call.answer.hold_nothing();
+            Ok(AnswerStart::Whole(head, CollectedBody::empty(nothing)))
         }
         Next::Broken(end) => {
             source.guard.end(end);
@@ -169,7 +185,8 @@
     place: AttemptGuard,
 ) -> Result<AnswerStart, AttemptFailure> {
     call.attempts.on_attempt_end(Execution::Ran);
-    let read = cx.clock.timeout_at(call.deadline, body.collect()).await;
+    let reading = read_body::read_answer(body, &call.answer);
+    let read = cx.clock.timeout_at(call.deadline, reading).await;
     let is_error = head.status.is_server_error();
     place.end(match is_error {
         true => AttemptEnd::TargetError,
@@ -180,7 +197,7 @@
             .attempts
             .may_retry(call.route.kind, call.route.max_attempts);
     match read {
-        Some(Ok(bytes)) if !may_retry => Ok(AnswerStart::Whole(head, bytes.to_bytes())),
+        Some(Ok(body)) if !may_retry => Ok(AnswerStart::Whole(head, body)),
         _ => Err(AttemptFailure {
             execution: Execution::Ran,
             end: AttemptEnd::TargetError,
@@ -249,7 +266,7 @@
     call.attempts.on_response_started();
     loop {
         call.last_event = event.id.or(call.last_event);
-        if tx.send(Ok(event.bytes)).await.is_err() {
+        if tx.send(Ok(event.bytes)).is_err() {
             return;
         }
         let until = (cx.now() + gap_timeout(&call)).min(call.deadline);
@@ -263,9 +280,14 @@
                     conn, guard, facts, ..
                 } = source;
                 guard.end(AttemptEnd::Answered);
-                call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
-                drop(tx);
-                return_to_pool(cx, conn, &facts).await;
+                call.answer.on_complete();
+                // A planned stop cuts off no answer that is still being read, so the call ends with it.
+                let delivery = async {
+                    call.answer.drained().await;
+                    call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
+                    drop(tx);
+                };
+                futures::join!(return_to_pool(cx, conn, &facts), delivery);
                 return;
             }
             Next::Broken(end) => match resume(cx, &mut call, source, end).await {
@@ -280,7 +302,7 @@
                     };
                     call_guard.record_end(end, call.attempts);
                     // If the caller has left as well, sending fails, and nothing more has to be done.
-                    let _ = tx.send(Err(StreamAborted)).await;
+                    let _ = tx.send(Err(StreamAborted));
                     return;
                 }
             },
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -1,6 +1,6 @@
 //! Responses to the operators' requests for status, decisions and changes.
 
-use std::{rc::Rc, sync::Arc};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
 use futures::future::join_all;
 use hyper::Response;
@@ -11,8 +11,9 @@
 use crate::{
     config::{Change, Digest},
     explain::DecisionRecord,
+    flow::GiveUpReason,
     health::HealthStatus,
-    ids::{DataHall, Region, Revision, ServiceName, TargetId, VmId},
+    ids::{ClientAccountId, DataHall, Region, Revision, ServiceName, TargetId, VmId},
     lifecycle::Phase,
     membership::peers::Member,
     reply,
@@ -41,6 +42,31 @@
     targets: Vec<TargetStatus>,
     evacuated: Vec<EvacuatedHall>,
     held_back: Vec<QuarantinedRequest>,
+    held_bytes: HeldBytes,
+}
+
+/// Bytes that the router holds for callers and targets, and how many callers were given up.
+#[derive(Serialize)]
+struct HeldBytes {
+    answers: usize,
+    /// Maximum of `answers` since the router started.
+    answers_peak: usize,
+    answers_bound: usize,
+    /// Account with the most bytes of answers.
+    largest_account: Option<AccountBytes>,
+    account_bound: usize,
+    stream_bound: usize,
+    requests: usize,
+    requests_bound: usize,
+    /// Number of callers that were given up, by reason.
+    given_up: BTreeMap<&'static str, u64>,
+}
+
+/// Bytes of answers that are held for an account.
+#[derive(Serialize)]
+struct AccountBytes {
+    account: ClientAccountId,
+    answers: usize,
 }
 
 /// A data hall whose targets receive no calls.
@@ -135,9 +161,32 @@
         targets: targets(cx),
         evacuated: evacuated(cx),
         held_back: quarantined_requests(cx),
+        held_bytes: held_bytes(cx),
     }
 }
 
+fn held_bytes(cx: &Gateway) -> HeldBytes {
+    let given_up = GiveUpReason::ALL.map(|r| (r.name(), cx.metrics.callers_given_up(r)));
+    cx.flow.with_flow(|flow| {
+        let bounds = flow.bounds();
+        let largest = flow.largest_account();
+        HeldBytes {
+            answers: flow.held(),
+            answers_peak: flow.peak(),
+            answers_bound: bounds.router,
+            largest_account: largest.map(|(account, answers)| AccountBytes {
+                account: account.clone(),
+                answers,
+            }),
+            account_bound: bounds.account,
+            stream_bound: bounds.stream,
+            requests: flow.request_bytes(),
+            requests_bound: bounds.requests,
+            given_up: BTreeMap::from(given_up),
+        }
+    })
+}
+
 fn evacuated(cx: &Gateway) -> Vec<EvacuatedHall> {
     let now = cx.now();
     let dispatcher = cx.dispatcher.borrow();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod event_stream;
 pub mod explain;
 pub mod fingerprint;
+pub mod flow;
 pub mod health;
 pub mod ids;
 pub mod intent;
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -113,6 +113,9 @@
     TargetTimeout = 4005, 504, Unknown, "target_timeout";
     /// The caller disconnected, and the target was asked to cancel the request.
     CallerGone = 4006, 499, Unknown, "caller_gone";
+    /// The caller did not read its response in time and was given up; the target was asked to cancel the
+    /// request.
+    AnswerNotRead = 4007, 499, Unknown, "answer_not_read";
     /// The claim of an unrepeatable request could not be stored, so the request was not sent.
     ClaimStoreDown = 5001, 503, No, "claim_store_down";
     /// The same request is still running.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,7 @@
     admission::{shares::ShareScope, warm_up::ColdRule},
     config::{routes::CallerRules, serving::CallerLimits},
     edge::{GatewayConfig, Rules},
+    flow::FlowBounds,
     ids::{DataHall, Region, VmId},
     membership::{datagram::Strength, readers::FleetStart},
     retry::BudgetRule,
@@ -122,6 +123,8 @@
     request_timeout_ms: Millis = Some("300000"), false, "milliseconds";
     /// Maximum number of concurrent requests of this router.
     concurrency_limit: usize = Some("20000"), false, "a whole number";
+    /// Memory that this router may use; the bounds on held answers and request bodies follow from it.
+    memory_limit: ByteCount = Some("1g"), false, "bytes from 16m, optionally with the suffix k, m or g";
     /// Time that a planned stop waits for the load balancer to stop sending requests.
     drain_wait_ms: Millis = Some("5000"), false, "milliseconds";
     /// Maximum time that a planned stop waits for requests in progress.
@@ -167,6 +170,7 @@
             seeds: self.peers.0.clone(),
             max_connections: self.concurrency_limit,
             max_calls: self.concurrency_limit,
+            memory: self.memory_limit,
             start: FleetStart::default(),
             own_config: true,
             callers_rules: CallerRules {
@@ -228,6 +232,10 @@
             let given = Some(self.header_limit.to_string());
             faults.push(invalid_setting("header_limit", given, "8192 bytes or more"));
         }
+        if self.memory_limit < FlowBounds::MIN_MEMORY {
+            let given = Some(self.memory_limit.to_string());
+            faults.push(invalid_setting("memory_limit", given, "16m or more"));
+        }
         match faults.is_empty() {
             true => Ok(self),
             false => Err(Error::Settings(faults)),
--- a/src/units.rs
+++ b/src/units.rs
@@ -230,7 +230,7 @@
     }
 }
 
-/// A size in bytes, parsed from text such as `512`, `64k` or `10m`.
+/// A size in bytes, parsed from text such as `512`, `64k`, `10m` or `1g`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ByteCount(pub usize);
 
@@ -239,12 +239,13 @@
 
     fn from_str(s: &str) -> Result<Self, IdError> {
         let invalid = || IdError {
-            expected: "a number of bytes, optionally with the suffix k or m",
+            expected: "a number of bytes, optionally with the suffix k, m or g",
             got: s.to_owned(),
         };
         let (digits, unit) = match s.as_bytes().last() {
             Some(b'k') => (&s[..s.len() - 1], 1 << 10),
             Some(b'm') => (&s[..s.len() - 1], 1 << 20),
+            Some(b'g') => (&s[..s.len() - 1], 1 << 30),
             _ => (s, 1),
         };
         let n: usize = digits.parse().map_err(|_| invalid())?;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod claims;
 mod evacuation;
+mod flow;
 mod health;
 mod limits;
 mod many_targets;
