--- a/tests/support/flood.rs
+++ b/tests/support/flood.rs
@@ -1,4 +1,4 @@
-//! A simulated model engine that streams large events as fast as they are read, and counts how its streams
+//! Simulated model engines that stream large events as fast as they are read, and count how their streams
 //! end.
 
 use std::sync::{
@@ -27,17 +27,22 @@
 }
 
 pub struct Flood {
-    pub server: Server,
+    pub servers: Vec<Server>,
     pub counts: Arc<Counts>,
 }
 
 impl Flood {
-    /// Starts an engine that answers each chat with `max_tokens` events.
-    pub async fn start() -> Self {
+    /// Starts engines that answer each chat with `max_tokens` events. If `stay` is set in the request, the
+    /// answer stays open after the last event.
+    pub async fn start(engines: usize) -> Self {
         let counts: Arc<Counts> = Arc::default();
-        let shared = Arc::clone(&counts);
-        let server = http::serve("127.0.0.1:0", move |req| answer(Arc::clone(&shared), req)).await;
-        Self { server, counts }
+        let mut servers = Vec::with_capacity(engines);
+        for _ in 0..engines {
+            let counts = Arc::clone(&counts);
+            let handler = move |req| answer(Arc::clone(&counts), req);
+            servers.push(http::serve("127.0.0.1:0", handler).await);
+        }
+        Self { servers, counts }
     }
 
     pub fn written(&self) -> usize {
@@ -78,6 +83,7 @@
 ) -> Result<Response<Body>, std::io::Error> {
     let body: Value = serde_json::from_slice(&http::read(req).await).unwrap_or_default();
     let last = body["max_tokens"].as_u64().unwrap_or(1);
+    let stays_open = body["stay"] == true;
     counts.started.fetch_add(1, SeqCst);
     let running = Running {
         counts,
@@ -85,6 +91,9 @@
     };
     let items = futures::stream::unfold((1, running), move |(n, mut running)| async move {
         if n > last {
+            if stays_open {
+                std::future::pending::<()>().await;
+            }
             running.is_written = true;
             return None;
         }
