--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,6 +15,7 @@
 mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
+mod slow_readers;
 #[allow(dead_code)]
 #[path = "../../platform/tests/support/store.rs"]
 mod store;
@@ -50,6 +51,8 @@
             optional --withdrawals
             /// Also revert the store to older copies.
             optional --set-backs
+            /// Also let callers read large streams slowly or not at all, at routers with little memory.
+            optional --slow-readers
             /// Print the verdict as JSON.
             optional --json
         }
@@ -75,6 +78,8 @@
     withdrawals: bool,
     /// Whether to revert the store; see `store_reverts`.
     set_backs: bool,
+    /// Whether to start callers that read slowly; see `slow_readers`.
+    slow_readers: bool,
 }
 
 /// Maximum number of routers. Each takes about 10 MB of memory and one of the 250 addresses of a network.
@@ -95,6 +100,7 @@
         crashes: flags.crashes,
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
+        slow_readers: flags.slow_readers,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
     if !options.program.is_file() {
@@ -133,6 +139,9 @@
     env.until_ready().await;
     let caller_tasks = callers::start(&env, options.seed);
     let crash_tasks = options.crashes.then(|| crashes::start(&env, options.seed));
+    let slow_readers = options
+        .slow_readers
+        .then(|| slow_readers::start(&env, options.seed));
     let entries = async {
         if options.entries {
             entries::inject(&env, options.seed, options.fault_duration).await;
@@ -160,6 +169,9 @@
         tokio::time::sleep(CRASHES_AFTER_FAULTS).await;
         crash_tasks.stop();
     }
+    if let Some(slow_readers) = slow_readers {
+        slow_readers.stop();
+    }
     caller_tasks.stop().await;
     env.stop().await;
     promises.verdict()
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -21,6 +21,7 @@
     link::Link,
     promises::PromiseChecker,
     serve::{Body, listen, whole},
+    slow_readers,
     withdrawals::Withdrawal,
 };
 
@@ -179,7 +180,11 @@
 
 /// Returns the event with this number of a call's stream.
 pub fn event(call: &str, n: u64) -> String {
-    format!("id: {n}\ndata: {call} {n}\n\n")
+    let padding = match call.starts_with(slow_readers::ID_PREFIX) {
+        true => "x".repeat(slow_readers::EVENT_PADDING),
+        false => String::new(),
+    };
+    format!("id: {n}\ndata: {call} {n}{padding}\n\n")
 }
 
 /// Returns a stream of events up to `last` that resumes after the caller's `last-event-id`.
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -19,6 +19,7 @@
     callers::Caller,
     link::Link,
     promises::PromiseChecker,
+    slow_readers,
     store::{Store, StoreFault},
     target::Target,
     withdrawals,
@@ -229,13 +230,16 @@
     let seeds: Vec<String> = (0..options.vms.min(3))
         .map(|i| format!("{}:{control}", ip(i)))
         .collect();
-    let settings: Value = json!({"node": format!("front-{vm_index}"), "zone": "yard", "ipAddr": ip(vm_index),
+    let mut settings: Value = json!({"node": format!("front-{vm_index}"), "zone": "yard", "ipAddr": ip(vm_index),
         "listen": {"front": address(front), "ready": address(ready), "control": address(control)},
         "internalPorts": [peers, peers], "seeds": seeds,
         "limits": {"maxFds": 4_100, "linkMbps": 1_000.0, "cpuShare": 0.25},
         "bounds": {"revokeMs": 5_000, "capFactor": 2, "budgetRatio": 0.2, "budgetWindowS": 10,
             "budgetExtra": 54, "graceS": 8},
         "platform": {"address": store_link.address.to_string()}});
+    if options.slow_readers {
+        settings["limits"]["memoryMb"] = slow_readers::ROUTER_MEMORY_MB.into();
+    }
     let settings_path = dir.join(format!("front-{vm_index}.json"));
     std::fs::write(&settings_path, settings.to_string()).expect("a writable settings file");
     Rc::new(Vm {
--- a/tests/decisions/flow.rs
+++ b/tests/decisions/flow.rs
@@ -5,8 +5,10 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use scaleford::{
+    Error, Settings,
     flow::{AnswerId, Flow, FlowBounds, GiveUpReason, HoldVerdict, STALL_LIMIT},
     ids::ClientAccountId,
+    settings::Source,
     units::{ByteCount, Instant},
 };
 
@@ -213,6 +215,53 @@
     assert!(bounds.stream >= 2 << 20);
 }
 
+/// Required settings of a router, and a memory limit.
+struct WithMemory(&'static str);
+
+impl Source for WithMemory {
+    fn value(&self, name: &str) -> Option<String> {
+        let value = match name {
+            "vm" => "vm-1",
+            "listen" | "peer_listen" | "operator_listen" | "platform" => "127.0.0.1:0",
+            "operator_tokens" => "watch:long-enough",
+            "memory_limit" => self.0,
+            _ => return None,
+        };
+        Some(value.to_owned())
+    }
+}
+
+/// Guards against a memory limit that is misread, or too small to serve any call.
+#[rstest]
+#[case::megabytes("160m", Ok(160 << 20))]
+#[case::gigabytes("2g", Ok(2 << 30))]
+#[case::too_small("15m", Err(r#"got "15728640", expected 16m or more"#))]
+#[case::no_size(
+    "much",
+    Err(r#"got "much", expected bytes from 16m, optionally with the suffix k, m or g"#)
+)]
+fn the_memory_limit_is_checked(
+    #[case] given: &'static str,
+    #[case] expected: Result<usize, &'static str>,
+) {
+    let resolved = Settings::resolve(&WithMemory(given)).and_then(Settings::check);
+    let bytes = resolved.map(|s| s.gateway().memory.0);
+    let setting = "--memory-limit (SCALEFORD_MEMORY_LIMIT): ";
+    match (bytes, expected) {
+        (Err(e), Err(expected)) => {
+            let Error::Settings(faults) = e else {
+                panic!("{e}");
+            };
+            let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+            assert_eq!(
+                faults,
+                [format!("error 1001 bad_settings: {setting}{expected}")]
+            );
+        }
+        (bytes, expected) => assert_eq!(bytes.ok(), expected.ok()),
+    }
+}
+
 proptest! {
     /// Guards against bytes that are counted twice or not released: whatever is held and released in which
     /// order, the bounds are kept, and nothing is held in the end.
