--- a/src/bin/scaleford/logs.rs
+++ b/src/bin/scaleford/logs.rs
@@ -131,6 +131,12 @@
             text("config_revision"),
             text("config_age_ms"),
         ),
+        "caller given up" => format!(
+            "The caller was given up ({}): {} bytes were held for it, and it had read nothing for {} ms.",
+            text("reason"),
+            text("held_bytes"),
+            text("stalled_ms")
+        ),
         "standing" => format!(
             "{} became {} by call {}: {}.",
             text("target"),
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -140,6 +140,9 @@
     /// Records the end of the call in the log, the metrics and the trace.
     pub(crate) fn record_end(&self, end: CallEnd<'_>, attempts: Attempts) {
         self.is_logged.set(true);
+        if let Some(answer) = &self.answer {
+            answer.on_call_end();
+        }
         let now = self.cx.now();
         let took = now.since(self.received);
         self.cx.metrics.on_call(end.name, end.number, took);
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -71,6 +71,8 @@
     call: String,
     conn: Rc<CallerConn>,
     given_up: Cell<Option<GiveUpReason>>,
+    /// Whether the end of the call is recorded: a plain call ends before its caller has read the answer.
+    is_call_ended: Cell<bool>,
     /// Wakes the call that waits until nothing of its answer is held any more.
     drained: Notify,
 }
@@ -104,6 +106,7 @@
             call: call.to_owned(),
             conn: Rc::clone(conn),
             given_up: Cell::new(None),
+            is_call_ended: Cell::new(false),
             drained: Notify::new(),
         });
         let mut answers = cx.flow.answers.borrow_mut();
@@ -116,6 +119,11 @@
         self.0.given_up.get()
     }
 
+    /// Handles the recorded end of the call.
+    pub(crate) fn on_call_end(&self) {
+        self.0.is_call_ended.set(true);
+    }
+
     /// Counts `n` bytes that have arrived from a target, and gives up the callers that the bounds require.
     ///
     /// Waits while the bytes of callers that were given up are released. If this caller is itself given up,
@@ -311,9 +319,11 @@
         let code = ResultCode::AnswerNotRead;
         info!(cx.log, "caller given up"; "id" => &answer.call, "code" => code.name(), "reason" => caller.reason.name(),
             "held_bytes" => caller.held, "stalled_ms" => caller.stalled.as_millis() as u64);
-        cx.record_decision(&answer.call, || Decision::Ended {
-            code: code.number(),
-            why: caller.reason.text().to_owned(),
-        });
+        if answer.is_call_ended.get() {
+            cx.record_decision(&answer.call, || Decision::Ended {
+                code: code.number(),
+                why: caller.reason.text().to_owned(),
+            });
+        }
     }
 }
