--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -108,6 +108,7 @@
 
 impl Metrics {
     fn register(&mut self) {
+        self.register_flow();
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
@@ -145,21 +146,6 @@
             "How old the counts of others' calls were where a target was chosen",
             self.counts_age.clone(),
         );
-        r.register(
-            "callers_given_up",
-            "Callers that were given up, by why",
-            self.callers_given_up.clone(),
-        );
-        r.register(
-            "answer_bytes_held",
-            "Bytes of answers that are held",
-            self.answer_bytes.clone(),
-        );
-        r.register(
-            "request_bytes_held",
-            "Bytes of request bodies that are held",
-            self.request_bytes.clone(),
-        );
         let first = self.first_event_time.clone();
         r.register(
             "first_event_seconds",
@@ -218,6 +204,26 @@
         );
     }
 
+    /// Registers what is held for callers and targets.
+    fn register_flow(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "callers_given_up",
+            "Callers that were given up, by why",
+            self.callers_given_up.clone(),
+        );
+        r.register(
+            "answer_bytes_held",
+            "Bytes of answers that are held",
+            self.answer_bytes.clone(),
+        );
+        r.register(
+            "request_bytes_held",
+            "Bytes of request bodies that are held",
+            self.request_bytes.clone(),
+        );
+    }
+
     /// Records the end of a call by the name and number of its result code; the number is 0 if a target
     /// answered.
     pub(crate) fn on_call(&self, name: &'static str, number: u16, took: Duration) {
--- a/tests/support/flood.rs
+++ b/tests/support/flood.rs
@@ -67,6 +67,12 @@
     is_written: bool,
 }
 
+impl Running {
+    fn finish(mut self) {
+        self.is_written = true;
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let count = match self.is_written {
@@ -89,12 +95,12 @@
         counts,
         is_written: false,
     };
-    let items = futures::stream::unfold((1, running), move |(n, mut running)| async move {
+    let items = futures::stream::unfold((1, running), move |(n, running)| async move {
         if n > last {
             if stays_open {
                 std::future::pending::<()>().await;
             }
-            running.is_written = true;
+            running.finish();
             return None;
         }
         Some((Ok(Bytes::from(event(n))), (n + 1, running)))
