--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -238,7 +238,7 @@
             let mut answered = 0_usize;
             while !*stopped.borrow() {
                 let text = format!("quick {i} {answered}");
-                let body = chat_body(MODEL, &[("user", text)], 12, answered % 2 == 0);
+                let body = chat_body(MODEL, &[("user", text)], 12, answered.is_multiple_of(2));
                 let answer = caller.chat(at, &body).await;
                 assert!(answer.finished && !answer.cut, "{answer:?}");
                 assert_eq!(answer.text, expected(7, &body).concat());
