--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -7,7 +7,7 @@
 
 mod bounds;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 pub use bounds::{FlowBounds, GiveUpReason};
 
@@ -58,7 +58,7 @@
 /// What is known of one answer.
 #[derive(Debug)]
 struct Answer {
-    account: Option<ClientAccountId>,
+    account: Option<Rc<ClientAccountId>>,
     held: usize,
     /// Part of `held` that its caller could read.
     offered: usize,
@@ -75,7 +75,7 @@
 pub struct Flow {
     bounds: FlowBounds,
     answers: HashMap<AnswerId, Answer>,
-    accounts: HashMap<ClientAccountId, usize>,
+    accounts: HashMap<Rc<ClientAccountId>, usize>,
     last_id: u64,
     held: usize,
     peak: usize,
@@ -126,7 +126,7 @@
     /// Returns the account with the most bytes held, and their number.
     pub fn largest_account(&self) -> Option<(&ClientAccountId, usize)> {
         let largest = self.accounts.iter().max_by_key(|(_, held)| **held);
-        largest.map(|(account, held)| (account, *held))
+        largest.map(|(account, held)| (&**account, *held))
     }
 
     /// Returns the bytes held for request bodies.
@@ -140,7 +140,7 @@
         self.last_id += 1;
         let id = AnswerId(self.last_id);
         let answer = Answer {
-            account: account.cloned(),
+            account: account.map(|a| Rc::new(a.clone())),
             held: 0,
             offered: 0,
             is_complete: false,
@@ -165,8 +165,9 @@
             return HoldVerdict::Wait;
         };
         let account = answer.account.clone();
+        let account = account.as_ref();
         let is_over_stream = answer.is_stream && answer.held + n > self.bounds.stream;
-        let account_held = account.as_ref().map(|a| self.held_for(a));
+        let account_held = account.map(|a| self.held_for(a));
         let is_over_account = account_held.is_some_and(|held| held + n > self.bounds.account);
         match () {
             () if is_over_stream => {
@@ -174,25 +175,25 @@
             }
             () if is_over_account => {
                 let excess = account_held.unwrap_or(0) + n - self.bounds.account;
-                self.make_room(id, excess, account.as_ref(), GiveUpReason::AccountBound)
+                self.make_room(id, excess, account, GiveUpReason::AccountBound)
             }
             () if self.held + n > self.bounds.router => {
                 let excess = self.held + n - self.bounds.router;
                 self.make_room(id, excess, None, GiveUpReason::RouterBound)
             }
             () => {
-                self.count(id, account.as_ref(), n);
+                self.count(id, account, n);
                 HoldVerdict::Held
             }
         }
     }
 
-    fn count(&mut self, id: AnswerId, account: Option<&ClientAccountId>, n: usize) {
+    fn count(&mut self, id: AnswerId, account: Option<&Rc<ClientAccountId>>, n: usize) {
         if let Some(answer) = self.answers.get_mut(&id) {
             answer.held += n;
         }
         if let Some(account) = account {
-            *self.accounts.entry(account.clone()).or_default() += n;
+            *self.accounts.entry(Rc::clone(account)).or_default() += n;
         }
         self.held += n;
         self.peak = self.peak.max(self.held);
@@ -203,7 +204,7 @@
         &mut self,
         id: AnswerId,
         excess: usize,
-        account: Option<&ClientAccountId>,
+        account: Option<&Rc<ClientAccountId>>,
         reason: GiveUpReason,
     ) -> HoldVerdict {
         let is_concerned = |a: &Answer| account.is_none() || a.account.as_ref() == account;
