--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
+mod slow_readers;
 pub mod stops;
 #[allow(dead_code)]
 #[path = "../../platform/tests/support/store.rs"]
@@ -50,6 +51,8 @@
     pub set_backs: bool,
     /// Whether to overload a small plain service; see `surge`.
     pub surge: bool,
+    /// Whether to start callers that read slowly; see `slow_readers`.
+    pub slow_readers: bool,
 }
 
 /// Maximum number of routers. Each takes about 10 MB of memory and one of the 250 addresses of a network.
@@ -67,6 +70,9 @@
     env.until_ready().await;
     let caller_tasks = callers::start(&env, options.seed);
     let crash_tasks = options.crashes.then(|| crashes::start(&env, options.seed));
+    let slow_readers = options
+        .slow_readers
+        .then(|| slow_readers::start(&env, options.seed));
     let entries = async {
         if options.entries {
             entries::inject(&env, options.seed, options.fault_duration).await;
@@ -102,6 +108,9 @@
         tokio::time::sleep(CRASHES_AFTER_FAULTS).await;
         crash_tasks.stop();
     }
+    if let Some(slow_readers) = slow_readers {
+        slow_readers.stop();
+    }
     caller_tasks.stop().await;
     env.stop().await;
     promises.verdict()
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,6 +28,8 @@
             optional --set-backs
             /// Also overload a small plain service over and over.
             optional --surge
+            /// Also let callers read large streams slowly or not at all, at routers with little memory.
+            optional --slow-readers
             /// Print the verdict as JSON.
             optional --json
         }
@@ -50,6 +52,7 @@
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
         surge: flags.surge,
+        slow_readers: flags.slow_readers,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
     if !options.program.is_file() {
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -12,12 +12,13 @@
     attempt::Call,
     call_end::{CallGuard, QUARANTINE_TEXT},
     crash_checks,
+    flow::{AnswerAccount, CallerConn},
     gateway::Gateway,
 };
 use crate::{
     ResultCode,
     admission::{shares::Claim, surge::Surge, wait_for_config},
-    config::serving::{Denied, KeyOwner, Route},
+    config::serving::{Denied, EngineSpec, KeyOwner, Route},
     dialect::{CallInfo, Refusal},
     dispatcher::CallPlan,
     explain::Decision,
@@ -38,6 +39,8 @@
     pub(crate) id: Option<String>,
     /// Instant at which the head was read.
     pub(crate) received: Instant,
+    /// Connection on which it arrived.
+    pub(crate) conn: Rc<CallerConn>,
 }
 
 /// A call that waits for the first configuration; dropped when the wait ends or its caller is gone.
@@ -114,6 +117,7 @@
         body,
         id,
         received,
+        conn,
     } = incoming_call;
     let too_large = Refusal::new(ResultCode::BodyTooLarge, "body above the limit");
     let body = body.ok_or(too_large)?;
@@ -175,11 +179,7 @@
         prompt: facts.prompt.clone(),
         shared_parts: facts.shared_parts,
         chat: chat_key(&facts, key_owner.as_ref()),
-        answer: engine
-            .and_then(|e| e.expected_response)
-            .map_or(Tokens(0), |expected| {
-                facts.max_response_tokens.unwrap_or(expected)
-            }),
+        answer: expected_answer(engine, &facts),
         hash,
         engine,
         surge,
@@ -189,7 +189,10 @@
         tried: Vec::new(),
         service,
     };
+    let is_stream = route.kind.is_stream() && !route.claimed;
+    let call_id = id.as_deref().unwrap_or("-");
     let call = Call {
+        answer: AnswerAccount::open(cx, call_id, &conn, account, is_stream),
         fingerprint,
         deadline: received + timeout,
         rank,
@@ -208,6 +211,14 @@
     Ok((call, account_place))
 }
 
+/// Returns the expected number of tokens in the answer, if they count as work at the service's engines.
+fn expected_answer(engine: Option<EngineSpec>, facts: &CallInfo) -> Tokens {
+    let expected = engine.and_then(|e| e.expected_response);
+    expected.map_or(Tokens(0), |expected| {
+        facts.max_response_tokens.unwrap_or(expected)
+    })
+}
+
 /// Returns whether the caller was probably refused before: it waits for less time than others usually do.
 fn is_returning(cx: &Gateway, received: Instant, facts: &CallInfo, route: &Route) -> bool {
     let usual = &mut cx.dispatcher.borrow_mut().shares.usual_time_left;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -11,6 +11,7 @@
 use crate::{
     admission::shares::PoolStatus,
     contention::{self, HashedNames},
+    flow::GiveUpReason,
     ids::ServiceName,
     units::Rank,
 };
@@ -103,6 +104,9 @@
     attempts: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     withdrawn: Family<ReasonLabel, Gauge>,
+    callers_given_up: Family<ReasonLabel, Counter>,
+    answer_bytes: Gauge,
+    request_bytes: Gauge,
     slot_time_ms: Family<ServiceLabel, Gauge>,
     contended: ContendedPools,
     contended_refusals: Family<RefusalLabel, Counter>,
@@ -137,6 +141,9 @@
             attempts: Family::default(),
             store_calls: Family::default(),
             withdrawn: Family::default(),
+            callers_given_up: Family::default(),
+            answer_bytes: Gauge::default(),
+            request_bytes: Gauge::default(),
             slot_time_ms: Family::default(),
             contended: ContendedPools::default(),
             contended_refusals: Family::default(),
@@ -169,6 +176,7 @@
 
 impl Metrics {
     fn register(&mut self) {
+        self.register_flow();
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
@@ -270,6 +278,26 @@
         );
     }
 
+    /// Registers what is held for callers and targets.
+    fn register_flow(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "callers_given_up",
+            "Callers that were given up, by why",
+            self.callers_given_up.clone(),
+        );
+        r.register(
+            "answer_bytes_held",
+            "Bytes of answers that are held",
+            self.answer_bytes.clone(),
+        );
+        r.register(
+            "request_bytes_held",
+            "Bytes of request bodies that are held",
+            self.request_bytes.clone(),
+        );
+    }
+
     /// Records the end of a call by the name and number of its result code; the number is 0 if a target
     /// answered.
     pub(crate) fn on_call(&self, name: &'static str, number: u16, took: Duration) {
@@ -339,6 +367,28 @@
         }
     }
 
+    /// Counts a caller that was given up.
+    pub(crate) fn on_caller_given_up(&self, reason: GiveUpReason) {
+        let label = ReasonLabel {
+            reason: reason.name(),
+        };
+        self.callers_given_up.get_or_create(&label).inc();
+    }
+
+    /// Returns the number of callers that were given up for a reason.
+    pub(crate) fn callers_given_up(&self, reason: GiveUpReason) -> u64 {
+        let label = ReasonLabel {
+            reason: reason.name(),
+        };
+        self.callers_given_up.get(&label).map_or(0, |n| n.get())
+    }
+
+    /// Sets the bytes that are held of answers and of request bodies.
+    pub(crate) fn on_held(&self, answers: usize, requests: usize) {
+        self.answer_bytes.set(answers as i64);
+        self.request_bytes.set(requests as i64);
+    }
+
     /// Records the delay after which a caller that was refused for lack of capacity should retry.
     pub(crate) fn on_capacity_refused(&self, retry_after: Duration) {
         self.retry_after.observe(retry_after.as_secs_f64());
