First reads: a router that lists again reads as before

A router whose store history was gone asked its peers as if it had just started, again and again without a pause; platform/tests/store_set_back.rs did not end.

--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -56,6 +56,8 @@
     upstream: Option<PeerConn>,
     /// Whether the store's content has been listed or received from a peer.
     listed: bool,
+    /// Whether `listed` was ever set: a router that lists again serves calls already.
+    had_content: bool,
     /// Pause after the next failed call to the store if this router is a reader, before jitter.
     backoff: Duration,
     /// Earliest time of the next call to the store.
@@ -70,6 +72,7 @@
         cx,
         upstream: None,
         listed: false,
+        had_content: false,
         backoff: INITIAL_BACKOFF,
         retry_at: Instant::default(),
         unanswered: 0,
@@ -91,11 +94,13 @@
             NextRead::Store => self.read_store().await,
             NextRead::Wait => tokio::time::sleep(RETRY_PAUSE).await,
         }
+        self.had_content |= self.listed;
     }
 
     fn read_state(&self) -> ReadState {
         ReadState {
             listed: self.listed,
+            had_content: self.had_content,
             store_lost: self.cx.store_unavailable_since.get().is_some(),
             reads_store: self.cx.reads_store(),
             revision: self.cx.mirror.borrow().revision(),
--- a/src/membership/first_read.rs
+++ b/src/membership/first_read.rs
@@ -42,7 +42,7 @@
     /// small for feeders.
     pub fn is_first_read(&self, state: &ReadState) -> bool {
         let is_small = self.fleet_size() < MIN_FLEET_WITH_FEEDERS;
-        state.start == FleetStart::Later && !state.listed && is_small
+        state.start == FleetStart::Later && !state.listed && !state.had_content && is_small
     }
 
     /// Returns where this router reads for the first time.
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -100,6 +100,8 @@
 pub struct ReadState {
     /// Whether it has listed the store's entries once, or received them from a peer.
     pub listed: bool,
+    /// Whether it has had the store's content since its start.
+    pub had_content: bool,
     /// Whether the store failed to answer its last call.
     pub store_lost: bool,
     /// Whether it recently received an answer from the store itself.
