A router's first answer from a peer confirms its configuration

In fleets without feeders only datagrams confirmed a configuration, and an echo of this incarnation counts only once the configuration is there: a router that had it from a peer refused all calls with keys as config_too_old until the next exchange of datagrams. The answer carries the same confirmation as in fleets with feeders.

--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -3,7 +3,7 @@
 //! They use HTTP on the peers' port, with bodies in postcard or JSON. A request for the store's content
 //! waits for changes as a watch of the store does, so that only few routers read the store. Datagrams
 //! confirm how old the configuration may be; the confirmation in a response counts only in fleets that
-//! use feeders.
+//! use feeders, and in the first response that a router gets.
 
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -153,7 +153,9 @@
             self.read_store().await;
         }
         match response {
-            Ok((reply, proof)) => self.apply_reply(reader, sent, reply, proof).await,
+            Ok((reply, proof)) => {
+                self.apply_reply(reader, sent, reply, proof, is_first).await;
+            }
             Err(e) => {
                 self.upstream = None;
                 self.unanswered += u32::from(is_first);
@@ -177,13 +179,15 @@
         answered.unwrap_or_else(|e| Err(StoreError::NoAnswer(e.to_string())))
     }
 
-    /// Applies a peer's response and the confirmation of the configuration that comes with it.
+    /// Applies a peer's response and, in a fleet with feeders or with the first response, the confirmation of the
+    /// configuration that comes with it.
     async fn apply_reply(
         &self,
         reader: SocketAddr,
         sent: Instant,
         reply: MirrorReply,
         proof: Option<Proof>,
+        is_first: bool,
     ) {
         let cx = &self.cx;
         let has_changes = reply != MirrorReply::Nothing;
@@ -193,7 +197,8 @@
             MirrorReply::Nothing => log_if_behind(cx, reader),
         }
         let uses_feeders = cx.peers.borrow().uses_feeders(cx.now());
-        if let Some(proof) = proof.filter(|_| uses_feeders) {
+        // Until a datagram confirms its first configuration, a router would refuse the keys in it.
+        if let Some(proof) = proof.filter(|_| uses_feeders || is_first) {
             cx.freshness
                 .borrow_mut()
                 .on_peer_confirmation(proof.to_confirmation(sent));
