--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -56,6 +56,8 @@
     upstream: Option<PeerConn>,
     /// Whether the store's content has been listed or received from a peer.
     listed: bool,
+    /// Whether `listed` was ever set: a router that lists again serves calls already.
+    had_content: bool,
     /// Pause after the next failed call to the store if this router is a reader, before jitter.
     backoff: Duration,
     /// Earliest time of the next call to the store.
@@ -70,6 +72,7 @@
         cx,
         upstream: None,
         listed: false,
+        had_content: false,
         backoff: INITIAL_BACKOFF,
         retry_at: Instant::default(),
         unanswered: 0,
@@ -91,11 +94,13 @@
             NextRead::Store => self.read_store().await,
             NextRead::Wait => tokio::time::sleep(RETRY_PAUSE).await,
         }
+        self.had_content |= self.listed;
     }
 
     fn read_state(&self) -> ReadState {
         ReadState {
             listed: self.listed,
+            had_content: self.had_content,
             store_lost: self.cx.store_unavailable_since.get().is_some(),
             reads_store: self.cx.reads_store(),
             revision: self.cx.mirror.borrow().revision(),
@@ -148,7 +153,9 @@
             self.read_store().await;
         }
         match response {
-            Ok((reply, proof)) => self.apply_reply(reader, sent, reply, proof).await,
+            Ok((reply, proof)) => {
+                self.apply_reply(reader, sent, reply, proof, is_first).await;
+            }
             Err(e) => {
                 self.upstream = None;
                 self.unanswered += u32::from(is_first);
@@ -172,13 +179,15 @@
         answered.unwrap_or_else(|e| Err(StoreError::NoAnswer(e.to_string())))
     }
 
-    /// Applies a peer's response and the confirmation of the configuration that comes with it.
+    /// Applies a peer's response and, in a fleet with feeders or with the first response, the confirmation of the
+    /// configuration that comes with it.
     async fn apply_reply(
         &self,
         reader: SocketAddr,
         sent: Instant,
         reply: MirrorReply,
         proof: Option<Proof>,
+        is_first: bool,
     ) {
         let cx = &self.cx;
         let has_changes = reply != MirrorReply::Nothing;
@@ -188,7 +197,8 @@
             MirrorReply::Nothing => log_if_behind(cx, reader),
         }
         let uses_feeders = cx.peers.borrow().uses_feeders(cx.now());
-        if let Some(proof) = proof.filter(|_| uses_feeders) {
+        // Until a datagram confirms its first configuration, a router would refuse the keys in it.
+        if let Some(proof) = proof.filter(|_| uses_feeders || is_first) {
             cx.freshness
                 .borrow_mut()
                 .on_peer_confirmation(proof.to_confirmation(sent));
