Failing tests of target speeds, with types that change nothing

Targets will report in their load header how long work takes at the moment. The types of the report and of the speeds exist, but the header's figure is not decoded and the factor is always 1. The tests of tests/decisions/target_speed.rs and the decoding of valid figures fail.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -25,6 +25,7 @@
     quarantine::Quarantine,
     retry::RetryBudget,
     target_counts::InProgress,
+    target_speed::TargetSpeeds,
     units::{Instant, Tokens},
     withdrawals::{self, Withdrawal, Withdrawals},
 };
@@ -83,6 +84,8 @@
     pub budget: RetryBudget,
     /// Limits on the number of calls at targets.
     pub admission: Admission,
+    /// How long work takes at targets at the moment.
+    pub speeds: TargetSpeeds,
     /// Division of contended pools by demand.
     pub shares: PoolShares,
     /// This router's share of the calls at cold targets.
@@ -108,6 +111,7 @@
             quarantine: Quarantine::default(),
             budget: RetryBudget::new(rules.budget),
             admission: Admission::new(hall.clone()),
+            speeds: TargetSpeeds::default(),
             shares: PoolShares::new(hall.clone(), rules.shares),
             cold: ColdShares::new(rules.cold),
             hall,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 mod suspicions;
 pub mod target_counts;
 mod target_record;
+pub mod target_speed;
 mod ticket;
 pub mod units;
 pub mod withdrawals;
--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -22,6 +22,7 @@
     },
     placement::spread::Survival,
     target_counts::{CallCounts, InProgress, TargetCounts, TargetHash},
+    target_speed::Slowdown,
     units::{Instant, Tokens},
 };
 
@@ -46,6 +47,8 @@
     pub running: u32,
     /// Number of waiting calls.
     pub waiting: u32,
+    /// How long work takes there at the moment, if the target reports it.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Time constant of the average number of calls. It covers several of the counts that routers in fleets of
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod set_back;
 mod streams;
+mod target_speed;
 mod targets;
 mod trust;
 mod withdrawals;
