Speeds of targets, as reported and as measured, in placement

Cause: targets share their machines with other work, and the same work takes two or three times as long there. Each router keeps the figure that a target reports in its load header and the time of its own calls, relative to the middle target of the service; the factor multiplies the expected cost and divides the slots from which a target's limit is computed. Differences that chance explains and those in the deadband count as none, so decisions about targets that are alike do not change (tests/decisions/target_speed.rs).

--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::target_speed::TimeFactor;
+
 /// Fraction of the shortest goal that a call may wait at its target for a slot.
 ///
 /// The rest of the goal covers processing the call's own prompt, and counts of other routers that
@@ -44,6 +46,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CallLimit {
     calls_per_slot: f64,
+    /// Factor on the number of slots from which the limit of a target is computed.
+    slots_factor: f64,
 }
 
 impl CallLimit {
@@ -58,6 +62,17 @@
         };
         Self {
             calls_per_slot: (1.0 + slot_time.map_or(0.0, queued)).min(MAX_CALLS_PER_SLOT),
+            slots_factor: 1.0,
+        }
+    }
+
+    /// Returns the limit of a target that takes `time_factor` times as long as usual: a slow target frees its
+    /// slots less often, so its number of slots is divided by the factor. A fast target has no more slots
+    /// than usual.
+    pub fn at_speed(self, time_factor: TimeFactor) -> Self {
+        Self {
+            slots_factor: 1.0 / time_factor.get().max(1.0),
+            ..self
         }
     }
 
@@ -74,7 +89,7 @@
             0.0
         };
         let per_slot = cached - reserved;
-        let max = f64::from(slots) * per_slot;
+        let max = f64::from(slots) * self.slots_factor * per_slot;
         // A target may always run one call.
         (max.round() as u32).max(1)
     }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -13,7 +13,7 @@
     edge::Rules,
     health::{Health, HealthStatus, Outcome},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
-    load_account::LoadAccount,
+    load_account::{LoadAccount, ReportedLoad},
     placement::{
         candidates::PRESELECTION_THRESHOLD,
         choice::{
@@ -26,6 +26,7 @@
     retry::RetryBudget,
     target_counts::InProgress,
     target_speed::TargetSpeeds,
+    ticket::CallTiming,
     units::{Instant, Tokens},
     withdrawals::{self, Withdrawal, Withdrawals},
 };
@@ -168,6 +169,8 @@
             warmth: view.warmth,
             service: plan.service.clone(),
             slot_since: (view.counts.all() < view.slots).then_some(now),
+            time_factor: view.time_factor,
+            timing: CallTiming::new(now, &view),
         };
         let first = plan
             .chat
@@ -267,10 +270,26 @@
         self.load.on_end(target, ticket.work);
         ticket.work = InProgress::one(ticket.answer);
         self.load.on_send(target, ticket.work);
+        let timing = ticket.timing.take();
+        self.on_call_time(now, ticket, timing);
         // The first event shows that the call has a slot, even if it had to wait for one.
         ticket.slot_since = ticket.slot_since.or(Some(now));
     }
 
+    /// Records the load that a target reported in an answer.
+    pub fn on_load_report(&mut self, now: Instant, target: &TargetId, load: ReportedLoad) {
+        self.load.on_report(now, target, load);
+        self.speeds.on_report(now, target, load.slowdown);
+    }
+
+    fn on_call_time(&mut self, now: Instant, ticket: &Ticket, timing: Option<CallTiming>) {
+        if let Some(CallTiming { since, work }) = timing {
+            let (service, target) = (&ticket.service, &ticket.target.id);
+            self.speeds
+                .on_call_time(now, service, target, work, now.since(since));
+        }
+    }
+
     /// Records that a call ended at its target. `outcome` is `None` if the call was abandoned before its
     /// end. Returns the target's new health status if it changed.
     pub fn on_end(
@@ -281,6 +300,9 @@
     ) -> Option<HealthStatus> {
         let target = &ticket.target.id;
         self.load.on_end(target, ticket.work);
+        if outcome == Some(Outcome::Good) {
+            self.on_call_time(now, ticket, ticket.timing);
+        }
         if let (Some(Outcome::Good), Some(since)) = (outcome, ticket.slot_since) {
             self.admission
                 .on_slot_time(&ticket.service, now.since(since));
@@ -304,6 +326,7 @@
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
+        self.speeds.on_tick(now, listed);
         self.shares.on_tick(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
@@ -474,6 +497,7 @@
             has_cache_affinity: read_elsewhere < MIN_FETCH_TOKENS,
             is_surging: plan.surge.is_surging(),
         };
+        let time_factor = self.speeds.factor(now, id);
         TargetView {
             health_status: self.health.status(now, id),
             counts: self.load.call_counts(now, id),
@@ -487,7 +511,11 @@
             has_read: deepest.is_some_and(|p| self.cache.has_read(id, p.id)),
             cached_tokens: self.cache.cached_tokens(id),
             slots: target.slots,
-            max_calls: context.limit.max_calls(target.slots, traits),
+            max_calls: context
+                .limit
+                .at_speed(time_factor)
+                .max_calls(target.slots, traits),
+            time_factor,
             max_tokens: target.max_tokens,
             warmth: Warmth::Warm,
             in_local_hall: target.data_hall == self.hall,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -248,7 +248,7 @@
     let facts = cx.dialect.parse_response(head.status, &head.headers);
     if let Some(load) = facts.load {
         let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.load.on_report(cx.now(), guard.target(), load);
+        dispatcher.on_load_report(cx.now(), guard.target(), load);
     }
     guard.on_head(&facts);
     withdrawals::on_response_head(cx, call, guard.target(), head.status, &facts);
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -114,7 +114,7 @@
         info!(log, "attempt"; "id" => &self.id, "fingerprint" => %self.fingerprint, "target" => %target, "outcome" => why,
             "took_ms" => now.since(self.started_at).as_millis() as u64,
             "calls_there" => self.ticket.calls,
-            "weighed" => self.ticket.scored_targets, "counted_ms_ago" => self.ticket.counted_ago.as_millis() as u64, "tokens_missing" => self.ticket.missing.0,
+            "weighed" => self.ticket.scored_targets, "counted_ms_ago" => self.ticket.counted_ago.as_millis() as u64, "slowdown" => self.ticket.time_factor.percent(), "tokens_missing" => self.ticket.missing.0,
             "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.has_read,
             "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
             "withdrawal" => self.withdrawal.map(Withdrawal::name), "backoff_ms" => self.withdrawal.and_then(Withdrawal::backoff).map(|b| b.as_millis() as u64),
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -15,6 +15,7 @@
     health::HealthStatus,
     ids::TargetId,
     target_counts::CallCounts,
+    target_speed::TimeFactor,
     units::Tokens,
 };
 
@@ -22,7 +23,7 @@
 
 /// Cost of one token that the target has to read for this call: reading it again takes memory and slows
 /// down everything that runs there.
-const UNREAD_TOKEN_WEIGHT: f64 = 3.0;
+pub(crate) const UNREAD_TOKEN_WEIGHT: f64 = 3.0;
 
 /// Cost of one token that the target copies from another target's memory: a seventh of reading it.
 const FETCHED_TOKEN_WEIGHT: f64 = 2.0;
@@ -33,7 +34,7 @@
 
 /// Cost of one running call at a target, in tokens: each call makes the steps of all others about a
 /// twentieth longer, for about fifty steps, which take as long as reading a thousand tokens in all.
-const RUNNING_CALL_TOKENS: f64 = 250.0;
+pub(crate) const RUNNING_CALL_TOKENS: f64 = 250.0;
 
 /// Cost of a target in another data hall, in calls. It only breaks ties between otherwise equal targets.
 const REMOTE_HALL_CALLS: f64 = 0.25;
@@ -92,6 +93,8 @@
     pub max_calls: u32,
     /// Maximum number of tokens in progress at the target; `None` if unlimited.
     pub max_tokens: Option<Tokens>,
+    /// Factor on the usual time of work that the target needs at the moment.
+    pub time_factor: TimeFactor,
     /// How far the target has warmed up, which decides whether it may get calls.
     pub warmth: Warmth,
     /// Whether the target is in this router's data hall.
@@ -110,6 +113,7 @@
             counts: self.counts,
             slots: self.slots,
             max_calls: self.max_calls,
+            time_factor: self.time_factor.get(),
         }
     }
 }
@@ -351,7 +355,11 @@
     let cost = |o: &TargetView| {
         let excess_cached = (o.cached_tokens.0 as f64 - mean_cached - CACHED_SLACK_TOKENS).max(0.0);
         let excess_calls = (f64::from(o.calls()) - calls - FIRST_READER_SLACK_CALLS).max(0.0);
-        o.missing.0 as f64 + o.backlog.0 as f64 + excess_cached + excess_calls * RUNNING_CALL_TOKENS
+        let work = o.missing.0 as f64
+            + o.backlog.0 as f64
+            + excess_cached
+            + excess_calls * RUNNING_CALL_TOKENS;
+        work * o.time_factor.get()
     };
     let mut candidates = with_room.to_vec();
     candidates
@@ -396,7 +404,7 @@
     with_room.iter().min_by(by_cost).map_or(0, |o| o.0)
 }
 
-/// Computes the cost of a target, in calls.
+/// Computes the cost of a target, in calls at a target of usual speed.
 fn cost(option: &TargetView, request: &PlacementRequest, spread: &Spread) -> f64 {
     let far = if option.in_local_hall {
         0.0
@@ -412,7 +420,10 @@
     let tokens = unread.0 as f64 * UNREAD_TOKEN_WEIGHT * turns
         + option.fetchable.0 as f64 * FETCHED_TOKEN_WEIGHT
         + option.backlog.0 as f64 * BACKLOG_WEIGHT;
-    tokens / RUNNING_CALL_TOKENS + far + spread.calls_above_level(option.load())
+    let time_factor = option.time_factor.get();
+    tokens / RUNNING_CALL_TOKENS * time_factor
+        + far
+        + spread.calls_above_level(option.load()) * time_factor
 }
 
 /// Converts a hash to a Gumbel-distributed value. Adding such a value to the logarithm of each weight and
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -60,6 +60,8 @@
     pub(super) slots: u32,
     /// Maximum number of calls at the target.
     pub(super) max_calls: u32,
+    /// Factor on the usual time of work that the target needs at the moment.
+    pub(super) time_factor: f64,
 }
 
 /// Sums the calls of targets without the hung calls at a target: those that exceed both its limit and
@@ -179,7 +181,7 @@
     pub(super) fn log_weight(&self, load: Load, excess: f64) -> f64 {
         let deviation = self.estimate.deviation.max(MIN_DEVIATION);
         let room = self.room_below_level(load).max(0.0) + ROOM_AT_LEVEL * deviation;
-        room.ln() - excess / deviation
+        (room / load.time_factor).ln() - excess / deviation
     }
 
     fn room_below_level(&self, load: Load) -> f64 {
--- a/src/target_speed/call_times.rs
+++ b/src/target_speed/call_times.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::DEADBAND;
 use crate::units::Instant;
 
 /// Weight of a call in the moving averages, which cover about the last fifty calls: several of each target
@@ -29,7 +30,10 @@
     time: f64,
     work_squared: f64,
     work_by_time: f64,
+    /// Variance of the ratios of calls at one and the same target.
     variance: f64,
+    /// Ratio of the middle target, unless it counts as 1.
+    middle_ratio: Option<f64>,
 }
 
 impl CallTimes {
@@ -61,9 +65,24 @@
         self.variance += (difference * difference - self.variance) * CALL_WEIGHT;
     }
 
-    /// Returns the variance of the ratios of calls at one and the same target.
-    pub(super) fn variance(&self) -> f64 {
-        self.variance
+    /// Returns the standard error of the difference between a target's mean ratio over `calls` calls and the
+    /// mean of all calls.
+    pub(super) fn standard_error(&self, calls: f64) -> f64 {
+        (self.variance * (1.0 / calls + 1.0 / self.weight.max(1.0))).sqrt()
+    }
+
+    /// Sets the ratio of the middle target from the mean ratios of all. The mean time of all calls includes
+    /// the slow targets: with a third of the targets at a third of the speed, the others take 0.6 to 0.8 of
+    /// it and would count as fast.
+    pub(super) fn set_middle_ratio(&mut self, mut ratios: Vec<f64>) {
+        ratios.sort_unstable_by(f64::total_cmp);
+        let middle = ratios.get(ratios.len().saturating_sub(1) / 2).copied();
+        self.middle_ratio = middle.filter(|ratio| !DEADBAND.contains(ratio));
+    }
+
+    /// Returns the ratio of the middle target.
+    pub(super) fn middle_ratio(&self) -> f64 {
+        self.middle_ratio.unwrap_or(1.0)
     }
 
     /// Returns the time in seconds that a call with this work takes on average over the service's targets.
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -7,7 +7,9 @@
     discovery::TargetRecord,
     health::HealthStatus,
     ids::ServiceName,
+    placement::choice::{RUNNING_CALL_TOKENS, TargetView, UNREAD_TOKEN_WEIGHT},
     target_counts::InProgress,
+    target_speed::TimeFactor,
     units::{Instant, Tokens},
 };
 
@@ -36,8 +38,33 @@
     pub health_status: HealthStatus,
     /// How far the target had warmed up.
     pub warmth: Warmth,
+    /// Factor on the usual time of work that the target was expected to need.
+    pub time_factor: TimeFactor,
     /// The service that was requested.
     pub(crate) service: ServiceName,
     /// Time since which the call holds a slot; `None` while it may still wait for one.
     pub(crate) slot_since: Option<Instant>,
+    /// What the target's speed is measured by; `None` if the call does not count or was counted.
+    pub(crate) timing: Option<CallTiming>,
+}
+
+/// Start of a call whose time to the first event, or to its answer, tells the speed of its target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallTiming {
+    /// When the call was sent.
+    pub(crate) since: Instant,
+    /// Work before the first event, by the weights that placement uses.
+    pub(crate) work: f64,
+}
+
+impl CallTiming {
+    /// Returns the start of a call that finds a slot free and copies no part of its prompt; `None` for other
+    /// calls, because they wait for the target's queue or for another target.
+    pub(crate) fn new(now: Instant, view: &TargetView) -> Option<Self> {
+        let calls = view.counts.all();
+        let work =
+            view.missing.0 as f64 * UNREAD_TOKEN_WEIGHT + f64::from(calls) * RUNNING_CALL_TOKENS;
+        let is_measured = calls < view.slots && view.fetchable == Tokens(0);
+        is_measured.then_some(Self { since: now, work })
+    }
 }
--- a/tests/decisions/target_speed.rs
+++ b/tests/decisions/target_speed.rs
@@ -37,6 +37,7 @@
             usual
         };
         speeds.on_call_time(at(n * 15), &service, &target(n as usize % 3), 0.0, took);
+        speeds.on_tick(at(n * 15), |_| true);
     }
     speeds
 }
@@ -96,9 +97,9 @@
 fn a_report_is_limited_to_within_a_factor_of_two_of_the_measurement() {
     assert!((factor(1.0, "400") - 2.0).abs() < 1e-9);
     let slow = measured(3.0).factor(at(900), &target(0)).get();
-    assert!((1.5..4.0).contains(&slow), "{slow} without a report");
+    assert!((2.0..4.0).contains(&slow), "{slow} without a report");
     let claimed = factor(3.0, "100");
-    assert!((slow / 2.0 - claimed).abs() < 1e-9 || claimed <= 1.25);
+    assert!((slow / 2.0 - claimed).abs() < 1e-9, "{claimed} of {slow}");
     assert!((factor(3.0, "250") - 2.5).abs() < 1e-9);
 }
 
@@ -162,6 +163,9 @@
             CallKind::Safe => Vec::new(),
             _ => vec![part(n % 40, 5_000), part(1_000_000 + n, 300)],
         };
+        if n % 20 == 0 {
+            d.on_tick(now);
+        }
         before(&mut d);
         let ended: Vec<_> = running.extract_if(.., |(end, _)| *end <= now).collect();
         for (end, mut ticket) in ended {
@@ -185,7 +189,9 @@
 fn with_targets_that_are_alike_decisions_are_those_without_speeds(#[case] kind: CallKind) {
     let without = chosen(kind, |d| d.speeds = TargetSpeeds::default());
     let with = chosen(kind, |_| {});
-    assert_eq!(with, without);
+    let first = with.iter().zip(&without).position(|(a, b)| a != b);
+    assert_eq!(first, None, "the first call that differs");
+    assert_eq!(with.len(), without.len());
 }
 
 /// Guards against a slow target that gets as many calls as the others, by its report and by measurement.
