--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -511,7 +511,8 @@
             has_read: deepest.is_some_and(|p| self.cache.has_read(id, p.id)),
             cached_tokens: self.cache.cached_tokens(id),
             slots: target.slots,
-            max_calls: context
+            max_calls: context.limit.max_calls(target.slots, traits),
+            max_calls_at_speed: context
                 .limit
                 .at_speed(time_factor)
                 .max_calls(target.slots, traits),
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -91,6 +91,9 @@
     pub slots: u32,
     /// Maximum number of calls in progress at the target, including this one.
     pub max_calls: u32,
+    /// Number of calls in progress, including this one, above which the target is passed over because of its
+    /// speed while another target has room.
+    pub max_calls_at_speed: u32,
     /// Maximum number of tokens in progress at the target; `None` if unlimited.
     pub max_tokens: Option<Tokens>,
     /// Factor on the usual time of work that the target needs at the moment.
@@ -230,7 +233,10 @@
         };
         chosen = match with_room.is_empty() {
             true => Err(PlacementError::AllFull),
-            false => return Ok(best(&with_room, request, estimate)),
+            false => {
+                let with_room = bound.filter_at_speed(with_room);
+                return Ok(best(&with_room, request, estimate));
+            }
         };
     }
     chosen
@@ -293,13 +299,33 @@
         }
     }
 
+    /// Removes targets that have as many calls as they answer in time at their present speed, unless all have:
+    /// then the slots of slow targets are better than a refusal.
+    fn filter_at_speed<'a>(
+        &self,
+        with_room: Vec<(usize, &'a TargetView)>,
+    ) -> Vec<(usize, &'a TargetView)> {
+        let is_within = |o: &TargetView| {
+            o.max_calls_at_speed == o.max_calls || self.is_below(o, o.max_calls_at_speed)
+        };
+        match with_room.iter().any(|o| is_within(o.1)) {
+            true => with_room.into_iter().filter(|o| is_within(o.1)).collect(),
+            false => with_room,
+        }
+    }
+
+    /// Returns whether a target probably has fewer than `max_calls` calls, or none.
+    fn is_below(&self, o: &TargetView, max_calls: u32) -> bool {
+        let own_load = self.estimate.calls_if_spread(o.load()) + self.shift - self.limit_excess;
+        own_load < f64::from(max_calls) || o.calls() == 0
+    }
+
     fn has_room(&self, o: &TargetView) -> bool {
         let max_calls = self.max_calls_per_slot * f64::from(o.slots) + BOUND_SLACK_CALLS;
         let work = Tokens(o.backlog.0 + o.missing.0);
         let relative_load = self.estimate.calls(o.load()) + self.shift;
-        let own_load = self.estimate.calls_if_spread(o.load()) + self.shift - self.limit_excess;
         relative_load < max_calls
-            && (own_load < f64::from(o.max_calls) || o.calls() == 0)
+            && self.is_below(o, o.max_calls)
             // A target without calls always accepts one.
             && (o.calls() == 0 || o.max_tokens.is_none_or(|max_tokens| work <= max_tokens))
     }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -6,4 +6,5 @@
 mod model;
 mod overload;
 mod stale_counts;
+mod uneven_targets;
 mod withdrawals;
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -4,7 +4,7 @@
 
 use scaleford::admission::warm_up::WarmUp;
 
-use super::{crashes::CrashSchedule, withdrawals::WithdrawalSchedule};
+use super::{crashes::CrashSchedule, uneven::UnevenSchedule, withdrawals::WithdrawalSchedule};
 
 /// A fleet, the calls sent to it, and the faults that happen during a run.
 #[derive(Debug, Clone, Copy)]
@@ -37,6 +37,8 @@
     pub crashes: Option<CrashSchedule>,
     /// Targets that accept no calls; `None` if all accept calls.
     pub withdrawing: Option<WithdrawalSchedule>,
+    /// Targets whose speed changes; `None` if all keep their usual speed.
+    pub uneven: Option<UnevenSchedule>,
 }
 
 /// Which other routers each router knows.
@@ -98,5 +100,6 @@
         fleet: Fleet::Whole,
         crashes: None,
         withdrawing: None,
+        uneven: None,
     };
 }
