--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -177,7 +177,7 @@
         })?;
         let target = Rc::clone(&ticket.target);
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
-        cx.metrics.on_choice(ticket.counted_ago);
+        cx.metrics.on_choice(ticket.counted_ago, ticket.time_factor);
         call.plan.tried.push(target.id.clone());
         let guard = AttemptGuard::new(cx, call, now, ticket);
         cx.record_decision(call.id(), || Decision::Tried {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -8,13 +8,17 @@
     registry::Registry,
 };
 
-use crate::ids::ServiceName;
+use crate::{ids::ServiceName, target_speed::TimeFactor};
 
 /// Upper bounds of the histogram buckets in seconds, from the typical duration of a plain call to the
 /// longest deadline.
 const BUCKET_BOUNDS_SECONDS: [f64; 11] =
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
 
+/// Upper bounds of the histogram buckets for the time that work takes at a target, as a factor on the usual
+/// time: the range of the factor, and 1 for targets that count as usual.
+const SLOWDOWN_BUCKET_BOUNDS: [f64; 7] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0];
+
 /// Label for the result of a call.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CodeLabel {
@@ -43,6 +47,7 @@
     slot_time_ms: Family<ServiceLabel, Gauge>,
     retry_after: Histogram,
     counts_age: Histogram,
+    slowdown: Histogram,
     call_time: Histogram,
     first_event_time: Histogram,
     pub(crate) connections_opened: Counter,
@@ -75,6 +80,7 @@
             slot_time_ms: Family::default(),
             retry_after: Histogram::new(BUCKET_BOUNDS_SECONDS),
             counts_age: Histogram::new(BUCKET_BOUNDS_SECONDS),
+            slowdown: Histogram::new(SLOWDOWN_BUCKET_BOUNDS),
             call_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             first_event_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             connections_opened: Counter::default(),
@@ -139,6 +145,11 @@
             "How old the counts of others' calls were where a target was chosen",
             self.counts_age.clone(),
         );
+        r.register(
+            "target_slowdown",
+            "How long work takes at the targets that were chosen, as a factor on the usual time",
+            self.slowdown.clone(),
+        );
         let first = self.first_event_time.clone();
         r.register(
             "first_event_seconds",
@@ -246,9 +257,11 @@
         self.retry_after.observe(retry_after.as_secs_f64());
     }
 
-    /// Records the mean age of the other routers' call counts by which a target was chosen.
-    pub(crate) fn on_choice(&self, counts_age: Duration) {
+    /// Records the choice of a target: the mean age of the other routers' call counts by which it was chosen,
+    /// and the factor on the usual time that work takes there.
+    pub(crate) fn on_choice(&self, counts_age: Duration, time_factor: TimeFactor) {
         self.counts_age.observe(counts_age.as_secs_f64());
+        self.slowdown.observe(time_factor.get());
     }
 
     pub(crate) fn on_first_event(&self, took: Duration) {
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -17,6 +17,7 @@
     membership::peers::Member,
     reply,
     result_code::ResultCode,
+    target_speed::Slowdown,
     withdrawals::Withdrawn,
 };
 
@@ -94,6 +95,10 @@
     tokens: u64,
     /// Number of prompt tokens that the target is assumed to cache.
     kept: u64,
+    /// Time that work takes at the target at the moment, in percent of usual, as placement counts it.
+    slowdown: u32,
+    /// Same figure as the target itself reports it; `null` if it has reported none lately.
+    slowdown_reported: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -188,6 +193,11 @@
         load: f64::from(calls(&t.id)) / mean(&t.service).max(1.0),
         tokens: dispatcher.load.total(&t.id).tokens.0,
         kept: dispatcher.cache.cached_tokens(&t.id).0,
+        slowdown: dispatcher.speeds.factor(now, &t.id).percent(),
+        slowdown_reported: dispatcher
+            .speeds
+            .reported(now, &t.id)
+            .map(Slowdown::percent),
     };
     let mut shown: Vec<TargetStatus> = records.iter().map(status).collect();
     shown.sort_by(|a, b| a.target.cmp(&b.target));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,6 +2,7 @@
 //! 1998). Each pair of a key and a name has a hash that no other name influences, so a member that joins or
 //! leaves moves only its own keys.
 
+mod bound;
 pub(crate) mod candidates;
 pub mod choice;
 pub mod spread;
--- a/src/target_speed.rs
+++ b/src/target_speed.rs
@@ -64,6 +64,11 @@
 pub struct Slowdown(u32);
 
 impl Slowdown {
+    /// Returns the figure in percent of the usual time.
+    pub fn percent(self) -> u32 {
+        self.0
+    }
+
     fn factor(self) -> f64 {
         f64::from(self.0) / 100.0
     }
--- a/tests/decisions/target_speed.rs
+++ b/tests/decisions/target_speed.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 use scaleford::{
+    admission::{Admission, CallTraits},
     config::serving::CallKind,
     dispatcher::{Dispatcher, Ticket},
     health::Outcome,
@@ -14,7 +15,7 @@
     units::Instant,
 };
 
-use crate::{RESUMABLE, at, dispatcher, part, plan};
+use crate::{RESUMABLE, at, dispatcher, hall, part, plan};
 
 fn target(n: usize) -> TargetId {
     format!("t{n}").parse().unwrap()
@@ -207,3 +208,62 @@
     }
     assert!((1..80).contains(&sent), "{sent} of 300");
 }
+
+/// Guards against a limit of zero, and against a fast target that gets more calls than it has slots for.
+#[rstest]
+#[case("400", 16, 4)]
+#[case("400", 2, 1)]
+#[case("100", 16, 16)]
+#[case("25", 16, 16)]
+fn the_limit_of_a_slow_target_is_computed_from_fewer_slots(
+    #[case] reported: &str,
+    #[case] slots: u32,
+    #[case] max_calls: u32,
+) {
+    let mut speeds = TargetSpeeds::default();
+    speeds.on_report(at(0), &target(0), percent(reported));
+    let limit = Admission::new(hall("yard")).limit(&"writer".parse().unwrap(), Duration::ZERO);
+    let limit = limit.at_speed(speeds.factor(at(0), &target(0)));
+    let call = CallTraits {
+        has_cache_affinity: true,
+        is_surging: false,
+    };
+    assert_eq!(limit.max_calls(slots, call), max_calls);
+}
+
+/// Guards against calls that are refused while a slow target has free slots.
+#[test]
+fn all_slots_of_a_slow_target_are_used_where_the_others_are_full() {
+    let mut d = dispatcher(3);
+    d.speeds.on_report(at(0), &target(0), percent("400"));
+    let (mut slow, mut others) = (0, 0);
+    for n in 0.. {
+        match d.choose(at(0), &plan(CallKind::Safe, vec![], n)) {
+            Ok(ticket) if ticket.target.id == target(0) => slow += 1,
+            Ok(_) => others += 1,
+            Err(_) => break,
+        }
+        assert!(slow <= 16 || others == 128, "{slow} beside {others}");
+    }
+    assert_eq!((slow, others), (64, 128));
+}
+
+/// Guards against a queue that looks like slowness: calls that found no slot free are not measured.
+#[test]
+fn calls_that_waited_for_a_slot_are_not_measured() {
+    let mut d = dispatcher(1);
+    let call = |n| plan(CallKind::Safe, vec![], n);
+    let first = d.choose(at(0), &call(0)).unwrap();
+    d.on_end(at(10), &first, Some(Outcome::Good));
+    let tickets: Vec<_> = (1..70)
+        .map_while(|n| d.choose(at(10), &call(n)).ok())
+        .collect();
+    let (running, waiting) = tickets.split_at(64);
+    assert!(!waiting.is_empty());
+    for ticket in waiting {
+        d.on_end(at(500), ticket, Some(Outcome::Good));
+    }
+    assert!(d.speeds.is_empty());
+    d.on_end(at(500), &running[0], Some(Outcome::Good));
+    assert_eq!(d.speeds.len(), 1);
+}
--- a/tests/load/model/uneven.rs
+++ b/tests/load/model/uneven.rs
@@ -67,7 +67,7 @@
         let true_percent = (self.time_factor(target) * 100.0) as u32;
         let percent = match schedule.figures {
             ReportedFigures::None => return,
-            ReportedFigures::False(percent) if target % 3 == 0 => percent,
+            ReportedFigures::False(percent) if target.is_multiple_of(3) => percent,
             ReportedFigures::False(_) | ReportedFigures::True => true_percent,
         };
         let slowdown = percent.to_string().parse().ok();
