Merge target speeds, in force only where targets report figures

Measured times alone change no decision, so that deployments whose targets send no figure are served as before; a test holds that. The case of the factor of two states a report of another target now, for the same reason.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -15,7 +15,7 @@
     edge::Rules,
     health::{Health, HealthStatus, Outcome},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
-    load_account::LoadAccount,
+    load_account::{LoadAccount, ReportedLoad},
     placement::{
         candidates::PRESELECTION_THRESHOLD,
         choice::{
@@ -27,6 +27,8 @@
     quarantine::Quarantine,
     retry::RetryBudget,
     target_counts::InProgress,
+    target_speed::TargetSpeeds,
+    ticket::CallTiming,
     units::{Instant, Tokens},
     withdrawals::{self, Withdrawal, Withdrawals},
 };
@@ -85,6 +87,8 @@
     pub budget: RetryBudget,
     /// Limits on the number of calls at targets.
     pub admission: Admission,
+    /// How long work takes at targets at the moment.
+    pub speeds: TargetSpeeds,
     /// Division of contended pools by demand.
     pub shares: PoolShares,
     /// This router's share of the calls at cold targets.
@@ -110,6 +114,7 @@
             quarantine: Quarantine::default(),
             budget: RetryBudget::new(rules.budget),
             admission: Admission::new(hall.clone()),
+            speeds: TargetSpeeds::default(),
             shares: PoolShares::new(hall.clone(), rules.shares),
             cold: ColdShares::new(rules.cold),
             hall,
@@ -170,6 +175,8 @@
             service: plan.service.clone(),
             sent_at: now,
             slot_since: (view.counts.all() < view.slots).then_some(now),
+            time_factor: view.time_factor,
+            timing: CallTiming::new(now, &view),
         };
         let first = plan
             .chat
@@ -270,10 +277,26 @@
         self.load.on_end(target, ticket.work);
         ticket.work = InProgress::one(ticket.answer);
         self.load.on_send(target, ticket.work);
+        let timing = ticket.timing.take();
+        self.on_call_time(now, ticket, timing);
         // The first event shows that the call has a slot, even if it had to wait for one.
         ticket.slot_since = ticket.slot_since.or(Some(now));
     }
 
+    /// Records the load that a target reported in an answer.
+    pub fn on_load_report(&mut self, now: Instant, target: &TargetId, load: ReportedLoad) {
+        self.load.on_report(now, target, load);
+        self.speeds.on_report(now, target, load.slowdown);
+    }
+
+    fn on_call_time(&mut self, now: Instant, ticket: &Ticket, timing: Option<CallTiming>) {
+        if let Some(CallTiming { since, work }) = timing {
+            let (service, target) = (&ticket.service, &ticket.target.id);
+            self.speeds
+                .on_call_time(now, service, target, work, now.since(since));
+        }
+    }
+
     /// Records that a call ended at its target. `outcome` is `None` if the call was abandoned before its
     /// end. Returns the target's new health status if it changed.
     pub fn on_end(
@@ -285,6 +308,9 @@
         let target = &ticket.target.id;
         self.load.on_end(target, ticket.work);
         self.observe_attempt_end(now, ticket, outcome);
+        if outcome == Some(Outcome::Good) {
+            self.on_call_time(now, ticket, ticket.timing);
+        }
         if let (Some(Outcome::Good), Some(since)) = (outcome, ticket.slot_since) {
             self.admission
                 .on_slot_time(&ticket.service, now.since(since));
@@ -308,6 +334,7 @@
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
+        self.speeds.on_tick(now, listed);
         self.shares.on_tick(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
@@ -478,6 +505,7 @@
             has_cache_affinity: read_elsewhere < MIN_FETCH_TOKENS,
             is_surging: plan.surge.is_surging(),
         };
+        let time_factor = self.speeds.factor(now, id);
         TargetView {
             health_status: self.health.status(now, id),
             counts: self.load.call_counts(now, id),
@@ -492,6 +520,11 @@
             cached_tokens: self.cache.cached_tokens(id),
             slots: target.slots,
             max_calls: context.limit.max_calls(target.slots, traits),
+            max_calls_at_speed: context
+                .limit
+                .at_speed(time_factor)
+                .max_calls(target.slots, traits),
+            time_factor,
             max_tokens: target.max_tokens,
             warmth: Warmth::Warm,
             in_local_hall: target.data_hall == self.hall,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -180,7 +180,7 @@
         })?;
         let target = Rc::clone(&ticket.target);
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
-        cx.metrics.on_choice(ticket.counted_ago);
+        cx.metrics.on_choice(ticket.counted_ago, ticket.time_factor);
         call.plan.tried.push(target.id.clone());
         let guard = AttemptGuard::new(cx, call, now, ticket);
         cx.record_decision(call.id(), || Decision::Tried {
@@ -251,7 +251,7 @@
     let facts = cx.dialect.parse_response(head.status, &head.headers);
     if let Some(load) = facts.load {
         let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.load.on_report(cx.now(), guard.target(), load);
+        dispatcher.on_load_report(cx.now(), guard.target(), load);
     }
     guard.on_head(&facts);
     withdrawals::on_response_head(cx, call, guard.target(), head.status, &facts);
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -13,6 +13,7 @@
     contention::{self, HashedNames},
     flow::GiveUpReason,
     ids::ServiceName,
+    target_speed::TimeFactor,
     units::Rank,
 };
 
@@ -21,6 +22,10 @@
 const BUCKET_BOUNDS_SECONDS: [f64; 11] =
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
 
+/// Upper bounds of the histogram buckets for the time that work takes at a target, as a factor on the usual
+/// time: the range of the factor, and 1 for targets that count as usual.
+const SLOWDOWN_BUCKET_BOUNDS: [f64; 7] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0];
+
 /// Label for the result of a call.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CodeLabel {
@@ -112,6 +117,7 @@
     contended_refusals: Family<RefusalLabel, Counter>,
     retry_after: Histogram,
     counts_age: Histogram,
+    slowdown: Histogram,
     call_time: Histogram,
     first_event_time: Histogram,
     pub(crate) connections_opened: Counter,
@@ -149,6 +155,7 @@
             contended_refusals: Family::default(),
             retry_after: Histogram::new(BUCKET_BOUNDS_SECONDS),
             counts_age: Histogram::new(BUCKET_BOUNDS_SECONDS),
+            slowdown: Histogram::new(SLOWDOWN_BUCKET_BOUNDS),
             call_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             first_event_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             connections_opened: Counter::default(),
@@ -177,6 +184,7 @@
 impl Metrics {
     fn register(&mut self) {
         self.register_flow();
+        self.register_contended();
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
@@ -204,12 +212,6 @@
             "How long a call holds a slot of a target, by service",
             self.slot_time_ms.clone(),
         );
-        self.contended.register(r);
-        r.register(
-            "contended_refusals",
-            "Calls to contended pools that were refused, by rank and why",
-            self.contended_refusals.clone(),
-        );
         r.register(
             "come_back_seconds",
             "When callers that found no room were asked back",
@@ -220,6 +222,11 @@
             "How old the counts of others' calls were where a target was chosen",
             self.counts_age.clone(),
         );
+        r.register(
+            "target_slowdown",
+            "How long work takes at the targets that were chosen, as a factor on the usual time",
+            self.slowdown.clone(),
+        );
         let first = self.first_event_time.clone();
         r.register(
             "first_event_seconds",
@@ -278,6 +285,17 @@
         );
     }
 
+    /// Registers what is known of contended pools.
+    fn register_contended(&mut self) {
+        let r = &mut self.registry;
+        self.contended.register(r);
+        r.register(
+            "contended_refusals",
+            "Calls to contended pools that were refused, by rank and why",
+            self.contended_refusals.clone(),
+        );
+    }
+
     /// Registers what is held for callers and targets.
     fn register_flow(&mut self) {
         let r = &mut self.registry;
@@ -394,9 +412,11 @@
         self.retry_after.observe(retry_after.as_secs_f64());
     }
 
-    /// Records the mean age of the other routers' call counts by which a target was chosen.
-    pub(crate) fn on_choice(&self, counts_age: Duration) {
+    /// Records the choice of a target: the mean age of the other routers' call counts by which it was chosen,
+    /// and the factor on the usual time that work takes there.
+    pub(crate) fn on_choice(&self, counts_age: Duration, time_factor: TimeFactor) {
         self.counts_age.observe(counts_age.as_secs_f64());
+        self.slowdown.observe(time_factor.get());
     }
 
     pub(crate) fn on_first_event(&self, took: Duration) {
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -9,12 +9,16 @@
 
 use std::time::Duration;
 
-use super::spread::{Estimate, Load, Spread, Survival};
+use super::{
+    bound::Bound,
+    spread::{Estimate, Load, Spread, Survival},
+};
 use crate::{
     admission::{surge::Surge, warm_up::Warmth},
     health::HealthStatus,
     ids::TargetId,
     target_counts::CallCounts,
+    target_speed::TimeFactor,
     units::Tokens,
 };
 
@@ -22,7 +26,7 @@
 
 /// Cost of one token that the target has to read for this call: reading it again takes memory and slows
 /// down everything that runs there.
-const UNREAD_TOKEN_WEIGHT: f64 = 3.0;
+pub(crate) const UNREAD_TOKEN_WEIGHT: f64 = 3.0;
 
 /// Cost of one token that the target copies from another target's memory: a seventh of reading it.
 const FETCHED_TOKEN_WEIGHT: f64 = 2.0;
@@ -33,7 +37,7 @@
 
 /// Cost of one running call at a target, in tokens: each call makes the steps of all others about a
 /// twentieth longer, for about fifty steps, which take as long as reading a thousand tokens in all.
-const RUNNING_CALL_TOKENS: f64 = 250.0;
+pub(crate) const RUNNING_CALL_TOKENS: f64 = 250.0;
 
 /// Cost of a target in another data hall, in calls. It only breaks ties between otherwise equal targets.
 const REMOTE_HALL_CALLS: f64 = 0.25;
@@ -44,13 +48,6 @@
 /// 1.59 times the mean load at one engine.
 const CHAT_TOKEN_FACTOR: f64 = 2.0;
 
-/// Fraction of the distance between the load bound and the mean that is used. The rest allows for counts of
-/// other routers that are slightly out of date.
-const BOUND_FRACTION: f64 = 0.4;
-
-/// Calls above the bound that are always allowed: a relative bound is meaningless for few calls.
-const BOUND_SLACK_CALLS: f64 = 2.5;
-
 /// Prompt tokens above the mean that a target may have cached before new prompts go to other targets: half
 /// of the longest usual prompt.
 const CACHED_SLACK_TOKENS: f64 = 6_000.0;
@@ -90,8 +87,13 @@
     pub slots: u32,
     /// Maximum number of calls in progress at the target, including this one.
     pub max_calls: u32,
+    /// Number of calls in progress, including this one, above which the target is passed over because of its
+    /// speed while another target has room.
+    pub max_calls_at_speed: u32,
     /// Maximum number of tokens in progress at the target; `None` if unlimited.
     pub max_tokens: Option<Tokens>,
+    /// Factor on the usual time of work that the target needs at the moment.
+    pub time_factor: TimeFactor,
     /// How far the target has warmed up, which decides whether it may get calls.
     pub warmth: Warmth,
     /// Whether the target is in this router's data hall.
@@ -101,15 +103,16 @@
 }
 
 impl TargetView {
-    fn calls(&self) -> u32 {
+    pub(super) fn calls(&self) -> u32 {
         self.counts.all()
     }
 
-    fn load(&self) -> Load {
+    pub(super) fn load(&self) -> Load {
         Load {
             counts: self.counts,
             slots: self.slots,
             max_calls: self.max_calls,
+            time_factor: self.time_factor.get(),
         }
     }
 }
@@ -141,7 +144,7 @@
     /// Returns the offset added to counts for this call, from -1 to 1 of their standard deviation. With old
     /// counts, it lets gradually fewer calls find room as targets fill up, instead of all calls or none
     /// until the next counts arrive.
-    fn shift(&self) -> f64 {
+    pub(super) fn shift(&self) -> f64 {
         let uniform = xxh3_64(&self.call.to_le_bytes()) as f64 / u64::MAX as f64;
         2.0 * uniform - 1.0
     }
@@ -149,7 +152,7 @@
     /// Returns the margin by which the call may exceed a target's limit, in standard deviations. For an
     /// account that surges it is negative by the same amount, because the slots left to other accounts are
     /// fewer than the error of the counts.
-    fn limit_slack(&self) -> f64 {
+    pub(super) fn limit_slack(&self) -> f64 {
         match self.surge {
             Surge::None => LIMIT_SLACK_DEVIATIONS,
             Surge::AdmitFraction(_) => -LIMIT_SLACK_DEVIATIONS,
@@ -226,7 +229,10 @@
         };
         chosen = match with_room.is_empty() {
             true => Err(PlacementError::AllFull),
-            false => return Ok(best(&with_room, request, estimate)),
+            false => {
+                let with_room = bound.filter_at_speed(with_room);
+                return Ok(best(&with_room, request, estimate));
+            }
         };
     }
     chosen
@@ -249,58 +255,6 @@
     }
 }
 
-/// Load bound of a target: its own limit, and the limit relative to the other targets.
-struct Bound {
-    max_calls_per_slot: f64,
-    /// Maximum load of a target as a multiple of the mean.
-    factor: f64,
-    estimate: Estimate,
-    /// Number of calls added to a target's load for this call; may be negative.
-    shift: f64,
-    /// Mean number of calls accepted beyond a target's limit.
-    limit_excess: f64,
-}
-
-impl Bound {
-    fn new(options: &[TargetView], request: &PlacementRequest, estimate: Estimate) -> Self {
-        let calls: f64 = options.iter().map(|o| f64::from(o.calls())).sum();
-        let slots: f64 = options.iter().map(|o| f64::from(o.slots)).sum();
-        let factor = 1.0 + (request.cap_factor - 1.0) * BOUND_FRACTION;
-        let mean = request.calls_per_slot.unwrap_or(calls / slots.max(1.0));
-        Self {
-            max_calls_per_slot: mean * factor,
-            factor,
-            estimate,
-            shift: request.shift() * estimate.deviation(),
-            limit_excess: request.limit_slack() * estimate.deviation(),
-        }
-    }
-
-    /// Returns the bound computed from the estimated current loads instead of the last counts. It is used
-    /// when no target has room by the last counts, because not all targets can be far above their mean.
-    /// Without it, 0.16 to 0.85 of the calls in the second after a peak are refused while targets are idle
-    /// (`tests/load/lock_out.rs`, 7 to 380 routers).
-    fn with_estimates(&self, options: &[TargetView]) -> Self {
-        let calls: f64 = options.iter().map(|o| self.estimate.calls(o.load())).sum();
-        let slots: f64 = options.iter().map(|o| f64::from(o.slots)).sum();
-        Self {
-            max_calls_per_slot: calls / slots.max(1.0) * self.factor,
-            ..*self
-        }
-    }
-
-    fn has_room(&self, o: &TargetView) -> bool {
-        let max_calls = self.max_calls_per_slot * f64::from(o.slots) + BOUND_SLACK_CALLS;
-        let work = Tokens(o.backlog.0 + o.missing.0);
-        let relative_load = self.estimate.calls(o.load()) + self.shift;
-        let own_load = self.estimate.calls_if_spread(o.load()) + self.shift - self.limit_excess;
-        relative_load < max_calls
-            && (own_load < f64::from(o.max_calls) || o.calls() == 0)
-            // A target without calls always accepts one.
-            && (o.calls() == 0 || o.max_tokens.is_none_or(|max_tokens| work <= max_tokens))
-    }
-}
-
 /// Returns the best health status among the targets, or `OnTrial` if the call may try a suspect target and
 /// one is on trial.
 fn best_health_status(available: &[(usize, &TargetView)], repeatable: bool) -> HealthStatus {
@@ -351,7 +305,11 @@
     let cost = |o: &TargetView| {
         let excess_cached = (o.cached_tokens.0 as f64 - mean_cached - CACHED_SLACK_TOKENS).max(0.0);
         let excess_calls = (f64::from(o.calls()) - calls - FIRST_READER_SLACK_CALLS).max(0.0);
-        o.missing.0 as f64 + o.backlog.0 as f64 + excess_cached + excess_calls * RUNNING_CALL_TOKENS
+        let work = o.missing.0 as f64
+            + o.backlog.0 as f64
+            + excess_cached
+            + excess_calls * RUNNING_CALL_TOKENS;
+        work * o.time_factor.get()
     };
     let mut candidates = with_room.to_vec();
     candidates
@@ -396,7 +354,7 @@
     with_room.iter().min_by(by_cost).map_or(0, |o| o.0)
 }
 
-/// Computes the cost of a target, in calls.
+/// Computes the cost of a target, in calls at a target of usual speed.
 fn cost(option: &TargetView, request: &PlacementRequest, spread: &Spread) -> f64 {
     let far = if option.in_local_hall {
         0.0
@@ -412,7 +370,10 @@
     let tokens = unread.0 as f64 * UNREAD_TOKEN_WEIGHT * turns
         + option.fetchable.0 as f64 * FETCHED_TOKEN_WEIGHT
         + option.backlog.0 as f64 * BACKLOG_WEIGHT;
-    tokens / RUNNING_CALL_TOKENS + far + spread.calls_above_level(option.load())
+    let time_factor = option.time_factor.get();
+    tokens / RUNNING_CALL_TOKENS * time_factor
+        + far
+        + spread.calls_above_level(option.load()) * time_factor
 }
 
 /// Converts a hash to a Gumbel-distributed value. Adding such a value to the logarithm of each weight and
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod set_back;
 mod shares;
 mod streams;
+mod target_speed;
 mod targets;
 mod trust;
 mod withdrawals;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -7,4 +7,5 @@
 mod overload;
 mod pool_shares;
 mod stale_counts;
+mod uneven_targets;
 mod withdrawals;
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -4,7 +4,7 @@
 
 use scaleford::admission::{shares::ShareScope, warm_up::WarmUp};
 
-use super::{crashes::CrashSchedule, withdrawals::WithdrawalSchedule};
+use super::{crashes::CrashSchedule, uneven::UnevenSchedule, withdrawals::WithdrawalSchedule};
 
 /// A fleet, the calls sent to it, and the faults that happen during a run.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +62,8 @@
     pub targets: usize,
     /// Factor on the time for which a call occupies its slot.
     pub factor: u32,
+    /// Targets whose speed changes; `None` if all keep their usual speed.
+    pub uneven: Option<UnevenSchedule>,
 }
 
 /// Which other routers each router knows.
@@ -130,5 +132,6 @@
         bounded_retries: false,
         shares: ShareScope::SmallPools,
         hubs_silent: None,
+        uneven: None,
     };
 }
