--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -22,7 +22,7 @@
     ids::Revision,
     membership::{
         first_read::first_answer_timeout,
-        readers::{NextRead, ReadState},
+        readers::{FirstRead, NextRead, ReadState},
     },
     store::{MirrorReply, StoreError, StoreUpdate},
     units::{Instant, StoreRevision},
@@ -57,7 +57,7 @@
     /// Whether the store's content has been listed or received from a peer.
     listed: bool,
     /// Whether `listed` was ever set: a router that lists again serves calls already.
-    had_content: bool,
+    first_read: FirstRead,
     /// Pause after the next failed call to the store if this router is a reader, before jitter.
     backoff: Duration,
     /// Earliest time of the next call to the store.
@@ -72,7 +72,7 @@
         cx,
         upstream: None,
         listed: false,
-        had_content: false,
+        first_read: FirstRead::Pending,
         backoff: INITIAL_BACKOFF,
         retry_at: Instant::default(),
         unanswered: 0,
@@ -94,13 +94,15 @@
             NextRead::Store => self.read_store().await,
             NextRead::Wait => tokio::time::sleep(RETRY_PAUSE).await,
         }
-        self.had_content |= self.listed;
+        if self.listed {
+            self.first_read = FirstRead::Done;
+        }
     }
 
     fn read_state(&self) -> ReadState {
         ReadState {
             listed: self.listed,
-            had_content: self.had_content,
+            first_read: self.first_read,
             store_lost: self.cx.store_unavailable_since.get().is_some(),
             reads_store: self.cx.reads_store(),
             revision: self.cx.mirror.borrow().revision(),
--- a/src/membership/first_read.rs
+++ b/src/membership/first_read.rs
@@ -10,7 +10,7 @@
 use super::{
     feeders::MIN_FLEET_WITH_FEEDERS,
     peers::Peers,
-    readers::{FleetStart, NextRead, READER_COUNT, READERS_KEY, ReadState},
+    readers::{FirstRead, FleetStart, NextRead, READER_COUNT, READERS_KEY, ReadState},
 };
 use crate::{
     ids::VmId,
@@ -42,7 +42,8 @@
     /// small for feeders.
     pub fn is_first_read(&self, state: &ReadState) -> bool {
         let is_small = self.fleet_size() < MIN_FLEET_WITH_FEEDERS;
-        state.start == FleetStart::Later && !state.listed && !state.had_content && is_small
+        let is_pending = state.first_read == FirstRead::Pending && !state.listed;
+        state.start == FleetStart::Later && is_pending && is_small
     }
 
     /// Returns where this router reads for the first time.
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -95,13 +95,23 @@
     Later,
 }
 
+/// Whether a router has had the store's content since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FirstRead {
+    /// It has had none yet.
+    #[default]
+    Pending,
+    /// It has had it, and may have to list it again.
+    Done,
+}
+
 /// State of this router's access to the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadState {
     /// Whether it has listed the store's entries once, or received them from a peer.
     pub listed: bool,
     /// Whether it has had the store's content since its start.
-    pub had_content: bool,
+    pub first_read: FirstRead,
     /// Whether the store failed to answer its last call.
     pub store_lost: bool,
     /// Whether it recently received an answer from the store itself.
