--- a/tests/decisions/target_speed.rs
+++ b/tests/decisions/target_speed.rs
@@ -100,7 +100,10 @@
     let mut speeds = measured(3.0);
     speeds.on_report(at(900), &target(1), percent("100"));
     let slow = speeds.factor(at(900), &target(0)).get();
-    assert!((2.0..4.0).contains(&slow), "{slow} without a report of its own");
+    assert!(
+        (2.0..4.0).contains(&slow),
+        "{slow} without a report of its own"
+    );
     let claimed = factor(3.0, "100");
     assert!((slow / 2.0 - claimed).abs() < 1e-9, "{claimed} of {slow}");
     assert!((factor(3.0, "250") - 2.5).abs() < 1e-9);
