--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -51,6 +51,8 @@
     pub shares: ShareScope,
     /// Time in which no hub sends sums; `None` if hubs always do.
     pub hubs_silent: Option<(Duration, Duration)>,
+    /// Targets whose speed changes; `None` if all keep their usual speed.
+    pub uneven: Option<UnevenSchedule>,
 }
 
 /// Targets that become slower during a run.
@@ -62,8 +64,6 @@
     pub targets: usize,
     /// Factor on the time for which a call occupies its slot.
     pub factor: u32,
-    /// Targets whose speed changes; `None` if all keep their usual speed.
-    pub uneven: Option<UnevenSchedule>,
 }
 
 /// Which other routers each router knows.
