Explain and count admissions to divided pools

The dispatcher's fraction for the call's claim is recorded once per call, before its first attempt; a rejection by a full target that ends the call is counted. Not run in a deployment yet.

--- a/src/admission/shares/mod.rs
+++ b/src/admission/shares/mod.rs
@@ -276,6 +276,14 @@
         division.is_none_or(|d| draw < d.fractions.get(claim))
     }
 
+    /// Returns the fraction of a claim's calls that a pool admits; `None` if it is not divided now.
+    pub fn fraction(&self, now: Instant, service: &ServiceName, claim: Claim) -> Option<f64> {
+        let pool = self.pools.get(&service.into())?;
+        let division = pool.division.as_ref().filter(|_| pool.is_in_scope)?;
+        let is_valid = now.since(division.observed_at) < timing::sum_ttl(self.routers);
+        is_valid.then(|| division.fractions.get(claim))
+    }
+
     /// Returns how many calls per second a target is offered, by which targets of a divided pool are
     /// drawn; `None` if the pool is placed by counts.
     pub fn weight(&self, now: Instant, pool: PoolFacts<'_>, target: &TargetId) -> Option<f64> {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -16,7 +16,7 @@
     attempt_end::AttemptEnd,
     attempt_guard::AttemptGuard,
     conn::{Conn, ConnectError},
-    crash_checks,
+    contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
     withdrawals,
@@ -168,6 +168,9 @@
             return Err(AttemptFailure::not_sent(AttemptEnd::Quarantined));
         }
         let chosen = cx.dispatcher.borrow_mut().choose(now, &call.plan);
+        if call.plan.tried.is_empty() {
+            contended::record_admission(cx, call, now);
+        }
         let ticket = chosen.map_err(|e| match e {
             PlacementError::NoTarget => AttemptFailure::not_sent(AttemptEnd::NoTarget),
             PlacementError::AllFull => AttemptFailure::not_sent(AttemptEnd::AllFull),
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -14,7 +14,7 @@
     attempt_end::AttemptEnd,
     body::AnswerBody,
     call::CompleteAnswer,
-    crash_checks,
+    contended, crash_checks,
     flow::{AnswerAccount, RequestCount},
     gateway::Gateway,
 };
@@ -244,6 +244,9 @@
         end => (ResultCode::NoTarget, end.name()),
     };
     call_guard.record_end(CallEnd::failed(code, failed.end.name()), call.attempts);
+    if failed.end == AttemptEnd::Refused {
+        contended::count_full_target(cx, call);
+    }
     let no_capacity = matches!(code, ResultCode::Overloaded | ResultCode::TargetRefused);
     let none_left = matches!(
         failed.end,
--- a/src/edge/contended.rs
+++ b/src/edge/contended.rs
@@ -2,13 +2,13 @@
 
 use slog::info;
 
-use super::gateway::Gateway;
+use super::{attempt::Call, gateway::Gateway};
 use crate::{
     admission::shares::Claim,
     contention::{HashedNames, PoolView},
     explain::Decision,
     ids::{ClientAccountId, ServiceName},
-    units::Rank,
+    units::{Instant, Rank},
 };
 
 /// Why a call to a contended pool was refused.
@@ -79,6 +79,41 @@
     }
 }
 
+/// Records whether a call was admitted, if its pool is divided by demand.
+pub(super) fn record_admission(cx: &Gateway, call: &Call, now: Instant) {
+    let plan = &call.plan;
+    let claim = plan.current_claim();
+    let fraction = cx
+        .dispatcher
+        .borrow()
+        .shares
+        .fraction(now, &plan.service, claim);
+    let Some(fraction) = fraction else {
+        return;
+    };
+    let draw = plan.draw();
+    let decision = ShareDecision {
+        service: &plan.service,
+        claim,
+        account: call.key_owner.as_ref().map(|h| &h.account),
+        fraction,
+        draw,
+        admitted: draw < fraction,
+    };
+    cx.record_share_decision(call.id(), decision);
+}
+
+/// Counts the refusal of a call that a full target of a divided pool rejected.
+pub(super) fn count_full_target(cx: &Gateway, call: &Call) {
+    let plan = &call.plan;
+    let claim = plan.current_claim();
+    let dispatcher = cx.dispatcher.borrow();
+    let fraction = (dispatcher.shares).fraction(cx.now(), &plan.service, claim);
+    if fraction.is_some() {
+        cx.count_contended_refusal(&plan.service, claim.rank, ContendedRefusal::TargetFull);
+    }
+}
+
 /// Returns the contended pools.
 pub(super) fn pools(cx: &Gateway) -> Vec<PoolView> {
     let status = cx.dispatcher.borrow().shares.status(cx.now());
