--- a/src/admission/shares/mod.rs
+++ b/src/admission/shares/mod.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod fractions;
 mod observations;
+mod pool;
 mod rate;
 mod report;
 mod returning;
@@ -15,8 +16,8 @@
 use std::{collections::HashMap, fmt, str::FromStr, time::Duration};
 
 use fractions::{CallOrder, Fractions};
-use observations::{CONTENTION_TTL, Observations};
-use sums::{PeerReports, PoolSum, PoolSums};
+use pool::{Division, Pool};
+use sums::{PeerReports, PoolSums};
 
 pub use report::{
     Claim, HallShareReports, PoolReport, ServiceHash, ShareReport, TargetRates, TenthsPerSecond,
@@ -107,41 +108,6 @@
     pub targets: Vec<(TargetHash, f64)>,
 }
 
-/// How the calls to one pool are divided.
-#[derive(Debug)]
-struct Division {
-    /// Mean time at which the figures were observed.
-    observed_at: Instant,
-    /// Calls per second that the pool is offered.
-    capacity: f64,
-    fractions: Fractions,
-    targets: HashMap<TargetHash, f64>,
-    demand: HashMap<Claim, f64>,
-}
-
-/// State of one pool.
-#[derive(Debug, Default)]
-struct Pool {
-    observed: Observations,
-    /// Sum over the fleet that has not been used for a division yet.
-    sum: Option<PoolSum>,
-    division: Option<Division>,
-    /// Whether the scope covers the pool; only then it is reported.
-    is_in_scope: bool,
-    /// When a sum over the fleet first showed that the pool is contended.
-    heard_at: Option<Instant>,
-    /// When a report of the fleet last showed that calls are refused.
-    contended_at: Option<Instant>,
-}
-
-impl Pool {
-    fn is_contended(&self, now: Instant) -> bool {
-        let by_reports = self.contended_at;
-        self.observed.is_contended(now)
-            || by_reports.is_some_and(|at| now.since(at) < CONTENTION_TTL)
-    }
-}
-
 /// Maximum number of pools with observations; calls of further ones are not counted.
 const MAX_OBSERVED_POOLS: usize = 1_024;
 
