A pool with no usable target, or with a slot for every other router, isn't divided

Suspect targets count where no other is left, a pool without capacity is placed by counts, and a pool is small only with at most one slot for every two routers.

--- a/src/admission/shares/mod.rs
+++ b/src/admission/shares/mod.rs
@@ -36,7 +36,7 @@
 pub enum ShareScope {
     /// None.
     Off,
-    /// Pools without model engines that have fewer slots than the fleet has routers.
+    /// Pools without model engines that have at most one slot for every two routers.
     #[default]
     SmallPools,
     /// All pools.
@@ -111,6 +111,10 @@
 /// Maximum number of pools with observations; calls of further ones are not counted.
 const MAX_OBSERVED_POOLS: usize = 1_024;
 
+/// Number of routers per slot from which a pool is small: most routers then have no call in progress
+/// there, so that their counts tell nothing.
+const ROUTERS_PER_SLOT: usize = 2;
+
 /// Time without calls after which a pool is dropped.
 const POOL_TTL: Duration = Duration::from_mins(1);
 
@@ -226,7 +230,12 @@
             false => CallOrder::Alike,
         };
         let rates = capacity::target_rates(&sum, &targets(), facts.goal, hold);
-        let capacity = rates.values().sum();
+        let capacity: f64 = rates.values().sum();
+        if capacity <= 0.0 {
+            // No target may be used: placement by counts decides what to do.
+            pool.division = None;
+            return;
+        }
         pool.division = Some(Division {
             observed_at,
             capacity,
@@ -361,7 +370,9 @@
     fn is_in_scope(&self, pool: PoolFacts<'_>) -> bool {
         match self.scope {
             ShareScope::Off => false,
-            ShareScope::SmallPools => !pool.has_engines && (pool.slots as usize) < self.routers,
+            ShareScope::SmallPools => {
+                !pool.has_engines && pool.slots as usize * ROUTERS_PER_SLOT <= self.routers
+            }
             ShareScope::AllPools => !pool.has_engines,
         }
     }
--- a/src/dispatcher/divided.rs
+++ b/src/dispatcher/divided.rs
@@ -33,11 +33,17 @@
         let facts = pool_facts(plan, scored);
         let health = &self.health;
         let targets = || {
-            let healthy = scored.targets.iter();
-            let healthy = healthy.filter(|t| health.status(now, &t.id) < HealthStatus::Suspected);
-            healthy
-                .map(|t| (TargetHash::from(&t.id), t.slots))
-                .collect()
+            let healthy =
+                |t: &&Rc<TargetRecord>| health.status(now, &t.id) < HealthStatus::Suspected;
+            let rated = |t: &Rc<TargetRecord>| (TargetHash::from(&t.id), t.slots);
+            let all = &scored.targets;
+            let usable: Vec<_> = all.iter().filter(healthy).map(rated).collect();
+            match usable.is_empty() {
+                // Suspect targets still answer: without them, the pool would seem to have no capacity, and
+                // each of its calls would be refused.
+                true => all.iter().map(rated).collect(),
+                false => usable,
+            }
         };
         self.shares.divide(now, facts, targets);
         self.shares.is_divided(now, facts)
--- a/tests/decisions/shares.rs
+++ b/tests/decisions/shares.rs
@@ -236,3 +236,26 @@
     assert!(is_returning(40_000, 500));
     assert!(!is_returning(110_000, 500));
 }
+
+/// While the only target of a pool was suspect, the pool had no capacity, and every call was refused.
+#[test]
+fn a_pool_without_usable_targets_is_placed_by_counts() {
+    let report = report(&[(claim(0, "a"), 2_000)], 60);
+    let mut shares = divided(ShareScope::SmallPools, &report);
+    let hub = "hub".parse().unwrap();
+    let reports = vec![ShareReport::Router(vec![report])];
+    shares.on_reports(at(1_400), &hub, &hall("yard"), reports);
+    shares.on_tick(at(1_400));
+    shares.divide(at(1_400), facts(&service()), Vec::new);
+    assert!(!shares.is_divided(at(1_400), facts(&service())));
+}
+
+/// A service with one target left before seven routers was divided, though counts show its calls well.
+#[test]
+fn a_pool_with_a_slot_for_every_other_router_is_not_small() {
+    let report = report(&[(claim(0, "a"), 2_000)], 60);
+    let mut shares = divided(ShareScope::SmallPools, &report);
+    assert!(shares.is_divided(at(1_300), facts(&service())));
+    shares.set_fleet_size(30);
+    assert!(!shares.is_divided(at(1_300), facts(&service())));
+}
