--- a/src/admission/shares/capacity.rs
+++ b/src/admission/shares/capacity.rs
@@ -33,13 +33,6 @@
 /// 0.85 of its capacity, and 0.74 if it is offered just its capacity (Erlang's loss formula).
 const NO_QUEUE_FACTOR: f64 = 1.25;
 
-/// Maximum factor between the offered rate and the rate of answers by which a target is raised in
-/// one step, unless it answers fewer than [`MIN_ANSWERS`].
-const MAX_RAISE: f64 = 4.0;
-
-/// Answers per second above which [`MAX_RAISE`] applies.
-const MIN_ANSWERS: f64 = 5.0;
-
 /// Maximum rate that is offered to a target, in calls per second; guards against invalid reports.
 const MAX_TARGET_RATE: f64 = 10_000.0;
 
@@ -80,8 +73,9 @@
     let time = t.busy / t.answered;
     let is_busy = t.busy > slots * BUSY_FRACTION;
     let rejects = t.turned_away > (t.answered + t.turned_away) * MAX_TURNED_AWAY;
-    let raise = t.answered.max(MIN_ANSWERS) * MAX_RAISE;
-    let capacity = (t.answered / utilization(t.busy, slots)).min(raise);
+    // A target that few routers reach answers few calls without being slow. If its rate followed its answers, it
+    // would stay idle for seconds after an outage.
+    let capacity = t.answered / utilization(t.busy, slots);
     // Time of a call that does not wait.
     let unqueued = slots / capacity;
     let excess = time - (goal * TIME_FRACTION).max(unqueued);
