--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -141,15 +141,15 @@
             return Err(self.placement_error(now, &plan.service));
         }
         let is_divided = self.count_demand(now, plan, &scored);
-        if !self.admits(now, plan, &scored, is_divided) {
+        let is_admitted = self.admits(now, plan, &scored, is_divided);
+        if !is_admitted && !is_divided {
             self.on_refusal(now, plan, PlacementError::AllFull);
             return Err(PlacementError::AllFull);
         }
         scored_targets += scored.targets.len();
-        let drawn = is_divided.then(|| self.select_by_weight(now, plan, &scored));
-        let mut found = match drawn.flatten() {
-            Some(drawn) => Ok(drawn),
-            None => self.select(now, plan, &scored),
+        let mut found = match is_divided {
+            true => self.select_divided(now, plan, &scored, is_admitted),
+            false => self.select(now, plan, &scored),
         };
         let is_sound = found
             .as_ref()
--- a/src/dispatcher/divided.rs
+++ b/src/dispatcher/divided.rs
@@ -68,9 +68,34 @@
         }
     }
 
+    /// Selects a target of a divided pool: for an admitted call by weight, and for any other among the suspect
+    /// targets, as far as they have room by counts. A suspect target is better than refusing the call.
+    pub(super) fn select_divided(
+        &mut self,
+        now: Instant,
+        plan: &CallPlan,
+        scored: &ScoredTargets,
+        is_admitted: bool,
+    ) -> Result<(Rc<TargetRecord>, TargetView), PlacementError> {
+        if is_admitted {
+            let drawn = self.select_by_weight(now, plan, scored);
+            return drawn.map_or_else(|| self.select(now, plan, scored), Ok);
+        }
+        let is_suspect =
+            |t: &&Rc<TargetRecord>| self.health.status(now, &t.id) == HealthStatus::Suspected;
+        let suspects = ScoredTargets {
+            targets: scored.targets.iter().filter(is_suspect).cloned().collect(),
+            sample_len: None,
+        };
+        match suspects.targets.is_empty() {
+            true => Err(PlacementError::AllFull),
+            false => self.select(now, plan, &suspects),
+        }
+    }
+
     /// Draws a target by the rates that targets are offered. Returns `None` if no target is left that is
     /// healthy and warm, so that placement by counts decides.
-    pub(super) fn select_by_weight(
+    fn select_by_weight(
         &self,
         now: Instant,
         plan: &CallPlan,
