--- a/tests/decisions/shares.rs
+++ b/tests/decisions/shares.rs
@@ -10,12 +10,15 @@
             TargetRates, TenthsPerSecond, UsualTimeLeft,
         },
     },
+    config::serving::CallKind,
+    dispatcher::{CallPlan, Dispatcher},
+    edge::Rules,
     ids::{ClientAccountId, ServiceName, TargetId},
     target_counts::TargetHash,
     units::Rank,
 };
 
-use super::{at, hall};
+use super::{at, dispatcher, hall, plan, rules};
 
 const TARGETS: [&str; 3] = ["t0", "t1", "t2"];
 
@@ -259,3 +262,45 @@
     shares.set_fleet_size(30);
     assert!(!shares.is_divided(at(1_300), facts(&service())));
 }
+
+/// Two of three targets had been down and were idle while 300 calls a second were refused.
+#[test]
+fn calls_that_are_not_admitted_go_to_a_suspect_target_with_room() {
+    let mut router = dispatcher(2);
+    router.set_rules(&Rules {
+        shares: ShareScope::AllPools,
+        ..rules()
+    });
+    let plain = |hash: u64| CallPlan {
+        engine: None,
+        ..plan(CallKind::Safe, Vec::new(), hash)
+    };
+    let writer = PoolReport {
+        service: (&plain(0).service).into(),
+        ..report(&[(Claim::default(), 20_000)], 60)
+    };
+    for ms in [1_000, 1_100, 1_200, 1_300] {
+        let hub = "hub".parse().unwrap();
+        let reports = vec![ShareReport::Router(vec![writer.clone()])];
+        (router.shares).on_reports(at(ms), &hub, &hall("yard"), reports);
+        router.on_tick(at(ms));
+        chosen_target(&mut router, ms, &plain(ms));
+    }
+    let suspect: TargetId = "t1".parse().unwrap();
+    let chosen = |router: &mut Dispatcher| -> Vec<_> {
+        let plans = (0..50).map(|n| plain(10_000 + n));
+        plans
+            .filter_map(|plan| chosen_target(router, 1_310, &plan))
+            .collect()
+    };
+    assert!(chosen(&mut router).len() < 30, "the pool is not divided");
+    (router.health.outages).on_refused(at(1_310), (&suspect).into());
+    assert!(chosen(&mut router).contains(&suspect));
+}
+
+/// Returns the target that a call is sent to, if it is, and ends the call.
+fn chosen_target(router: &mut Dispatcher, ms: u64, plan: &CallPlan) -> Option<TargetId> {
+    let ticket = router.choose(at(ms), plan).ok()?;
+    router.on_end(at(ms), &ticket, None);
+    Some(ticket.target.id.clone())
+}
