Log and count which targets a router reaches, and let tests cut its network off

Lines of attempts now give reached_ms_ago and any_reached_ms_ago, the gauge targets_not_reached counts the targets to which no connection opened since they were last reached. Connections to targets are opened by a Dialer, which tests replace by a network that they can cut.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -16,6 +16,7 @@
     health::{Health, HealthStatus, Outcome},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
     load_account::{LoadAccount, ReportedLoad},
+    paths::TargetPaths,
     placement::{
         candidates::PRESELECTION_THRESHOLD,
         choice::{
@@ -77,6 +78,8 @@
     pub load: LoadAccount,
     /// Health of targets, as learned from outcomes of calls.
     pub health: Health,
+    /// Network paths from this router to targets.
+    pub paths: TargetPaths,
     /// Targets that have asked for no calls.
     pub withdrawals: Withdrawals,
     /// Prompts that targets have read.
@@ -109,6 +112,7 @@
             discovery: Discovery::default(),
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
+            paths: TargetPaths::default(),
             withdrawals: Withdrawals::default(),
             cache: PromptCache::default(),
             quarantine: Quarantine::default(),
@@ -331,6 +335,7 @@
         let discovery = &self.discovery;
         let listed = |id: &TargetId| discovery.get(id).is_some();
         self.health.retain(listed);
+        self.paths.retain(listed);
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -199,15 +199,23 @@
         match opened.await {
             Ok(_) if withdrawals::is_withdrawn(cx, &target.id) => guard.end(AttemptEnd::Withdrawn),
             Ok(conn) => {
-                cx.metrics.connections_opened.inc();
+                cx.metrics.paths.connections_opened.inc();
+                cx.dispatcher
+                    .borrow_mut()
+                    .paths
+                    .on_reached(cx.now(), &target.id);
                 return Ok((guard, conn));
             }
             Err(ConnectError::AtLimit) => guard.end(AttemptEnd::ConnectionsAtLimit),
             Err(ConnectError::Refused) => {
+                on_not_reached(cx, &target.id);
                 on_connection_refused(cx, call, &target.id);
                 guard.end(AttemptEnd::ConnectionRefused);
             }
-            Err(ConnectError::Unreachable) => guard.end(AttemptEnd::Unreachable),
+            Err(ConnectError::Unreachable) => {
+                on_not_reached(cx, &target.id);
+                guard.end(AttemptEnd::Unreachable);
+            }
         }
     }
 }
@@ -251,6 +259,7 @@
         }
     };
     let (head, body) = res.into_parts();
+    (cx.dispatcher.borrow_mut().paths).on_reached(cx.now(), guard.target());
     let facts = cx.dialect.parse_response(head.status, &head.headers);
     if let Some(load) = facts.load {
         let mut dispatcher = cx.dispatcher.borrow_mut();
@@ -268,6 +277,12 @@
     check_head(cx, call, answer)
 }
 
+/// Records that no connection to a target could be opened.
+fn on_not_reached(cx: &Gateway, target: &TargetId) {
+    let paths = &mut cx.dispatcher.borrow_mut().paths;
+    paths.on_not_reached(cx.now(), target);
+}
+
 /// Records that a target is down: nothing listens at its address, or another target has the address.
 fn on_connection_refused(cx: &Gateway, call: &Call, target: &TargetId) {
     let now = cx.now();
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -90,6 +90,15 @@
         }
     }
 
+    /// Returns the times in milliseconds since this router last reached the target, and since it last
+    /// reached any.
+    fn reached_ago(&self, now: Instant) -> (Option<u64>, Option<u64>) {
+        let paths = &self.cx.dispatcher.borrow().paths;
+        let ms_ago = |at: Option<Instant>| at.map(|at| now.since(at).as_millis() as u64);
+        let target = paths.reached_at(&self.ticket.target.id);
+        (ms_ago(target), ms_ago(paths.any_reached_at()))
+    }
+
     fn finish(&mut self, end: AttemptEnd) {
         let (outcome, why) = (end.outcome(), end.name());
         self.is_ended = true;
@@ -99,6 +108,7 @@
             dispatcher.on_end(now, &self.ticket, outcome)
         };
         let (log, target) = (&self.cx.log, &self.ticket.target.id);
+        let (reached_ago, any_reached_ago) = self.reached_ago(now);
         self.cx.metrics.on_attempt(why);
         self.report_to_quarantine(end);
         self.span.set_attribute("outcome", why);
@@ -118,6 +128,7 @@
             "shared_part" => self.shared_part.map(|p| p.0), "held" => self.ticket.has_read,
             "fetched_from" => self.ticket.fetch_from.as_ref().map(|t| t.id.to_string()),
             "withdrawal" => self.withdrawal.map(Withdrawal::name), "backoff_ms" => self.withdrawal.and_then(Withdrawal::backoff).map(|b| b.as_millis() as u64),
+            "reached_ms_ago" => reached_ago, "any_reached_ms_ago" => any_reached_ago,
             "began_ms" => self.started_at.0.as_millis() as u64,
             "standing" => ?self.ticket.health_status, "warmth" => ?self.ticket.warmth);
         if let Some(new_status) = new_status {
--- a/src/edge/conn.rs
+++ b/src/edge/conn.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use super::dial::{Dialer, Dialling};
 use crate::{ids::TargetId, units::Instant};
 
 /// Maximum time to open a connection. Within a data hall it takes one millisecond. A lost SYN packet is
@@ -83,8 +84,8 @@
 }
 
 /// Connections of this router to all targets, idle or in use.
-#[derive(Default)]
 pub(crate) struct ConnPool {
+    dialer: Rc<dyn Dialer>,
     idle: RefCell<HashMap<TargetId, Vec<IdleConn>>>,
     open: RefCell<HashMap<TargetId, usize>>,
     reduced_idle: Cell<Option<ReducedIdle>>,
@@ -98,6 +99,16 @@
 }
 
 impl ConnPool {
+    /// Creates a pool without connections.
+    pub(super) fn new(dialer: Rc<dyn Dialer>) -> Self {
+        Self {
+            dialer,
+            idle: RefCell::default(),
+            open: RefCell::default(),
+            reduced_idle: Cell::default(),
+        }
+    }
+
     /// Takes an idle connection, the most recently used one first. For a call that must not be sent twice
     /// (`repeatable` is false), only one that has not been idle for long is taken.
     pub(crate) fn take(&self, now: Instant, target: &TargetId, repeatable: bool) -> Option<Conn> {
@@ -162,7 +173,7 @@
             pool: Rc::clone(self),
             target: target.clone(),
         };
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, dial(address)).await;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, dial(self.dialer.dial(address))).await;
         let (sender, task) = match opened {
             Ok(Ok(dialled)) => dialled,
             Ok(Err(e)) if e.is_refused() => return Err(ConnectError::Refused),
@@ -239,8 +250,8 @@
 
 type Dialled = (SendRequest<Full<Bytes>>, AbortHandle);
 
-async fn dial(address: SocketAddr) -> crate::Result<Dialled> {
-    let stream = TcpStream::connect(address).await?;
+async fn dial(dialling: Dialling) -> crate::Result<Dialled> {
+    let stream = dialling.await?;
     set_socket_options(&stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
--- a/src/edge/crash_checks.rs
+++ b/src/edge/crash_checks.rs
@@ -84,7 +84,7 @@
 }
 
 fn return_to_pool(cx: &Gateway, conn: Conn) {
-    cx.metrics.connections_opened.inc();
+    cx.metrics.paths.connections_opened.inc();
     cx.conns.put_idle(cx.now(), conn, None);
 }
 
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -11,8 +11,8 @@
 
 use super::{
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
-    claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks, feed::ResponseCache,
-    flow::FlowControl, metrics::Metrics,
+    claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks, dial::Dialer,
+    feed::ResponseCache, flow::FlowControl, metrics::Metrics,
 };
 use crate::{
     clock::Clock,
@@ -43,6 +43,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// Metadata store of the platform.
     pub store: Rc<dyn MetaStore>,
+    /// Opens the connections to targets.
+    pub dialer: Rc<dyn Dialer>,
     /// Clock by which the gateway measures all timeouts and intervals.
     pub clock: Clock,
     /// Recorder of the spans of calls.
@@ -114,6 +116,7 @@
             cfg,
             dialect,
             store,
+            dialer,
             clock,
             spans,
             log,
@@ -154,7 +157,7 @@
             contention: RefCell::default(),
             flow: FlowControl::new(FlowBounds::from_memory(cfg.memory)),
             explain: ExplainRing::new(cfg.explain_kept),
-            conns: Rc::default(),
+            conns: Rc::new(ConnPool::new(dialer)),
             metrics: Metrics::default(),
             lifecycle: RefCell::default(),
             in_progress: Cell::new(0),
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -121,6 +121,8 @@
         for (service, slot_time) in cx.dispatcher.borrow().admission.mean_slot_times() {
             cx.metrics.on_slot_time(service, slot_time);
         }
+        let failing = cx.dispatcher.borrow().paths.failing_count();
+        cx.metrics.paths.targets_not_reached.set(failing as i64);
         cx.peers.borrow_mut().on_tick(now);
         cx.usable_retry_share(now);
         let routers = cx.peers.borrow().live_hashes(now);
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -8,6 +8,7 @@
     registry::Registry,
 };
 
+use super::path_metrics::PathMetrics;
 use crate::{
     admission::shares::PoolStatus,
     contention::{self, HashedNames},
@@ -120,7 +121,7 @@
     slowdown: Histogram,
     call_time: Histogram,
     first_event_time: Histogram,
-    pub(crate) connections_opened: Counter,
+    pub(crate) paths: PathMetrics,
     pub(crate) entries_unusable: Counter,
     pub(crate) halls_evacuated: Gauge,
     pub(crate) quarantined_requests: Gauge,
@@ -158,7 +159,7 @@
             slowdown: Histogram::new(SLOWDOWN_BUCKET_BOUNDS),
             call_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             first_event_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
-            connections_opened: Counter::default(),
+            paths: PathMetrics::default(),
             entries_unusable: Counter::default(),
             halls_evacuated: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -185,6 +186,7 @@
     fn register(&mut self) {
         self.register_flow();
         self.register_contended();
+        self.paths.register(&mut self.registry);
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
@@ -250,8 +252,6 @@
             "Entries of targets that name none to use",
             unusable,
         );
-        let opened = self.connections_opened.clone();
-        r.register("connections_opened", "Connections to targets", opened);
         r.register(
             "datagrams_sent",
             "Datagrams to peers",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod membership;
 pub mod openai;
 pub mod outages;
+pub mod paths;
 pub mod placement;
 mod pools;
 pub mod prompt_cache;
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -5,7 +5,7 @@
 use scaleford::{
     Settings,
     clock::Clock,
-    edge::{Gateway, GatewayParts, Signals, StopReport},
+    edge::{Gateway, GatewayParts, Signals, StopReport, TcpDialer},
     ids::{Revision, VmId},
     log,
     openai::OpenAiDialect,
@@ -141,6 +141,7 @@
         cfg: cfg.gateway(),
         dialect: Rc::new(OpenAiDialect),
         store: Rc::new(PlatformStore::new(cfg.platform, WatchScope::OwnKeys)),
+        dialer: Rc::new(TcpDialer),
         clock: Clock::system(&log),
         spans: Spans::enabled(None).expect("spans"),
         log,
