--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -16,6 +16,7 @@
     health::{Health, HealthStatus, Outcome},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
     load_account::{LoadAccount, ReportedLoad},
+    outages::OutageNotice,
     paths::TargetPaths,
     placement::{
         candidates::PRESELECTION_THRESHOLD,
@@ -27,7 +28,7 @@
     prompt_cache::PromptCache,
     quarantine::Quarantine,
     retry::RetryBudget,
-    target_counts::InProgress,
+    target_counts::{InProgress, TargetHash},
     target_speed::TargetSpeeds,
     ticket::CallTiming,
     units::{Instant, Tokens},
@@ -313,6 +314,7 @@
         self.load.on_end(target, ticket.work);
         self.observe_attempt_end(now, ticket, outcome);
         if outcome == Some(Outcome::Good) {
+            (self.health.outages).on_answered(ticket.sent_at, target.into());
             self.on_call_time(now, ticket, ticket.timing);
         }
         if let (Some(Outcome::Good), Some(since)) = (outcome, ticket.slot_since) {
@@ -328,6 +330,25 @@
         }
     }
 
+    /// Returns the targets to report to peers as unresponsive. Those to which this router may have lost its
+    /// path are left out.
+    pub fn suspected_targets(&self, now: Instant) -> Vec<TargetHash> {
+        match self.paths.is_cut_off() {
+            true => Vec::new(),
+            false => self
+                .health
+                .unresponsive_targets(now, |id| !self.paths.is_failing(id)),
+        }
+    }
+
+    /// Returns the outages to announce to peers; none while this router may be cut off itself.
+    pub fn outage_notices(&self, now: Instant) -> Vec<OutageNotice> {
+        match self.paths.is_cut_off() {
+            true => Vec::new(),
+            false => self.health.outages.notices(now),
+        }
+    }
+
     /// Drops expired state and all state of targets that are gone; returns these targets.
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
         self.load.on_tick(now);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -19,7 +19,7 @@
     contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
-    withdrawals,
+    target_conn, withdrawals,
 };
 use crate::{
     config::serving::{KeyOwner, Route},
@@ -157,6 +157,7 @@
     cx: &Rc<Gateway>,
     call: &mut Call,
 ) -> Result<(AttemptGuard, Conn), AttemptFailure> {
+    let mut lacks_path = false;
     loop {
         let now = cx.now();
         if now >= call.deadline {
@@ -172,6 +173,7 @@
             contended::record_admission(cx, call, now);
         }
         let ticket = chosen.map_err(|e| match e {
+            PlacementError::NoTarget if lacks_path => AttemptFailure::not_sent(AttemptEnd::NoPath),
             PlacementError::NoTarget => AttemptFailure::not_sent(AttemptEnd::NoTarget),
             PlacementError::AllFull => AttemptFailure::not_sent(AttemptEnd::AllFull),
             PlacementError::AllCold => AttemptFailure::not_sent(AttemptEnd::AllCold),
@@ -192,29 +194,27 @@
             missing: guard.ticket.missing.0,
         });
         let repeatable = call.route.kind.is_repeatable();
-        if let Some(conn) = cx.conns.take(now, &target.id, repeatable) {
+        let direct = (cx.dispatcher.borrow().paths).is_idle_conn_trusted(&target);
+        if let Some(conn) = cx.conns.take(now, &target.id, repeatable, direct) {
             return Ok((guard, conn));
         }
-        let opened = cx.conns.open(&target.id, target.address, call.conn_limit);
-        match opened.await {
+        let opening = target_conn::open(cx, &target, call.conn_limit);
+        let Some(opened) = cx.clock.timeout_at(call.deadline, opening).await else {
+            guard.end(AttemptEnd::NoTimeLeft);
+            return Err(AttemptFailure::not_sent(AttemptEnd::NoTimeLeft));
+        };
+        match opened {
             Ok(_) if withdrawals::is_withdrawn(cx, &target.id) => guard.end(AttemptEnd::Withdrawn),
-            Ok(conn) => {
-                cx.metrics.paths.connections_opened.inc();
-                cx.dispatcher
-                    .borrow_mut()
-                    .paths
-                    .on_reached(cx.now(), &target.id);
-                return Ok((guard, conn));
-            }
+            Ok(conn) => return Ok((guard, conn)),
             Err(ConnectError::AtLimit) => guard.end(AttemptEnd::ConnectionsAtLimit),
             Err(ConnectError::Refused) => {
-                on_not_reached(cx, &target.id);
                 on_connection_refused(cx, call, &target.id);
                 guard.end(AttemptEnd::ConnectionRefused);
             }
-            Err(ConnectError::Unreachable) => {
-                on_not_reached(cx, &target.id);
-                guard.end(AttemptEnd::Unreachable);
+            Err(ConnectError::Unreachable) => guard.end(AttemptEnd::Unreachable),
+            Err(ConnectError::NoPath) => {
+                lacks_path = true;
+                guard.end(AttemptEnd::NoPath);
             }
         }
     }
@@ -259,7 +259,10 @@
         }
     };
     let (head, body) = res.into_parts();
-    (cx.dispatcher.borrow_mut().paths).on_reached(cx.now(), guard.target());
+    if !conn.is_tunnel() {
+        let paths = &mut cx.dispatcher.borrow_mut().paths;
+        paths.on_heard(cx.now(), &guard.ticket.target);
+    }
     let facts = cx.dialect.parse_response(head.status, &head.headers);
     if let Some(load) = facts.load {
         let mut dispatcher = cx.dispatcher.borrow_mut();
@@ -277,12 +280,6 @@
     check_head(cx, call, answer)
 }
 
-/// Records that no connection to a target could be opened.
-fn on_not_reached(cx: &Gateway, target: &TargetId) {
-    let paths = &mut cx.dispatcher.borrow_mut().paths;
-    paths.on_not_reached(cx.now(), target);
-}
-
 /// Records that a target is down: nothing listens at its address, or another target has the address.
 fn on_connection_refused(cx: &Gateway, call: &Call, target: &TargetId) {
     let now = cx.now();
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -37,6 +37,8 @@
     ConnectionRefused,
     /// The target did not accept a connection in time, or the network path to it is broken.
     Unreachable,
+    /// Neither this router nor the peers that it asked have a network path to the target.
+    NoPath,
     /// The connection closed before the call was written to it.
     ClosedBeforeSend,
     /// The connection closed before the head of an answer arrived.
@@ -82,6 +84,7 @@
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
             Self::Unreachable => "unreachable",
+            Self::NoPath => "no path",
             Self::ClosedBeforeSend => "connection closed before",
             Self::ConnectionBroke => "connection broke",
             Self::DeadlineExceeded => "time is up",
@@ -125,6 +128,7 @@
             | Self::AllLeaving
             | Self::AllBackedOff
             | Self::Withdrawn
+            | Self::NoPath
             | Self::Quarantined => None,
             Self::ConnectionRefused
             | Self::Unreachable
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -99,8 +99,19 @@
         (ms_ago(target), ms_ago(paths.any_reached_at()))
     }
 
+    /// Returns the outcome for the target's health. What breaks while the path to the target is not trusted
+    /// does not count against the target.
+    fn outcome(&self, end: AttemptEnd) -> Option<Outcome> {
+        let is_trusted = {
+            let paths = &self.cx.dispatcher.borrow().paths;
+            paths.is_trusted(&self.ticket.target)
+        };
+        end.outcome()
+            .filter(|o| is_trusted || *o != Outcome::Broken)
+    }
+
     fn finish(&mut self, end: AttemptEnd) {
-        let (outcome, why) = (end.outcome(), end.name());
+        let (outcome, why) = (self.outcome(end), end.name());
         self.is_ended = true;
         let now = self.cx.now();
         let new_status = {
--- a/src/edge/conn.rs
+++ b/src/edge/conn.rs
@@ -14,7 +14,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use super::dial::{Dialer, Dialling};
 use crate::{ids::TargetId, units::Instant};
 
 /// Maximum time to open a connection. Within a data hall it takes one millisecond. A lost SYN packet is
@@ -48,6 +47,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     target: TargetId,
+    /// Address of the peer through which the connection passes; `None` if it is direct.
+    via: Option<SocketAddr>,
     pool: Rc<ConnPool>,
     idle_time: Option<Duration>,
 }
@@ -66,6 +67,13 @@
     }
 }
 
+impl Conn {
+    /// Returns whether the connection passes through a peer.
+    pub(crate) fn is_tunnel(&self) -> bool {
+        self.via.is_some()
+    }
+}
+
 struct IdleConn {
     conn: Conn,
     since: Instant,
@@ -81,11 +89,25 @@
     Refused,
     /// The target did not accept in time, or the network path to it is broken.
     Unreachable,
+    /// Neither this router nor the peers that it asked have a network path to the target.
+    NoPath,
+}
+
+impl ConnectError {
+    /// Returns the name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::AtLimit => "connections at limit",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::NoPath => "no path",
+        }
+    }
 }
 
 /// Connections of this router to all targets, idle or in use.
+#[derive(Default)]
 pub(crate) struct ConnPool {
-    dialer: Rc<dyn Dialer>,
     idle: RefCell<HashMap<TargetId, Vec<IdleConn>>>,
     open: RefCell<HashMap<TargetId, usize>>,
     reduced_idle: Cell<Option<ReducedIdle>>,
@@ -99,19 +121,16 @@
 }
 
 impl ConnPool {
-    /// Creates a pool without connections.
-    pub(super) fn new(dialer: Rc<dyn Dialer>) -> Self {
-        Self {
-            dialer,
-            idle: RefCell::default(),
-            open: RefCell::default(),
-            reduced_idle: Cell::default(),
-        }
-    }
-
     /// Takes an idle connection, the most recently used one first. For a call that must not be sent twice
-    /// (`repeatable` is false), only one that has not been idle for long is taken.
-    pub(crate) fn take(&self, now: Instant, target: &TargetId, repeatable: bool) -> Option<Conn> {
+    /// (`repeatable` is false), only one that has not been idle for long is taken. Direct connections are
+    /// taken only if `direct` is set.
+    pub(crate) fn take(
+        &self,
+        now: Instant,
+        target: &TargetId,
+        repeatable: bool,
+        direct: bool,
+    ) -> Option<Conn> {
         let max_idle = match repeatable {
             true => Duration::MAX,
             false => self.unrepeatable_idle(now),
@@ -119,7 +138,8 @@
         let mut all = self.idle.borrow_mut();
         let conns = all.get_mut(target)?;
         loop {
-            let latest = conns.pop()?;
+            let usable = |r: &IdleConn| direct || r.conn.is_tunnel();
+            let latest = conns.remove(conns.iter().rposition(usable)?);
             let idle_time = now.since(latest.since);
             match () {
                 // The connections below it were idle even longer. All of them can still carry calls that may
@@ -158,37 +178,63 @@
         max_idle.min(MAX_UNREPEATABLE_IDLE)
     }
 
-    /// Opens a connection, unless `limit` connections to the target are open or being opened already.
-    pub(crate) async fn open(
+    /// Counts a connection that is about to be opened, unless `limit` connections to the target are open
+    /// or being opened already.
+    pub(super) fn begin_open(
         self: &Rc<Self>,
         target: &TargetId,
-        address: SocketAddr,
         limit: usize,
-    ) -> Result<Conn, ConnectError> {
+    ) -> Result<OpeningGuard, ConnectError> {
         if self.open_count(target) >= limit {
             return Err(ConnectError::AtLimit);
         }
         *self.open.borrow_mut().entry(target.clone()).or_default() += 1;
-        let opening_guard = OpeningGuard {
+        Ok(OpeningGuard {
             pool: Rc::clone(self),
             target: target.clone(),
-        };
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, dial(self.dialer.dial(address))).await;
-        let (sender, task) = match opened {
-            Ok(Ok(dialled)) => dialled,
-            Ok(Err(e)) if e.is_refused() => return Err(ConnectError::Refused),
-            Ok(Err(_)) | Err(_) => return Err(ConnectError::Unreachable),
-        };
-        std::mem::forget(opening_guard);
-        Ok(Conn {
-            sender,
-            task,
-            target: target.clone(),
-            pool: Rc::clone(self),
-            idle_time: None,
         })
     }
 
+    /// Puts a connection that was opened without a call into the pool.
+    pub(super) async fn adopt_idle(
+        self: &Rc<Self>,
+        now: Instant,
+        target: &TargetId,
+        stream: TcpStream,
+    ) {
+        let Ok(opening) = self.begin_open(target, usize::MAX) else {
+            return;
+        };
+        if let Ok(conn) = opening.finish(stream, None).await {
+            self.put_idle(now, conn, None);
+        }
+    }
+
+    /// Returns whether any idle connection passes through a peer.
+    pub(super) fn has_tunnels(&self) -> bool {
+        let all = self.idle.borrow();
+        all.values().flatten().any(|r| r.conn.via.is_some())
+    }
+
+    /// Closes idle connections through the peers that `is_gone` names.
+    pub(super) fn close_idle_tunnels(&self, is_gone: impl Fn(SocketAddr) -> bool) {
+        self.close_idle_where(|conn| conn.via.is_some_and(&is_gone));
+    }
+
+    /// Closes the idle direct connections to a target.
+    pub(super) fn close_idle_direct(&self, target: &TargetId) {
+        self.close_idle_where(|conn| conn.target == *target && conn.via.is_none());
+    }
+
+    fn close_idle_where(&self, is_lost: impl Fn(&Conn) -> bool) {
+        let mut lost = Vec::new();
+        for conns in self.idle.borrow_mut().values_mut() {
+            lost.extend(conns.extract_if(.., |r| is_lost(&r.conn)));
+        }
+        // Dropping a connection changes the counts of the pool.
+        drop(lost);
+    }
+
     /// Puts a connection whose call has ended into the pool. It is used again for a fraction of the target's
     /// `Keep-Alive` timeout.
     pub(crate) fn put_idle(&self, now: Instant, conn: Conn, keep_alive: Option<Duration>) {
@@ -237,34 +283,46 @@
 }
 
 /// Counts a connection that is being opened; if the attempt fails, dropping it takes the count back.
-struct OpeningGuard {
+pub(super) struct OpeningGuard {
     pool: Rc<ConnPool>,
     target: TargetId,
 }
 
+impl OpeningGuard {
+    /// Starts HTTP on a connection to the target, which passes through the peer at `via` if given.
+    pub(super) async fn finish(
+        self,
+        stream: TcpStream,
+        via: Option<SocketAddr>,
+    ) -> Result<Conn, ConnectError> {
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ConnectError::Unreachable)?;
+        let task = tokio::task::spawn_local(async move {
+            // An error also reaches the call that waits for an answer on the connection.
+            let _ = connection.await;
+        });
+        let (pool, target) = (Rc::clone(&self.pool), self.target.clone());
+        std::mem::forget(self);
+        Ok(Conn {
+            sender,
+            task: task.abort_handle(),
+            target,
+            via,
+            pool,
+            idle_time: None,
+        })
+    }
+}
+
 impl Drop for OpeningGuard {
     fn drop(&mut self) {
         self.pool.on_close(&self.target);
     }
 }
 
-type Dialled = (SendRequest<Full<Bytes>>, AbortHandle);
-
-async fn dial(dialling: Dialling) -> crate::Result<Dialled> {
-    let stream = dialling.await?;
-    set_socket_options(&stream);
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| crate::Error::Protocol(e.to_string()))?;
-    let task = tokio::task::spawn_local(async move {
-        // An error also reaches the call that waits for an answer on the connection.
-        let _ = connection.await;
-    });
-    Ok((sender, task.abort_handle()))
-}
-
 /// Sets the socket options of each of the gateway's connections.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
     // Both options only make things faster; a connection without them still works.
--- a/src/edge/crash_checks.rs
+++ b/src/edge/crash_checks.rs
@@ -10,6 +10,7 @@
 use super::{
     conn::{Conn, ConnectError},
     gateway::Gateway,
+    target_conn,
 };
 use crate::{
     discovery::{TargetRecord, TargetState},
@@ -65,8 +66,7 @@
 }
 
 async fn check_target(cx: Rc<Gateway>, target: Rc<TargetRecord>) {
-    let opened = cx.conns.open(&target.id, target.address, usize::MAX);
-    let opened = opened.await;
+    let opened = target_conn::open(&cx, &target, usize::MAX).await;
     let broken_attempts = cx
         .crash_checks
         .broken_attempts
@@ -76,7 +76,7 @@
     match opened {
         Ok(conn) => return_to_pool(&cx, conn),
         Err(ConnectError::Refused) => on_crash(&cx, &target.id, &broken_attempts),
-        Err(ConnectError::Unreachable | ConnectError::AtLimit) => {
+        Err(ConnectError::Unreachable | ConnectError::NoPath | ConnectError::AtLimit) => {
             info!(cx.log, "not known whether a target crashed"; "target" => %target.id,
                 "calls" => broken_attempts.len());
         }
@@ -84,7 +84,6 @@
 }
 
 fn return_to_pool(cx: &Gateway, conn: Conn) {
-    cx.metrics.paths.connections_opened.inc();
     cx.conns.put_idle(cx.now(), conn, None);
 }
 
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -12,7 +12,7 @@
 use super::{
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
     claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks, dial::Dialer,
-    feed::ResponseCache, flow::FlowControl, metrics::Metrics,
+    feed::ResponseCache, flow::FlowControl, metrics::Metrics, tunnel::Tunnels,
 };
 use crate::{
     clock::Clock,
@@ -29,6 +29,7 @@
     lifecycle::{Phase, RouterEvent, RouterLifecycle},
     log::LogFlusher,
     membership::peers::Peers,
+    relays::Relays,
     retry::FleetShare,
     spans::Spans,
     store::{MetaStore, StoreMirror},
@@ -65,6 +66,11 @@
     pub(crate) flusher: LogFlusher,
     pub(crate) metrics: Metrics,
     pub(crate) conns: Rc<ConnPool>,
+    pub(crate) dialer: Rc<dyn Dialer>,
+    /// What is known of peers through which targets are reached.
+    pub(crate) relays: RefCell<Relays>,
+    /// Tunnels that this router holds open for peers.
+    pub(crate) tunnels: Tunnels,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) peers: RefCell<Peers>,
@@ -157,7 +163,10 @@
             contention: RefCell::default(),
             flow: FlowControl::new(FlowBounds::from_memory(cfg.memory)),
             explain: ExplainRing::new(cfg.explain_kept),
-            conns: Rc::new(ConnPool::new(dialer)),
+            conns: Rc::default(),
+            dialer,
+            relays: RefCell::default(),
+            tunnels: Tunnels::default(),
             metrics: Metrics::default(),
             lifecycle: RefCell::default(),
             in_progress: Cell::new(0),
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -11,7 +11,7 @@
 use super::{
     StopReport, contended, crash_checks, exchange, flow,
     gateway::{Gateway, GatewayParts},
-    gossip, ingress, operators, peer_calls, saved_state, stop,
+    gossip, ingress, operators, path_checks, peer_calls, saved_state, stop,
     stop::Signals,
     store_sync, store_updates, withdrawals,
 };
@@ -121,13 +121,18 @@
         for (service, slot_time) in cx.dispatcher.borrow().admission.mean_slot_times() {
             cx.metrics.on_slot_time(service, slot_time);
         }
-        let failing = cx.dispatcher.borrow().paths.failing_count();
-        cx.metrics.paths.targets_not_reached.set(failing as i64);
+        path_checks::on_tick(&cx);
+        cx.relays.borrow_mut().on_tick(now);
         cx.peers.borrow_mut().on_tick(now);
         cx.usable_retry_share(now);
         let routers = cx.peers.borrow().live_hashes(now);
         cx.dispatcher.borrow_mut().cold.set_routers(routers);
         cx.conns.on_tick(now);
+        if cx.conns.has_tunnels() {
+            let live = cx.peers.borrow().relay_candidates(now);
+            let is_live = |peer: SocketAddr| live.iter().any(|c| c.address == peer);
+            cx.conns.close_idle_tunnels(|peer| !is_live(peer));
+        }
         let live = cx.peers.borrow().live_count(now);
         let size = cx.peers.borrow().fleet_size();
         {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -36,7 +36,7 @@
 /// Label for the result of an attempt, or for a reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ReasonLabel {
-    reason: &'static str,
+    pub(super) reason: &'static str,
 }
 
 /// Label for a value that is measured per service.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -28,6 +28,7 @@
 mod listening;
 mod metrics;
 mod operators;
+mod path_checks;
 mod path_metrics;
 mod peer_calls;
 mod read_body;
@@ -37,6 +38,8 @@
 mod store_updates;
 mod stream;
 mod sums;
+mod target_conn;
+mod tunnel;
 mod view;
 mod withdrawals;
 
@@ -88,6 +91,8 @@
     pub max_connections: usize,
     /// Maximum number of calls in progress at this VM.
     pub max_calls: usize,
+    /// Maximum number of connections of peers to targets that pass through this VM.
+    pub max_tunnels: usize,
     /// Memory that this router may use; the bounds on held answers and request bodies follow from it.
     pub memory: ByteCount,
     /// Whether the configuration consists of changes that operators confirm at the routers; otherwise it
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, client, header::HeaderValue, server,
-    service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, client, header, header::HeaderValue,
+    server, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,13 +19,15 @@
 use super::{
     accepted_changes,
     body::AnswerBody,
-    conn::CONNECT_TIMEOUT,
+    conn::{CONNECT_TIMEOUT, set_socket_options},
     feed::{self, MAX_HOLD_TIME, Proof},
     gateway::Gateway,
+    tunnel::{self, TUNNEL_PROTOCOL, TunnelRefusal},
 };
 use crate::{
     claims::{ClaimStep, ClaimVerdict},
     explain::DecisionRecord,
+    ids::TargetId,
     store::{MirrorReply, StoreError},
     units::StoreRevision,
 };
@@ -61,6 +63,8 @@
     Explain(String),
     /// `POST /change`: applies an accepted change.
     Change,
+    /// `GET /tunnel/TARGET`: opens a connection to the target and becomes a tunnel to it.
+    Tunnel(TargetId),
 }
 
 impl PeerRequest {
@@ -76,6 +80,7 @@
             (&Method::POST, "claim", None) => Some(Self::Claim),
             (&Method::POST, "change", None) => Some(Self::Change),
             (&Method::GET, "explain", Some(id)) => Some(Self::Explain(id.to_owned())),
+            (&Method::GET, "tunnel", Some(id)) => Some(Self::Tunnel(id.parse().ok()?)),
             _ => None,
         }
     }
@@ -83,7 +88,7 @@
     fn method(&self) -> Method {
         match self {
             Self::Claim | Self::Change => Method::POST,
-            Self::Store(..) | Self::Explain(_) => Method::GET,
+            Self::Store(..) | Self::Explain(_) | Self::Tunnel(_) => Method::GET,
         }
     }
 
@@ -93,10 +98,27 @@
             Self::Claim => "/claim".to_owned(),
             Self::Change => "/change".to_owned(),
             Self::Explain(id) => format!("/explain/{id}"),
+            Self::Tunnel(id) => format!("/tunnel/{id}"),
         }
     }
 }
 
+impl PeerRequest {
+    fn with_body(&self, body: Bytes) -> Result<Request<Full<Bytes>>, StoreError> {
+        let req = Request::builder()
+            .method(self.method())
+            .uri(self.path())
+            .header(header::HOST, "router");
+        let req = match self {
+            Self::Tunnel(_) => req
+                .header(header::CONNECTION, "upgrade")
+                .header(header::UPGRADE, TUNNEL_PROTOCOL),
+            _ => req,
+        };
+        req.body(Full::new(body)).map_err(invalid_response)
+    }
+}
+
 /// Maximum size of a change, in bytes: as much as an operator may send.
 const MAX_CHANGE_BYTES: usize = 4 << 20;
 
@@ -114,11 +136,12 @@
         let connect = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
         let stream = stream.map_err(no_answer)?.map_err(no_answer)?;
+        set_socket_options(&stream);
         let handshake = client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(no_answer)?;
         tokio::task::spawn_local(async move {
             // When the connection ends, pending requests on it fail.
-            let _ = connection.await;
+            let _ = connection.with_upgrades().await;
         });
         Ok(Self {
             address,
@@ -166,12 +189,7 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<(Bytes, Option<Proof>), StoreError> {
-        let req = Request::builder()
-            .method(request.method())
-            .uri(request.path())
-            .header(hyper::header::HOST, "router")
-            .body(Full::new(body))
-            .map_err(invalid_response)?;
+        let req = request.with_body(body)?;
         let sent = self.sender.borrow_mut().send_request(req);
         let response = async {
             let res = sent.await.map_err(no_answer)?;
@@ -191,6 +209,31 @@
     }
 }
 
+/// Has the router at `peer` open a connection to a target. Returns the connection, or why the router
+/// opens none.
+pub(super) async fn open_tunnel(
+    peer: SocketAddr,
+    target: &TargetId,
+) -> Result<Result<TcpStream, TunnelRefusal>, StoreError> {
+    let conn = PeerConn::open(peer).await?;
+    let req = PeerRequest::Tunnel(target.clone()).with_body(Bytes::new())?;
+    let sent = conn.sender.borrow_mut().send_request(req);
+    let res = sent.await.map_err(no_answer)?;
+    match res.status() {
+        StatusCode::SWITCHING_PROTOCOLS => {
+            let upgraded = hyper::upgrade::on(res).await.map_err(no_answer)?;
+            let stream = tunnel::into_stream(upgraded).map_err(invalid_response)?;
+            Ok(Ok(stream))
+        }
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let body = res.into_body().collect().await.map_err(no_answer)?;
+            let refusal = serde_json::from_slice(&body.to_bytes());
+            Ok(Err(refusal.map_err(invalid_response)?))
+        }
+        status => Err(StoreError::Rejected(status.as_u16())),
+    }
+}
+
 fn parse_proof(value: &[u8]) -> Result<Proof, StoreError> {
     serde_json::from_slice(value).map_err(invalid_response)
 }
@@ -243,6 +286,7 @@
             tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
+        set_socket_options(&stream);
         let cx = Rc::clone(&cx);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req: Request<Incoming>| {
@@ -252,12 +296,13 @@
             // A router that disconnected needs no response.
             let _ = server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
+                .with_upgrades()
                 .await;
         });
     }
 }
 
-async fn respond(cx: &Gateway, req: Request<Incoming>) -> Response<AnswerBody> {
+async fn respond(cx: &Rc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
     let mut proof = None;
     let result = match PeerRequest::parse(req.method(), req.uri().path()) {
         Some(PeerRequest::Store(after, wait)) => match feed::changes_after(cx, after, wait).await {
@@ -275,6 +320,7 @@
                 .map(Bytes::from)
                 .map_err(invalid_response)
         }
+        Some(PeerRequest::Tunnel(target)) => return tunnel::serve(cx, req, target).await,
         None => Err(invalid_response("unknown request")),
     };
     match result {
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -61,7 +61,7 @@
     let in_progress = cx.in_progress.get() as u64;
     gossip::send_to_all(cx, udp, &[]);
     let limit = cx.rules.get().stop_time.mul_f64(CUT_OFF_FRACTION);
-    while cx.in_progress.get() > 0 && cx.now().since(began) < limit {
+    while cx.in_progress.get() + cx.tunnels.busy() > 0 && cx.now().since(began) < limit {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     // Within this time idle connections close, and the system sends what is left in the sockets.
--- /dev/null
+++ b/src/edge/target_conn.rs
@@ -0,0 +1,121 @@
+//! Opens a connection to a target, directly or through a peer that has a path to it.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use slog::info;
+use tokio::net::TcpStream;
+
+use super::{
+    conn::{Conn, ConnectError},
+    gateway::Gateway,
+    path_checks, peer_calls,
+    tunnel::TunnelRefusal,
+};
+use crate::{
+    discovery::TargetRecord,
+    paths::Route,
+    relays::{RelayCandidate, RelayFailure},
+};
+
+/// Maximum number of peers that are asked for one connection.
+const MAX_PEERS_ASKED: usize = 3;
+
+/// Maximum time of a peer's answer: it opens a connection, and may have to check whether it reaches
+/// another target.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why no peer opened a connection to a target.
+enum NotRelayed {
+    /// There is no other router.
+    NoPeers,
+    /// The peers that were asked have no path either, or can't help for another reason.
+    NoPath,
+    /// A peer reaches other targets, but not this one.
+    TargetDown,
+}
+
+/// Opens a connection, unless `limit` connections to the target are open or being opened already.
+pub(super) async fn open(
+    cx: &Rc<Gateway>,
+    target: &TargetRecord,
+    limit: usize,
+) -> Result<Conn, ConnectError> {
+    let opening = cx.conns.begin_open(&target.id, limit)?;
+    let route = (cx.dispatcher.borrow_mut().paths).route(cx.now(), target);
+    let direct = match route {
+        Route::Direct => path_checks::dial(cx, target).await,
+        Route::ThroughPeer => Err(ConnectError::Unreachable),
+    };
+    let e = match direct {
+        Ok(stream) => return opening.finish(stream, None).await,
+        Err(e) => e,
+    };
+    match open_through_peer(cx, target).await {
+        Ok((stream, peer)) => opening.finish(stream, Some(peer)).await,
+        Err(NotRelayed::TargetDown) => {
+            path_checks::on_target_down(cx, target, e);
+            Err(e)
+        }
+        Err(NotRelayed::NoPeers) if route == Route::ThroughPeer => {
+            let stream = path_checks::dial(cx, target).await?;
+            opening.finish(stream, None).await
+        }
+        Err(NotRelayed::NoPeers) => Err(e),
+        Err(NotRelayed::NoPath) => Err(ConnectError::NoPath),
+    }
+}
+
+/// Asks peers one after the other for a connection to a target. Returns it with the peer's address.
+async fn open_through_peer(
+    cx: &Rc<Gateway>,
+    target: &TargetRecord,
+) -> Result<(TcpStream, SocketAddr), NotRelayed> {
+    let candidates = cx.peers.borrow().relay_candidates(cx.now());
+    if candidates.is_empty() {
+        return Err(NotRelayed::NoPeers);
+    }
+    let mut tried: Vec<RelayCandidate> = Vec::new();
+    while tried.len() < MAX_PEERS_ASKED {
+        let Some(peer) = choose_peer(cx, target, &candidates, &tried) else {
+            break;
+        };
+        let answer = peer_calls::open_tunnel(peer.address, &target.id);
+        let answer = tokio::time::timeout(TUNNEL_TIMEOUT, answer).await;
+        let outcome = match &answer {
+            Ok(Ok(Ok(_))) => "opened".to_owned(),
+            Ok(Ok(Err(refusal))) => refusal.to_string(),
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        info!(cx.log, "tunnel"; "target" => %target.id, "peer" => %peer.address, "outcome" => outcome);
+        let mut relays = cx.relays.borrow_mut();
+        match answer {
+            Ok(Ok(Ok(stream))) => {
+                relays.on_success(peer.address);
+                cx.metrics.paths.tunnels_used.inc();
+                return Ok((stream, peer.address));
+            }
+            Ok(Ok(Err(TunnelRefusal::TargetDown))) => return Err(NotRelayed::TargetDown),
+            // Another peer may still list the target.
+            Ok(Ok(Err(TunnelRefusal::NotListed))) => {}
+            Ok(Ok(Err(_))) => relays.on_failure(cx.now(), peer.address, RelayFailure::Refused),
+            Ok(Err(_)) | Err(_) => {
+                relays.on_failure(cx.now(), peer.address, RelayFailure::Silent);
+            }
+        }
+        tried.push(peer);
+    }
+    Err(NotRelayed::NoPath)
+}
+
+fn choose_peer(
+    cx: &Gateway,
+    target: &TargetRecord,
+    candidates: &[RelayCandidate],
+    tried: &[RelayCandidate],
+) -> Option<RelayCandidate> {
+    let near = [&cx.cfg.data_hall, &target.data_hall];
+    let relays = cx.relays.borrow();
+    let chosen = relays.choose(cx.now(), candidates, &near, tried, rand::random());
+    chosen.cloned()
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -53,11 +53,6 @@
         }
     }
 
-    /// Returns whether the error is a refused connection.
-    pub(crate) fn is_refused(&self) -> bool {
-        matches!(self, Self::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused)
-    }
-
     /// Returns the exit status of a program that terminates with this error.
     pub fn exit_status(&self) -> u8 {
         match self {
--- a/src/health.rs
+++ b/src/health.rs
@@ -164,9 +164,15 @@
         self.suspicions.on_report(now, peer, targets);
     }
 
-    /// Returns the targets that are stalled or paused at this router, to be reported to peers.
-    pub fn unresponsive_targets(&self, now: Instant) -> Vec<TargetHash> {
-        let is_unresponsive = |t: &&TargetId| self.status(now, t) >= HealthStatus::Stalled;
+    /// Returns the targets that are stalled or paused at this router and pass `filter`, to be reported to
+    /// peers.
+    pub fn unresponsive_targets(
+        &self,
+        now: Instant,
+        filter: impl Fn(&TargetId) -> bool,
+    ) -> Vec<TargetHash> {
+        let is_unresponsive =
+            |t: &&TargetId| self.status(now, t) >= HealthStatus::Stalled && filter(t);
         let known = self.records.keys().chain(self.in_progress.keys());
         let mut all: Vec<TargetHash> = known
             .filter(is_unresponsive)
@@ -209,6 +215,21 @@
         }
     }
 
+    /// Forgets failures of a target to which this router has lost its path.
+    pub fn on_path_lost(&mut self, now: Instant, target: &TargetId) {
+        self.records.remove(target);
+        self.on_activity(now, target);
+    }
+
+    /// Returns the targets that have calls in progress but send nothing.
+    pub fn stalled_targets(&self, now: Instant) -> Vec<TargetId> {
+        let known = self.in_progress.keys();
+        known
+            .filter(|id| self.is_stalled(now, id))
+            .cloned()
+            .collect()
+    }
+
     /// Records that a call was abandoned before its outcome was known.
     pub fn on_abandon(&mut self, target: &TargetId) {
         self.on_call_end(target);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod prompt_cache;
 pub mod prompt_snapshot;
 pub mod quarantine;
+pub mod relays;
 mod reply;
 pub mod result_code;
 pub mod retry;
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -24,6 +24,7 @@
     ids::{DataHall, Incarnation, VmId},
     load_account::PEER_TTL,
     placement::{owner, owners},
+    relays::RelayCandidate,
     units::Instant,
 };
 
@@ -257,6 +258,16 @@
         self.live_peers(now).map(|p| p.address).collect()
     }
 
+    /// Returns the other live routers that do not stop, as relays.
+    pub fn relay_candidates(&self, now: Instant) -> Vec<RelayCandidate> {
+        let candidate = |p: &Peer| RelayCandidate {
+            address: p.address,
+            hall: p.hall.clone(),
+        };
+        let live = self.live_peers(now).filter(|p| !p.stopping);
+        live.map(candidate).collect()
+    }
+
     /// Returns the address of a router.
     pub fn address_of(&self, vm: &VmId) -> Option<SocketAddr> {
         self.by_vm.get(vm).map(|p| p.address)
--- a/src/outages.rs
+++ b/src/outages.rs
@@ -48,6 +48,8 @@
     at: Instant,
     /// Number of times that the target was still down when it was tried again.
     repeats: u32,
+    /// Whether the target has answered a call since.
+    is_over: bool,
 }
 
 impl Outage {
@@ -62,7 +64,7 @@
 
     /// Returns whether the target is still avoided.
     fn is_active(self, now: Instant) -> bool {
-        self.age(now) < self.avoidance_time()
+        !self.is_over && self.age(now) < self.avoidance_time()
     }
 
     /// Returns whether a further failure continues this outage.
@@ -107,6 +109,13 @@
         new
     }
 
+    /// Records that a target answered a call that was sent at `sent`, which ends an outage found before.
+    pub fn on_answered(&mut self, sent: Instant, target: TargetHash) {
+        if let Some(outage) = self.by_target.get_mut(&target) {
+            outage.is_over |= outage.at < sent;
+        }
+    }
+
     /// Returns whether a target is avoided.
     pub fn is_out(&self, now: Instant, target: TargetHash) -> bool {
         self.by_target
@@ -145,7 +154,12 @@
             Some(known) if known.may_continue(at) => known.repeats + 1,
             _ => 0,
         };
-        self.by_target.insert(target, Outage { at, repeats });
+        let outage = Outage {
+            at,
+            repeats,
+            is_over: false,
+        };
+        self.by_target.insert(target, outage);
         self.unannounced = true;
         true
     }
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -1,64 +1,337 @@
 //! Network paths from this router to targets.
 //!
-//! A target that does not answer one router may be down, or that router may be cut off from it. What
-//! tells the two apart is when this router last reached the target, and whether it reaches any other.
+//! A target that does not answer one router may be down, or that router may be cut off from it. A
+//! router alone can't tell, so a failure counts against the target only once a peer that reaches other
+//! targets fails there too. Until then calls for the target pass through a peer ([`crate::relays`]),
+//! and the path is checked again and again by opening a connection.
+//!
+//! A router that is cut off from one target is often cut off from others. After two targets of a data
+//! hall, of a service or of all could not be reached and nothing was heard from the rest, their paths
+//! are not trusted either until they were checked.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::{
+    discovery::TargetRecord,
+    ids::{DataHall, ServiceName, TargetId},
+    units::Instant,
+};
+
+/// Number of targets of a group that can't be reached at which the others are not trusted either.
+const MIN_FAILING_TARGETS: usize = 2;
+
+/// Mean interval between two checks of a path.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which a path is checked after a call last needed it.
+const WANTED_FOR: Duration = Duration::from_secs(5);
+
+/// Silence of all targets after which a failure at one has others checked.
+const QUIET_TIME: Duration = Duration::from_millis(150);
 
-use rustc_hash::FxHashMap;
+/// Maximum number of paths that are checked at the same time.
+const MAX_CHECKS: usize = 8;
+
+/// Maximum age of a sign that this router reaches targets, for its word that another target is down.
+const SOUND_FOR: Duration = Duration::from_secs(1);
+
+/// How a connection to a target is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// Directly.
+    Direct,
+    /// Through a peer.
+    ThroughPeer,
+}
+
+/// Targets whose paths are likely to fail together.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Group {
+    All,
+    Hall(DataHall),
+    Service(ServiceName),
+}
+
+impl Group {
+    fn of(target: &TargetRecord) -> [Self; 3] {
+        [
+            Self::All,
+            Self::Hall(target.data_hall.clone()),
+            Self::Service(target.service.clone()),
+        ]
+    }
+}
 
-use crate::{ids::TargetId, units::Instant};
+#[derive(Debug, Default)]
+struct GroupState {
+    reached_at: Option<Instant>,
+    failing: FxHashSet<TargetId>,
+    /// Since when paths of the group are not trusted unless they were seen to work later.
+    doubted_since: Option<Instant>,
+}
 
-/// What this router knows of its path to one target.
+/// What is known of the path to one target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Path {
-    /// When a connection last opened, or bytes last arrived.
-    reached_at: Option<Instant>,
+    /// When a connection last opened.
+    opened_at: Option<Instant>,
+    /// When bytes last arrived.
+    heard_at: Option<Instant>,
     /// When a connection could last not be opened.
     failed_at: Option<Instant>,
+    /// Whether a peer could not reach the target either after the last failure.
+    is_target_down: bool,
 }
 
 impl Path {
-    /// Returns whether no connection could be opened since the target was last reached.
+    fn reached_at(self) -> Option<Instant> {
+        self.opened_at.max(self.heard_at)
+    }
+
+    /// Returns whether connections can't be opened, and that is not known to be the target's fault.
     fn is_failing(self) -> bool {
-        self.failed_at > self.reached_at
+        self.failed_at > self.opened_at && !self.is_target_down
     }
 }
 
+/// Schedule of the checks of one path.
+#[derive(Debug, Clone, Copy)]
+struct Check {
+    due: Instant,
+    wanted_at: Instant,
+    is_running: bool,
+}
+
 /// Paths to all targets that calls were sent to.
 #[derive(Debug, Default)]
 pub struct TargetPaths {
     by_target: FxHashMap<TargetId, Path>,
-    reached_at: Option<Instant>,
+    groups: FxHashMap<Group, GroupState>,
+    checks: FxHashMap<TargetId, Check>,
 }
 
 impl TargetPaths {
-    /// Records that a connection to a target opened, or that bytes arrived from it.
-    pub fn on_reached(&mut self, now: Instant, target: &TargetId) {
-        self.reached_at = Some(now);
-        self.by_target.entry(target.clone()).or_default().reached_at = Some(now);
+    /// Records that a connection to a target opened. Returns whether its path failed until now.
+    pub fn on_opened(&mut self, now: Instant, target: &TargetRecord) -> bool {
+        let path = self.by_target.entry(target.id.clone()).or_default();
+        let was_failing = path.is_failing();
+        path.opened_at = Some(now);
+        path.is_target_down = false;
+        self.checks.remove(&target.id);
+        self.on_sign_of_life(now, target);
+        for group in Group::of(target) {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.failing.remove(&target.id);
+            }
+        }
+        was_failing
+    }
+
+    /// Records that bytes arrived from a target over a direct connection.
+    pub fn on_heard(&mut self, now: Instant, target: &TargetRecord) {
+        self.by_target
+            .entry(target.id.clone())
+            .or_default()
+            .heard_at = Some(now);
+        self.on_sign_of_life(now, target);
     }
 
-    /// Records that no connection to a target could be opened.
-    pub fn on_not_reached(&mut self, now: Instant, target: &TargetId) {
-        self.by_target.entry(target.clone()).or_default().failed_at = Some(now);
+    fn on_sign_of_life(&mut self, now: Instant, target: &TargetRecord) {
+        for group in Group::of(target) {
+            let state = self.groups.entry(group).or_default();
+            state.reached_at = Some(now);
+            state.doubted_since = None;
+        }
+    }
+
+    /// Records that no connection to a target could be opened. Returns whether its path worked until
+    /// now.
+    pub fn on_not_reached(&mut self, now: Instant, target: &TargetRecord) -> bool {
+        let path = self.by_target.entry(target.id.clone()).or_default();
+        let was_failing = path.is_failing();
+        path.failed_at = Some(now);
+        path.is_target_down = false;
+        self.repeat_check(now, &target.id);
+        for group in Group::of(target) {
+            let state = self.groups.entry(group).or_default();
+            state.failing.insert(target.id.clone());
+            let is_doubtful = state.failing.len() >= MIN_FAILING_TARGETS;
+            let since = state.doubted_since.unwrap_or(now);
+            state.doubted_since = is_doubtful.then_some(since);
+        }
+        if !was_failing && self.is_quiet(now) {
+            self.check_others(now, &target.id);
+        }
+        !was_failing
+    }
+
+    /// Records that a peer that reaches other targets could not reach this one either.
+    pub fn on_peer_failed(&mut self, target: &TargetRecord) {
+        if let Some(path) = self.by_target.get_mut(&target.id) {
+            path.is_target_down = true;
+        }
+        self.checks.remove(&target.id);
+        for group in Group::of(target) {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.failing.remove(&target.id);
+                if state.failing.len() < MIN_FAILING_TARGETS {
+                    state.doubted_since = None;
+                }
+            }
+        }
+    }
+
+    /// Has the path to a target that owes answers checked.
+    pub fn on_stall(&mut self, now: Instant, target: &TargetId) {
+        self.want_check(now, target, now);
+    }
+
+    /// Returns how a call's connection to a target is to be opened. A path that is not trusted is
+    /// checked from now on.
+    pub fn route(&mut self, now: Instant, target: &TargetRecord) -> Route {
+        if self.is_trusted(target) {
+            return Route::Direct;
+        }
+        let is_scheduled = self.is_failing(&target.id) && self.checks.contains_key(&target.id);
+        let due = if is_scheduled {
+            now + CHECK_INTERVAL
+        } else {
+            now
+        };
+        self.want_check(now, &target.id, due);
+        Route::ThroughPeer
+    }
+
+    /// Returns whether connections to the target are expected to open.
+    pub fn is_trusted(&self, target: &TargetRecord) -> bool {
+        let path = self.by_target.get(&target.id).copied().unwrap_or_default();
+        !path.is_failing() && !self.is_presumed_lost(target, path.reached_at())
+    }
+
+    /// Returns whether a direct connection that is open and idle may carry a call: the path is trusted,
+    /// or bytes arrived from the target after connections could no longer be opened.
+    pub fn is_idle_conn_trusted(&self, target: &TargetRecord) -> bool {
+        let path = self.by_target.get(&target.id).copied().unwrap_or_default();
+        self.is_trusted(target) || (path.is_failing() && path.heard_at > path.failed_at)
+    }
+
+    fn is_presumed_lost(&self, target: &TargetRecord, reached_at: Option<Instant>) -> bool {
+        let groups = Group::of(target);
+        let states = groups.iter().filter_map(|g| self.groups.get(g));
+        let mut doubts = states.filter_map(|s| s.doubted_since);
+        doubts.any(|since| reached_at < Some(since))
+    }
+
+    /// Returns whether this router may be cut off from all targets.
+    pub fn is_cut_off(&self) -> bool {
+        let all = self.groups.get(&Group::All);
+        all.is_some_and(|state| state.doubted_since.is_some())
+    }
+
+    /// Returns whether this router reached a target a moment ago, so that another one that it can't reach
+    /// is likely to be down.
+    pub fn is_sound(&self, now: Instant) -> bool {
+        let reached = self.any_reached_at();
+        !self.is_cut_off() && reached.is_some_and(|at| now.since(at) < SOUND_FOR)
+    }
+
+    /// Returns whether the path to a target fails, for a reason that is not known to be the target's.
+    pub fn is_failing(&self, target: &TargetId) -> bool {
+        self.by_target.get(target).is_some_and(|p| p.is_failing())
+    }
+
+    /// Returns the targets whose paths are to be checked now. Each check ends with
+    /// [`Self::on_opened`] or [`Self::on_not_reached`].
+    pub fn take_due_checks(&mut self, now: Instant) -> Vec<TargetId> {
+        let by_target = &self.by_target;
+        self.checks.retain(|id, check| {
+            let is_failing = by_target.get(id).is_some_and(|p| p.is_failing());
+            now.since(check.wanted_at) < WANTED_FOR && (is_failing || check.due <= now)
+        });
+        let running = self.checks.values().filter(|c| c.is_running).count();
+        let due = self.checks.iter_mut();
+        let due = due.filter(|(_, c)| c.due <= now && !c.is_running);
+        let due = due.take(MAX_CHECKS.saturating_sub(running));
+        let start = |(id, check): (&TargetId, &mut Check)| {
+            check.is_running = true;
+            id.clone()
+        };
+        due.map(start).collect()
+    }
+
+    /// Has a path checked at `due` at the latest, unless a check is running.
+    fn want_check(&mut self, now: Instant, target: &TargetId, due: Instant) {
+        let check = self.checks.entry(target.clone()).or_insert(Check {
+            due,
+            wanted_at: now,
+            is_running: false,
+        });
+        check.wanted_at = now;
+        check.due = check.due.min(due);
+    }
+
+    /// Schedules the next check of a path that failed.
+    fn repeat_check(&mut self, now: Instant, target: &TargetId) {
+        let wanted_at = self.checks.get(target).map_or(now, |c| c.wanted_at);
+        let check = Check {
+            due: now + jittered(CHECK_INTERVAL),
+            wanted_at,
+            is_running: false,
+        };
+        self.checks.insert(target.clone(), check);
+    }
+
+    /// Has some other targets checked, so that it soon shows whether this router is cut off.
+    fn check_others(&mut self, now: Instant, failed: &TargetId) {
+        let others = self.by_target.iter();
+        let others = others.filter(|(id, p)| *id != failed && !p.is_failing() && !p.is_target_down);
+        let others: Vec<TargetId> = others.map(|(id, _)| id.clone()).collect();
+        let start = rand::rng().random_range(0..others.len().max(1));
+        let others = others.iter().cycle().skip(start);
+        for other in others.take(MIN_FAILING_TARGETS.min(self.by_target.len() - 1)) {
+            self.want_check(now, other, now);
+        }
+    }
+
+    fn is_quiet(&self, now: Instant) -> bool {
+        let reached = self.any_reached_at();
+        reached.is_none_or(|at| now.since(at) >= QUIET_TIME)
     }
 
     /// Returns when this router last reached a target.
     pub fn reached_at(&self, target: &TargetId) -> Option<Instant> {
-        self.by_target.get(target)?.reached_at
+        self.by_target.get(target)?.reached_at()
     }
 
     /// Returns when this router last reached any target.
     pub fn any_reached_at(&self) -> Option<Instant> {
-        self.reached_at
+        self.groups.get(&Group::All)?.reached_at
     }
 
-    /// Returns the number of targets that could not be reached since they last were.
+    /// Returns the number of targets to which no connection opens, for a reason that is not known to be
+    /// theirs.
     pub fn failing_count(&self) -> usize {
-        self.by_target.values().filter(|p| p.is_failing()).count()
+        let all = self.groups.get(&Group::All);
+        all.map_or(0, |state| state.failing.len())
     }
 
     /// Drops what is known of targets that are not listed.
     pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
         self.by_target.retain(|id, _| listed(id));
+        self.checks.retain(|id, _| listed(id));
+        for state in self.groups.values_mut() {
+            state.failing.retain(&listed);
+            if state.failing.len() < MIN_FAILING_TARGETS {
+                state.doubted_since = None;
+            }
+        }
     }
 }
+
+/// Spreads an interval over 0.75 to 1.25 of its length, so that routers do not check together.
+fn jittered(interval: Duration) -> Duration {
+    interval.mul_f64(rand::rng().random_range(0.75..1.25))
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -125,6 +125,8 @@
     request_timeout_ms: Millis = Some("300000"), false, "milliseconds";
     /// Maximum number of concurrent requests of this router.
     concurrency_limit: usize = Some("20000"), false, "a whole number";
+    /// Maximum number of connections of other routers to targets that pass through this one.
+    tunnel_limit: usize = Some("1000"), false, "a whole number";
     /// Memory that this router may use; the bounds on held answers and request bodies follow from it.
     memory_limit: ByteCount = Some("1g"), false, "bytes from 16m, optionally with the suffix k, m or g";
     /// Time that a planned stop waits for the load balancer to stop sending requests.
@@ -172,6 +174,7 @@
             seeds: self.peers.0.clone(),
             max_connections: self.concurrency_limit,
             max_calls: self.concurrency_limit,
+            max_tunnels: self.tunnel_limit,
             memory: self.memory_limit,
             start: FleetStart::default(),
             own_config: true,
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod health;
 mod limits;
 mod many_targets;
+mod paths;
 mod placement;
 mod prompts;
 mod quarantine;
--- /dev/null
+++ b/tests/decisions/paths.rs
@@ -0,0 +1,121 @@
+//! Which paths to targets are trusted, and which peers are asked for a path.
+
+use std::time::Duration;
+
+use scaleford::{
+    paths::{Route, TargetPaths},
+    relays::{RelayCandidate, RelayFailure, Relays},
+};
+
+use super::{at, record};
+
+#[test]
+fn one_target_that_fails_does_not_make_others_suspect() {
+    let (mut paths, [a, b, _]) = (TargetPaths::default(), targets());
+    assert!(paths.on_not_reached(at(1_000), &a));
+    assert_eq!(paths.route(at(1_000), &a), Route::ThroughPeer);
+    assert_eq!(paths.route(at(1_000), &b), Route::Direct);
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn after_two_failures_nothing_is_trusted_that_was_not_heard_from_since() {
+    let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
+    paths.on_heard(at(900), &c);
+    paths.on_not_reached(at(1_000), &a);
+    paths.on_not_reached(at(1_010), &b);
+    assert!(paths.is_cut_off());
+    assert_eq!(paths.route(at(1_020), &c), Route::ThroughPeer);
+    assert!(!paths.is_idle_conn_trusted(&c));
+    paths.on_heard(at(1_030), &c);
+    assert!(!paths.is_cut_off());
+    assert_eq!(paths.route(at(1_040), &c), Route::Direct);
+    assert_eq!(paths.route(at(1_040), &a), Route::ThroughPeer);
+}
+
+#[test]
+fn targets_that_are_down_do_not_make_this_router_suspect_itself() {
+    let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
+    for target in [&a, &b] {
+        paths.on_not_reached(at(1_000), target);
+        paths.on_peer_failed(target);
+    }
+    assert!(!paths.is_cut_off());
+    assert_eq!(paths.route(at(1_010), &c), Route::Direct);
+    assert_eq!(paths.failing_count(), 0);
+}
+
+#[test]
+fn an_open_connection_that_works_is_used_while_new_ones_fail() {
+    let (mut paths, [a, ..]) = (TargetPaths::default(), targets());
+    paths.on_not_reached(at(1_000), &a);
+    assert!(!paths.is_idle_conn_trusted(&a));
+    paths.on_heard(at(1_005), &a);
+    assert!(paths.is_idle_conn_trusted(&a));
+    assert_eq!(paths.route(at(1_010), &a), Route::ThroughPeer);
+}
+
+#[test]
+fn a_path_that_fails_is_checked_while_calls_need_it() {
+    let (mut paths, [a, ..]) = (TargetPaths::default(), targets());
+    paths.on_not_reached(at(0), &a);
+    let mut checks = 0;
+    for ms in (0..12_000).step_by(100) {
+        if ms <= 3_000 {
+            paths.route(at(ms), &a);
+        }
+        for _ in paths.take_due_checks(at(ms)) {
+            checks += 1;
+            paths.on_not_reached(at(ms), &a);
+        }
+    }
+    assert!((10..=24).contains(&checks), "{checks}");
+    assert_eq!(paths.route(at(12_000), &a), Route::ThroughPeer);
+    assert_eq!(paths.take_due_checks(at(12_000)), vec![a.id.clone()]);
+    assert!(paths.on_opened(at(12_010), &a));
+    assert_eq!(paths.route(at(12_010), &a), Route::Direct);
+}
+
+#[test]
+fn a_failure_in_silence_has_other_paths_checked() {
+    let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
+    for target in [&a, &b, &c] {
+        paths.on_heard(at(0), target);
+    }
+    paths.on_not_reached(at(1_000), &a);
+    let mut checked = paths.take_due_checks(at(1_000));
+    checked.sort();
+    assert_eq!(checked, [b.id.clone(), c.id.clone()]);
+}
+
+#[test]
+fn a_relay_that_failed_is_not_asked_for_a_while() {
+    let near = ["east".parse().unwrap()];
+    let near: Vec<_> = near.iter().collect();
+    let all = [peer(1, "east"), peer(2, "east"), peer(3, "west")];
+    let mut relays = Relays::default();
+    for draw in [0.0, 0.99] {
+        let chosen = relays.choose(at(0), &all, &near, &[], draw).unwrap();
+        assert_eq!(chosen.hall.as_str(), "east");
+    }
+    let tried = [all[0].clone()];
+    let chosen = relays.choose(at(0), &all, &near, &tried, 0.0).unwrap();
+    assert_eq!(chosen.hall.as_str(), "west");
+    for peer in &all {
+        relays.on_failure(at(0), peer.address, RelayFailure::Refused);
+    }
+    assert_eq!(relays.choose(at(100), &all, &near, &[], 0.5), None);
+    let later = at(0) + Duration::from_secs(1);
+    assert!(relays.choose(later, &all, &near, &[], 0.5).is_some());
+}
+
+fn peer(n: u8, hall: &str) -> RelayCandidate {
+    RelayCandidate {
+        address: ([127, 0, 0, n], 7_300).into(),
+        hall: hall.parse().unwrap(),
+    }
+}
+
+fn targets() -> [scaleford::discovery::TargetRecord; 3] {
+    [0, 1, 2].map(record)
+}
