Two peers must fail before a target counts as down, and old failures renew no doubt

A peer without a path to a target is not asked for it for a second, and the peer that reached it last is asked first.

Only a path that worked until now starts a doubt, and a path that is only presumed to be lost is tried for a peer.

--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -15,7 +15,7 @@
     stop::Signals,
     store_sync, store_updates, withdrawals,
 };
-use crate::{Error, Result};
+use crate::{Error, Result, ids::TargetId};
 
 /// A gateway whose sockets are open but not served yet.
 pub struct ListeningGateway {
@@ -122,7 +122,11 @@
             cx.metrics.on_slot_time(service, slot_time);
         }
         path_checks::on_tick(&cx);
-        cx.relays.borrow_mut().on_tick(now);
+        {
+            let dispatcher = cx.dispatcher.borrow();
+            let listed = |id: &TargetId| dispatcher.discovery.get(id).is_some();
+            cx.relays.borrow_mut().on_tick(now, listed);
+        }
         cx.peers.borrow_mut().on_tick(now);
         cx.usable_retry_share(now);
         let routers = cx.peers.borrow().live_hashes(now);
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -20,6 +20,10 @@
 /// Maximum number of peers that are asked for one connection.
 const MAX_PEERS_ASKED: usize = 3;
 
+/// Number of peers that must reach other targets, but not this one, for it to count as down. One may be cut
+/// off from it too.
+const MIN_PEERS_WITHOUT_PATH: usize = 2;
+
 /// Maximum time of a peer's answer: it opens a connection, and may have to check whether it reaches
 /// another target.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -30,7 +34,7 @@
     NoPeers,
     /// The peers that were asked have no path either, or can't help for another reason.
     NoPath,
-    /// A peer reaches other targets, but not this one.
+    /// Peers reach other targets, but not this one.
     TargetDown,
 }
 
@@ -88,24 +92,35 @@
             Err(_) => "no answer in time".to_owned(),
         };
         info!(cx.log, "tunnel"; "target" => %target.id, "peer" => %peer.address, "outcome" => outcome);
-        let mut relays = cx.relays.borrow_mut();
+        let (now, mut relays) = (cx.now(), cx.relays.borrow_mut());
         match answer {
             Ok(Ok(Ok(stream))) => {
-                relays.on_success(peer.address);
+                relays.on_success(peer.address, &target.id);
                 cx.metrics.paths.tunnels_used.inc();
                 return Ok((stream, peer.address));
             }
-            Ok(Ok(Err(TunnelRefusal::TargetDown))) => return Err(NotRelayed::TargetDown),
+            Ok(Ok(Err(TunnelRefusal::TargetDown))) => {
+                relays.on_failure(now, peer.address, &target.id, RelayFailure::TargetDown);
+            }
+            Ok(Ok(Err(TunnelRefusal::NoPath))) => {
+                relays.on_failure(now, peer.address, &target.id, RelayFailure::NoPath);
+            }
             // Another peer may still list the target.
             Ok(Ok(Err(TunnelRefusal::NotListed))) => {}
-            Ok(Ok(Err(_))) => relays.on_failure(cx.now(), peer.address, RelayFailure::Refused),
+            Ok(Ok(Err(_))) => {
+                relays.on_failure(now, peer.address, &target.id, RelayFailure::Refused);
+            }
             Ok(Err(_)) | Err(_) => {
-                relays.on_failure(cx.now(), peer.address, RelayFailure::Silent);
+                relays.on_failure(now, peer.address, &target.id, RelayFailure::Silent);
             }
         }
         tried.push(peer);
     }
-    Err(NotRelayed::NoPath)
+    let without_path = (cx.relays.borrow()).sound_without_path(cx.now(), &target.id);
+    match without_path >= MIN_PEERS_WITHOUT_PATH.min(candidates.len()) {
+        true => Err(NotRelayed::TargetDown),
+        false => Err(NotRelayed::NoPath),
+    }
 }
 
 fn choose_peer(
@@ -116,6 +131,13 @@
 ) -> Option<RelayCandidate> {
     let near = [&cx.cfg.data_hall, &target.data_hall];
     let relays = cx.relays.borrow();
-    let chosen = relays.choose(cx.now(), candidates, &near, tried, rand::random());
+    let chosen = relays.choose(
+        cx.now(),
+        &target.id,
+        candidates,
+        &near,
+        tried,
+        rand::random(),
+    );
     chosen.cloned()
 }
--- a/src/edge/tunnel.rs
+++ b/src/edge/tunnel.rs
@@ -22,8 +22,8 @@
 
 use super::{body::AnswerBody, conn::set_socket_options, gateway::Gateway, path_checks};
 use crate::{
-    discovery::TargetRecord, ids::TargetId, lifecycle::Phase, paths::Route,
-    target_record::TargetState, units::Instant,
+    discovery::TargetRecord, ids::TargetId, lifecycle::Phase, target_record::TargetState,
+    units::Instant,
 };
 
 /// Protocol name in the `Upgrade` header.
@@ -180,16 +180,16 @@
     }
     let guard = TunnelGuard::new(cx);
     let target = listed(cx, target).ok_or(TunnelRefusal::NotListed)?;
-    let route = (cx.dispatcher.borrow_mut().paths).route(cx.now(), &target);
-    if route == Route::ThroughPeer {
+    // A path that is only presumed to be lost is tried: the peer has none at all.
+    let is_failing = cx.dispatcher.borrow().paths.is_failing(&target.id);
+    if is_failing {
+        let paths = &mut cx.dispatcher.borrow_mut().paths;
+        paths.route(cx.now(), &target);
         return Err(TunnelRefusal::NoPath);
     }
     match path_checks::dial(cx, &target).await {
         Ok(far) => Ok((far, guard)),
-        Err(e) if path_checks::is_sound(cx, &target).await => {
-            path_checks::on_target_down(cx, &target, e);
-            Err(TunnelRefusal::TargetDown)
-        }
+        Err(_) if path_checks::is_sound(cx, &target).await => Err(TunnelRefusal::TargetDown),
         Err(_) => Err(TunnelRefusal::NoPath),
     }
 }
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -158,9 +158,10 @@
         for group in Group::of(target) {
             let state = self.groups.entry(group).or_default();
             state.failing.insert(target.id.clone());
-            let is_doubtful = state.failing.len() >= MIN_FAILING_TARGETS;
-            let since = state.doubted_since.unwrap_or(now);
-            state.doubted_since = is_doubtful.then_some(since);
+            // A path that still fails is no reason to doubt others that were seen to work meanwhile.
+            if !was_failing && state.failing.len() >= MIN_FAILING_TARGETS {
+                state.doubted_since.get_or_insert(now);
+            }
         }
         if !was_failing && self.is_quiet(now) {
             self.check_others(now, &target.id);
--- a/src/relays.rs
+++ b/src/relays.rs
@@ -1,14 +1,21 @@
 //! Peers through which this router reaches targets that it has no path to.
 //!
-//! Nobody announces which routers have paths. A peer is asked, and one that has none answers so at
-//! once; it is then not asked for a moment. This costs nothing while no router is cut off, and a round
-//! trip for each peer that is cut off too.
+//! Nobody announces which routers have paths. A peer is asked, and one that has none to the target
+//! answers so at once; it is then not asked for this target for a moment. One that had a path is asked
+//! first the next time. This costs nothing while no router is cut off, and a round trip for each peer
+//! that is cut off too.
 
 use std::{net::SocketAddr, time::Duration};
 
 use rustc_hash::FxHashMap;
 
-use crate::{ids::DataHall, units::Instant};
+use crate::{
+    ids::{DataHall, TargetId},
+    units::Instant,
+};
+
+/// Time for which a peer is not asked for a target that it did not reach.
+const NO_PATH_FOR: Duration = Duration::from_secs(1);
 
 /// Time for which a peer is not asked after it said that it can't help.
 const REFUSED_FOR: Duration = Duration::from_millis(400);
@@ -28,69 +35,125 @@
 /// Why a peer could not reach a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayFailure {
-    /// It said that it has no path or no capacity.
+    /// It reaches other targets, but not this one.
+    TargetDown,
+    /// It has no path to the target, nor to others.
+    NoPath,
+    /// It has no capacity, or stops.
     Refused,
     /// It did not answer.
     Silent,
 }
 
+/// A peer that did not reach a target.
+#[derive(Debug, Clone, Copy)]
+struct WithoutPath {
+    /// Time until which it is not asked.
+    until: Instant,
+    /// Whether it reached other targets.
+    is_sound: bool,
+}
+
 /// What is known of peers as relays.
 #[derive(Debug, Default)]
 pub struct Relays {
     avoided_until: FxHashMap<SocketAddr, Instant>,
+    /// Peers that are not asked for a target.
+    without_path: FxHashMap<(SocketAddr, TargetId), WithoutPath>,
+    /// Peer that last reached each target.
+    with_path: FxHashMap<TargetId, SocketAddr>,
 }
 
 impl Relays {
-    /// Chooses a peer at random, except those in `tried`. Peers in this router's data hall or the
-    /// target's are asked first, as bytes then cross halls no more often than without a relay; after
-    /// one of them failed, peers in other halls than its own.
+    /// Chooses a peer to ask for a target, except those in `tried`: the one that last reached the target,
+    /// or else one at random. Peers in this router's data hall or the target's (`near`) are asked first, as
+    /// bytes then cross halls no more often than without a relay; after one of them failed, peers in other
+    /// halls than its own.
     ///
     /// `draw` is from 0 to 1.
     pub fn choose<'a>(
         &self,
         now: Instant,
+        target: &TargetId,
         candidates: &'a [RelayCandidate],
         near: &[&DataHall],
         tried: &[RelayCandidate],
         draw: f64,
     ) -> Option<&'a RelayCandidate> {
-        let usable = candidates.iter().filter(|c| self.is_usable(now, c, tried));
+        let usable = candidates.iter();
+        let usable = usable.filter(|c| self.is_usable(now, target, c) && !tried.contains(c));
         let usable: Vec<&RelayCandidate> = usable.collect();
+        let known = self.with_path.get(target);
+        let known = known.and_then(|address| usable.iter().find(|c| c.address == *address));
+        if let Some(known) = known {
+            return Some(known);
+        }
         let is_preferred = |c: &&RelayCandidate| match tried {
             [] => near.contains(&&c.hall),
             _ => tried.iter().all(|t| t.hall != c.hall),
         };
         let preferred: Vec<&RelayCandidate> = usable.iter().copied().filter(is_preferred).collect();
-        let from = if preferred.is_empty() {
-            usable
-        } else {
-            preferred
+        let from = match preferred.is_empty() {
+            true => usable,
+            false => preferred,
         };
         let i = (draw * from.len() as f64) as usize;
         from.get(i.min(from.len().saturating_sub(1))).copied()
     }
 
-    fn is_usable(&self, now: Instant, peer: &RelayCandidate, tried: &[RelayCandidate]) -> bool {
+    fn is_usable(&self, now: Instant, target: &TargetId, peer: &RelayCandidate) -> bool {
         let avoided = self.avoided_until.get(&peer.address);
-        avoided.is_none_or(|until| now >= *until) && !tried.contains(peer)
+        let without_path = self.without_path.get(&(peer.address, target.clone()));
+        avoided.is_none_or(|until| now >= *until) && without_path.is_none_or(|w| now >= w.until)
     }
 
     /// Records that a peer reached a target.
-    pub fn on_success(&mut self, peer: SocketAddr) {
+    pub fn on_success(&mut self, peer: SocketAddr, target: &TargetId) {
         self.avoided_until.remove(&peer);
+        self.with_path.insert(target.clone(), peer);
     }
 
     /// Records that a peer could not help.
-    pub fn on_failure(&mut self, now: Instant, peer: SocketAddr, failure: RelayFailure) {
-        let time = match failure {
-            RelayFailure::Refused => REFUSED_FOR,
-            RelayFailure::Silent => SILENT_FOR,
-        };
-        self.avoided_until.insert(peer, now + time);
+    pub fn on_failure(
+        &mut self,
+        now: Instant,
+        peer: SocketAddr,
+        target: &TargetId,
+        failure: RelayFailure,
+    ) {
+        if self.with_path.get(target) == Some(&peer) {
+            self.with_path.remove(target);
+        }
+        match failure {
+            RelayFailure::TargetDown | RelayFailure::NoPath => {
+                let without_path = WithoutPath {
+                    until: now + NO_PATH_FOR,
+                    is_sound: failure == RelayFailure::TargetDown,
+                };
+                let pair = (peer, target.clone());
+                self.without_path.insert(pair, without_path);
+            }
+            RelayFailure::Refused => {
+                self.avoided_until.insert(peer, now + REFUSED_FOR);
+            }
+            RelayFailure::Silent => {
+                self.avoided_until.insert(peer, now + SILENT_FOR);
+            }
+        }
+    }
+
+    /// Returns the number of peers that reached other targets a moment ago, but not this one.
+    pub fn sound_without_path(&self, now: Instant, target: &TargetId) -> usize {
+        let pairs = self.without_path.iter();
+        pairs
+            .filter(|((_, t), w)| t == target && w.is_sound && now < w.until)
+            .count()
     }
 
-    /// Drops what is over.
-    pub fn on_tick(&mut self, now: Instant) {
+    /// Drops what is over, and what is known of targets that are not listed.
+    pub fn on_tick(&mut self, now: Instant, listed: impl Fn(&TargetId) -> bool) {
         self.avoided_until.retain(|_, until| now < *until);
+        self.without_path.retain(|_, w| now < w.until);
+        self.with_path.retain(|target, _| listed(target));
     }
 }
