A router that fails to reach a target says whether it reaches others

A router whose path to the target fails now answers by whether it reaches other targets, tries three at once where it does not know, and answers at once where it knows that it is cut off.

--- a/src/edge/path_checks.rs
+++ b/src/edge/path_checks.rs
@@ -10,12 +10,15 @@
     conn::{ConnectError, set_socket_options},
     gateway::Gateway,
 };
-use crate::discovery::TargetRecord;
+use crate::{discovery::TargetRecord, paths::Soundness};
 
 /// Maximum time to open a direct connection where a peer can open one too. Between data halls it takes
 /// some milliseconds.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Number of other targets that are tried at the same time to see whether this router is cut off.
+const OTHERS_TRIED: usize = 3;
+
 /// Maximum time to open a direct connection where no peer can.
 const LONE_DIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -45,21 +48,25 @@
     result
 }
 
-/// Returns whether this router reaches other targets. If it has not lately, it tries another one.
+/// Returns whether this router reaches other targets. If that is not known, it tries some.
 pub(super) async fn is_sound(cx: &Gateway, failed: &TargetRecord) -> bool {
-    if cx.dispatcher.borrow().paths.is_sound(cx.now()) {
-        return true;
+    match cx.dispatcher.borrow().paths.soundness(cx.now()) {
+        Soundness::Sound => return true,
+        Soundness::CutOff => return false,
+        Soundness::Unknown => {}
     }
-    let other = {
+    let others = {
         let dispatcher = cx.dispatcher.borrow();
         let others = dispatcher.discovery.all().filter(|t| t.id != failed.id);
-        others.choose(&mut rand::rng()).cloned()
+        let others = others.choose_multiple(&mut rand::rng(), OTHERS_TRIED);
+        others.into_iter().cloned().collect::<Vec<_>>()
     };
-    match other {
-        Some(other) => dial(cx, &other).await.is_ok(),
+    if others.is_empty() {
         // Where there is only one target, two routers that fail to reach it are taken for right.
-        None => true,
+        return true;
     }
+    let dials = others.iter().map(|other| Box::pin(dial(cx, other)));
+    futures::future::select_ok(dials).await.is_ok()
 }
 
 /// Records that a peer could not reach a target either, so that the failure is the target's.
--- a/src/edge/tunnel.rs
+++ b/src/edge/tunnel.rs
@@ -183,14 +183,20 @@
     // A path that is only presumed to be lost is tried: the peer has none at all.
     let is_failing = cx.dispatcher.borrow().paths.is_failing(&target.id);
     if is_failing {
-        let paths = &mut cx.dispatcher.borrow_mut().paths;
-        paths.route(cx.now(), &target);
-        return Err(TunnelRefusal::NoPath);
+        cx.dispatcher.borrow_mut().paths.route(cx.now(), &target);
+        return Err(not_reached(cx, &target).await);
     }
     match path_checks::dial(cx, &target).await {
         Ok(far) => Ok((far, guard)),
-        Err(_) if path_checks::is_sound(cx, &target).await => Err(TunnelRefusal::TargetDown),
-        Err(_) => Err(TunnelRefusal::NoPath),
+        Err(_) => Err(not_reached(cx, &target).await),
+    }
+}
+
+/// Returns why this router does not reach a target: it is down, or this router is cut off.
+async fn not_reached(cx: &Gateway, target: &TargetRecord) -> TunnelRefusal {
+    match path_checks::is_sound(cx, target).await {
+        true => TunnelRefusal::TargetDown,
+        false => TunnelRefusal::NoPath,
     }
 }
 
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -38,6 +38,20 @@
 /// Maximum age of a sign that this router reaches targets, for its word that another target is down.
 const SOUND_FOR: Duration = Duration::from_secs(1);
 
+/// Time after the start of a doubt by when checks of other paths have succeeded, if any of them works.
+const CHECKED_AFTER: Duration = Duration::from_millis(300);
+
+/// Whether a router reaches targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Soundness {
+    /// It reached one a moment ago.
+    Sound,
+    /// It reaches none.
+    CutOff,
+    /// It has to check.
+    Unknown,
+}
+
 /// How a connection to a target is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Route {
@@ -232,11 +246,15 @@
         all.is_some_and(|state| state.doubted_since.is_some())
     }
 
-    /// Returns whether this router reached a target a moment ago, so that another one that it can't reach
-    /// is likely to be down.
-    pub fn is_sound(&self, now: Instant) -> bool {
+    /// Returns whether this router reaches targets, as far as that is known without a check.
+    pub fn soundness(&self, now: Instant) -> Soundness {
+        let doubted_since = self.groups.get(&Group::All).and_then(|g| g.doubted_since);
         let reached = self.any_reached_at();
-        !self.is_cut_off() && reached.is_some_and(|at| now.since(at) < SOUND_FOR)
+        match doubted_since {
+            Some(since) if now.since(since) >= CHECKED_AFTER => Soundness::CutOff,
+            None if reached.is_some_and(|at| now.since(at) < SOUND_FOR) => Soundness::Sound,
+            _ => Soundness::Unknown,
+        }
     }
 
     /// Returns whether the path to a target fails, for a reason that is not known to be the target's.
