Brittle targets get calls only by slots that one router hands out

A target that states Server-Brittle crashes when it has to reject more than that many calls within a second. Counts are 0.1 to 1 s old, so routers can't keep it from that. Routers tell one another which targets are brittle.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     ResultCode,
+    brittle::RejectionLimit,
     config::serving::RoutingKey,
     ids::{ClientAccountId, ConversationKey, TargetId},
     load_account::ReportedLoad,
@@ -132,6 +133,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the target closes the connection after this response.
     pub closes_connection: bool,
+    /// Number of calls that the target can reject within a second without crashing, if it is brittle.
+    pub rejection_limit: Option<RejectionLimit>,
     /// Withdrawal of the target, if it accepts no further calls for good or for a while.
     pub withdrawal: Option<Withdrawal>,
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -11,6 +11,7 @@
         shares::PoolShares,
         warm_up::{ColdShares, Warmth},
     },
+    brittle::BrittleTargets,
     discovery::{Discovery, TargetRecord},
     edge::Rules,
     health::{Health, HealthStatus, Outcome},
@@ -81,6 +82,8 @@
     pub health: Health,
     /// Network paths from this router to targets.
     pub paths: TargetPaths,
+    /// Targets that crash when they have to reject too many calls.
+    pub brittle: BrittleTargets,
     /// Targets that have asked for no calls.
     pub withdrawals: Withdrawals,
     /// Prompts that targets have read.
@@ -114,6 +117,7 @@
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
             paths: TargetPaths::default(),
+            brittle: BrittleTargets::default(),
             withdrawals: Withdrawals::default(),
             cache: PromptCache::default(),
             quarantine: Quarantine::default(),
@@ -357,6 +361,7 @@
         let listed = |id: &TargetId| discovery.get(id).is_some();
         self.health.retain(listed);
         self.paths.retain(listed);
+        self.brittle.on_tick(now);
         self.health.outages.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -19,7 +19,7 @@
     contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
-    target_conn, withdrawals,
+    slot_lease, target_conn, withdrawals,
 };
 use crate::{
     config::serving::{KeyOwner, Route},
@@ -157,7 +157,7 @@
     cx: &Rc<Gateway>,
     call: &mut Call,
 ) -> Result<(AttemptGuard, Conn), AttemptFailure> {
-    let mut lacks_path = false;
+    let (mut lacks_path, mut lacks_slot) = (false, false);
     loop {
         let now = cx.now();
         if now >= call.deadline {
@@ -173,6 +173,7 @@
             contended::record_admission(cx, call, now);
         }
         let ticket = chosen.map_err(|e| match e {
+            PlacementError::NoTarget if lacks_slot => AttemptFailure::not_sent(AttemptEnd::AllFull),
             PlacementError::NoTarget if lacks_path => AttemptFailure::not_sent(AttemptEnd::NoPath),
             PlacementError::NoTarget => AttemptFailure::not_sent(AttemptEnd::NoTarget),
             PlacementError::AllFull => AttemptFailure::not_sent(AttemptEnd::AllFull),
@@ -187,12 +188,17 @@
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
         cx.metrics.on_choice(ticket.counted_ago, ticket.time_factor);
         call.plan.tried.push(target.id.clone());
-        let guard = AttemptGuard::new(cx, call, now, ticket);
+        let mut guard = AttemptGuard::new(cx, call, now, ticket);
         cx.record_decision(call.id(), || Decision::Tried {
             target: target.id.clone(),
             calls: guard.ticket.calls,
             missing: guard.ticket.missing.0,
         });
+        if !hold_slot(cx, &mut guard).await {
+            lacks_slot = true;
+            guard.end(AttemptEnd::NoSlot);
+            continue;
+        }
         let repeatable = call.route.kind.is_repeatable();
         let direct = (cx.dispatcher.borrow().paths).is_idle_conn_trusted(&target);
         if let Some(conn) = cx.conns.take(now, &target.id, repeatable, direct) {
@@ -220,6 +226,31 @@
     }
 }
 
+/// Gets a slot for the attempt if its target is brittle; returns whether the call may be sent.
+async fn hold_slot(cx: &Rc<Gateway>, guard: &mut AttemptGuard) -> bool {
+    let target = Rc::clone(&guard.ticket.target);
+    let limit = {
+        let brittle = &cx.dispatcher.borrow().brittle;
+        brittle.limit(cx.now(), (&target.id).into())
+    };
+    if limit.is_none() {
+        return true;
+    }
+    let slot = slot_lease::acquire(cx, &target).await;
+    let is_held = slot.is_some();
+    guard.slot = slot;
+    is_held
+}
+
+/// Records what a target states of how many calls it can reject.
+fn on_brittle_statement(cx: &Gateway, call: &Call, target: &TargetId, facts: &ResponseInfo) {
+    let brittle = &mut cx.dispatcher.borrow_mut().brittle;
+    if brittle.on_statement(cx.now(), target.into(), facts.rejection_limit) {
+        info!(cx.log, "brittle"; "id" => call.id(), "target" => %target,
+            "rejections_per_s" => facts.rejection_limit.map(|l| l.to_string()));
+    }
+}
+
 async fn send(
     cx: &Rc<Gateway>,
     call: &mut Call,
@@ -269,6 +300,9 @@
         dispatcher.on_load_report(cx.now(), guard.target(), load);
     }
     guard.on_head(&facts);
+    if facts.rejected_by != Some(RejectedBy::OtherTarget) && facts.is_authentic(head.status) {
+        on_brittle_statement(cx, call, guard.target(), &facts);
+    }
     withdrawals::on_response_head(cx, call, guard.target(), head.status, &facts);
     let answer = StartedAnswer {
         head,
@@ -302,7 +336,7 @@
 
 /// Checks that the head belongs to the target's answer to this call, and fails the attempt otherwise.
 fn check_head(
-    cx: &Gateway,
+    cx: &Rc<Gateway>,
     call: &Call,
     answer: StartedAnswer,
 ) -> Result<StartedAnswer, AttemptFailure> {
@@ -322,6 +356,9 @@
             Err(AttemptFailure::not_run(AttemptEnd::AnotherTarget))
         }
         () if facts.rejected_by.is_some() => {
+            if let Some(slot) = &answer.guard.slot {
+                slot.on_rejected(cx);
+            }
             answer.guard.end(AttemptEnd::Refused);
             Err(AttemptFailure::not_run(AttemptEnd::Refused))
         }
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -37,6 +37,8 @@
     ConnectionRefused,
     /// The target did not accept a connection in time, or the network path to it is broken.
     Unreachable,
+    /// No slot of the brittle target is free.
+    NoSlot,
     /// Neither this router nor the peers that it asked have a network path to the target.
     NoPath,
     /// The connection closed before the call was written to it.
@@ -84,6 +86,7 @@
             Self::ConnectionsAtLimit => "connections at limit",
             Self::ConnectionRefused => "connection refused",
             Self::Unreachable => "unreachable",
+            Self::NoSlot => "no slot",
             Self::NoPath => "no path",
             Self::ClosedBeforeSend => "connection closed before",
             Self::ConnectionBroke => "connection broke",
@@ -128,6 +131,7 @@
             | Self::AllLeaving
             | Self::AllBackedOff
             | Self::Withdrawn
+            | Self::NoSlot
             | Self::NoPath
             | Self::Quarantined => None,
             Self::ConnectionRefused
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -5,7 +5,9 @@
 
 use slog::info;
 
-use super::{attempt::Call, attempt_end::AttemptEnd, crash_checks, gateway::Gateway};
+use super::{
+    attempt::Call, attempt_end::AttemptEnd, crash_checks, gateway::Gateway, slot_lease::SlotLease,
+};
 use crate::{
     dialect::ResponseInfo, dispatcher::Ticket, explain::Decision, fingerprint::Fingerprint,
     health::Outcome, ids::TargetId, prompt_cache::PartId, spans::HopSpan, units::Instant,
@@ -24,6 +26,8 @@
     /// Withdrawal of the target that the head of the answer announced.
     withdrawal: Option<Withdrawal>,
     is_ended: bool,
+    /// Slot of a brittle target.
+    pub(super) slot: Option<SlotLease>,
     pub(crate) span: HopSpan,
 }
 
@@ -39,6 +43,7 @@
             started_at: now,
             withdrawal: None,
             is_ended: false,
+            slot: None,
             span: cx.spans.start_hop("target", call.id(), &call.head.headers),
         }
     }
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -10,7 +10,10 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use super::flow::{HeldCount, OfferedBytes};
+use super::{
+    flow::{HeldCount, OfferedBytes},
+    slot_lease::OwnSlot,
+};
 
 /// A stream ended before its last event; the caller's connection is closed without the end of the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -26,6 +29,8 @@
     Whole(VecDeque<OfferedBytes>, u64),
     /// Events as they arrive.
     Events(mpsc::UnboundedReceiver<Result<OfferedBytes, StreamAborted>>),
+    /// No bytes until the other side closes the connection, which takes the slot back.
+    Held { _slot: OwnSlot },
 }
 
 impl AnswerBody {
@@ -47,6 +52,11 @@
         Self::Whole(pieces, size)
     }
 
+    /// Creates a body that holds a slot until it is dropped.
+    pub(super) fn held(slot: OwnSlot) -> Self {
+        Self::Held { _slot: slot }
+    }
+
     /// Creates a stream, and returns the sender of its events.
     pub(crate) fn events() -> (EventSender, Self) {
         let (tx, rx) = mpsc::unbounded_channel();
@@ -71,20 +81,21 @@
             Self::Events(rx) => rx
                 .poll_recv(cx)
                 .map(|event| event.map(|e| e.map(Frame::data))),
+            Self::Held { .. } => Poll::Pending,
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(pieces, _) => pieces.is_empty(),
-            Self::Events(_) => false,
+            Self::Events(_) | Self::Held { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(_, size) => SizeHint::with_exact(*size),
-            Self::Events(_) => SizeHint::default(),
+            Self::Events(_) | Self::Held { .. } => SizeHint::default(),
         }
     }
 }
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -31,6 +31,7 @@
     membership::peers::Peers,
     relays::Relays,
     retry::FleetShare,
+    slot_gate::SlotGates,
     spans::Spans,
     store::{MetaStore, StoreMirror},
     units::{ConfigVersion, Instant},
@@ -69,6 +70,8 @@
     pub(crate) dialer: Rc<dyn Dialer>,
     /// What is known of peers through which targets are reached.
     pub(crate) relays: RefCell<Relays>,
+    /// Slots of brittle targets that this router owns.
+    pub(crate) slots: RefCell<SlotGates>,
     /// Tunnels that this router holds open for peers.
     pub(crate) tunnels: Tunnels,
     pub(crate) dispatcher: RefCell<Dispatcher>,
@@ -166,6 +169,7 @@
             conns: Rc::default(),
             dialer,
             relays: RefCell::default(),
+            slots: RefCell::default(),
             tunnels: Tunnels::default(),
             metrics: Metrics::default(),
             lifecycle: RefCell::default(),
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -289,6 +289,7 @@
         parts,
         shares: Vec::new(),
         share_sums: Vec::new(),
+        brittle: cx.dispatcher.borrow().brittle.notices(now),
     }
 }
 
@@ -351,6 +352,10 @@
     if !shares.is_empty() {
         (dispatcher.shares).on_reports(now, &received.vm, &received.hall, shares);
     }
+    let brittle = dispatcher.brittle.on_notices(now, &received.brittle);
+    if brittle > 0 {
+        info!(cx.log, "brittle"; "peer" => %received.vm, "targets" => brittle);
+    }
     let peer = received.vm.clone();
     let outages = dispatcher.health.outages.on_notices(now, &received.outages);
     if outages > 0 {
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -122,6 +122,10 @@
             cx.metrics.on_slot_time(service, slot_time);
         }
         path_checks::on_tick(&cx);
+        cx.slots.borrow_mut().on_tick(now);
+        let slots = cx.slots.borrow().in_use();
+        let brittle = cx.dispatcher.borrow().brittle.count(now);
+        cx.metrics.paths.on_brittle(brittle, slots);
         {
             let dispatcher = cx.dispatcher.borrow();
             let listed = |id: &TargetId| dispatcher.discovery.get(id).is_some();
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -33,6 +33,7 @@
 mod peer_calls;
 mod read_body;
 mod saved_state;
+mod slot_lease;
 mod stop;
 mod store_sync;
 mod store_updates;
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -14,7 +14,10 @@
     server, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::AbortHandle,
+};
 
 use super::{
     accepted_changes,
@@ -22,6 +25,7 @@
     conn::{CONNECT_TIMEOUT, set_socket_options},
     feed::{self, MAX_HOLD_TIME, Proof},
     gateway::Gateway,
+    slot_lease,
     tunnel::{self, TUNNEL_PROTOCOL, TunnelRefusal},
 };
 use crate::{
@@ -65,6 +69,10 @@
     Change,
     /// `GET /tunnel/TARGET`: opens a connection to the target and becomes a tunnel to it.
     Tunnel(TargetId),
+    /// `GET /slot/TARGET`: holds a slot of a brittle target as long as the connection is open.
+    Slot(TargetId),
+    /// `POST /slot-rejected/TARGET`: the target rejected a call that had a slot.
+    SlotRejected(TargetId),
 }
 
 impl PeerRequest {
@@ -81,14 +89,18 @@
             (&Method::POST, "change", None) => Some(Self::Change),
             (&Method::GET, "explain", Some(id)) => Some(Self::Explain(id.to_owned())),
             (&Method::GET, "tunnel", Some(id)) => Some(Self::Tunnel(id.parse().ok()?)),
+            (&Method::GET, "slot", Some(id)) => Some(Self::Slot(id.parse().ok()?)),
+            (&Method::POST, "slot-rejected", Some(id)) => {
+                Some(Self::SlotRejected(id.parse().ok()?))
+            }
             _ => None,
         }
     }
 
     fn method(&self) -> Method {
         match self {
-            Self::Claim | Self::Change => Method::POST,
-            Self::Store(..) | Self::Explain(_) | Self::Tunnel(_) => Method::GET,
+            Self::Claim | Self::Change | Self::SlotRejected(_) => Method::POST,
+            Self::Store(..) | Self::Explain(_) | Self::Tunnel(_) | Self::Slot(_) => Method::GET,
         }
     }
 
@@ -99,6 +111,8 @@
             Self::Change => "/change".to_owned(),
             Self::Explain(id) => format!("/explain/{id}"),
             Self::Tunnel(id) => format!("/tunnel/{id}"),
+            Self::Slot(id) => format!("/slot/{id}"),
+            Self::SlotRejected(id) => format!("/slot-rejected/{id}"),
         }
     }
 }
@@ -127,6 +141,7 @@
 /// A connection to another router.
 pub(super) struct PeerConn {
     address: SocketAddr,
+    task: AbortHandle,
     sender: RefCell<Sender>,
 }
 
@@ -139,12 +154,13 @@
         set_socket_options(&stream);
         let handshake = client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(no_answer)?;
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             // When the connection ends, pending requests on it fail.
             let _ = connection.with_upgrades().await;
         });
         Ok(Self {
             address,
+            task: task.abort_handle(),
             sender: RefCell::new(sender),
         })
     }
@@ -234,6 +250,49 @@
     }
 }
 
+/// A response that lasts until it is dropped, which closes its connection.
+pub(super) struct HeldResponse {
+    conn: PeerConn,
+    _response: Response<Incoming>,
+}
+
+impl Drop for HeldResponse {
+    fn drop(&mut self) {
+        self.conn.task.abort();
+    }
+}
+
+/// Asks the router at `owner` for a slot of a brittle target, which is held until the result is dropped.
+/// Returns `None` if no slot is free.
+pub(super) async fn hold_slot(
+    owner: SocketAddr,
+    target: &TargetId,
+) -> Result<Option<HeldResponse>, StoreError> {
+    let conn = PeerConn::open(owner).await?;
+    let req = PeerRequest::Slot(target.clone()).with_body(Bytes::new())?;
+    let sent = conn.sender.borrow_mut().send_request(req);
+    let response = sent.await.map_err(no_answer)?;
+    match response.status() {
+        StatusCode::OK => Ok(Some(HeldResponse {
+            conn,
+            _response: response,
+        })),
+        StatusCode::SERVICE_UNAVAILABLE => Ok(None),
+        status => Err(StoreError::Rejected(status.as_u16())),
+    }
+}
+
+/// Tells the router at `owner` that a target rejected a call that had a slot.
+pub(super) async fn report_rejection(
+    owner: SocketAddr,
+    target: &TargetId,
+) -> Result<(), StoreError> {
+    let conn = PeerConn::open(owner).await?;
+    let request = PeerRequest::SlotRejected(target.clone());
+    let response = conn.call(request, Bytes::new(), RESPONSE_TIMEOUT).await;
+    response.map(|_| ())
+}
+
 fn parse_proof(value: &[u8]) -> Result<Proof, StoreError> {
     serde_json::from_slice(value).map_err(invalid_response)
 }
@@ -321,6 +380,11 @@
                 .map_err(invalid_response)
         }
         Some(PeerRequest::Tunnel(target)) => return tunnel::serve(cx, req, target).await,
+        Some(PeerRequest::Slot(target)) => return slot_lease::serve(cx, &target),
+        Some(PeerRequest::SlotRejected(target)) => {
+            slot_lease::on_rejected(cx, &target);
+            Ok(Bytes::new())
+        }
         None => Err(invalid_response("unknown request")),
     };
     match result {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 )]
 
 pub mod admission;
+pub mod brittle;
 mod call_plan;
 pub mod claims;
 pub mod clock;
@@ -63,6 +64,7 @@
 pub mod result_code;
 pub mod retry;
 pub mod settings;
+pub mod slot_gate;
 pub mod spans;
 pub mod store;
 mod suspicions;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     admission::{account_rates::RateReport, shares::ShareReport},
+    brittle::BrittleNotice,
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     outages::OutageNotice,
@@ -135,10 +136,12 @@
     pub suspected: Vec<TargetHash>,
     /// Shared prompt parts that were sent to a target for the first time.
     pub parts: Vec<(PartId, Tokens, TargetId)>,
-    /// Sender's own report on contended pools; usually empty. This field and the next are last: a
+    /// Sender's own report on contended pools; usually empty. This field and the next two are last: a
     /// datagram of an earlier version ends before them, so that it can't be decoded as another one.
     pub shares: Vec<ShareReport>,
     /// Reports on contended pools of all routers of some data halls, encoded once for all receivers;
     /// see [`super::share_reports`]. Empty unless the sender aggregates for its data hall.
     pub share_sums: Vec<u8>,
+    /// Brittle targets, as they told the sender or others; usually empty.
+    pub brittle: Vec<BrittleNotice>,
 }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -1,5 +1,6 @@
 //! Simulated loads in virtual time, on the decision types that the daemon runs.
 
+mod brittle_targets;
 mod cold_targets;
 mod crashing;
 mod lock_out;
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -1,5 +1,6 @@
 //! Simulation of callers, routers and targets in virtual time.
 
+mod brittle;
 mod changes;
 mod crashes;
 mod figures;
@@ -17,6 +18,8 @@
     time::Duration,
 };
 
+use brittle::BrittleResults;
+pub use brittle::BrittleSchedule;
 pub use crashes::CrashSchedule;
 use crashes::{CRASHING_REQUEST, CrashResults};
 use figures::Figures;
@@ -27,6 +30,7 @@
 use rand_pcg::Pcg64;
 use scaleford::{
     admission::{HallRates, shares::ShareReport},
+    brittle::BrittleNotice,
     discovery::TargetRecord,
     dispatcher::{CallPlan, Dispatcher, Ticket},
     fingerprint::Fingerprint,
@@ -34,6 +38,7 @@
     membership::datagram::HallSums,
     placement::choice::PlacementError,
     prompt_cache::PartId,
+    slot_gate::SlotGates,
     units::{Instant, StoreRevision},
 };
 use setup::{OWN_TOKENS, hall, known_routers, new_target, record, rules, service};
@@ -84,6 +89,7 @@
     TargetsDelisted,
     CrashingRequestArrives,
     TargetRestarts,
+    BrittleTargetReturns(usize),
 }
 
 #[derive(Debug)]
@@ -93,6 +99,8 @@
     target: usize,
     ticket: Ticket,
     plan: CallPlan,
+    /// Whether it has a slot of a brittle target.
+    has_slot: bool,
 }
 
 pub struct Model {
@@ -119,6 +127,11 @@
     restarts: u64,
     withdrawal_results: WithdrawalResults,
     uneven_results: UnevenResults,
+    brittle_results: BrittleResults,
+    /// Slots of brittle targets that their owners handed out.
+    slots: SlotGates,
+    /// Notices of brittle targets that hubs know.
+    notices_at_hubs: Vec<BrittleNotice>,
 }
 
 impl Model {
@@ -152,6 +165,9 @@
             restarts: 0,
             withdrawal_results: WithdrawalResults::default(),
             uneven_results: UnevenResults::default(),
+            brittle_results: BrittleResults::default(),
+            slots: SlotGates::default(),
+            notices_at_hubs: Vec::new(),
         };
         model.after(Duration::ZERO, Event::CallArrives);
         model.after(model.send_interval(), Event::SendUpdates);
@@ -197,6 +213,7 @@
             Event::TargetsDelisted => self.on_targets_delisted(),
             Event::CrashingRequestArrives => self.on_crashing_request(),
             Event::TargetRestarts => self.on_target_restart(),
+            Event::BrittleTargetReturns(target) => self.on_brittle_return(target),
         }
     }
 
@@ -277,6 +294,12 @@
     fn send(&mut self, n: u64, call: Call, router: usize, ticket: Ticket, plan: CallPlan) {
         let index = |record: &TargetRecord| record.id.as_str()[1..].parse::<usize>().unwrap();
         let target = index(&ticket.target);
+        let Some(has_slot) = self.hold_slot(router, target) else {
+            self.routers[router].on_end(self.now, &ticket, None);
+            let mut plan = plan;
+            plan.tried.push(ticket.target.id.clone());
+            return self.choose(n, call, router, plan);
+        };
         let source = ticket.fetch_from.as_deref().map(index);
         let is_overloaded = self.is_overloaded(target);
         self.targets[target].record_arrival(self.now);
@@ -292,14 +315,19 @@
             self.on_withdrawal_response(router, target);
             return self.send_elsewhere(n, call, router, &ticket, plan, Health::Full);
         }
-        if let Some(end) = self.targets[target].rejection() {
+        let queue = self.brittle_queue();
+        if let Some(end) = self.targets[target].rejection(queue) {
             let figures = self.figures_now();
             figures.turned_away += u64::from(end == Health::Full);
             figures.sent_to_lost += u64::from(end == Health::Broken);
             if end == Health::Full {
+                self.on_brittle_response(router, target);
+                self.on_brittle_rejection(target);
+                self.release_slot(&ticket, has_slot, true);
                 self.on_figure(router, target);
             }
             if end == Health::Broken {
+                self.release_slot(&ticket, has_slot, false);
                 let outages = &mut self.routers[router].health.outages;
                 outages.on_refused(self.now, (&ticket.target.id).into());
             }
@@ -326,6 +354,7 @@
             target,
             ticket,
             plan,
+            has_slot,
         };
         self.sent.insert(n, sent);
         if self.targets[target].is_cut_off {
@@ -391,6 +420,7 @@
         let (router, target) = (sent.router, sent.target);
         let call = sent.call;
         self.on_figure(router, target);
+        self.on_brittle_response(router, target);
         if self.is_leaving(target) {
             self.on_withdrawal_response(router, target);
         }
@@ -417,6 +447,7 @@
         let Some(sent) = self.sent.remove(&n) else {
             return;
         };
+        self.release_slot(&sent.ticket, sent.has_slot, false);
         let request = Fingerprint(sent.call.request);
         let router = &mut self.routers[sent.router];
         router.on_end(self.now, &sent.ticket, Some(Health::Good));
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -4,7 +4,10 @@
 
 use scaleford::admission::{shares::ShareScope, warm_up::WarmUp};
 
-use super::{crashes::CrashSchedule, uneven::UnevenSchedule, withdrawals::WithdrawalSchedule};
+use super::{
+    brittle::BrittleSchedule, crashes::CrashSchedule, uneven::UnevenSchedule,
+    withdrawals::WithdrawalSchedule,
+};
 
 /// A fleet, the calls sent to it, and the faults that happen during a run.
 #[derive(Debug, Clone, Copy)]
@@ -53,6 +56,8 @@
     pub hubs_silent: Option<(Duration, Duration)>,
     /// Targets whose speed changes; `None` if all keep their usual speed.
     pub uneven: Option<UnevenSchedule>,
+    /// Targets that crash when they reject too many calls; `None` if none do.
+    pub brittle: Option<BrittleSchedule>,
 }
 
 /// Targets that become slower during a run.
@@ -133,5 +138,6 @@
         shares: ShareScope::SmallPools,
         hubs_silent: None,
         uneven: None,
+        brittle: None,
     };
 }
--- a/tests/load/model/target.rs
+++ b/tests/load/model/target.rs
@@ -103,12 +103,15 @@
         self.running.len() + self.queue.len()
     }
 
-    /// Returns how a new call ends if the target does not accept it now, and `None` if it does.
-    pub fn rejection(&self) -> Option<Outcome> {
+    /// Returns how a new call ends if the target does not accept it now, and `None` if it does. `queue` is the
+    /// number of calls that may wait, if it differs from the usual one.
+    pub fn rejection(&self, queue: Option<usize>) -> Option<Outcome> {
         let is_full = self.running.len() == self.slots as usize;
         match () {
             () if self.is_lost => Some(Outcome::Broken),
-            () if is_full && self.queue.len() >= self.max_waiting => Some(Outcome::Full),
+            () if is_full && self.queue.len() >= queue.unwrap_or(self.max_waiting) => {
+                Some(Outcome::Full)
+            }
             () => None,
         }
     }
--- a/tests/load/model/updates.rs
+++ b/tests/load/model/updates.rs
@@ -64,6 +64,7 @@
             .map(|d| d.cache.take_announcements(60, false));
         let announcements: Vec<_> = announcements.flatten().collect();
         self.exchange_crash_notices();
+        self.exchange_brittle_notices();
         let is_silent = self.hubs_are_silent();
         for router in &mut self.routers {
             if !is_silent {
