Soak: routers cut off, brittle targets and targets that pause; a source address for targets

The soak resets the connections of a random part of the routers to all targets (--cuts), lets the targets of the small service state a limit and counts their crashes (--brittle), and has targets fall silent for a second.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -115,6 +115,7 @@
         TargetBehavior::Failing,
         TargetBehavior::Truncating,
         TargetBehavior::Hanging,
+        TargetBehavior::Pausing,
     ];
     if let (Some((target, _)), Some(behavior)) = (env.targets.choose(rng), behaviors.choose(rng)) {
         target.behavior.set(*behavior);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! All random choices derive from one seed. The guarantees are checked by what callers and targets observe.
 
+mod brittle;
 mod budget;
 pub mod callers;
 mod crashes;
+mod cuts;
 mod entries;
 mod faults;
 #[allow(dead_code)]
@@ -51,6 +53,10 @@
     pub set_backs: bool,
     /// Whether to overload a small plain service; see `surge`.
     pub surge: bool,
+    /// Whether to cut routers off from all targets; see `cuts`.
+    pub cuts: bool,
+    /// Whether the targets of the small plain service are brittle; see `brittle`.
+    pub brittle: bool,
     /// Whether to start callers that read slowly; see `slow_readers`.
     pub slow_readers: bool,
 }
@@ -88,13 +94,18 @@
             store_reverts::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let cuts = async {
+        if options.cuts {
+            cuts::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let surges = async {
         if options.surge {
             surge::inject(&env, options.seed, options.fault_duration).await;
         }
     };
     let faults = faults::inject(&env, &mut rng, options.fault_duration);
-    tokio::join!(faults, entries, withdrawals, reverts, surges);
+    tokio::join!(faults, entries, withdrawals, reverts, cuts, surges);
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -4,7 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -40,6 +40,8 @@
     fault: Cell<LinkFault>,
     /// When the last fault ended or was replaced by another one.
     last_fault_end: Cell<Option<Instant>>,
+    /// Clients whose connections are reset.
+    cut_off: RefCell<Vec<IpAddr>>,
     /// Address of the server behind the link.
     upstream_address: SocketAddr,
     /// The task that accepts connections, if the link is open.
@@ -65,6 +67,7 @@
             address: listener.local_addr()?,
             fault: Cell::default(),
             last_fault_end: Cell::default(),
+            cut_off: RefCell::default(),
             upstream_address: upstream,
             accept_task: RefCell::default(),
             closed: Notify::new(),
@@ -96,6 +99,15 @@
         }
     }
 
+    /// Resets the connections of these clients, and no others any more.
+    pub fn cut_off(&self, clients: &[IpAddr]) {
+        *self.cut_off.borrow_mut() = clients.to_vec();
+    }
+
+    fn is_cut_off(&self, client: IpAddr) -> bool {
+        self.cut_off.borrow().contains(&client)
+    }
+
     /// Returns the fault that is in force.
     pub fn fault(&self) -> LinkFault {
         self.fault.get()
@@ -130,8 +142,8 @@
     fn spawn_accept_loop(self: &Rc<Self>, listener: TcpListener) {
         let link = Rc::clone(self);
         let accept_task = tokio::task::spawn_local(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                if link.fault.get() == LinkFault::Reset {
+            while let Ok((client, from)) = listener.accept().await {
+                if link.fault.get() == LinkFault::Reset || link.is_cut_off(from.ip()) {
                     reset_on_close(&client);
                     continue;
                 }
@@ -159,20 +171,23 @@
     let Ok(connection) = upstream.local_addr() else {
         return;
     };
+    let Ok(client_ip) = client.peer_addr().map(|a| a.ip()) else {
+        return;
+    };
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     tokio::select! {
         () = forward(&link, connection, client_read, upstream_write, LinkFault::StallRequests) => {}
         () = forward(&link, connection, upstream_read, client_write, LinkFault::StallResponses) => {}
-        () = until_reset(&link) => link.on_interruption(connection),
+        () = until_reset(&link, client_ip) => link.on_interruption(connection),
         () = link.closed.notified() => link.on_interruption(connection),
     }
 }
 
-/// Waits until the link resets its connections.
-async fn until_reset(link: &Link) {
-    while link.fault.get() != LinkFault::Reset {
+/// Waits until the link resets the client's connections.
+async fn until_reset(link: &Link, client: IpAddr) {
+    while link.fault.get() != LinkFault::Reset && !link.is_cut_off(client) {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,6 +28,10 @@
             optional --set-backs
             /// Also overload a small plain service over and over.
             optional --surge
+            /// Also cut routers off from all targets.
+            optional --cuts
+            /// Let the targets of the small plain service crash when they reject too many calls; with --surge.
+            optional --brittle
             /// Also let callers read large streams slowly or not at all, at routers with little memory.
             optional --slow-readers
             /// Print the verdict as JSON.
@@ -52,6 +56,8 @@
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
         surge: flags.surge,
+        cuts: flags.cuts,
+        brittle: flags.brittle,
         slow_readers: flags.slow_readers,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -56,6 +56,8 @@
     WithdrawnGetsNothing,
     /// While a small service is overloaded, calls to it go on being answered.
     SurgeAnswered,
+    /// Brittle targets do not crash more often than two times in the surge after the faults.
+    BrittleKept,
     /// Calls are served again after the faults.
     Recovery,
 }
@@ -94,6 +96,8 @@
 pub struct PromiseChecker {
     /// All calls by id.
     calls: RefCell<HashMap<String, Call>>,
+    /// Number of times that brittle targets crashed.
+    brittle_crashes: Cell<usize>,
     /// Violations, each with a description.
     broken: RefCell<Vec<(Promise, String)>>,
     /// Targets whose entries say that they are leaving, each with the instant since when.
@@ -149,6 +153,17 @@
         self.revoked_at.set(Some(Instant::now()));
     }
 
+    /// Records that a brittle target crashed.
+    pub fn on_brittle_crash(&self, target: &str) {
+        println!("brittle target {target} crashed");
+        self.brittle_crashes.set(self.brittle_crashes.get() + 1);
+    }
+
+    /// Returns how many times brittle targets crashed.
+    pub fn brittle_crashes(&self) -> usize {
+        self.brittle_crashes.get()
+    }
+
     /// Records that the crashing request crashed the target that it reached.
     ///
     /// Routers can know of the third crash if the store could be reached and no router was paused for long
--- a/soak/src/surge.rs
+++ b/soak/src/surge.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    brittle::MAX_CRASHES,
     callers::Caller,
     link::LinkFault,
     promises::{CallOutcome, Promise, PromiseChecker},
@@ -94,7 +95,14 @@
 pub async fn check_after_faults(env: &TestEnv, seed: u64) {
     let mut steady = SteadyRouters::new(env);
     tokio::time::sleep(STEADY_TIME).await;
+    let before = env.promises.brittle_crashes();
     run_surge(env, &mut steady, 0, Instant::now() + LAST_SURGE, seed).await;
+    let crashes = env.promises.brittle_crashes() - before;
+    if crashes > MAX_CRASHES {
+        let description = format!("{crashes} crashes in {LAST_SURGE:?}");
+        env.promises
+            .record_violation(Promise::BrittleKept, description);
+    }
 }
 
 /// Runs one surge, and checks that calls are answered in each of its windows.
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -21,6 +21,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
+    brittle::{REJECTION_LIMIT, Rejections},
     crashes,
     link::Link,
     promises::PromiseChecker,
@@ -43,6 +44,8 @@
     Truncating,
     /// Runs calls and never responds.
     Hanging,
+    /// Is silent for a second, then runs calls and responds.
+    Pausing,
 }
 
 /// A simulated target.
@@ -64,6 +67,10 @@
     slots: Option<usize>,
     /// Time that a plain call takes.
     call_time: Duration,
+    /// Whether it states that it is brittle.
+    pub brittle: Cell<bool>,
+    /// Calls that it rejected while it was brittle.
+    rejections: Rejections,
     /// Number of calls that it runs.
     running: Cell<usize>,
     promises: Rc<PromiseChecker>,
@@ -72,6 +79,9 @@
 /// Time that a plain call takes, and pause before each event of a stream.
 const PROCESSING_TIME: Duration = Duration::from_millis(8);
 
+/// Time for which a target is silent that goes on afterwards.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Number of the last event of each stream; the first one is 1.
 pub const LAST_EVENT: u64 = 12;
 
@@ -100,6 +110,8 @@
             crashed: Notify::new(),
             slots,
             call_time,
+            brittle: Cell::default(),
+            rejections: Rejections::default(),
             running: Cell::default(),
             promises: Rc::clone(promises),
         });
@@ -173,6 +185,12 @@
         if behavior == TargetBehavior::Refusing {
             headers.insert("x-not-run", "1".parse().expect("a header value"));
         }
+        if self.brittle.get() {
+            headers.insert("server-brittle", REJECTION_LIMIT.into());
+            if behavior == TargetBehavior::Refusing && self.rejections.on_rejected() {
+                self.promises.on_brittle_crash(&self.id);
+            }
+        }
         match self.withdrawal.get() {
             Withdrawal::Leaving => drop(headers.insert("server-leaving", 1.into())),
             Withdrawal::Backoff(seconds) if behavior == TargetBehavior::Refusing => {
@@ -191,6 +209,9 @@
         call: &str,
         behavior: TargetBehavior,
     ) -> Response<Body> {
+        if behavior == TargetBehavior::Pausing {
+            tokio::time::sleep(SILENCE).await;
+        }
         {
             let _slot = Slot::take(self);
             tokio::time::sleep(self.call_time).await;
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -70,6 +70,8 @@
     pub promises: Rc<PromiseChecker>,
     /// Whether there is a small service that surges overload.
     surge: bool,
+    /// Whether the targets of that service are brittle.
+    brittle: bool,
     /// Version of the configuration that was written last.
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
@@ -107,6 +109,7 @@
             store,
             promises,
             surge: options.surge,
+            brittle: options.brittle,
             version: Rc::default(),
             dir,
         };
@@ -127,7 +130,8 @@
             let id = format!("s-{n}");
             let slots = Some(surge::SLOTS);
             let started = Target::start_limited(&id, slots, surge::CALL_TIME, &self.promises);
-            let (_, address) = started.await;
+            let (target, address) = started.await;
+            target.brittle.set(self.brittle);
             let entry = json!({"service": surge::SERVICE, "address": address.to_string(),
                 "zone": "yard", "version": "v1", "slots": surge::SLOTS, "state": "ready",
                 "coldLeftMs": 0, "callSeq": 0, "born": 1_764_720_000_000_u64});
@@ -297,6 +301,10 @@
             .open(&self.log_path);
         let child = Command::new(&self.program)
             .env("SCALEFORD_CONFIG", &self.settings_path)
+            .env(
+                "SCALEFORD_SOURCE_ADDRESS",
+                self.caller_address.ip().to_string(),
+            )
             .stdin(Stdio::null())
             .stdout(log.expect("a writable log file"))
             .kill_on_drop(true)
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,7 +2,12 @@
 
 mod values;
 
-use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    str::FromStr,
+    time::Duration,
+};
 
 pub use values::{List, LogLevel, Millis, OperatorToken, OtlpEndpoint, RevokeBound, Secret};
 
@@ -125,6 +130,8 @@
     request_timeout_ms: Millis = Some("300000"), false, "milliseconds";
     /// Maximum number of concurrent requests of this router.
     concurrency_limit: usize = Some("20000"), false, "a whole number";
+    /// Address from which connections to targets are opened; the system chooses it if it is empty.
+    source_address: List<IpAddr> = Some(""), false, "IP or nothing";
     /// Maximum number of connections of other routers to targets that pass through this one.
     tunnel_limit: usize = Some("1000"), false, "a whole number";
     /// Memory that this router may use; the bounds on held answers and request bodies follow from it.
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -82,6 +82,7 @@
         parts: Vec::new(),
         shares: Vec::new(),
         share_sums: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -188,6 +188,7 @@
             parts: Vec::new(),
             shares: Vec::new(),
             share_sums: Vec::new(),
+            brittle: Vec::new(),
         }
     }
 
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -64,6 +64,7 @@
         parts: Vec::new(),
         shares: Vec::new(),
         share_sums: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -84,6 +84,7 @@
         parts: Vec::new(),
         shares: Vec::new(),
         share_sums: Vec::new(),
+        brittle: Vec::new(),
     }
 }
 
--- a/tests/support/hosted.rs
+++ b/tests/support/hosted.rs
@@ -141,7 +141,7 @@
         cfg: cfg.gateway(),
         dialect: Rc::new(OpenAiDialect),
         store: Rc::new(PlatformStore::new(cfg.platform, WatchScope::OwnKeys)),
-        dialer: Rc::new(TcpDialer),
+        dialer: Rc::new(TcpDialer::default()),
         clock: Clock::system(&log),
         spans: Spans::enabled(None).expect("spans"),
         log,
