--- a/src/edge/tunnel.rs
+++ b/src/edge/tunnel.rs
@@ -32,6 +32,10 @@
 /// Size of the buffer for each direction of a tunnel, in bytes.
 const BUFFER_BYTES: usize = 8 << 10;
 
+/// Silence after which a tunnel's connections are probed, and the interval between probes.
+const PROBE_AFTER: Duration = Duration::from_secs(5);
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Silence after an answer's last bytes from which a tunnel counts as idle.
 const IDLE_AFTER: Duration = Duration::from_secs(1);
 
@@ -211,6 +215,8 @@
 /// Passes bytes both ways until either side closes.
 async fn carry(guard: &TunnelGuard, near: TcpStream, far: TcpStream) {
     set_socket_options(&near);
+    keep_alive(&near);
+    keep_alive(&far);
     let activity = Activity::new(guard.cx.now());
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
@@ -235,6 +241,17 @@
     }
 }
 
+/// Has the system probe a connection that is silent, so that a tunnel ends whose other end lost power.
+///
+/// The user timeout that [`set_socket_options`] sets also decides when probes give up, whatever their number.
+fn keep_alive(stream: &TcpStream) {
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL);
+    // A tunnel without probes works as well, but may outlast its router.
+    let _ = socket2::SockRef::from(stream).set_tcp_keepalive(&probes);
+}
+
 /// Passes bytes in one direction until its end or an error; returns which, and the writing half.
 async fn pass(
     mut from: OwnedReadHalf,
