--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -28,7 +28,12 @@
     while Instant::now() < end {
         let count = rng.random_range(1..=env.vms.len());
         let vms = env.vms.choose_multiple(&mut rng, count);
-        let cut: Vec<IpAddr> = vms.map(|vm| vm.caller_address.ip()).collect();
+        let cut = vms.map(|vm| {
+            // A stop during a cut may end streams whose connections the cut resets.
+            vm.process().on_disruption();
+            vm.caller_address.ip()
+        });
+        let cut: Vec<IpAddr> = cut.collect();
         set(env, &cut);
         tokio::time::sleep(Duration::from_millis(rng.random_range(CUT_MS))).await;
         set(env, &[]);
