A call waits for a silent target when no retry is left

The router gave up on it after 600 ms to send the call elsewhere, and had no repeat left in its budget, so the call ended for nothing. Whether a retry can be made is now asked before the time-out is chosen: without one, the call waits for its target.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -232,6 +232,15 @@
     taken
 }
 
+/// Returns whether the retry budget has a repeat left for a call. Without one, a call that gave up on a silent
+/// target would end although the target may go on.
+pub(crate) fn has_retry_budget(cx: &Gateway, call: &Call) -> bool {
+    let now = cx.now();
+    let share = cx.usable_retry_share(now);
+    let budget = &mut cx.dispatcher.borrow_mut().budget;
+    budget.has_left(now, &call.plan.service, share)
+}
+
 /// Computes how long an attempt waits for the head of its answer: a multiple of the route's goal
 /// (but at least `minimum`) if another attempt may follow, and otherwise all of the time that is left.
 pub(crate) fn attempt_timeout(
@@ -241,7 +250,8 @@
     minimum: Duration,
 ) -> Duration {
     let time_left = call.deadline.since(cx.now());
-    let may_follow = call.attempts.sent() + 1 < call.route.max_attempts;
+    let may_follow =
+        call.attempts.sent() + 1 < call.route.max_attempts && has_retry_budget(cx, call);
     match call.route.kind.is_repeatable() && may_follow {
         true => call
             .route
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -11,7 +11,9 @@
     attempt_end::AttemptEnd,
     attempt_guard::AttemptGuard,
     body::{AnswerBody, CollectedBody, EventSender, StreamAborted},
-    call::{attempt_timeout, return_to_pool, strip_connection_headers, take_retry},
+    call::{
+        attempt_timeout, has_retry_budget, return_to_pool, strip_connection_headers, take_retry,
+    },
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
     flow::{AnswerAccount, HeldCount, OfferedBytes},
     gateway::Gateway,
@@ -206,8 +208,8 @@
     }
 }
 
-fn gap_timeout(call: &Call) -> Duration {
-    let may_follow = call.attempts.sent() < call.route.max_attempts;
+fn gap_timeout(cx: &Gateway, call: &Call) -> Duration {
+    let may_follow = call.attempts.sent() < call.route.max_attempts && has_retry_budget(cx, call);
     match call.route.gap_goal {
         Some(gap) if call.route.kind.is_resumable() && may_follow => {
             gap.mul_f64(GAP_TIMEOUT_FACTOR).max(MIN_EVENT_TIMEOUT)
@@ -269,7 +271,7 @@
         if tx.send(Ok(event.bytes)).is_err() {
             return;
         }
-        let until = (cx.now() + gap_timeout(&call)).min(call.deadline);
+        let until = (cx.now() + gap_timeout(cx, &call)).min(call.deadline);
         event = match next_unsent(cx, &mut source, call.last_event, until).await {
             Next::Event(event) => {
                 source.guard.on_event();
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -181,15 +181,20 @@
     /// Takes one repeat from the budget if the share allows it; returns whether it does. `share` is
     /// this router's share of the fleet.
     pub fn take(&mut self, now: Instant, service: &ServiceName, share: f64) -> bool {
+        let fits = self.has_left(now, service, share);
+        if fits {
+            self.window(now, service).repeats.push_back(now);
+        }
+        fits
+    }
+
+    /// Returns whether a repeat could be taken from the budget now.
+    pub fn has_left(&mut self, now: Instant, service: &ServiceName, share: f64) -> bool {
         let rule = self.rule;
         let window = self.window(now, service);
         let by_calls = rule.ratio * window.calls.len() as f64;
         let allowed = (by_calls + rule.extra * share) * USABLE_FRACTION;
-        let fits = (window.repeats.len() as f64) + 1.0 <= allowed;
-        if fits {
-            window.repeats.push_back(now);
-        }
-        fits
+        (window.repeats.len() as f64) + 1.0 <= allowed
     }
 
     /// Returns the window of a service, without expired calls and repeats.
