A crash is counted where peers do not answer or are cut off themselves

What callers saw: a request that crashes each target that runs it was quarantined too late.

Cause: since two peers have to fail at a target before it counts as down.

Change: peers that do not answer, and those that are cut off themselves, are no longer waited for: two peers that can tell have to agree, or all that can. If no peer answers at all, this router's own failure counts, as in a fleet of one.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -57,6 +57,8 @@
     pub cuts: bool,
     /// Whether the targets of the small plain service are brittle; see `brittle`.
     pub brittle: bool,
+    /// Whether to keep the routers' logs also if all guarantees were kept.
+    pub keep_logs: bool,
     /// Whether to start callers that read slowly; see `slow_readers`.
     pub slow_readers: bool,
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -34,6 +34,8 @@
             optional --brittle
             /// Also let callers read large streams slowly or not at all, at routers with little memory.
             optional --slow-readers
+            /// Keep the routers' logs also if all guarantees were kept.
+            optional --keep-logs
             /// Print the verdict as JSON.
             optional --json
         }
@@ -59,6 +61,7 @@
         cuts: flags.cuts,
         brittle: flags.brittle,
         slow_readers: flags.slow_readers,
+        keep_logs: flags.keep_logs,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
     if !options.program.is_file() {
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -76,6 +76,7 @@
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
     dir: PathBuf,
+    keep_logs: bool,
 }
 
 /// API keys of the only account. The second one is revoked in some runs.
@@ -112,6 +113,7 @@
             brittle: options.brittle,
             version: Rc::default(),
             dir,
+            keep_logs: options.keep_logs,
         };
         if env.surge {
             env.start_small_service().await;
@@ -222,7 +224,7 @@
         self.until_ready().await;
     }
 
-    /// Shuts all routers down gracefully. The logs are kept if a guarantee was violated.
+    /// Shuts all routers down gracefully. The logs are kept if a guarantee was violated or they were asked for.
     pub async fn stop(&self) {
         for vm in &self.vms {
             vm.signal(Signal::TERM);
@@ -230,7 +232,7 @@
         for vm in &self.vms {
             vm.until_exited().await;
         }
-        match self.promises.verdict().all_kept() {
+        match self.promises.verdict().all_kept() && !self.keep_logs {
             // An error is ignored: leftover logs of a successful run do no harm.
             true => drop(std::fs::remove_dir_all(&self.dir)),
             false => eprintln!("the routers' logs are in {}", self.dir.display()),
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -14,30 +14,16 @@
 use crate::{
     discovery::TargetRecord,
     paths::Route,
-    relays::{RelayCandidate, RelayFailure},
+    relays::{PeerVerdict, RelayCandidate, RelayFailure},
 };
 
 /// Maximum number of peers that are asked for one connection.
 const MAX_PEERS_ASKED: usize = 3;
 
-/// Number of peers that must reach other targets, but not this one, for it to count as down. One may be cut
-/// off from it too.
-const MIN_PEERS_WITHOUT_PATH: usize = 2;
-
 /// Maximum time of a peer's answer: it opens a connection, and may have to check whether it reaches
 /// another target.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Why no peer opened a connection to a target.
-enum NotRelayed {
-    /// There is no other router.
-    NoPeers,
-    /// The peers that were asked have no path either, or can't help for another reason.
-    NoPath,
-    /// Peers reach other targets, but not this one.
-    TargetDown,
-}
-
 /// Opens a connection, unless `limit` connections to the target are open or being opened already.
 pub(super) async fn open(
     cx: &Rc<Gateway>,
@@ -56,28 +42,26 @@
     };
     match open_through_peer(cx, target).await {
         Ok((stream, peer)) => opening.finish(stream, Some(peer)).await,
-        Err(NotRelayed::TargetDown) => {
+        Err(PeerVerdict::TargetDown) => {
             path_checks::on_target_down(cx, target, e);
             Err(e)
         }
-        Err(NotRelayed::NoPeers) if route == Route::ThroughPeer => {
+        Err(PeerVerdict::NoPeers) if route == Route::ThroughPeer => {
             let stream = path_checks::dial(cx, target).await?;
             opening.finish(stream, None).await
         }
-        Err(NotRelayed::NoPeers) => Err(e),
-        Err(NotRelayed::NoPath) => Err(ConnectError::NoPath),
+        Err(PeerVerdict::NoPeers) => Err(e),
+        Err(PeerVerdict::NotKnown) => Err(ConnectError::NoPath),
     }
 }
 
-/// Asks peers one after the other for a connection to a target. Returns it with the peer's address.
+/// Asks peers one after the other for a connection to a target. Returns it with the peer's address, or what
+/// the peers say of the target.
 async fn open_through_peer(
     cx: &Rc<Gateway>,
     target: &TargetRecord,
-) -> Result<(TcpStream, SocketAddr), NotRelayed> {
+) -> Result<(TcpStream, SocketAddr), PeerVerdict> {
     let candidates = cx.peers.borrow().relay_candidates(cx.now());
-    if candidates.is_empty() {
-        return Err(NotRelayed::NoPeers);
-    }
     let mut tried: Vec<RelayCandidate> = Vec::new();
     while tried.len() < MAX_PEERS_ASKED {
         let Some(peer) = choose_peer(cx, target, &candidates, &tried) else {
@@ -116,11 +100,8 @@
         }
         tried.push(peer);
     }
-    let without_path = (cx.relays.borrow()).sound_without_path(cx.now(), &target.id);
-    match without_path >= MIN_PEERS_WITHOUT_PATH.min(candidates.len()) {
-        true => Err(NotRelayed::TargetDown),
-        false => Err(NotRelayed::NoPath),
-    }
+    let verdict = (cx.relays.borrow()).verdict(cx.now(), &target.id, &candidates);
+    Err(verdict)
 }
 
 fn choose_peer(
--- a/src/relays.rs
+++ b/src/relays.rs
@@ -23,6 +23,9 @@
 /// Time for which a peer is not asked after it did not answer.
 const SILENT_FOR: Duration = Duration::from_secs(2);
 
+/// Number of peers that must reach other targets, but not this one, for it to count as down.
+const MIN_SOUND_PEERS: usize = 2;
+
 /// A live peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayCandidate {
@@ -45,6 +48,25 @@
     Silent,
 }
 
+/// What peers say of a target that this router could not reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// Peers that reach other targets do not reach this one.
+    TargetDown,
+    /// Too few peers are known to reach other targets.
+    NotKnown,
+    /// There is no peer, or none answers.
+    NoPeers,
+}
+
+/// A peer that is not asked for any target.
+#[derive(Debug, Clone, Copy)]
+struct Avoidance {
+    until: Instant,
+    /// Whether it did not answer, so that it may be gone.
+    is_silent: bool,
+}
+
 /// A peer that did not reach a target.
 #[derive(Debug, Clone, Copy)]
 struct WithoutPath {
@@ -57,7 +79,7 @@
 /// What is known of peers as relays.
 #[derive(Debug, Default)]
 pub struct Relays {
-    avoided_until: FxHashMap<SocketAddr, Instant>,
+    avoided: FxHashMap<SocketAddr, Avoidance>,
     /// Peers that are not asked for a target.
     without_path: FxHashMap<(SocketAddr, TargetId), WithoutPath>,
     /// Peer that last reached each target.
@@ -102,14 +124,28 @@
     }
 
     fn is_usable(&self, now: Instant, target: &TargetId, peer: &RelayCandidate) -> bool {
-        let avoided = self.avoided_until.get(&peer.address);
-        let without_path = self.without_path.get(&(peer.address, target.clone()));
-        avoided.is_none_or(|until| now >= *until) && without_path.is_none_or(|w| now >= w.until)
+        self.avoidance(now, peer).is_none() && self.without_path(now, target, peer).is_none()
+    }
+
+    fn avoidance(&self, now: Instant, peer: &RelayCandidate) -> Option<Avoidance> {
+        let avoided = self.avoided.get(&peer.address).copied();
+        avoided.filter(|a| now < a.until)
+    }
+
+    fn without_path(
+        &self,
+        now: Instant,
+        target: &TargetId,
+        peer: &RelayCandidate,
+    ) -> Option<WithoutPath> {
+        let pair = (peer.address, target.clone());
+        let without_path = self.without_path.get(&pair).copied();
+        without_path.filter(|w| now < w.until)
     }
 
     /// Records that a peer reached a target.
     pub fn on_success(&mut self, peer: SocketAddr, target: &TargetId) {
-        self.avoided_until.remove(&peer);
+        self.avoided.remove(&peer);
         self.with_path.insert(target.clone(), peer);
     }
 
@@ -134,25 +170,51 @@
                 self.without_path.insert(pair, without_path);
             }
             RelayFailure::Refused => {
-                self.avoided_until.insert(peer, now + REFUSED_FOR);
+                let avoidance = Avoidance {
+                    until: now + REFUSED_FOR,
+                    is_silent: false,
+                };
+                self.avoided.insert(peer, avoidance);
             }
             RelayFailure::Silent => {
-                self.avoided_until.insert(peer, now + SILENT_FOR);
+                let avoidance = Avoidance {
+                    until: now + SILENT_FOR,
+                    is_silent: true,
+                };
+                self.avoided.insert(peer, avoidance);
             }
         }
     }
 
-    /// Returns the number of peers that reached other targets a moment ago, but not this one.
-    pub fn sound_without_path(&self, now: Instant, target: &TargetId) -> usize {
-        let pairs = self.without_path.iter();
-        pairs
-            .filter(|((_, t), w)| t == target && w.is_sound && now < w.until)
-            .count()
+    /// Returns what the peers say of a target that this router could not reach. Two that reach other targets
+    /// have to fail at it, as one may be cut off from some targets too, or all that can tell.
+    pub fn verdict(
+        &self,
+        now: Instant,
+        target: &TargetId,
+        candidates: &[RelayCandidate],
+    ) -> PeerVerdict {
+        let (mut sound, mut can_tell, mut alive) = (0, 0, 0);
+        for peer in candidates {
+            let avoidance = self.avoidance(now, peer);
+            let without_path = self.without_path(now, target, peer);
+            alive += usize::from(avoidance.is_none_or(|a| !a.is_silent));
+            match without_path {
+                Some(w) if w.is_sound => (sound, can_tell) = (sound + 1, can_tell + 1),
+                Some(_) => {}
+                None => can_tell += usize::from(avoidance.is_none()),
+            }
+        }
+        match () {
+            () if sound > 0 && sound >= MIN_SOUND_PEERS.min(can_tell) => PeerVerdict::TargetDown,
+            () if alive == 0 => PeerVerdict::NoPeers,
+            () => PeerVerdict::NotKnown,
+        }
     }
 
     /// Drops what is over, and what is known of targets that are not listed.
     pub fn on_tick(&mut self, now: Instant, listed: impl Fn(&TargetId) -> bool) {
-        self.avoided_until.retain(|_, until| now < *until);
+        self.avoided.retain(|_, a| now < a.until);
         self.without_path.retain(|_, w| now < w.until);
         self.with_path.retain(|target, _| listed(target));
     }
--- a/tests/decisions/paths.rs
+++ b/tests/decisions/paths.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use scaleford::{
     paths::{Route, TargetPaths},
-    relays::{RelayCandidate, RelayFailure, Relays},
+    relays::{PeerVerdict, RelayCandidate, RelayFailure, Relays},
 };
 
 use super::{at, record};
@@ -138,6 +139,35 @@
     assert_eq!(chosen(&b), Some(&all[2]));
 }
 
+#[rstest]
+#[case::one_is_sound_of_three(&[RelayFailure::TargetDown], PeerVerdict::NotKnown)]
+#[case::two_are_sound(&[RelayFailure::TargetDown, RelayFailure::TargetDown], PeerVerdict::TargetDown)]
+#[case::the_others_do_not_answer(
+    &[RelayFailure::Silent, RelayFailure::TargetDown, RelayFailure::Silent],
+    PeerVerdict::TargetDown
+)]
+#[case::the_others_are_cut_off(
+    &[RelayFailure::NoPath, RelayFailure::NoPath, RelayFailure::TargetDown],
+    PeerVerdict::TargetDown
+)]
+#[case::all_are_cut_off(
+    &[RelayFailure::NoPath, RelayFailure::NoPath, RelayFailure::Silent],
+    PeerVerdict::NotKnown
+)]
+#[case::none_has_room(&[RelayFailure::Refused; 3], PeerVerdict::NotKnown)]
+#[case::none_answers(&[RelayFailure::Silent; 3], PeerVerdict::NoPeers)]
+fn a_target_is_not_down_by_the_word_of_peers_that_can_not_know(
+    #[case] failures: &[RelayFailure],
+    #[case] verdict: PeerVerdict,
+) {
+    let all = [peer(1, "east"), peer(2, "east"), peer(3, "west")];
+    let (mut relays, id) = (Relays::default(), record(0).id);
+    for (peer, failure) in all.iter().zip(failures) {
+        relays.on_failure(at(0), peer.address, &id, *failure);
+    }
+    assert_eq!(relays.verdict(at(100), &id, &all), verdict);
+}
+
 fn peer(n: u8, hall: &str) -> RelayCandidate {
     RelayCandidate {
         address: ([127, 0, 0, n], 7_300).into(),
