A target stays down by the word of peers until a router reaches it

Cause: each further failure at such a target took the peers' word back.

Change: the verdict holds until this router or a peer that it asks reaches the target. It is logged when it is new.

--- a/src/edge/path_checks.rs
+++ b/src/edge/path_checks.rs
@@ -73,14 +73,16 @@
 pub(super) fn on_target_down(cx: &Gateway, target: &TargetRecord, e: ConnectError) {
     let now = cx.now();
     let mut dispatcher = cx.dispatcher.borrow_mut();
-    dispatcher.paths.on_peer_failed(target);
+    let is_new = dispatcher.paths.on_peer_failed(target);
     if e == ConnectError::Refused {
         dispatcher
             .health
             .outages
             .on_refused(now, (&target.id).into());
     }
-    info!(cx.log, "path"; "target" => %target.id, "verdict" => "target is down", "why" => e.name());
+    if is_new {
+        info!(cx.log, "path"; "target" => %target.id, "verdict" => "target is down", "why" => e.name());
+    }
 }
 
 fn on_opened(cx: &Gateway, target: &TargetRecord) {
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -80,6 +80,7 @@
         match answer {
             Ok(Ok(Ok(stream))) => {
                 relays.on_success(peer.address, &target.id);
+                (cx.dispatcher.borrow_mut().paths).on_relayed(now, target);
                 cx.metrics.paths.tunnels_used.inc();
                 return Ok((stream, peer.address));
             }
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -96,7 +96,7 @@
     heard_at: Option<Instant>,
     /// When a connection could last not be opened.
     failed_at: Option<Instant>,
-    /// Whether a peer could not reach the target either after the last failure.
+    /// Whether peers could not reach the target either, and no router is known to have reached it since.
     is_target_down: bool,
 }
 
@@ -162,32 +162,41 @@
     }
 
     /// Records that no connection to a target could be opened. Returns whether its path worked until
-    /// now.
+    /// now. A target that is down stays so.
     pub fn on_not_reached(&mut self, now: Instant, target: &TargetRecord) -> bool {
         let path = self.by_target.entry(target.id.clone()).or_default();
         let was_failing = path.is_failing();
         path.failed_at = Some(now);
-        path.is_target_down = false;
+        if path.is_target_down {
+            return false;
+        }
         self.repeat_check(now, &target.id);
+        // A path that still fails is no reason to doubt others that were seen to work meanwhile.
+        if was_failing {
+            return false;
+        }
+        self.add_failing(now, target);
+        if self.is_quiet(now) {
+            self.check_others(now, &target.id);
+        }
+        true
+    }
+
+    fn add_failing(&mut self, now: Instant, target: &TargetRecord) {
         for group in Group::of(target) {
             let state = self.groups.entry(group).or_default();
             state.failing.insert(target.id.clone());
-            // A path that still fails is no reason to doubt others that were seen to work meanwhile.
-            if !was_failing && state.failing.len() >= MIN_FAILING_TARGETS {
+            if state.failing.len() >= MIN_FAILING_TARGETS {
                 state.doubted_since.get_or_insert(now);
             }
         }
-        if !was_failing && self.is_quiet(now) {
-            self.check_others(now, &target.id);
-        }
-        !was_failing
     }
 
-    /// Records that a peer that reaches other targets could not reach this one either.
-    pub fn on_peer_failed(&mut self, target: &TargetRecord) {
-        if let Some(path) = self.by_target.get_mut(&target.id) {
-            path.is_target_down = true;
-        }
+    /// Records that peers that reach other targets could not reach this one either. Returns whether that is
+    /// new.
+    pub fn on_peer_failed(&mut self, target: &TargetRecord) -> bool {
+        let path = self.by_target.entry(target.id.clone()).or_default();
+        let is_new = !std::mem::replace(&mut path.is_target_down, true);
         self.checks.remove(&target.id);
         for group in Group::of(target) {
             if let Some(state) = self.groups.get_mut(&group) {
@@ -197,6 +206,15 @@
                 }
             }
         }
+        is_new
+    }
+
+    /// Records that a peer reached a target, so that it is not the target that fails.
+    pub fn on_relayed(&mut self, now: Instant, target: &TargetRecord) {
+        let path = self.by_target.entry(target.id.clone()).or_default();
+        if std::mem::take(&mut path.is_target_down) && path.is_failing() {
+            self.add_failing(now, target);
+        }
     }
 
     /// Has the path to a target that owes answers checked.
--- a/tests/decisions/paths.rs
+++ b/tests/decisions/paths.rs
@@ -58,6 +58,21 @@
     assert_eq!(paths.failing_count(), 0);
 }
 
+#[test]
+fn a_target_that_is_down_stays_so_until_a_router_reaches_it() {
+    let (mut paths, [a, _, _]) = (TargetPaths::default(), targets());
+    paths.on_not_reached(at(1_000), &a);
+    paths.on_peer_failed(&a);
+    assert!(!paths.on_not_reached(at(1_100), &a));
+    assert!(paths.is_trusted(&a));
+    assert_eq!(paths.failing_count(), 0);
+    paths.on_relayed(at(1_200), &a);
+    assert!(!paths.is_trusted(&a));
+    assert_eq!(paths.failing_count(), 1);
+    paths.on_opened(at(1_300), &a);
+    assert!(paths.on_not_reached(at(1_400), &a));
+}
+
 #[test]
 fn an_open_connection_that_works_is_used_while_new_ones_fail() {
     let (mut paths, [a, ..]) = (TargetPaths::default(), targets());
