A target that fails between answers of others makes nothing else suspect

What callers saw: calls to targets that worked went through peers whenever one more target failed.

Change: doubt begins after two failures in a row, with no sign of life of the group in between, as the module's first paragraph says.

--- a/src/paths.rs
+++ b/src/paths.rs
@@ -83,10 +83,32 @@
 struct GroupState {
     reached_at: Option<Instant>,
     failing: FxHashSet<TargetId>,
+    /// Targets that began to fail since one of the group was last reached.
+    failing_in_row: FxHashSet<TargetId>,
     /// Since when paths of the group are not trusted unless they were seen to work later.
     doubted_since: Option<Instant>,
 }
 
+impl GroupState {
+    /// Drops a target that does not fail for a reason that it shares with others.
+    fn remove(&mut self, target: &TargetId) {
+        self.failing.remove(target);
+        self.failing_in_row.remove(target);
+        self.end_doubt_if_unfounded();
+    }
+
+    fn end_doubt_if_unfounded(&mut self) {
+        if self.failing_in_row.len() < MIN_FAILING_TARGETS {
+            self.doubted_since = None;
+        }
+    }
+
+    /// Returns whether a target of the group that was last reached at `reached_at` is not trusted.
+    fn doubts(&self, reached_at: Option<Instant>) -> bool {
+        (self.doubted_since).is_some_and(|since| reached_at < Some(since))
+    }
+}
+
 /// What is known of the path to one target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Path {
@@ -157,6 +179,7 @@
         for group in Group::of(target) {
             let state = self.groups.entry(group).or_default();
             state.reached_at = Some(now);
+            state.failing_in_row.clear();
             state.doubted_since = None;
         }
     }
@@ -186,7 +209,8 @@
         for group in Group::of(target) {
             let state = self.groups.entry(group).or_default();
             state.failing.insert(target.id.clone());
-            if state.failing.len() >= MIN_FAILING_TARGETS {
+            state.failing_in_row.insert(target.id.clone());
+            if state.failing_in_row.len() >= MIN_FAILING_TARGETS {
                 state.doubted_since.get_or_insert(now);
             }
         }
@@ -200,10 +224,7 @@
         self.checks.remove(&target.id);
         for group in Group::of(target) {
             if let Some(state) = self.groups.get_mut(&group) {
-                state.failing.remove(&target.id);
-                if state.failing.len() < MIN_FAILING_TARGETS {
-                    state.doubted_since = None;
-                }
+                state.remove(&target.id);
             }
         }
         is_new
@@ -253,9 +274,8 @@
 
     fn is_presumed_lost(&self, target: &TargetRecord, reached_at: Option<Instant>) -> bool {
         let groups = Group::of(target);
-        let states = groups.iter().filter_map(|g| self.groups.get(g));
-        let mut doubts = states.filter_map(|s| s.doubted_since);
-        doubts.any(|since| reached_at < Some(since))
+        let mut states = groups.iter().filter_map(|g| self.groups.get(g));
+        states.any(|s| s.doubts(reached_at))
     }
 
     /// Returns whether this router may be cut off from all targets.
@@ -361,9 +381,8 @@
         self.checks.retain(|id, _| listed(id));
         for state in self.groups.values_mut() {
             state.failing.retain(&listed);
-            if state.failing.len() < MIN_FAILING_TARGETS {
-                state.doubted_since = None;
-            }
+            state.failing_in_row.retain(&listed);
+            state.end_doubt_if_unfounded();
         }
     }
 }
--- a/tests/decisions/paths.rs
+++ b/tests/decisions/paths.rs
@@ -46,6 +46,17 @@
     assert!(!paths.is_cut_off());
 }
 
+#[test]
+fn failures_at_targets_between_answers_of_others_do_not_make_these_suspect() {
+    let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
+    paths.on_heard(at(900), &c);
+    paths.on_not_reached(at(1_000), &a);
+    paths.on_heard(at(1_010), &c);
+    paths.on_not_reached(at(1_020), &b);
+    assert_eq!(paths.route(at(1_030), &c), Route::Direct);
+    assert!(!paths.is_cut_off());
+}
+
 #[test]
 fn targets_that_are_down_do_not_make_this_router_suspect_itself() {
     let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
