Calls prefer targets in reach to those that no peer reaches

Cause: since such an attempt says nothing of the target's health, and a router that may be cut off announces no outages, so nothing told placement to choose another target.

Change: a target that no peer reached is suspected at this router for a second, and after two of a data hall, a service or all in a row so are the others of the group that were not reached since; what opens, answers or is reached through a peer ends it. Nothing of this is announced.

Ruled out: to announce outages again. Peers that have a path would avoid the targets too.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -430,6 +430,11 @@
         }
     }
 
+    /// Returns the health of a target as calls of this router find it.
+    pub fn status(&self, now: Instant, target: &TargetRecord) -> HealthStatus {
+        status(&self.health, &self.paths, now, target)
+    }
+
     /// Records that a call was sent. `is_first` tells whether peers expect the chat at this target: then
     /// they are notified of the shared parts of the prompt only, otherwise of all parts but the last.
     fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &CallPlan, is_first: bool) {
@@ -474,9 +479,8 @@
             .filter(move |_| has_many_targets);
         let holders = holders.filter_map(|id| self.discovery.get(id));
         let service = plan.service.clone();
-        all.chain(holders).filter(move |t| {
-            t.service == service && self.health.status(now, &t.id) < HealthStatus::Suspected
-        })
+        all.chain(holders)
+            .filter(move |t| t.service == service && self.status(now, t) < HealthStatus::Suspected)
     }
 
     /// Returns the targets that have read the deepest shared part of the prompt that any target has read.
@@ -538,7 +542,7 @@
         };
         let time_factor = self.speeds.factor(now, id);
         TargetView {
-            health_status: self.health.status(now, id),
+            health_status: self.status(now, target),
             counts: self.load.call_counts(now, id),
             backlog: self.load.backlog(id, context.survival),
             missing,
@@ -565,6 +569,20 @@
     }
 }
 
+/// Returns the health of a target as calls of this router find it.
+fn status(
+    health: &Health,
+    paths: &TargetPaths,
+    now: Instant,
+    target: &TargetRecord,
+) -> HealthStatus {
+    let status = health.status(now, &target.id);
+    match paths.is_out_of_reach(now, target) {
+        true => status.max(HealthStatus::Suspected),
+        false => status,
+    }
+}
+
 /// Returns the target that rendezvous hashing selects for a chat.
 fn first_choice(targets: &[Rc<TargetRecord>], chat: ConversationKey) -> Option<&TargetId> {
     let first = targets
--- a/src/dispatcher/divided.rs
+++ b/src/dispatcher/divided.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use super::{Dispatcher, ScoredTargets};
+use super::{Dispatcher, ScoredTargets, status};
 use crate::{
     admission::shares::{AttemptResult, PoolFacts},
     call_plan::CallPlan,
@@ -31,10 +31,10 @@
             return false;
         }
         let facts = pool_facts(plan, scored);
-        let health = &self.health;
+        let (health, paths) = (&self.health, &self.paths);
         let targets = || {
             let healthy =
-                |t: &&Rc<TargetRecord>| health.status(now, &t.id) < HealthStatus::Suspected;
+                |t: &&Rc<TargetRecord>| status(health, paths, now, t) < HealthStatus::Suspected;
             let rated = |t: &Rc<TargetRecord>| (TargetHash::from(&t.id), t.slots);
             let all = &scored.targets;
             let usable: Vec<_> = all.iter().filter(healthy).map(rated).collect();
@@ -81,8 +81,7 @@
             let drawn = self.select_by_weight(now, plan, scored);
             return drawn.map_or_else(|| self.select(now, plan, scored), Ok);
         }
-        let is_suspect =
-            |t: &&Rc<TargetRecord>| self.health.status(now, &t.id) == HealthStatus::Suspected;
+        let is_suspect = |t: &&Rc<TargetRecord>| self.status(now, t) == HealthStatus::Suspected;
         let suspects = ScoredTargets {
             targets: scored.targets.iter().filter(is_suspect).cloned().collect(),
             sample_len: None,
@@ -128,7 +127,7 @@
 
     /// Returns whether a target may be drawn. That it was full a moment ago is known from its rate.
     fn is_eligible(&self, now: Instant, plan: &CallPlan, target: &TargetRecord) -> bool {
-        let is_healthy = match self.health.status(now, &target.id) {
+        let is_healthy = match self.status(now, target) {
             HealthStatus::Well | HealthStatus::Full => true,
             HealthStatus::OnTrial => plan.kind.is_repeatable(),
             _ => false,
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -40,7 +40,11 @@
         Ok(stream) => return opening.finish(stream, None).await,
         Err(e) => e,
     };
-    match open_through_peer(cx, target).await {
+    let relayed = open_through_peer(cx, target).await;
+    if relayed.is_err() {
+        (cx.dispatcher.borrow_mut().paths).on_out_of_reach(cx.now(), target);
+    }
+    match relayed {
         Ok((stream, peer)) => opening.finish(stream, Some(peer)).await,
         Err(PeerVerdict::TargetDown) => {
             path_checks::on_target_down(cx, target, e);
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -240,7 +240,7 @@
     let status = |t: &&Rc<crate::discovery::TargetRecord>| TargetStatus {
         target: t.id.clone(),
         pool: t.service.clone(),
-        standing: dispatcher.health.status(now, &t.id),
+        standing: dispatcher.status(now, t),
         withdrawn: dispatcher.withdrawals.get(now, &t.id).map(Into::into),
         calls: calls(&t.id),
         load: f64::from(calls(&t.id)) / mean(&t.service).max(1.0),
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -41,6 +41,9 @@
 /// Time after the start of a doubt by when checks of other paths have succeeded, if any of them works.
 const CHECKED_AFTER: Duration = Duration::from_millis(300);
 
+/// Time for which calls prefer other targets to one that neither this router nor a peer reached.
+const OUT_OF_REACH_FOR: Duration = Duration::from_secs(1);
+
 /// Whether a router reaches targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Soundness {
@@ -87,6 +90,32 @@
     failing_in_row: FxHashSet<TargetId>,
     /// Since when paths of the group are not trusted unless they were seen to work later.
     doubted_since: Option<Instant>,
+    /// Targets that peers did not reach either.
+    out_of_reach: OutOfReach,
+}
+
+/// Targets of a group that neither this router nor a peer reached, since one of the group was last reached.
+#[derive(Debug, Default)]
+struct OutOfReach {
+    targets: FxHashSet<TargetId>,
+    since: Option<Instant>,
+    /// End of the time in which no other target of the group is expected to be reached.
+    until: Option<Instant>,
+}
+
+impl OutOfReach {
+    fn on_not_reached(&mut self, now: Instant, target: &TargetId) {
+        self.targets.insert(target.clone());
+        self.since.get_or_insert(now);
+        if self.targets.len() >= MIN_FAILING_TARGETS {
+            self.until = Some(now + OUT_OF_REACH_FOR);
+        }
+    }
+
+    /// Returns whether a target that was last reached at `reached_at` is expected to be out of reach.
+    fn includes(&self, now: Instant, reached_at: Option<Instant>) -> bool {
+        self.until.is_some_and(|until| now < until) && reached_at < self.since
+    }
 }
 
 impl GroupState {
@@ -120,6 +149,8 @@
     failed_at: Option<Instant>,
     /// Whether peers could not reach the target either, and no router is known to have reached it since.
     is_target_down: bool,
+    /// End of the time in which peers are not expected to reach the target either.
+    out_of_reach_until: Option<Instant>,
 }
 
 impl Path {
@@ -156,6 +187,7 @@
         let was_failing = path.is_failing();
         path.opened_at = Some(now);
         path.is_target_down = false;
+        path.out_of_reach_until = None;
         self.checks.remove(&target.id);
         self.on_sign_of_life(now, target);
         for group in Group::of(target) {
@@ -181,6 +213,7 @@
             state.reached_at = Some(now);
             state.failing_in_row.clear();
             state.doubted_since = None;
+            state.out_of_reach = OutOfReach::default();
         }
     }
 
@@ -233,9 +266,36 @@
     /// Records that a peer reached a target, so that it is not the target that fails.
     pub fn on_relayed(&mut self, now: Instant, target: &TargetRecord) {
         let path = self.by_target.entry(target.id.clone()).or_default();
+        path.out_of_reach_until = None;
         if std::mem::take(&mut path.is_target_down) && path.is_failing() {
             self.add_failing(now, target);
         }
+        for group in Group::of(target) {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.out_of_reach = OutOfReach::default();
+            }
+        }
+    }
+
+    /// Records that neither this router nor a peer that it asked reached a target. After two of a group, others
+    /// of it that were not reached since are not expected to be reached either.
+    pub fn on_out_of_reach(&mut self, now: Instant, target: &TargetRecord) {
+        let path = self.by_target.entry(target.id.clone()).or_default();
+        path.out_of_reach_until = Some(now + OUT_OF_REACH_FOR);
+        for group in Group::of(target) {
+            let state = self.groups.entry(group).or_default();
+            state.out_of_reach.on_not_reached(now, &target.id);
+        }
+    }
+
+    /// Returns whether calls had better go to other targets, as neither this router nor a peer is expected to
+    /// reach this one.
+    pub fn is_out_of_reach(&self, now: Instant, target: &TargetRecord) -> bool {
+        let path = self.by_target.get(&target.id).copied().unwrap_or_default();
+        let groups = Group::of(target);
+        let mut states = groups.iter().filter_map(|g| self.groups.get(g));
+        path.out_of_reach_until.is_some_and(|until| now < until)
+            || states.any(|s| s.out_of_reach.includes(now, path.reached_at()))
     }
 
     /// Has the path to a target that owes answers checked.
@@ -382,6 +442,7 @@
         for state in self.groups.values_mut() {
             state.failing.retain(&listed);
             state.failing_in_row.retain(&listed);
+            state.out_of_reach.targets.retain(&listed);
             state.end_doubt_if_unfounded();
         }
     }
--- a/tests/decisions/paths.rs
+++ b/tests/decisions/paths.rs
@@ -94,6 +94,26 @@
     assert_eq!(paths.route(at(1_010), &a), Route::ThroughPeer);
 }
 
+#[test]
+fn after_two_targets_that_no_peer_reached_others_are_out_of_reach_too() {
+    let (mut paths, [a, b, c]) = (TargetPaths::default(), targets());
+    paths.on_not_reached(at(1_000), &a);
+    paths.on_out_of_reach(at(1_010), &a);
+    assert!(paths.is_out_of_reach(at(1_020), &a));
+    assert!(!paths.is_out_of_reach(at(1_020), &c));
+    paths.on_not_reached(at(1_030), &b);
+    paths.on_out_of_reach(at(1_040), &b);
+    assert!(paths.is_out_of_reach(at(1_050), &c));
+    assert!(!paths.is_out_of_reach(at(2_050), &c));
+    paths.on_out_of_reach(at(2_060), &c);
+    assert!(paths.is_out_of_reach(at(2_070), &a));
+    paths.on_relayed(at(2_080), &c);
+    assert!(!paths.is_out_of_reach(at(2_090), &a));
+    paths.on_out_of_reach(at(2_100), &a);
+    paths.on_heard(at(2_110), &c);
+    assert!(!paths.is_out_of_reach(at(2_120), &c));
+}
+
 #[test]
 fn a_path_that_fails_is_checked_while_calls_need_it() {
     let (mut paths, [a, ..]) = (TargetPaths::default(), targets());
