Groups of paths in a module of their own; a line when a target is out of reach

What is known of the paths of a data hall, a service or all targets is now in path_groups.rs, behind methods. Placement asks for targets out of reach only while there are some, as it asks for each target of each call. New verdict "out of reach" of the line "path".

--- a/src/edge/path_checks.rs
+++ b/src/edge/path_checks.rs
@@ -69,6 +69,14 @@
     futures::future::select_ok(dials).await.is_ok()
 }
 
+/// Records that neither this router nor a peer reached a target.
+pub(super) fn on_out_of_reach(cx: &Gateway, target: &TargetRecord) {
+    let is_new = (cx.dispatcher.borrow_mut().paths).on_out_of_reach(cx.now(), target);
+    if is_new {
+        info!(cx.log, "path"; "target" => %target.id, "verdict" => "out of reach");
+    }
+}
+
 /// Records that a peer could not reach a target either, so that the failure is the target's.
 pub(super) fn on_target_down(cx: &Gateway, target: &TargetRecord, e: ConnectError) {
     let now = cx.now();
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -42,7 +42,7 @@
     };
     let relayed = open_through_peer(cx, target).await;
     if relayed.is_err() {
-        (cx.dispatcher.borrow_mut().paths).on_out_of_reach(cx.now(), target);
+        path_checks::on_out_of_reach(cx, target);
     }
     match relayed {
         Ok((stream, peer)) => opening.finish(stream, Some(peer)).await,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod membership;
 pub mod openai;
 pub mod outages;
+mod path_groups;
 pub mod paths;
 pub mod placement;
 mod pools;
--- a/src/paths.rs
+++ b/src/paths.rs
@@ -12,17 +12,15 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 
 use crate::{
     discovery::TargetRecord,
-    ids::{DataHall, ServiceName, TargetId},
+    ids::TargetId,
+    path_groups::{GroupState, MIN_FAILING_TARGETS, OUT_OF_REACH_FOR, PathGroup},
     units::Instant,
 };
 
-/// Number of targets of a group that can't be reached at which the others are not trusted either.
-const MIN_FAILING_TARGETS: usize = 2;
-
 /// Mean interval between two checks of a path.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -41,9 +39,6 @@
 /// Time after the start of a doubt by when checks of other paths have succeeded, if any of them works.
 const CHECKED_AFTER: Duration = Duration::from_millis(300);
 
-/// Time for which calls prefer other targets to one that neither this router nor a peer reached.
-const OUT_OF_REACH_FOR: Duration = Duration::from_secs(1);
-
 /// Whether a router reaches targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Soundness {
@@ -64,80 +59,6 @@
     ThroughPeer,
 }
 
-/// Targets whose paths are likely to fail together.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum Group {
-    All,
-    Hall(DataHall),
-    Service(ServiceName),
-}
-
-impl Group {
-    fn of(target: &TargetRecord) -> [Self; 3] {
-        [
-            Self::All,
-            Self::Hall(target.data_hall.clone()),
-            Self::Service(target.service.clone()),
-        ]
-    }
-}
-
-#[derive(Debug, Default)]
-struct GroupState {
-    reached_at: Option<Instant>,
-    failing: FxHashSet<TargetId>,
-    /// Targets that began to fail since one of the group was last reached.
-    failing_in_row: FxHashSet<TargetId>,
-    /// Since when paths of the group are not trusted unless they were seen to work later.
-    doubted_since: Option<Instant>,
-    /// Targets that peers did not reach either.
-    out_of_reach: OutOfReach,
-}
-
-/// Targets of a group that neither this router nor a peer reached, since one of the group was last reached.
-#[derive(Debug, Default)]
-struct OutOfReach {
-    targets: FxHashSet<TargetId>,
-    since: Option<Instant>,
-    /// End of the time in which no other target of the group is expected to be reached.
-    until: Option<Instant>,
-}
-
-impl OutOfReach {
-    fn on_not_reached(&mut self, now: Instant, target: &TargetId) {
-        self.targets.insert(target.clone());
-        self.since.get_or_insert(now);
-        if self.targets.len() >= MIN_FAILING_TARGETS {
-            self.until = Some(now + OUT_OF_REACH_FOR);
-        }
-    }
-
-    /// Returns whether a target that was last reached at `reached_at` is expected to be out of reach.
-    fn includes(&self, now: Instant, reached_at: Option<Instant>) -> bool {
-        self.until.is_some_and(|until| now < until) && reached_at < self.since
-    }
-}
-
-impl GroupState {
-    /// Drops a target that does not fail for a reason that it shares with others.
-    fn remove(&mut self, target: &TargetId) {
-        self.failing.remove(target);
-        self.failing_in_row.remove(target);
-        self.end_doubt_if_unfounded();
-    }
-
-    fn end_doubt_if_unfounded(&mut self) {
-        if self.failing_in_row.len() < MIN_FAILING_TARGETS {
-            self.doubted_since = None;
-        }
-    }
-
-    /// Returns whether a target of the group that was last reached at `reached_at` is not trusted.
-    fn doubts(&self, reached_at: Option<Instant>) -> bool {
-        (self.doubted_since).is_some_and(|since| reached_at < Some(since))
-    }
-}
-
 /// What is known of the path to one target.
 #[derive(Debug, Clone, Copy, Default)]
 struct Path {
@@ -176,7 +97,9 @@
 #[derive(Debug, Default)]
 pub struct TargetPaths {
     by_target: FxHashMap<TargetId, Path>,
-    groups: FxHashMap<Group, GroupState>,
+    groups: FxHashMap<PathGroup, GroupState>,
+    /// End of the time in which some target is out of reach.
+    some_out_of_reach_until: Option<Instant>,
     checks: FxHashMap<TargetId, Check>,
 }
 
@@ -190,9 +113,9 @@
         path.out_of_reach_until = None;
         self.checks.remove(&target.id);
         self.on_sign_of_life(now, target);
-        for group in Group::of(target) {
+        for group in PathGroup::of(target) {
             if let Some(state) = self.groups.get_mut(&group) {
-                state.failing.remove(&target.id);
+                state.remove(&target.id);
             }
         }
         was_failing
@@ -208,12 +131,9 @@
     }
 
     fn on_sign_of_life(&mut self, now: Instant, target: &TargetRecord) {
-        for group in Group::of(target) {
+        for group in PathGroup::of(target) {
             let state = self.groups.entry(group).or_default();
-            state.reached_at = Some(now);
-            state.failing_in_row.clear();
-            state.doubted_since = None;
-            state.out_of_reach = OutOfReach::default();
+            state.on_reached(now);
         }
     }
 
@@ -239,13 +159,9 @@
     }
 
     fn add_failing(&mut self, now: Instant, target: &TargetRecord) {
-        for group in Group::of(target) {
+        for group in PathGroup::of(target) {
             let state = self.groups.entry(group).or_default();
-            state.failing.insert(target.id.clone());
-            state.failing_in_row.insert(target.id.clone());
-            if state.failing_in_row.len() >= MIN_FAILING_TARGETS {
-                state.doubted_since.get_or_insert(now);
-            }
+            state.on_failing(now, &target.id);
         }
     }
 
@@ -255,7 +171,7 @@
         let path = self.by_target.entry(target.id.clone()).or_default();
         let is_new = !std::mem::replace(&mut path.is_target_down, true);
         self.checks.remove(&target.id);
-        for group in Group::of(target) {
+        for group in PathGroup::of(target) {
             if let Some(state) = self.groups.get_mut(&group) {
                 state.remove(&target.id);
             }
@@ -270,32 +186,39 @@
         if std::mem::take(&mut path.is_target_down) && path.is_failing() {
             self.add_failing(now, target);
         }
-        for group in Group::of(target) {
+        for group in PathGroup::of(target) {
             if let Some(state) = self.groups.get_mut(&group) {
-                state.out_of_reach = OutOfReach::default();
+                state.on_relayed();
             }
         }
     }
 
     /// Records that neither this router nor a peer that it asked reached a target. After two of a group, others
-    /// of it that were not reached since are not expected to be reached either.
-    pub fn on_out_of_reach(&mut self, now: Instant, target: &TargetRecord) {
+    /// of it that were not reached since are not expected to be reached either. Returns whether this is new.
+    pub fn on_out_of_reach(&mut self, now: Instant, target: &TargetRecord) -> bool {
+        let is_new = !self.is_out_of_reach(now, target);
+        let until = Some(now + OUT_OF_REACH_FOR);
+        self.some_out_of_reach_until = until;
         let path = self.by_target.entry(target.id.clone()).or_default();
-        path.out_of_reach_until = Some(now + OUT_OF_REACH_FOR);
-        for group in Group::of(target) {
+        path.out_of_reach_until = until;
+        for group in PathGroup::of(target) {
             let state = self.groups.entry(group).or_default();
-            state.out_of_reach.on_not_reached(now, &target.id);
+            state.on_out_of_reach(now, &target.id);
         }
+        is_new
     }
 
     /// Returns whether calls had better go to other targets, as neither this router nor a peer is expected to
     /// reach this one.
     pub fn is_out_of_reach(&self, now: Instant, target: &TargetRecord) -> bool {
+        if (self.some_out_of_reach_until).is_none_or(|until| now >= until) {
+            return false;
+        }
         let path = self.by_target.get(&target.id).copied().unwrap_or_default();
-        let groups = Group::of(target);
+        let groups = PathGroup::of(target);
         let mut states = groups.iter().filter_map(|g| self.groups.get(g));
         path.out_of_reach_until.is_some_and(|until| now < until)
-            || states.any(|s| s.out_of_reach.includes(now, path.reached_at()))
+            || states.any(|s| s.is_out_of_reach(now, path.reached_at()))
     }
 
     /// Has the path to a target that owes answers checked.
@@ -333,20 +256,23 @@
     }
 
     fn is_presumed_lost(&self, target: &TargetRecord, reached_at: Option<Instant>) -> bool {
-        let groups = Group::of(target);
+        let groups = PathGroup::of(target);
         let mut states = groups.iter().filter_map(|g| self.groups.get(g));
         states.any(|s| s.doubts(reached_at))
     }
 
     /// Returns whether this router may be cut off from all targets.
     pub fn is_cut_off(&self) -> bool {
-        let all = self.groups.get(&Group::All);
+        let all = self.groups.get(&PathGroup::All);
         all.is_some_and(|state| state.doubted_since.is_some())
     }
 
     /// Returns whether this router reaches targets, as far as that is known without a check.
     pub fn soundness(&self, now: Instant) -> Soundness {
-        let doubted_since = self.groups.get(&Group::All).and_then(|g| g.doubted_since);
+        let doubted_since = self
+            .groups
+            .get(&PathGroup::All)
+            .and_then(|g| g.doubted_since);
         let reached = self.any_reached_at();
         match doubted_since {
             Some(since) if now.since(since) >= CHECKED_AFTER => Soundness::CutOff,
@@ -425,14 +351,14 @@
 
     /// Returns when this router last reached any target.
     pub fn any_reached_at(&self) -> Option<Instant> {
-        self.groups.get(&Group::All)?.reached_at
+        self.groups.get(&PathGroup::All)?.reached_at
     }
 
     /// Returns the number of targets to which no connection opens, for a reason that is not known to be
     /// theirs.
     pub fn failing_count(&self) -> usize {
-        let all = self.groups.get(&Group::All);
-        all.map_or(0, |state| state.failing.len())
+        let all = self.groups.get(&PathGroup::All);
+        all.map_or(0, |state| state.failing_count())
     }
 
     /// Drops what is known of targets that are not listed.
@@ -440,10 +366,7 @@
         self.by_target.retain(|id, _| listed(id));
         self.checks.retain(|id, _| listed(id));
         for state in self.groups.values_mut() {
-            state.failing.retain(&listed);
-            state.failing_in_row.retain(&listed);
-            state.out_of_reach.targets.retain(&listed);
-            state.end_doubt_if_unfounded();
+            state.retain(&listed);
         }
     }
 }
