A backoff asked for by an instance that is not listed yet goes over to it

Cause: a target crashed and restarted at its address 0.6 to 1.2 s before the router read so in the store.

Change: a backoff that arrived after the last break of a connection to the target goes over to the next instance when the restart is read. One from before a break was the former instance's and ends with it, as does an announcement to leave.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -327,6 +327,7 @@
     let now = cx.now();
     let after = now.since(sent);
     let mut dispatcher = cx.dispatcher.borrow_mut();
+    dispatcher.withdrawals.on_broke(now, target);
     let outages = &mut dispatcher.health.outages;
     if outages.on_broke(now, target.into(), after) {
         info!(cx.log, "outage"; "id" => call.id(), "target" => %target,
--- a/src/edge/path_checks.rs
+++ b/src/edge/path_checks.rs
@@ -108,6 +108,7 @@
         .reached_at(&target.id)
         .map(|at| now.since(at));
     let any_ago = dispatcher.paths.any_reached_at().map(|at| now.since(at));
+    dispatcher.withdrawals.on_broke(now, &target.id);
     let is_new = dispatcher.paths.on_not_reached(now, target);
     if !is_new {
         return;
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -80,7 +80,7 @@
         for hall in halls {
             log_hall(cx, &hall, update.revision);
         }
-        log_targets(cx, &changes, update.revision);
+        on_targets_changed(cx, &changes, update.revision);
     }
     if let Some(saved) = saved {
         saved_state::restore(cx, saved, is_first);
@@ -201,12 +201,18 @@
         let mut dispatcher = cx.dispatcher.borrow_mut();
         dispatcher.discovery.on_changes(now, changes)
     };
-    log_targets(cx, &changes, at);
+    on_targets_changed(cx, &changes, at);
 }
 
-/// Logs the effects of one update on targets: each one, or only their number if there are many. Targets
-/// whose instance ended are always logged.
-fn log_targets(cx: &Gateway, changes: &Changes, at: StoreRevision) {
+/// Handles the effects of one update on targets. Each one is logged, or only their number if there are many;
+/// targets whose instance ended are always logged.
+fn on_targets_changed(cx: &Gateway, changes: &Changes, at: StoreRevision) {
+    for pair in changes.windows(2) {
+        if let [(former, TargetChange::Restarted), (current, _)] = pair {
+            let withdrawals = &mut cx.dispatcher.borrow_mut().withdrawals;
+            withdrawals.on_restarted(former, current);
+        }
+    }
     let is_many = changes.len() > MAX_TARGETS_LOGGED;
     for (id, change) in changes {
         match is_many && !change.ends_instance() {
--- a/src/withdrawals.rs
+++ b/src/withdrawals.rs
@@ -4,7 +4,8 @@
 //! Decides from these headers alone which targets get no calls from the router that received them.
 //! A target's entry in the list also says that it is leaving, but later, and not while the store is
 //! unavailable; it never says that a target backs off. A withdrawal applies until the target
-//! restarts, whatever happens to its entry; after a restart the target has another [`TargetId`].
+//! restarts, whatever happens to its entry; after a restart the target has another [`TargetId`], and a backoff
+//! goes over to it only if the new instance must have asked for it.
 
 use std::{fmt, num::NonZeroUsize, rc::Rc, str::FromStr, time::Duration};
 
@@ -115,6 +116,8 @@
 struct WithdrawalEntry {
     /// When the target first asked for no calls.
     at: Instant,
+    /// When it last did.
+    stated_at: Instant,
     /// End of the withdrawal; `None` where it is for good.
     until: Option<Instant>,
 }
@@ -128,6 +131,7 @@
     fn merged_with(self, before: Option<Self>) -> Self {
         before.map_or(self, |before| Self {
             at: before.at,
+            stated_at: self.stated_at,
             until: before.until.zip(self.until).map(|(a, b)| a.max(b)),
         })
     }
@@ -146,12 +150,15 @@
 #[derive(Debug)]
 pub struct Withdrawals {
     by_target: LruCache<TargetId, WithdrawalEntry, FxBuildHasher>,
+    /// When a connection to each target last broke or could not be opened.
+    broke_at: LruCache<TargetId, Instant, FxBuildHasher>,
 }
 
 impl Default for Withdrawals {
     fn default() -> Self {
         Self {
             by_target: LruCache::with_hasher(MAX_REMEMBERED_TARGETS, FxBuildHasher),
+            broke_at: LruCache::with_hasher(MAX_REMEMBERED_TARGETS, FxBuildHasher),
         }
     }
 }
@@ -172,6 +179,7 @@
             .filter(|b| b.is_active(now));
         let current = WithdrawalEntry {
             at: now,
+            stated_at: now,
             until: withdrawal.backoff().map(|backoff| now + backoff),
         };
         let current = current.merged_with(before);
@@ -179,6 +187,23 @@
         before.is_none_or(|b| b.until.is_some() && current.until.is_none())
     }
 
+    /// Records that a connection to a target broke or could not be opened.
+    pub fn on_broke(&mut self, now: Instant, target: &TargetId) {
+        self.broke_at.put(target.clone(), now);
+    }
+
+    /// Handles a restart, of which the router learns later than connections to the new instance open. A backoff
+    /// that was asked for after the last break of a connection is the new instance's.
+    pub fn on_restarted(&mut self, former: &TargetId, current: &TargetId) {
+        let broke_at = self.broke_at.pop(former);
+        let stated = self.by_target.peek(former).copied();
+        let stated =
+            stated.filter(|s| s.until.is_some() && broke_at.is_some_and(|b| b < s.stated_at));
+        if let Some(stated) = stated {
+            self.by_target.put(current.clone(), stated);
+        }
+    }
+
     /// Returns the withdrawal of a target that accepts no calls now.
     pub fn get(&self, now: Instant, target: &TargetId) -> Option<Withdrawn> {
         let withdrawal = self.by_target.peek(target).filter(|s| s.is_active(now))?;
--- a/tests/decisions/withdrawals.rs
+++ b/tests/decisions/withdrawals.rs
@@ -77,6 +77,30 @@
     assert_eq!(reached_targets(&mut d, at(20)), ["t0~7"]);
 }
 
+#[rstest]
+#[case::after_the_break(&[100], backoff("2"), true)]
+#[case::before_the_break(&[100, 300], backoff("2"), false)]
+#[case::nothing_broke(&[], backoff("2"), false)]
+#[case::for_good(&[100], Withdrawal::Leaving, false)]
+fn a_backoff_of_an_instance_that_is_not_listed_yet_goes_over_to_it(
+    #[case] broke_at_ms: &[u64],
+    #[case] withdrawal: Withdrawal,
+    #[case] goes_over: bool,
+) {
+    let (former, current) = (record(0).id, record(1).id);
+    let mut withdrawals = Withdrawals::default();
+    for ms in broke_at_ms.iter().filter(|ms| **ms < 200) {
+        withdrawals.on_broke(at(*ms), &former);
+    }
+    withdrawals.on_withdrawal(at(200), &former, withdrawal);
+    for ms in broke_at_ms.iter().filter(|ms| **ms > 200) {
+        withdrawals.on_broke(at(*ms), &former);
+    }
+    withdrawals.on_restarted(&former, &current);
+    assert_eq!(withdrawals.get(at(1_000), &current).is_some(), goes_over);
+    assert_eq!(withdrawals.get(at(2_300), &current), None);
+}
+
 #[test]
 fn a_target_that_asked_for_time_gets_calls_when_it_is_over() {
     let mut d = dispatcher(2);
