--- a/src/paths.rs
+++ b/src/paths.rs
@@ -358,7 +358,7 @@
     /// theirs.
     pub fn failing_count(&self) -> usize {
         let all = self.groups.get(&PathGroup::All);
-        all.map_or(0, |state| state.failing_count())
+        all.map_or(0, GroupState::failing_count)
     }
 
     /// Drops what is known of targets that are not listed.
