--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -430,7 +430,7 @@
         }
     }
 
-    /// Returns the health of a target as calls of this router find it.
+    /// Returns the health of a target; one out of reach of this router is at least suspected.
     pub fn status(&self, now: Instant, target: &TargetRecord) -> HealthStatus {
         status(&self.health, &self.paths, now, target)
     }
@@ -569,7 +569,7 @@
     }
 }
 
-/// Returns the health of a target as calls of this router find it.
+/// The same as [`Dispatcher::status`], for callers that borrow parts of the dispatcher.
 fn status(
     health: &Health,
     paths: &TargetPaths,
--- a/src/edge/conn.rs
+++ b/src/edge/conn.rs
@@ -65,9 +65,7 @@
     pub(crate) fn idle_time(&self) -> Option<Duration> {
         self.idle_time
     }
-}
 
-impl Conn {
     /// Returns whether the connection passes through a peer.
     pub(crate) fn is_tunnel(&self) -> bool {
         self.via.is_some()
