Log the software version of targets, and which stream a call takes up

Lines of attempts say of which version the router takes the target to be and after which event the attempt goes on, lines of calls which earlier call they name. The version was decoded and dropped. Needed to tell the hypotheses on streams at two versions apart; no decision reads either yet.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -194,6 +194,7 @@
         max_tokens: None,
         state: TargetState::Ready,
         cold_for: Duration::ZERO,
+        version: Default::default(),
     };
     let now = Instant::default();
     let all = || (0..targets).map(|n| (record(n, 64), StoreRevision::first_era(1)));
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -92,6 +92,7 @@
             TargetIntent::Leave => TargetState::Leaving,
         },
         cold_for: Duration::ZERO,
+        version: Default::default(),
     };
     config.targets.iter().map(record).collect()
 }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -32,6 +32,8 @@
     pub key: Option<String>,
     /// Id of the last event that the caller received of an interrupted response.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's earlier call whose stream this one takes up.
+    pub resumes: Option<String>,
     /// Parts of the prompt of a call to a model engine; empty for others.
     pub prompt: Vec<PromptPart>,
     /// Number of leading prompt parts that calls of other chats may begin with as well.
@@ -54,6 +56,7 @@
             deadline: None,
             key: None,
             last_event_id: None,
+            resumes: None,
             prompt: Vec::new(),
             shared_parts: 0,
             conversation: None,
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -122,6 +122,7 @@
     let too_large = Refusal::new(ResultCode::BodyTooLarge, "body above the limit");
     let body = body.ok_or(too_large)?;
     let facts = cx.dialect.parse_call(&head, &body, id.as_deref())?;
+    call_guard.resumes.clone_from(&facts.resumes);
     let admitted = config.admit(&facts.routing_key, facts.key.as_deref());
     let (route, key_owner) = admitted.map_err(|denied| match denied {
         Denied::NoRoute => facts.no_route_refusal.clone(),
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -22,6 +22,8 @@
     id: String,
     fingerprint: Fingerprint,
     shared_part: Option<PartId>,
+    /// Id of the last event that the caller had when the attempt began.
+    after_event: Option<u64>,
     started_at: Instant,
     /// Withdrawal of the target that the head of the answer announced.
     withdrawal: Option<Withdrawal>,
@@ -40,6 +42,7 @@
             id: call.id().to_owned(),
             fingerprint: call.fingerprint,
             shared_part: call.plan.shared_parts().last().map(|p| p.id),
+            after_event: call.last_event,
             started_at: now,
             withdrawal: None,
             is_ended: false,
@@ -137,7 +140,7 @@
                 why: why.to_owned(),
             },
         });
-        info!(log, "attempt"; "id" => &self.id, "fingerprint" => %self.fingerprint, "target" => %target, "outcome" => why,
+        info!(log, "attempt"; "id" => &self.id, "fingerprint" => %self.fingerprint, "target" => %target, "version" => %self.ticket.target.version, "after_event" => self.after_event, "outcome" => why,
             "took_ms" => now.since(self.started_at).as_millis() as u64,
             "calls_there" => self.ticket.calls,
             "weighed" => self.ticket.scored_targets, "counted_ms_ago" => self.ticket.counted_ago.as_millis() as u64, "slowdown" => self.ticket.time_factor.percent(), "tokens_missing" => self.ticket.missing.0,
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -59,6 +59,8 @@
     id: String,
     pub(crate) route: String,
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// Id of the call whose stream this one takes up.
+    pub(crate) resumes: Option<String>,
     received: Instant,
     is_logged: Cell<bool>,
     account_place: Option<AccountPermit>,
@@ -113,6 +115,7 @@
             id: id.unwrap_or("-").to_owned(),
             route: String::new(),
             fingerprint: None,
+            resumes: None,
             received: cx.now(),
             is_logged: Cell::new(false),
             account_place: None,
@@ -152,7 +155,7 @@
         });
         let age = self.cx.freshness.borrow().age(now);
         let revision = self.cx.serving().map(|c| c.revision);
-        info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "route" => &self.route, "code" => end.name,
+        info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "resumes" => &self.resumes, "route" => &self.route, "code" => end.name,
             "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
             "took_ms" => took.as_millis() as u64, "config_revision" => revision.map(|r| r.number),
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -212,6 +212,45 @@
 
 pub(crate) use number_id;
 
+/// Version of the software that a target runs, as its operators name it. Targets that state none have the empty
+/// version.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(std::sync::Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Default for SoftwareVersion {
+    fn default() -> Self {
+        Self("".into())
+    }
+}
+
+impl From<&str> for SoftwareVersion {
+    fn from(s: &str) -> Self {
+        Self(s.into())
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = std::convert::Infallible;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        Ok(s.into())
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 number_id!(
     /// Position of a change in the log of accepted changes; 0 is the empty configuration.
     Revision
--- a/src/target_record.rs
+++ b/src/target_record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{DataHall, ServiceName, TargetId},
+    ids::{DataHall, ServiceName, SoftwareVersion, TargetId},
     units::Tokens,
 };
 
@@ -38,4 +38,6 @@
     pub state: TargetState,
     /// How much longer the target was cold when it wrote its entry.
     pub cold_for: Duration,
+    /// Version of the software that the target runs.
+    pub version: SoftwareVersion,
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -77,6 +77,7 @@
         slots: 64,
         max_tokens: None,
         cold_for: Duration::ZERO,
+        version: Default::default(),
         state: TargetState::Ready,
     }
 }
--- a/tests/load/cut_off.rs
+++ b/tests/load/cut_off.rs
@@ -48,6 +48,7 @@
         slots: 8,
         max_tokens: None,
         cold_for: Duration::ZERO,
+        version: Default::default(),
         state: TargetState::Ready,
     }
 }
--- a/tests/load/model/setup.rs
+++ b/tests/load/model/setup.rs
@@ -68,6 +68,7 @@
         slots,
         max_tokens: None,
         cold_for: Duration::ZERO,
+        version: Default::default(),
         state: TargetState::Ready,
     }
 }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -95,6 +95,7 @@
         slots: 64,
         max_tokens: None,
         cold_for: Duration::ZERO,
+        version: Default::default(),
         state,
     }
 }
