Streams go on only at the software version that began them

Cause: the version of a target was decoded and dropped; a stream's second target was placed like a new call, and Resumes was read by nothing. Class: state that belongs to the work was known only by one attempt.

The progress of a stream now carries its origin and is part of what a call is placed by, so each way to a further target is bound by it. For streams that callers take up, three routers that own the stream's key are told its origin while versions are mixed, and asked. Where nobody knows and versions are mixed, or no target of the version is left, the call is refused at once as not run (3011) instead of being joined.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -26,10 +26,11 @@
     },
     discovery::{Discovery, ListChange, TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher},
-    ids::{ConversationKey, Revision},
+    ids::{ConversationKey, Revision, SoftwareVersion},
     prompt_cache::{PartId, PromptCache, PromptPart},
     retry::BudgetRule,
     store::PackedValue,
+    stream_origin::StreamProgress,
     units::{Instant, Priority, StoreRevision, Tokens, Weight},
 };
 use support::{
@@ -128,6 +129,7 @@
     let rules = scaleford::edge::Rules {
         revoke_bound: None,
         cap_factor: 1.25,
+        leaving_use_time: Duration::from_millis(800),
         budget: BudgetRule {
             ratio: 0.2,
             window: Duration::from_secs(10),
@@ -194,7 +196,7 @@
         max_tokens: None,
         state: TargetState::Ready,
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
     };
     let now = Instant::default();
     let all = || (0..targets).map(|n| (record(n, 64), StoreRevision::first_era(1)));
@@ -249,6 +251,7 @@
         surge: Surge::None,
         claim: Claim::default(),
         warm_up: None,
+        progress: StreamProgress::NotBegun,
         tried: Vec::new(),
     }
 }
--- a/src/call_plan.rs
+++ b/src/call_plan.rs
@@ -9,6 +9,7 @@
     config::serving::{CallKind, EngineSpec},
     ids::{ConversationKey, ServiceName, TargetId},
     prompt_cache::PromptPart,
+    stream_origin::StreamProgress,
     units::Tokens,
 };
 
@@ -40,6 +41,8 @@
     pub surge: Surge,
     /// Calls with which it competes for room at a pool that is divided by demand.
     pub claim: Claim,
+    /// How far the caller has the stream that answers the call. It decides which targets may continue it.
+    pub progress: StreamProgress,
     /// Targets to which the call was already sent.
     pub tried: Vec<TargetId>,
 }
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     discovery::{TargetRecord, TargetState},
-    ids::{ClientAccountId, ModelName, Revision, ServiceName},
+    ids::{ClientAccountId, ModelName, Revision, ServiceName, SoftwareVersion},
     limits::AccountLimits,
     units::{ConfigVersion, Rank, StoreRevision, Tokens, Weight},
 };
@@ -92,7 +92,7 @@
             TargetIntent::Leave => TargetState::Leaving,
         },
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
     };
     config.targets.iter().map(record).collect()
 }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -18,6 +18,8 @@
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
     pools::Pools,
+    service_versions::ServiceVersions,
+    stream_origin::{ServiceHash, StreamOrigin},
     units::{Instant, StoreRevision},
 };
 pub use crate::{
@@ -39,6 +41,9 @@
 /// Number of targets of a service below which all of them are saved for routers that start.
 const SMALL_SERVICE_TARGETS: usize = 512;
 
+/// Time for which targets are remembered that leave, longer than any setting lets streams go on there.
+const LEAVING_KEPT: Duration = Duration::from_secs(10);
+
 /// Number of removals that are remembered in addition to a quarter of the targets, so that older
 /// changes of the removed entries are ignored. It is several times the number of targets that leave
 /// within the seconds that a change may take to arrive.
@@ -67,6 +72,9 @@
     /// Entries that were removed, each with the write that removed it.
     removed: HashMap<TargetName, StoreRevision>,
     pools: Pools,
+    versions: ServiceVersions,
+    /// Targets that said that they leave, or that left the list, each with the time of that.
+    leaving: Vec<(Instant, Rc<TargetRecord>)>,
     /// Earliest time at which an entry that went missing ceases to count.
     missing_until: Option<Instant>,
     /// Targets that are cold according to their entries, each with the time until which it is cold.
@@ -144,7 +152,7 @@
             changes.extend(match change {
                 ListChange::Put(record) => self.put(now, record, revision),
                 ListChange::Removed(name) => self.remove(now, name, revision),
-                ListChange::Unusable(name) => self.drop_unusable(name, revision),
+                ListChange::Unusable(name) => self.drop_unusable(now, name, revision),
             });
         }
         match changes.len() > REINDEX_THRESHOLD {
@@ -188,6 +196,7 @@
     /// unavailable, and they count for [`RETURN_GRACE`]; returns these.
     pub fn on_saved_targets(&mut self, now: Instant, saved: Vec<TargetRecord>) -> Vec<TargetId> {
         let all = saved.len() as f64;
+        saved.iter().for_each(|r| self.versions.on_former(now, r));
         let is_ready = |r: &TargetRecord| r.state == TargetState::Ready;
         let missing = saved.into_iter().filter(is_ready);
         // A target that restarted is listed under its name, though as another instance.
@@ -199,6 +208,7 @@
         let ids = missing.iter().map(|r| r.id.clone()).collect();
         for record in missing {
             self.note_cold(now, &record);
+            self.versions.on_listed(&record);
             let listed = ListedTarget {
                 record: Rc::new(record),
                 // Every write of the store is newer.
@@ -239,6 +249,9 @@
     /// Removes missing entries whose grace period is over; returns their targets.
     pub fn on_tick(&mut self, now: Instant) -> Vec<TargetId> {
         self.cold.retain(|_, until| now < *until);
+        self.versions.on_tick(now);
+        self.leaving
+            .retain(|(since, _)| now.since(*since) < LEAVING_KEPT);
         // Skips the scan of thousands of targets, which would run many times a second, where none
         // is missing.
         if self.missing_until.is_none_or(|until| now < until) {
@@ -246,9 +259,12 @@
         }
         let is_expired = |l: &mut ListedTarget| l.missing_until.is_some_and(|until| now >= until);
         let expired = self.targets.extract_if(.., |_, listed| is_expired(listed));
-        let expired: Vec<TargetId> = expired.map(|(_, l)| l.record.id.clone()).collect();
+        let expired: Vec<Rc<TargetRecord>> = expired.map(|(_, l)| l.record).collect();
+        for record in &expired {
+            self.versions.on_delisted(now, record);
+        }
         self.index();
-        expired
+        expired.iter().map(|record| record.id.clone()).collect()
     }
 
     /// Handles a write that evacuates a data hall or takes it back into service; returns whether
@@ -324,6 +340,32 @@
         self.pools.serving(service)
     }
 
+    /// Returns the version that began all streams of a service which may be in progress; `None` if there
+    /// are several versions or none.
+    pub fn sole_version(&self, now: Instant, service: ServiceHash) -> Option<StreamOrigin> {
+        self.versions.sole(now, service)
+    }
+
+    /// Whether streams of several versions of a service may be in progress.
+    pub fn has_mixed_versions(&self, now: Instant, service: ServiceHash) -> bool {
+        self.versions.is_mixed(now, service)
+    }
+
+    /// Returns the targets of a service that began to leave less than `within` ago: they serve on for a
+    /// while. At most those of the last seconds are known.
+    pub fn leaving(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        within: Duration,
+    ) -> impl Iterator<Item = &Rc<TargetRecord>> {
+        let recent = self.leaving.iter();
+        let recent = recent.filter(move |(since, _)| now.since(*since) < within);
+        let of_service = recent.map(|(_, target)| target);
+        of_service
+            .filter(move |t| t.service == *service && !self.evacuations.is_evacuated(&t.data_hall))
+    }
+
     /// Returns the targets that take work, by service.
     pub(crate) fn pools(&self) -> &Pools {
         &self.pools
@@ -354,13 +396,21 @@
             Some(_) if former.is_none() => TargetChange::Changed,
             _ => TargetChange::Added,
         };
+        let was_ready = before.is_none_or(|l| l.record.state == TargetState::Ready);
         self.note_cold(now, &record);
+        let record = Rc::new(record);
+        if verdict == TargetChange::Leaving && was_ready {
+            self.leaving.push((now, Rc::clone(&record)));
+        }
+        self.versions.on_listed(&record);
         let listed = ListedTarget {
-            record: Rc::new(record),
+            record,
             revision,
             missing_until: None,
         };
-        self.targets.insert(name, listed);
+        if let Some(before) = self.targets.insert(name, listed) {
+            self.versions.on_delisted(now, &before.record);
+        }
         let restarted = former.map(|former| (former, TargetChange::Restarted));
         restarted.into_iter().chain([(id, verdict)]).collect()
     }
@@ -382,22 +432,38 @@
                 vec![(id, TargetChange::Kept)]
             }
             _ => {
-                self.targets.remove(&name);
+                if listed.record.state == TargetState::Ready {
+                    self.leaving.push((now, Rc::clone(&listed.record)));
+                }
+                self.take(now, &name);
                 self.remember_removed(name, revision);
                 vec![(id, TargetChange::Gone)]
             }
         }
     }
 
+    /// Takes a target from the list.
+    fn take(&mut self, now: Instant, name: &TargetName) {
+        let Some(listed) = self.targets.remove(name) else {
+            return;
+        };
+        self.versions.on_delisted(now, &listed.record);
+    }
+
     /// Removes a target whose entry became unusable. Its former entry no longer applies, also right
     /// after an outage of the store.
-    fn drop_unusable(&mut self, name: TargetName, revision: StoreRevision) -> Changes {
+    fn drop_unusable(
+        &mut self,
+        now: Instant,
+        name: TargetName,
+        revision: StoreRevision,
+    ) -> Changes {
         let is_older = |l: &&ListedTarget| l.revision <= revision;
         let Some(listed) = self.targets.get(&name).filter(is_older) else {
             return Changes::new();
         };
         let id = listed.record.id.clone();
-        self.targets.remove(&name);
+        self.take(now, &name);
         self.remember_removed(name, revision);
         vec![(id, TargetChange::Unusable)]
     }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -102,6 +102,8 @@
     pub cold: ColdShares,
     hall: DataHall,
     cap_factor: f64,
+    /// Time for which a leaving target still gets streams that no other target can continue.
+    leaving_use_time: Duration,
     swept_at: Instant,
 }
 
@@ -128,6 +130,7 @@
             cold: ColdShares::new(rules.cold),
             hall,
             cap_factor: rules.cap_factor,
+            leaving_use_time: rules.leaving_use_time,
             swept_at: Instant::default(),
         }
     }
@@ -135,6 +138,7 @@
     /// Applies changed rules; counts are kept.
     pub fn set_rules(&mut self, rules: &Rules) {
         self.cap_factor = rules.cap_factor;
+        self.leaving_use_time = rules.leaving_use_time;
         self.budget.set_rule(rules.budget);
         self.cold.set_rule(rules.cold);
         self.shares.set_scope(rules.shares);
@@ -147,10 +151,16 @@
         let mut scored_targets = 0;
         let scored = preselected.unwrap_or_else(|| self.all_targets(now, plan));
         if scored.targets.is_empty() {
-            return Err(self.placement_error(now, &plan.service));
+            return Err(match plan.progress.is_begun() {
+                true => PlacementError::VersionGone,
+                false => self.placement_error(now, &plan.service),
+            });
         }
-        let is_divided = self.count_demand(now, plan, &scored);
-        let is_admitted = self.admits(now, plan, &scored, is_divided);
+        // A stream that has begun can go on at few targets, and none of its answer may be lost, so it goes
+        // before calls that any target can serve.
+        let is_begun = plan.progress.is_begun();
+        let is_divided = !is_begun && self.count_demand(now, plan, &scored);
+        let is_admitted = is_begun || self.admits(now, plan, &scored, is_divided);
         if !is_admitted && !is_divided {
             self.on_refusal(now, plan, PlacementError::AllFull);
             return Err(PlacementError::AllFull);
@@ -168,6 +178,14 @@
             scored_targets += all.targets.len();
             found = self.select(now, plan, &all);
         }
+        if is_begun
+            && matches!(
+                found,
+                Err(PlacementError::AllFull | PlacementError::AllCold)
+            )
+        {
+            found = self.select_least_loaded(now, plan, &scored);
+        }
         let (target, view) = found.inspect_err(|e| self.on_refusal(now, plan, *e))?;
         let ticket = Ticket {
             target,
@@ -195,8 +213,57 @@
         Ok(ticket)
     }
 
+    /// Selects the target with the fewest calls per slot of those that were not tried.
+    fn select_least_loaded(
+        &self,
+        now: Instant,
+        plan: &CallPlan,
+        scored: &ScoredTargets,
+    ) -> Result<(Rc<TargetRecord>, TargetView), PlacementError> {
+        let context = self.service_context(now, plan);
+        let untried = scored
+            .targets
+            .iter()
+            .filter(|t| !plan.tried.contains(&t.id));
+        let views = untried.map(|t| (t, self.target_view(now, t, plan, &context, None)));
+        let load = |view: &TargetView| f64::from(view.counts.all()) / f64::from(view.slots.max(1));
+        let least = views.min_by(|a, b| load(&a.1).total_cmp(&load(&b.1)));
+        let (target, view) = least.ok_or(PlacementError::NoTarget)?;
+        Ok((Rc::clone(target), view))
+    }
+
+    /// Returns the targets that may continue a stream: those of the version that began it. If all of these
+    /// are leaving, they are used as long as they surely serve on.
+    fn continuing_targets(&self, now: Instant, plan: &CallPlan) -> Vec<Rc<TargetRecord>> {
+        let may_continue = |t: &&Rc<TargetRecord>| plan.progress.may_continue_at(t);
+        let serving = self.discovery.serving(&plan.service);
+        let accepting = self.withdrawals.accepting(now, serving);
+        let ready: Vec<_> = accepting
+            .into_iter()
+            .filter(may_continue)
+            .cloned()
+            .collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        let within = self.leaving_use_time;
+        let leaving = self.discovery.leaving(now, &plan.service, within);
+        let is_open = |t: &&Rc<TargetRecord>| self.withdrawals.get(now, &t.id).is_none();
+        leaving
+            .filter(may_continue)
+            .filter(is_open)
+            .cloned()
+            .collect()
+    }
+
     /// Returns all targets of the call's service that accept calls.
     fn all_targets(&self, now: Instant, plan: &CallPlan) -> ScoredTargets {
+        if plan.progress.is_begun() {
+            return ScoredTargets {
+                targets: self.continuing_targets(now, plan),
+                sample_len: None,
+            };
+        }
         let serving = self.discovery.serving(&plan.service);
         // Without this filter, 151 of 444 attempts within 7 s failed at three of nine targets that backed
         // off, and calls were sent for 12 s to a target that was leaving (counted from log lines of
@@ -211,6 +278,9 @@
     /// Returns the preselected targets that are scored first when there are very many. Returns `None` if
     /// all targets are to be scored, or if none of the sample accepts calls.
     fn preselected_targets(&self, now: Instant, plan: &CallPlan) -> Option<ScoredTargets> {
+        if plan.progress.is_begun() {
+            return None;
+        }
         let preselected = self.discovery.pools().candidates(plan, &self.cache)?;
         let is_open = |t: &Rc<TargetRecord>| self.withdrawals.get(now, &t.id).is_none();
         let mut targets = preselected.holders;
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -14,6 +14,7 @@
     crash_checks,
     flow::{AnswerAccount, CallerConn},
     gateway::Gateway,
+    stream_origins::{self, Origin},
 };
 use crate::{
     ResultCode,
@@ -41,6 +42,8 @@
     pub(crate) received: Instant,
     /// Connection on which it arrived.
     pub(crate) conn: Rc<CallerConn>,
+    /// Origin of the stream that it takes up.
+    pub(super) origin: Origin,
 }
 
 /// A call that waits for the first configuration; dropped when the wait ends or its caller is gone.
@@ -118,6 +121,7 @@
         id,
         received,
         conn,
+        origin,
     } = incoming_call;
     let too_large = Refusal::new(ResultCode::BodyTooLarge, "body above the limit");
     let body = body.ok_or(too_large)?;
@@ -128,18 +132,7 @@
         Denied::NoRoute => facts.no_route_refusal.clone(),
         Denied::WrongKey => Refusal::new(ResultCode::WrongKey, "no such key"),
     })?;
-    if cx.phase() >= Phase::Refusing {
-        return Err(Refusal::new(ResultCode::Draining, "stopping"));
-    }
-    if cx.in_progress.get() > cx.cfg.max_calls {
-        let why = "the maximum number of calls is in progress";
-        return Err(Refusal::new(ResultCode::RouterFull, why));
-    }
-    let needs_key = config.requires_keys && !route.public;
-    if needs_key && !cx.may_use_keys(received) {
-        let why = "configuration too old to trust keys";
-        return Err(Refusal::new(ResultCode::ConfigTooOld, why));
-    }
+    check_router(cx, config.requires_keys && !route.public, received)?;
     let account = key_owner.as_ref().map(|h| &h.account);
     let fingerprint = fingerprint(&head, &body, &facts, account);
     call_guard.fingerprint = Some(fingerprint);
@@ -152,9 +145,10 @@
     let account_place = accounts::admit(cx, key_owner.as_ref())
         .map_err(|retry_after| account_limit_refusal(cx, id.as_deref(), retry_after))?;
     let hash = xxh3_64(id.as_deref().unwrap_or_default().as_bytes());
-    let service = route.service_for(hash).cloned();
+    let service = stream_origins::service_for(&route, origin, hash).cloned();
     let no_service = Refusal::new(ResultCode::NoTarget, "no service on the route");
     let service = service.ok_or(no_service)?;
+    let progress = stream_origins::progress(cx, &service, origin, facts.last_event_id)?;
     let spec = config.service(&service);
     let engine = spec.and_then(|s| s.engine);
     cx.count_call(received, &service);
@@ -187,6 +181,7 @@
         claim,
         warm_up: spec.and_then(|s| s.warm_up),
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
+        progress,
         tried: Vec::new(),
         service,
     };
@@ -197,7 +192,6 @@
         fingerprint,
         deadline: received + timeout,
         rank,
-        last_event: facts.last_event_id,
         attempts: Attempts::default(),
         conn_limit: spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns)),
         plan,
@@ -212,6 +206,22 @@
     Ok((call, account_place))
 }
 
+/// Checks that the router accepts calls. One that needs a key is refused while keys can't be trusted.
+fn check_router(cx: &Gateway, needs_key: bool, received: Instant) -> Result<(), Refusal> {
+    if cx.phase() >= Phase::Refusing {
+        return Err(Refusal::new(ResultCode::Draining, "stopping"));
+    }
+    if cx.in_progress.get() > cx.cfg.max_calls {
+        let why = "the maximum number of calls is in progress";
+        return Err(Refusal::new(ResultCode::RouterFull, why));
+    }
+    if needs_key && !cx.may_use_keys(received) {
+        let why = "configuration too old to trust keys";
+        return Err(Refusal::new(ResultCode::ConfigTooOld, why));
+    }
+    Ok(())
+}
+
 /// Returns the expected number of tokens in the answer, if they count as work at the service's engines.
 fn expected_answer(engine: Option<EngineSpec>, facts: &CallInfo) -> Tokens {
     let expected = engine.and_then(|e| e.expected_response);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -55,8 +55,6 @@
     pub(crate) attempts: Attempts,
     /// Urgency of the call.
     pub(crate) rank: Rank,
-    /// Id of the last event that the caller has received.
-    pub(crate) last_event: Option<u64>,
     /// Account of the bytes that are held of the answer.
     pub(crate) answer: AnswerAccount,
 }
@@ -179,6 +177,7 @@
             PlacementError::AllFull => AttemptFailure::not_sent(AttemptEnd::AllFull),
             PlacementError::AllCold => AttemptFailure::not_sent(AttemptEnd::AllCold),
             PlacementError::AllEvacuated => AttemptFailure::not_sent(AttemptEnd::AllEvacuated),
+            PlacementError::VersionGone => AttemptFailure::not_sent(AttemptEnd::VersionGone),
             PlacementError::AllLeaving => AttemptFailure::not_sent(AttemptEnd::AllLeaving),
             PlacementError::AllBackedOff { .. } => {
                 AttemptFailure::not_sent(AttemptEnd::AllBackedOff)
@@ -385,7 +384,7 @@
         fetch_from: ticket.fetch_from.as_ref().map(|t| t.address),
         time_left: call.deadline.since(now),
         account: call.key_owner.as_ref().map(|h| &h.account),
-        last_event_id: call.last_event,
+        last_event_id: call.plan.progress.last_event(),
         rank: (!call.plan.prompt.is_empty()).then_some(call.rank),
     };
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -23,6 +23,8 @@
     AllCold,
     /// All targets are in data halls that are being evacuated.
     AllEvacuated,
+    /// The stream has begun, and no target of the version that began it is left.
+    VersionGone,
     /// All targets have announced that they are leaving.
     AllLeaving,
     /// All targets have asked for no calls for a while, or are leaving.
@@ -79,6 +81,7 @@
             Self::AllFull => "all targets full",
             Self::AllCold => "all targets cold",
             Self::AllEvacuated => "all targets evacuated",
+            Self::VersionGone => "no target of its version left",
             Self::AllLeaving => "all targets leave",
             Self::AllBackedOff => "all targets back off",
             Self::Withdrawn => "target withdrew",
@@ -128,6 +131,7 @@
             | Self::AllFull
             | Self::AllCold
             | Self::AllEvacuated
+            | Self::VersionGone
             | Self::AllLeaving
             | Self::AllBackedOff
             | Self::Withdrawn
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -42,7 +42,7 @@
             id: call.id().to_owned(),
             fingerprint: call.fingerprint,
             shared_part: call.plan.shared_parts().last().map(|p| p.id),
-            after_event: call.last_event,
+            after_event: call.plan.progress.last_event(),
             started_at: now,
             withdrawal: None,
             is_ended: false,
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -22,7 +22,9 @@
     flow::CallerConn,
     gateway::Gateway,
     read_body::{self, BodyError},
-    stream, view,
+    stream,
+    stream_origins::{self, Origin},
+    view,
 };
 use crate::{
     ResultCode,
@@ -77,14 +79,16 @@
             return Ok(refuse(cx, &call_guard, refusal));
         }
     };
-    let incoming_call = IncomingCall {
+    let mut incoming_call = IncomingCall {
         head,
         body,
         id,
         received,
         conn: Rc::clone(conn),
+        origin: Origin::New,
     };
     await_config(cx, &incoming_call).await;
+    incoming_call.origin = stream_origins::find(cx, &incoming_call).await;
     let (call, account_place) = match admit(cx, incoming_call, &mut call_guard) {
         Ok(admitted) => admitted,
         Err(refusal) => return Ok(refuse(cx, &call_guard, refusal)),
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -36,6 +36,13 @@
 /// Error text for a call whose request is quarantined.
 pub(super) const QUARANTINE_TEXT: &str = "targets crashed while they ran this request";
 
+/// Error text for a stream that no target can continue.
+const VERSION_GONE_TEXT: &str = "no target of the version that began the stream is left";
+
+/// Delay after which a caller should retry whose stream no target can continue. Targets of a version that
+/// was taken out of service seldom return, so that earlier retries would be in vain.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Counts a call as in progress until it is dropped.
 struct InProgressGuard(Rc<Gateway>);
 
@@ -241,6 +248,7 @@
     let (code, text) = match failed.end {
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
         AttemptEnd::Quarantined => (ResultCode::HeldBack, QUARANTINE_TEXT),
+        AttemptEnd::VersionGone => (ResultCode::StreamNotContinued, VERSION_GONE_TEXT),
         AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
         AttemptEnd::AllBackedOff => (ResultCode::Overloaded, "all targets back off"),
         _ if call.attempts.sent() > 0 => (ResultCode::TargetRefused, "no target took the request"),
@@ -258,6 +266,7 @@
     let is_shortage = no_capacity || none_left;
     let retry_delay = match failed.end {
         AttemptEnd::Quarantined => crash_checks::quarantine_time_left(cx, call.fingerprint),
+        AttemptEnd::VersionGone => Some(VERSION_GONE_RETRY_AFTER),
         _ => is_shortage.then(|| retry_after(cx, call)),
     };
     respond_error(cx, call_guard, code, text, retry_delay)
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -34,6 +34,7 @@
     slot_gate::SlotGates,
     spans::Spans,
     store::{MetaStore, StoreMirror},
+    stream_origin::StreamOrigins,
     units::{ConfigVersion, Instant},
 };
 
@@ -81,6 +82,9 @@
     pub(crate) accounts: Accounts,
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Wakes the task that tells other routers the origins of streams.
+    pub(crate) origins_changed: Notify,
     pub(super) contention: RefCell<ContentionWatch>,
     pub(crate) flow: FlowControl,
     pub(crate) explain: ExplainRing,
@@ -163,6 +167,8 @@
             accounts: Accounts::default(),
             claims: ClaimRecorder::new(Rc::clone(&store)),
             crash_checks: CrashChecks::default(),
+            stream_origins: RefCell::default(),
+            origins_changed: Notify::new(),
             contention: RefCell::default(),
             flow: FlowControl::new(FlowBounds::from_memory(cfg.memory)),
             explain: ExplainRing::new(cfg.explain_kept),
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -9,6 +9,7 @@
 use super::{
     accounts, crash_checks, exchange,
     gateway::Gateway,
+    stream_origins,
     sums::{self, EncodedSums, RateReportSchedule, RateReports},
 };
 use crate::{
@@ -228,7 +229,7 @@
     send_message(cx, udp, &Message::State(outgoing), address);
 }
 
-fn send_message<S: Serialize>(
+pub(super) fn send_message<S: Serialize>(
     cx: &Gateway,
     udp: &UdpSocket,
     message: &Message<S>,
@@ -313,6 +314,7 @@
                     send_message(&cx, &udp, &grant, from);
                 }
             }
+            Ok(Message::StreamOrigins(notices)) => stream_origins::on_notices(&cx, &notices),
             Ok(Message::ShareGrant { account, grant }) => accounts::on_grant(&cx, &account, grant),
             Err(e) => debug!(cx.log, "datagram not decoded"; "from" => %from, "why" => %e),
         }
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -13,7 +13,7 @@
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, path_checks, peer_calls, saved_state, stop,
     stop::Signals,
-    store_sync, store_updates, withdrawals,
+    store_sync, store_updates, stream_origins, withdrawals,
 };
 use crate::{Error, Result, ids::TargetId};
 
@@ -58,6 +58,10 @@
         spawn_local(crash_checks::write_quarantined(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::send_updates(Rc::clone(&cx), Rc::clone(&udp)));
+        spawn_local(stream_origins::send_notices(
+            Rc::clone(&cx),
+            Rc::clone(&udp),
+        ));
         spawn_local(exchange::run_comparisons(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(tick(Rc::clone(&cx)));
         spawn_local(ingress::serve_callers(Rc::clone(&cx), self.callers));
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -8,7 +8,7 @@
     registry::Registry,
 };
 
-use super::path_metrics::PathMetrics;
+use super::{path_metrics::PathMetrics, stream_metrics::StreamMetrics};
 use crate::{
     admission::shares::PoolStatus,
     contention::{self, HashedNames},
@@ -122,6 +122,7 @@
     call_time: Histogram,
     first_event_time: Histogram,
     pub(crate) paths: PathMetrics,
+    pub(crate) streams: StreamMetrics,
     pub(crate) entries_unusable: Counter,
     pub(crate) halls_evacuated: Gauge,
     pub(crate) quarantined_requests: Gauge,
@@ -160,6 +161,7 @@
             call_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             first_event_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             paths: PathMetrics::default(),
+            streams: StreamMetrics::default(),
             entries_unusable: Counter::default(),
             halls_evacuated: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -187,6 +189,7 @@
         self.register_flow();
         self.register_contended();
         self.paths.register(&mut self.registry);
+        self.streams.register(&mut self.registry);
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -38,6 +38,8 @@
 mod store_sync;
 mod store_updates;
 mod stream;
+mod stream_metrics;
+mod stream_origins;
 mod sums;
 mod target_conn;
 mod tunnel;
@@ -115,6 +117,8 @@
     pub revoke_bound: Option<Duration>,
     /// Maximum load of a target, as a multiple of the mean load.
     pub cap_factor: f64,
+    /// Time for which a leaving target still gets streams that no other target can continue.
+    pub leaving_use_time: Duration,
     /// Retry budget of the fleet.
     pub budget: BudgetRule,
     /// Upper bound on the calls that are sent to cold targets.
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -33,6 +33,7 @@
     explain::DecisionRecord,
     ids::TargetId,
     store::{MirrorReply, StoreError},
+    stream_origin::{StreamKey, StreamOrigin},
     units::StoreRevision,
 };
 
@@ -67,6 +68,8 @@
     Explain(String),
     /// `POST /change`: applies an accepted change.
     Change,
+    /// `GET /origin/STREAM`: returns the origin of a stream, if the router knows it.
+    Origin(StreamKey),
     /// `GET /tunnel/TARGET`: opens a connection to the target and becomes a tunnel to it.
     Tunnel(TargetId),
     /// `GET /slot/TARGET`: holds a slot of a brittle target as long as the connection is open.
@@ -88,6 +91,7 @@
             (&Method::POST, "claim", None) => Some(Self::Claim),
             (&Method::POST, "change", None) => Some(Self::Change),
             (&Method::GET, "explain", Some(id)) => Some(Self::Explain(id.to_owned())),
+            (&Method::GET, "origin", Some(key)) => Some(Self::Origin(key.parse().ok()?)),
             (&Method::GET, "tunnel", Some(id)) => Some(Self::Tunnel(id.parse().ok()?)),
             (&Method::GET, "slot", Some(id)) => Some(Self::Slot(id.parse().ok()?)),
             (&Method::POST, "slot-rejected", Some(id)) => {
@@ -100,7 +104,11 @@
     fn method(&self) -> Method {
         match self {
             Self::Claim | Self::Change | Self::SlotRejected(_) => Method::POST,
-            Self::Store(..) | Self::Explain(_) | Self::Tunnel(_) | Self::Slot(_) => Method::GET,
+            Self::Store(..)
+            | Self::Explain(_)
+            | Self::Origin(_)
+            | Self::Tunnel(_)
+            | Self::Slot(_) => Method::GET,
         }
     }
 
@@ -110,6 +118,7 @@
             Self::Claim => "/claim".to_owned(),
             Self::Change => "/change".to_owned(),
             Self::Explain(id) => format!("/explain/{id}"),
+            Self::Origin(stream) => format!("/origin/{stream}"),
             Self::Tunnel(id) => format!("/tunnel/{id}"),
             Self::Slot(id) => format!("/slot/{id}"),
             Self::SlotRejected(id) => format!("/slot-rejected/{id}"),
@@ -330,6 +339,17 @@
     serde_json::from_slice(&response).map_err(invalid_response)
 }
 
+/// Asks another router which software version began a stream.
+pub(super) async fn fetch_origin(
+    address: SocketAddr,
+    stream: StreamKey,
+) -> Result<Option<StreamOrigin>, StoreError> {
+    let conn = PeerConn::open(address).await?;
+    let request = PeerRequest::Origin(stream);
+    let response = conn.call(request, Bytes::new(), RESPONSE_TIMEOUT).await?;
+    serde_json::from_slice(&response).map_err(invalid_response)
+}
+
 fn no_answer(e: impl std::fmt::Display) -> StoreError {
     StoreError::NoAnswer(e.to_string())
 }
@@ -379,6 +399,12 @@
                 .map(Bytes::from)
                 .map_err(invalid_response)
         }
+        Some(PeerRequest::Origin(stream)) => {
+            let origin = cx.stream_origins.borrow().get(cx.now(), stream);
+            serde_json::to_vec(&origin)
+                .map(Bytes::from)
+                .map_err(invalid_response)
+        }
         Some(PeerRequest::Tunnel(target)) => return tunnel::serve(cx, req, target).await,
         Some(PeerRequest::Slot(target)) => return slot_lease::serve(cx, &target),
         Some(PeerRequest::SlotRejected(target)) => {
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -17,7 +17,7 @@
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
     flow::{AnswerAccount, HeldCount, OfferedBytes},
     gateway::Gateway,
-    read_body,
+    read_body, stream_origins,
 };
 use crate::{ResultCode, event_stream::EventSplitter, retry::Execution, units::Instant};
 
@@ -149,7 +149,7 @@
         guard,
         facts,
     });
-    match next_unsent(cx, &mut source, call.last_event, until).await {
+    match next_unsent(cx, &mut source, call.plan.progress.last_event(), until).await {
         Next::Event(event) => {
             source.guard.on_first_event();
             cx.metrics.on_first_event(cx.now().since(call.received));
@@ -266,13 +266,18 @@
 ) {
     let mut event = first;
     call.attempts.on_response_started();
+    if !call.plan.progress.is_begun() {
+        stream_origins::on_begun(cx, &call, &source.guard.ticket.target);
+    }
     loop {
-        call.last_event = event.id.or(call.last_event);
+        if let Some(id) = event.id {
+            call.plan.progress.on_event(id, &source.guard.ticket.target);
+        }
         if tx.send(Ok(event.bytes)).is_err() {
             return;
         }
         let until = (cx.now() + gap_timeout(cx, &call)).min(call.deadline);
-        event = match next_unsent(cx, &mut source, call.last_event, until).await {
+        event = match next_unsent(cx, &mut source, call.plan.progress.last_event(), until).await {
             Next::Event(event) => {
                 source.guard.on_event();
                 event
@@ -294,6 +299,7 @@
             }
             Next::Broken(end) => match resume(cx, &mut call, source, end).await {
                 Ok((next, event)) => {
+                    cx.metrics.streams.resumed.inc();
                     source = next;
                     event
                 }
@@ -330,7 +336,9 @@
     };
     while take_retry(cx, call, failed) {
         failed = match begin(cx, call).await {
-            Ok(AnswerStart::Stream(_, source, event)) if may_follow(call.last_event, &event) => {
+            Ok(AnswerStart::Stream(_, source, event))
+                if may_follow(call.plan.progress.last_event(), &event) =>
+            {
                 return Ok((*source, event));
             }
             Ok(_) => AttemptFailure {
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,6 +10,7 @@
     outages::OutageNotice,
     prompt_cache::PartId,
     quarantine::{CrashNotice, QuarantineNotice},
+    stream_origin::OriginNotice,
     target_counts::{TargetCounts, TargetHash},
     units::{ConfigVersion, StoreRevision, Tokens},
 };
@@ -83,6 +84,8 @@
         /// Granted share.
         grant: Grant,
     },
+    /// Origins of streams whose keys the receiver owns.
+    StreamOrigins(Vec<OriginNotice>),
 }
 
 /// State that one router sends to another several times a second.
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -182,6 +182,8 @@
     AllCold,
     /// All targets are in evacuated data halls.
     AllEvacuated,
+    /// The stream has begun, and no target of the version that began it is left.
+    VersionGone,
     /// All targets announced that they are leaving.
     AllLeaving,
     /// All targets asked for no calls for a while, or are leaving.
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -99,6 +99,9 @@
     ConfigTooOld = 3009, 503, No, "config_too_old";
     /// Targets crashed while they ran the request, which is quarantined to protect the other targets.
     HeldBack = 3010, 503, No, "held_back";
+    /// The stream can't go on: no target of the software version that began it is left, or that version is
+    /// not known.
+    StreamNotContinued = 3011, 503, No, "stream_not_continued";
     /// The router is stopping and accepts no new requests.
     Draining = 3005, 503, No, "draining";
     /// No target that serves this can be reached.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -140,6 +140,8 @@
     drain_wait_ms: Millis = Some("5000"), false, "milliseconds";
     /// Maximum time that a planned stop waits for requests in progress.
     drain_limit_ms: Millis = Some("600000"), false, "milliseconds";
+    /// Time for which a target that leaves still gets streams that no other target can continue.
+    leaving_use_ms: Millis = Some("800"), false, "milliseconds";
     /// Address on which metrics are served; none are served if it is empty.
     metrics_listen: List<SocketAddr> = Some(""), false, "IP:PORT or nothing";
     /// OTLP endpoint to which spans are exported; none are exported if it is empty.
@@ -194,6 +196,7 @@
             rules: Rules {
                 revoke_bound: self.revoke_bound.0.map(Millis::duration),
                 cap_factor: self.load_bound.factor(),
+                leaving_use_time: self.leaving_use_ms.duration(),
                 budget: RETRY_BUDGET,
                 cold: ColdRule::default(),
                 shares: self.demand_shares,
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod routes;
 mod set_back;
 mod shares;
+mod stream_origin;
 mod streams;
 mod target_speed;
 mod targets;
@@ -34,9 +35,10 @@
     discovery::{TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher},
     edge::Rules,
-    ids::DataHall,
+    ids::{DataHall, SoftwareVersion},
     prompt_cache::{PartId, PromptPart},
     retry::BudgetRule,
+    stream_origin::StreamProgress,
     units::{Instant, StoreRevision, Tokens},
 };
 
@@ -52,6 +54,7 @@
     Rules {
         revoke_bound: Some(REVOKE_BOUND),
         cap_factor: 2.0,
+        leaving_use_time: Duration::from_millis(800),
         budget: BudgetRule {
             ratio: 0.2,
             window: Duration::from_secs(10),
@@ -77,7 +80,7 @@
         slots: 64,
         max_tokens: None,
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
         state: TargetState::Ready,
     }
 }
@@ -108,6 +111,7 @@
         surge: Surge::None,
         claim: Claim::default(),
         warm_up: None,
+        progress: StreamProgress::NotBegun,
         tried: Vec::new(),
     }
 }
--- /dev/null
+++ b/tests/decisions/stream_origin.rs
@@ -0,0 +1,164 @@
+//! Streams go on at the version that began them: what placement allows, and what routers know of origins.
+
+use std::time::Duration;
+
+use scaleford::{
+    config::serving::{CallKind, StreamRepeats},
+    discovery::{ListChange, TargetRecord, TargetState},
+    dispatcher::{CallPlan, Dispatcher},
+    placement::choice::PlacementError,
+    stream_origin::{ServiceHash, StreamKey, StreamOrigin, StreamOrigins, StreamProgress},
+    units::StoreRevision,
+};
+
+use super::{at, dispatcher, plan, record};
+
+const RESUMABLE: CallKind = CallKind::Stream(StreamRepeats::Resumed);
+
+fn with_version(n: usize, version: &str, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        version: version.into(),
+        state,
+        ..record(n)
+    }
+}
+
+fn put(dispatcher: &mut Dispatcher, ms: u64, revision: u64, record: TargetRecord) {
+    let revision = StoreRevision::first_era(revision);
+    let change = ListChange::Put(record);
+    dispatcher.discovery.on_change(at(ms), change, revision);
+}
+
+/// Returns a dispatcher with two targets of v1 (0 and 1) and two of v2 (2 and 3).
+fn mixed() -> Dispatcher {
+    let mut dispatcher = dispatcher(0);
+    for (n, version) in ["v1", "v1", "v2", "v2"].into_iter().enumerate() {
+        put(
+            &mut dispatcher,
+            0,
+            2,
+            with_version(n, version, TargetState::Ready),
+        );
+    }
+    dispatcher
+}
+
+fn continuing(version: &str, hash: u64) -> CallPlan {
+    let mut progress = StreamProgress::NotBegun;
+    progress.on_event(4, &with_version(9, version, TargetState::Ready));
+    CallPlan {
+        progress,
+        ..plan(RESUMABLE, Vec::new(), hash)
+    }
+}
+
+fn service() -> ServiceHash {
+    ServiceHash::from(&record(0).service)
+}
+
+#[test]
+fn a_stream_that_has_begun_is_placed_at_its_version_only() {
+    let mut dispatcher = mixed();
+    for hash in 0..50 {
+        let ticket = dispatcher.choose(at(10), &continuing("v1", hash)).unwrap();
+        assert_eq!(ticket.target.version.as_str(), "v1");
+    }
+}
+
+#[test]
+fn full_targets_take_the_streams_that_only_they_can_continue() {
+    let mut dispatcher = mixed();
+    for hash in 0..400 {
+        let _ = dispatcher.choose(at(10), &continuing("v1", hash));
+    }
+    let chosen = dispatcher.choose(at(10), &continuing("v1", 1_000));
+    assert_eq!(chosen.unwrap().target.version.as_str(), "v1");
+    let anew = dispatcher.choose(at(10), &plan(RESUMABLE, Vec::new(), 7));
+    assert_eq!(anew.unwrap().target.version.as_str(), "v2");
+}
+
+#[test]
+fn a_leaving_target_gets_streams_only_while_it_surely_serves_on() {
+    let mut dispatcher = mixed();
+    for n in 0..2 {
+        let leaving = with_version(n, "v1", TargetState::Leaving);
+        put(&mut dispatcher, 100, 3, leaving);
+    }
+    let soon = dispatcher.choose(at(800), &continuing("v1", 1));
+    assert_eq!(soon.unwrap().target.version.as_str(), "v1");
+    let late = dispatcher.choose(at(950), &continuing("v1", 1));
+    assert_eq!(late.unwrap_err(), PlacementError::VersionGone);
+}
+
+#[test]
+fn a_version_counts_for_a_minute_after_its_last_target_left() {
+    let mut dispatcher = mixed();
+    for n in 0..2 {
+        let name = record(n).id.to_name();
+        let revision = StoreRevision::first_era(3);
+        let change = ListChange::Removed(name);
+        dispatcher.discovery.on_change(at(100), change, revision);
+    }
+    let v2 = StreamOrigin::new(&record(0).service, &"v2".into());
+    let discovery = &dispatcher.discovery;
+    assert!(discovery.has_mixed_versions(at(59_000), service()));
+    assert_eq!(discovery.sole_version(at(59_000), service()), None);
+    assert_eq!(discovery.sole_version(at(60_200), service()), Some(v2));
+}
+
+/// A router that starts has not seen the targets leave whose streams its callers take up.
+#[test]
+fn saved_targets_tell_a_router_that_starts_of_versions_that_left() {
+    let mut dispatcher = dispatcher(0);
+    put(
+        &mut dispatcher,
+        0,
+        2,
+        with_version(2, "v2", TargetState::Ready),
+    );
+    let saved = vec![
+        with_version(0, "v1", TargetState::Leaving),
+        with_version(2, "v2", TargetState::Ready),
+    ];
+    dispatcher.discovery.on_saved_targets(at(10), saved);
+    let sole = dispatcher.discovery.sole_version(at(20), service());
+    assert_eq!(sole, None);
+}
+
+#[test]
+fn origins_are_told_twice_and_only_while_versions_are_mixed() {
+    let mut origins = StreamOrigins::default();
+    let (v1, stream) = (
+        StreamOrigin::new(&record(0).service, &"v1".into()),
+        StreamKey::new(None, "a"),
+    );
+    origins.on_begun(at(0), stream, v1);
+    assert!(origins.take_notices(at(10), |_| false).is_empty());
+    for ms in [20, 120] {
+        assert_eq!(origins.take_notices(at(ms), |_| true).len(), 1);
+    }
+    assert!(origins.take_notices(at(220), |_| true).is_empty());
+    assert_eq!(origins.get(at(300), stream), Some(v1));
+    let old = at(0) + Duration::from_mins(11);
+    assert_eq!(origins.get(old, stream), None);
+}
+
+#[test]
+fn an_account_does_not_know_the_streams_of_another() {
+    let (farm, mill) = ("farm".parse().unwrap(), "mill".parse().unwrap());
+    let of_farm = StreamKey::new(Some(&farm), "a");
+    assert_ne!(of_farm, StreamKey::new(Some(&mill), "a"));
+    assert_ne!(of_farm, StreamKey::new(None, "a"));
+}
+
+/// An attacker that begins streams without end takes no more memory.
+#[test]
+fn the_number_of_remembered_origins_is_bounded() {
+    let mut origins = StreamOrigins::default();
+    let v1 = StreamOrigin::new(&record(0).service, &"v1".into());
+    for n in 0..40_000 {
+        origins.on_begun(at(n), StreamKey::new(None, &n.to_string()), v1);
+    }
+    assert!(origins.len() <= 16_384);
+    assert!(origins.take_notices(at(40_000), |_| true).len() <= 4_096);
+}
--- a/tests/load/cut_off.rs
+++ b/tests/load/cut_off.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use scaleford::{
     discovery::{TargetRecord, TargetState},
-    ids::DataHall,
+    ids::{DataHall, SoftwareVersion},
     paths::{Route, Soundness, TargetPaths},
     relays::{RelayCandidate, RelayFailure, Relays},
     units::Instant,
@@ -48,7 +48,7 @@
         slots: 8,
         max_tokens: None,
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
         state: TargetState::Ready,
     }
 }
--- a/tests/load/model/setup.rs
+++ b/tests/load/model/setup.rs
@@ -12,10 +12,11 @@
     discovery::{TargetRecord, TargetState},
     dispatcher::CallPlan,
     edge::Rules,
-    ids::{ClientAccountId, DataHall, ServiceName},
+    ids::{ClientAccountId, DataHall, ServiceName, SoftwareVersion},
     membership::heartbeats::VmHash,
     prompt_cache::{PartId, PromptPart},
     retry::BudgetRule,
+    stream_origin::StreamProgress,
     units::{Rank, Tokens},
 };
 
@@ -44,6 +45,7 @@
     Rules {
         revoke_bound: None,
         cap_factor: 2.0,
+        leaving_use_time: Duration::from_millis(800),
         budget: BudgetRule {
             ratio: 0.2,
             window: Duration::from_secs(10),
@@ -68,7 +70,7 @@
         slots,
         max_tokens: None,
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
         state: TargetState::Ready,
     }
 }
@@ -135,6 +137,7 @@
             surge,
             claim: self.claim(call),
             warm_up: self.load.warm_up,
+            progress: StreamProgress::NotBegun,
             tried: Vec::new(),
         }
     }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -25,9 +25,10 @@
     dispatcher::{CallPlan, Dispatcher, Ticket},
     edge::Rules,
     health::Outcome,
-    ids::{ConversationKey, TargetId, VmId},
+    ids::{ConversationKey, SoftwareVersion, TargetId, VmId},
     prompt_cache::{PartId, PromptPart},
     retry::BudgetRule,
+    stream_origin::StreamProgress,
     units::{Instant, StoreRevision, Tokens},
 };
 
@@ -95,7 +96,7 @@
         slots: 64,
         max_tokens: None,
         cold_for: Duration::ZERO,
-        version: Default::default(),
+        version: SoftwareVersion::default(),
         state,
     }
 }
@@ -104,6 +105,7 @@
     Rules {
         revoke_bound: None,
         cap_factor: CAP_FACTOR,
+        leaving_use_time: Duration::from_millis(800),
         budget: BudgetRule {
             ratio: 0.2,
             window: Duration::from_secs(10),
@@ -196,6 +198,7 @@
             surge: Surge::None,
             claim: Claim::default(),
             warm_up: None,
+            progress: StreamProgress::NotBegun,
             tried: Vec::new(),
             prompt,
         };
