--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -38,6 +38,14 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
+fn request(kind: &str, id: &str, key: &str) -> hyper::http::request::Builder {
+    Request::post(format!("/{kind}/x"))
+        .header("host", "desk.example")
+        .header("x-attempt-id", id)
+        .header("x-deadline-ms", CALL_DEADLINE.as_millis().to_string())
+        .header("authorization", format!("Token {key}"))
+}
+
 impl Caller {
     /// Connects to a router, or returns `None` if that fails.
     pub async fn connect(address: SocketAddr) -> Option<Self> {
@@ -71,15 +79,37 @@
         key: &str,
         body: &str,
     ) -> CallOutcome {
-        let req = Request::post(format!("/{kind}/x"))
-            .header("host", "desk.example")
-            .header("x-attempt-id", id)
-            .header("x-deadline-ms", CALL_DEADLINE.as_millis().to_string())
-            .header("authorization", format!("Token {key}"))
-            .body(Full::from(body.to_owned()));
+        let req = request(kind, id, key).body(Full::from(body.to_owned()));
+        self.read_response(req, None).await
+    }
+
+    /// Asks for a stream or the rest of one. After `patience`, the connection is dropped.
+    pub async fn read_stream(
+        &mut self,
+        id: &str,
+        key: &str,
+        continuation: Option<Continuation<'_>>,
+        patience: Option<Duration>,
+    ) -> CallOutcome {
+        let mut req = request("stream", id, key);
+        if let Some(Continuation { resumes, last }) = continuation {
+            req = req
+                .header("resumes", resumes)
+                .header("last-event-id", last.to_string());
+        }
+        let req = req.body(Full::from(id.to_owned()));
+        self.read_response(req, patience).await
+    }
+
+    async fn read_response(
+        &mut self,
+        req: Result<Request<Full<Bytes>>, hyper::http::Error>,
+        patience: Option<Duration>,
+    ) -> CallOutcome {
         let Ok(req) = req else {
             return CallOutcome::NoResponse;
         };
+        let until = patience.map(|patience| Instant::now() + patience);
         let response = tokio::time::timeout(CALL_DEADLINE, self.sender.send_request(req)).await;
         let Ok(Ok(res)) = response else {
             return CallOutcome::NoResponse;
@@ -88,6 +118,9 @@
         let mut incoming = res.into_body();
         let mut body = Vec::new();
         loop {
+            if until.is_some_and(|until| Instant::now() >= until) {
+                return CallOutcome::Response(status, body, false);
+            }
             match tokio::time::timeout(CALL_DEADLINE, incoming.frame()).await {
                 Ok(Some(Ok(frame))) => body.extend_from_slice(frame.data_ref().map_or(&[], |d| d)),
                 Ok(None) => return CallOutcome::Response(status, body, true),
@@ -97,6 +130,15 @@
     }
 }
 
+/// What a call says of the stream that it takes up.
+#[derive(Debug, Clone, Copy)]
+pub struct Continuation<'a> {
+    /// Id of the call that brought the first event.
+    pub resumes: &'a str,
+    /// Id of the last event that arrived.
+    pub last: u64,
+}
+
 /// The running callers.
 pub struct CallerTasks {
     tasks: Vec<JoinHandle<()>>,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -24,6 +24,7 @@
 mod store_reverts;
 mod surge;
 pub mod target;
+mod versions;
 mod vm;
 mod withdrawals;
 
@@ -57,6 +58,8 @@
     pub cuts: bool,
     /// Whether the targets of the small plain service are brittle; see `brittle`.
     pub brittle: bool,
+    /// Whether targets run several software versions; see `versions`.
+    pub versions: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
     pub keep_logs: bool,
     /// Whether to start callers that read slowly; see `slow_readers`.
@@ -81,6 +84,14 @@
     let slow_readers = options
         .slow_readers
         .then(|| slow_readers::start(&env, options.seed));
+    let stream_callers = options
+        .versions
+        .then(|| versions::start(&env, options.seed));
+    let replacements = async {
+        if options.versions {
+            versions::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let entries = async {
         if options.entries {
             entries::inject(&env, options.seed, options.fault_duration).await;
@@ -107,7 +118,15 @@
         }
     };
     let faults = faults::inject(&env, &mut rng, options.fault_duration);
-    tokio::join!(faults, entries, withdrawals, reverts, cuts, surges);
+    tokio::join!(
+        faults,
+        entries,
+        withdrawals,
+        reverts,
+        cuts,
+        surges,
+        replacements
+    );
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
@@ -121,6 +140,9 @@
         tokio::time::sleep(CRASHES_AFTER_FAULTS).await;
         crash_tasks.stop();
     }
+    if let Some(stream_callers) = stream_callers {
+        stream_callers.stop().await;
+    }
     if let Some(slow_readers) = slow_readers {
         slow_readers.stop();
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,6 +32,8 @@
             optional --cuts
             /// Let the targets of the small plain service crash when they reject too many calls; with --surge.
             optional --brittle
+            /// Also let targets run several software versions, and callers take up streams that break off.
+            optional --versions
             /// Also let callers read large streams slowly or not at all, at routers with little memory.
             optional --slow-readers
             /// Keep the routers' logs also if all guarantees were kept.
@@ -60,6 +62,7 @@
         surge: flags.surge,
         cuts: flags.cuts,
         brittle: flags.brittle,
+        versions: flags.versions,
         slow_readers: flags.slow_readers,
         keep_logs: flags.keep_logs,
         program: flags.program.or(default_program).unwrap_or_default(),
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -16,7 +16,7 @@
     stops::{LatestAttempts, ProcessState},
     surge,
     target::{LAST_EVENT, Target, event, expected_body},
-    withdrawals,
+    versions, withdrawals,
 };
 
 /// Time for which a target may still get calls after its entry says that it is leaving: the two seconds that
@@ -58,6 +58,8 @@
     SurgeAnswered,
     /// Brittle targets do not crash more often than two times in the surge after the faults.
     BrittleKept,
+    /// Not more than two streams have events of targets of two software versions.
+    OneVersion,
     /// Calls are served again after the faults.
     Recovery,
 }
@@ -98,6 +100,8 @@
     calls: RefCell<HashMap<String, Call>>,
     /// Number of times that brittle targets crashed.
     brittle_crashes: Cell<usize>,
+    /// Number of streams that have events of two versions.
+    joined_streams: Cell<usize>,
     /// Violations, each with a description.
     broken: RefCell<Vec<(Promise, String)>>,
     /// Targets whose entries say that they are leaving, each with the instant since when.
@@ -240,6 +244,17 @@
         }
     }
 
+    /// Records the software versions of a stream's events, in order.
+    pub fn on_stream_versions(&self, stream: &str, versions: &[&str]) {
+        if versions.iter().any(|v| *v != versions[0]) {
+            self.joined_streams.set(self.joined_streams.get() + 1);
+            if self.joined_streams.get() > versions::MAX_JOINED {
+                let description = format!("{stream}: {}", versions.join(" "));
+                self.record_violation(Promise::OneVersion, description);
+            }
+        }
+    }
+
     /// Records the outcome of a call.
     ///
     /// `sent_at` is when it was sent, `uses_second_key` whether it was sent with the second key.
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -26,7 +26,7 @@
     link::Link,
     promises::PromiseChecker,
     serve::{Body, listen, whole},
-    slow_readers,
+    slow_readers, versions,
     withdrawals::Withdrawal,
 };
 
@@ -202,6 +202,40 @@
         res
     }
 
+    /// Returns a stream of events up to `last` that resumes after the caller's `last-event-id`.
+    ///
+    /// If `reset_flag` is given, it ends with a connection reset, at which the flag is set.
+    fn events(
+        &self,
+        headers: &HeaderMap,
+        call: &str,
+        last: u64,
+        reset_flag: Option<Arc<AtomicBool>>,
+    ) -> Body {
+        let first = first_event(headers);
+        let call = call.to_owned();
+        let version = versions::version(&self.id, self.restarts.get());
+        let frames = stream::unfold(first, move |n| {
+            let (call, reset_flag) = (call.clone(), reset_flag.clone());
+            let event = match call.starts_with(versions::ID_PREFIX) {
+                true => format!("id: {n}\ndata: {n} {version}\n\n"),
+                false => event(&call, n),
+            };
+            async move {
+                tokio::time::sleep(PROCESSING_TIME).await;
+                let frame = match n {
+                    n if n <= last => Ok(Frame::data(Bytes::from(event))),
+                    _ => {
+                        reset_flag?.store(true, Ordering::Relaxed);
+                        Err(std::io::ErrorKind::ConnectionReset.into())
+                    }
+                };
+                Some((frame, n + 1))
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
     /// Runs a call and returns its response.
     async fn run(
         &self,
@@ -225,14 +259,14 @@
             }
             TargetBehavior::Truncating => {
                 let flag = self.promises.attempts.failure_flag(call);
-                Response::new(events(headers, call, LAST_EVENT / 2, Some(flag)))
+                Response::new(self.events(headers, call, LAST_EVENT / 2, Some(flag)))
             }
             _ if is_stream => {
                 if first_event(headers) > LAST_EVENT {
                     // Only the end of the earlier answer was lost, which no router can resume.
                     self.promises.attempts.on_failed_by_target(call);
                 }
-                Response::new(events(headers, call, LAST_EVENT, None))
+                Response::new(self.events(headers, call, LAST_EVENT, None))
             }
             _ => Response::new(whole(expected_body(call))),
         }
@@ -274,29 +308,6 @@
     header_text(headers, "last-event-id").parse().unwrap_or(0) + 1
 }
 
-/// Returns a stream of events up to `last` that resumes after the caller's `last-event-id`.
-///
-/// If `reset_flag` is given, it ends with a connection reset, at which the flag is set.
-fn events(headers: &HeaderMap, call: &str, last: u64, reset_flag: Option<Arc<AtomicBool>>) -> Body {
-    let first = first_event(headers);
-    let call = call.to_owned();
-    let frames = stream::unfold(first, move |n| {
-        let (call, reset_flag) = (call.clone(), reset_flag.clone());
-        async move {
-            tokio::time::sleep(PROCESSING_TIME).await;
-            let frame = match n {
-                n if n <= last => Ok(Frame::data(Bytes::from(event(&call, n)))),
-                _ => {
-                    reset_flag?.store(true, Ordering::Relaxed);
-                    Err(std::io::ErrorKind::ConnectionReset.into())
-                }
-            };
-            Some((frame, n + 1))
-        }
-    });
-    StreamBody::new(frames).boxed_unsync()
-}
-
 /// Returns a response with this status.
 fn status_response(status: u16) -> Response<Body> {
     let mut res = Response::new(whole("no"));
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -24,7 +24,7 @@
     store::{Store, StoreFault},
     surge,
     target::Target,
-    withdrawals,
+    versions, withdrawals,
 };
 
 /// Number of targets. The entry of one of them may say that it is leaving.
@@ -72,6 +72,8 @@
     surge: bool,
     /// Whether the targets of that service are brittle.
     brittle: bool,
+    /// Whether targets run several software versions.
+    versions: bool,
     /// Version of the configuration that was written last.
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
@@ -111,6 +113,7 @@
             promises,
             surge: options.surge,
             brittle: options.brittle,
+            versions: options.versions,
             version: Rc::default(),
             dir,
             keep_logs: options.keep_logs,
@@ -199,8 +202,12 @@
     pub fn write_entry(&self, id: &str, state: &str) {
         let found = self.targets.iter().find(|(t, _)| t.id == id);
         let Some((target, link)) = found else { return };
+        let version = match self.versions {
+            true => versions::version(id, target.restarts.get()),
+            false => "v1".to_owned(),
+        };
         let entry = json!({"service": "desk", "address": link.address.to_string(),
-            "zone": "yard", "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0,
+            "zone": "yard", "version": version, "slots": 64, "state": state, "coldLeftMs": 0,
             "callSeq": 0, "born": 1_764_720_000_000 + target.restarts.get()});
         let key = format!("servers/{id}");
         self.store.put(&key, entry.to_string().as_bytes());
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod cut_off;
 mod lock_out;
+mod mixed_versions;
 mod model;
 mod overload;
 mod pool_shares;
