Log the parts of the prompts of calls under which targets crashed

And how many events of the answer had come, which tells calls that ran beside the crash from one that the target had just begun to answer. No decision reads either yet.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -26,6 +26,7 @@
     fingerprint::{Fingerprint, FingerprintInput},
     ids::ClientAccountId,
     lifecycle::Phase,
+    prompt_cache::{PartId, PromptPart},
     retry::Attempts,
     units::{Instant, Rank, Tokens},
 };
@@ -190,6 +191,7 @@
     let call = Call {
         answer: AnswerAccount::open(cx, call_id, &conn, account, is_stream),
         fingerprint,
+        parts: other_parts(&facts.prompt),
         deadline: received + timeout,
         rank,
         attempts: Attempts::default(),
@@ -222,6 +224,12 @@
     Ok(())
 }
 
+/// Returns the parts of a prompt that other requests may have: all but the last.
+fn other_parts(prompt: &[PromptPart]) -> Rc<[PartId]> {
+    let n = prompt.len().saturating_sub(1);
+    prompt[..n].iter().map(|part| part.id).collect()
+}
+
 /// Returns the expected number of tokens in the answer, if they count as work at the service's engines.
 fn expected_answer(engine: Option<EngineSpec>, facts: &CallInfo) -> Tokens {
     let expected = engine.and_then(|e| e.expected_response);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -29,6 +29,7 @@
     fingerprint::Fingerprint,
     ids::TargetId,
     placement::choice::PlacementError,
+    prompt_cache::PartId,
     retry::{Attempts, Execution},
     spans::HopSpan,
     units::{Instant, Rank},
@@ -41,6 +42,8 @@
     pub(crate) id: Option<String>,
     /// Hash of the request; it is the same each time that the caller sends the same request.
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt, except for the last one, which no other request has.
+    pub(crate) parts: Rc<[PartId]>,
     pub(crate) facts: CallInfo,
     pub(crate) route: Rc<Route>,
     pub(crate) key_owner: Option<KeyOwner>,
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -6,7 +6,11 @@
 use slog::info;
 
 use super::{
-    attempt::Call, attempt_end::AttemptEnd, crash_checks, gateway::Gateway, slot_lease::SlotLease,
+    attempt::Call,
+    attempt_end::AttemptEnd,
+    crash_checks::{self, BrokenAttempt},
+    gateway::Gateway,
+    slot_lease::SlotLease,
 };
 use crate::{
     dialect::ResponseInfo, dispatcher::Ticket, explain::Decision, fingerprint::Fingerprint,
@@ -22,6 +26,10 @@
     id: String,
     fingerprint: Fingerprint,
     shared_part: Option<PartId>,
+    /// Parts of the prompt, except for the last one, which no other request has.
+    parts: Rc<[PartId]>,
+    /// Number of events that the target has sent.
+    events: u32,
     /// Id of the last event that the caller had when the attempt began.
     after_event: Option<u64>,
     started_at: Instant,
@@ -42,6 +50,8 @@
             id: call.id().to_owned(),
             fingerprint: call.fingerprint,
             shared_part: call.plan.shared_parts().last().map(|p| p.id),
+            parts: Rc::clone(&call.parts),
+            events: 0,
             after_event: call.plan.progress.last_event(),
             started_at: now,
             withdrawal: None,
@@ -63,13 +73,15 @@
 
     /// Handles the first event of a stream.
     pub(crate) fn on_first_event(&mut self) {
+        self.events += 1;
         let now = self.cx.now();
         let mut dispatcher = self.cx.dispatcher.borrow_mut();
         dispatcher.on_first_event(now, &mut self.ticket);
     }
 
     /// Handles a further event of a stream, which counts as activity of the target.
-    pub(crate) fn on_event(&self) {
+    pub(crate) fn on_event(&mut self) {
+        self.events += 1;
         let mut dispatcher = self.cx.dispatcher.borrow_mut();
         dispatcher
             .health
@@ -86,12 +98,13 @@
     fn report_to_quarantine(&self, end: AttemptEnd) {
         match end {
             end if end.is_break() => {
-                crash_checks::on_attempt_broke(
-                    &self.cx,
-                    &self.ticket.target,
-                    &self.id,
-                    self.fingerprint,
-                );
+                let broken = BrokenAttempt {
+                    call: self.id.clone(),
+                    request: self.fingerprint,
+                    parts: Rc::clone(&self.parts),
+                    events: self.events,
+                };
+                crash_checks::on_attempt_broke(&self.cx, &self.ticket.target, broken);
             }
             end if end.is_answer() => crash_checks::on_answered(&self.cx, self.fingerprint),
             _ => {}
--- a/src/edge/crash_checks.rs
+++ b/src/edge/crash_checks.rs
@@ -16,6 +16,7 @@
     discovery::{TargetRecord, TargetState},
     fingerprint::Fingerprint,
     ids::TargetId,
+    prompt_cache::PartId,
     quarantine::{CrashNotice, QUARANTINE_DURATION, QuarantineChange, QuarantineNotice},
     store::own,
     units::Instant,
@@ -24,10 +25,18 @@
 /// Interval between tries to write an entry that the store did not accept.
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Maximum number of parts of a prompt that a log line names.
+const MAX_PARTS_LOGGED: usize = 16;
+
 /// An attempt whose connection or answer broke off.
-struct BrokenAttempt {
-    call: String,
-    request: Fingerprint,
+pub(super) struct BrokenAttempt {
+    /// Caller's id of the call.
+    pub(super) call: String,
+    pub(super) request: Fingerprint,
+    /// Parts of the prompt, except for the last one, which no other request has.
+    pub(super) parts: Rc<[PartId]>,
+    /// Number of events that the target had sent.
+    pub(super) events: u32,
 }
 
 /// Broken attempts, by target, while it is being checked whether the target crashed.
@@ -41,25 +50,17 @@
 /// Handles an attempt that broke off. To find out whether the target crashed, one connection is opened to it
 /// for all attempts that broke off there: a target that is still running accepts it, and it is used for the
 /// next call.
-pub(super) fn on_attempt_broke(
-    cx: &Rc<Gateway>,
-    target: &Rc<TargetRecord>,
-    call: &str,
-    request: Fingerprint,
-) {
+pub(super) fn on_attempt_broke(cx: &Rc<Gateway>, target: &Rc<TargetRecord>, broken: BrokenAttempt) {
     let now = cx.now();
     // A target that is leaving stops anyway, so the break is no sign of a crash.
     let is_irrelevant = target.state == TargetState::Leaving
-        || !cx.dispatcher.borrow().quarantine.may_suspect(now, request);
+        || !(cx.dispatcher.borrow().quarantine).may_suspect(now, broken.request);
     if is_irrelevant {
         return;
     }
     let mut broken_attempts = cx.crash_checks.broken_attempts.borrow_mut();
     let at_target = broken_attempts.entry(target.id.clone()).or_default();
-    at_target.push(BrokenAttempt {
-        call: call.to_owned(),
-        request,
-    });
+    at_target.push(broken);
     if at_target.len() == 1 {
         tokio::task::spawn_local(check_target(Rc::clone(cx), Rc::clone(target)));
     }
@@ -94,13 +95,14 @@
         .health
         .outages
         .on_refused(now, target.into());
-    for BrokenAttempt { call, request } in broken_attempts {
+    for attempt in broken_attempts {
+        let BrokenAttempt { call, request, .. } = attempt;
         let change = {
             let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
             quarantine.on_crash(now, *request, target.into())
         };
         info!(cx.log, "target crashed during a call"; "id" => call, "fingerprint" => %request, "target" => %target,
-            "calls" => broken_attempts.len());
+            "calls" => broken_attempts.len(), "parts" => named(&attempt.parts), "events" => attempt.events);
         log_change(cx, *request, change, "targets crashed here");
         if change.is_some() {
             cx.crash_checks.wake_writer.notify_one();
@@ -108,6 +110,13 @@
     }
 }
 
+/// Returns the parts of a prompt for the log, in hexadecimal as callers name them.
+fn named(parts: &[PartId]) -> String {
+    let names = parts.iter().take(MAX_PARTS_LOGGED);
+    let names: Vec<String> = names.map(|part| format!("{:x}", part.0)).collect();
+    names.join(" ")
+}
+
 /// Handles a target's answer to a call. If its request was quarantined, the answer ends the quarantine.
 pub(super) fn on_answered(cx: &Rc<Gateway>, request: Fingerprint) {
     let now = cx.now();
