Parts of prompts under which targets crash are quarantined

Cause: a request was known by one hash of its whole, so that requests of which no two are alike were all new, and calls that ran beside the crashes reached three crashes first. Class: a cause is looked for under one kind of key only.

Crashes are evidence against each part of the calls that had not begun to answer, answers are evidence for their parts, and what most crashes have in common is held. Requests as a whole and parts share one mechanism: notices, store entries, renewal, release.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -10,7 +10,7 @@
 use super::{
     accounts::{self, AccountPermit},
     attempt::Call,
-    call_end::{CallGuard, QUARANTINE_TEXT},
+    call_end::CallGuard,
     crash_checks,
     flow::{AnswerAccount, CallerConn},
     gateway::Gateway,
@@ -24,9 +24,10 @@
     dispatcher::CallPlan,
     explain::Decision,
     fingerprint::{Fingerprint, FingerprintInput},
-    ids::ClientAccountId,
+    ids::{ClientAccountId, ServiceName},
     lifecycle::Phase,
-    prompt_cache::{PartId, PromptPart},
+    prompt_cache::PromptPart,
+    quarantine::PartKey,
     retry::Attempts,
     units::{Instant, Rank, Tokens},
 };
@@ -137,18 +138,14 @@
     let account = key_owner.as_ref().map(|h| &h.account);
     let fingerprint = fingerprint(&head, &body, &facts, account);
     call_guard.fingerprint = Some(fingerprint);
-    if let Some(time_left) = crash_checks::quarantine_time_left(cx, fingerprint) {
-        return Err(Refusal {
-            retry_after: Some(time_left),
-            ..Refusal::new(ResultCode::HeldBack, QUARANTINE_TEXT)
-        });
-    }
     let account_place = accounts::admit(cx, key_owner.as_ref())
         .map_err(|retry_after| account_limit_refusal(cx, id.as_deref(), retry_after))?;
     let hash = xxh3_64(id.as_deref().unwrap_or_default().as_bytes());
     let service = stream_origins::service_for(&route, origin, hash).cloned();
     let no_service = Refusal::new(ResultCode::NoTarget, "no service on the route");
     let service = service.ok_or(no_service)?;
+    let parts = other_parts(&service, &facts.prompt);
+    let is_trial = crash_checks::check_quarantine(cx, fingerprint, &parts)?;
     let progress = stream_origins::progress(cx, &service, origin, facts.last_event_id)?;
     let spec = config.service(&service);
     let engine = spec.and_then(|s| s.engine);
@@ -191,7 +188,8 @@
     let call = Call {
         answer: AnswerAccount::open(cx, call_id, &conn, account, is_stream),
         fingerprint,
-        parts: other_parts(&facts.prompt),
+        parts,
+        is_trial,
         deadline: received + timeout,
         rank,
         attempts: Attempts::default(),
@@ -225,9 +223,12 @@
 }
 
 /// Returns the parts of a prompt that other requests may have: all but the last.
-fn other_parts(prompt: &[PromptPart]) -> Rc<[PartId]> {
-    let n = prompt.len().saturating_sub(1);
-    prompt[..n].iter().map(|part| part.id).collect()
+fn other_parts(service: &ServiceName, prompt: &[PromptPart]) -> Rc<[PartKey]> {
+    let others = &prompt[..prompt.len().saturating_sub(1)];
+    others
+        .iter()
+        .map(|part| PartKey::new(service, part.id))
+        .collect()
 }
 
 /// Returns the expected number of tokens in the answer, if they count as work at the service's engines.
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -29,7 +29,7 @@
     fingerprint::Fingerprint,
     ids::TargetId,
     placement::choice::PlacementError,
-    prompt_cache::PartId,
+    quarantine::PartKey,
     retry::{Attempts, Execution},
     spans::HopSpan,
     units::{Instant, Rank},
@@ -43,7 +43,9 @@
     /// Hash of the request; it is the same each time that the caller sends the same request.
     pub(crate) fingerprint: Fingerprint,
     /// Parts of the prompt, except for the last one, which no other request has.
-    pub(crate) parts: Rc<[PartId]>,
+    pub(crate) parts: Rc<[PartKey]>,
+    /// Whether it is the trial of a quarantined part.
+    pub(crate) is_trial: bool,
     pub(crate) facts: CallInfo,
     pub(crate) route: Rc<Route>,
     pub(crate) key_owner: Option<KeyOwner>,
@@ -166,7 +168,7 @@
         }
         // Checked again before each choice: if a caller sends a request again at once and many times,
         // some of these calls are already waiting here when the request is quarantined.
-        if crash_checks::quarantine_time_left(cx, call.fingerprint).is_some() {
+        if crash_checks::quarantine_time_left(cx, call).is_some() {
             return Err(AttemptFailure::not_sent(AttemptEnd::Quarantined));
         }
         let chosen = cx.dispatcher.borrow_mut().choose(now, &call.plan);
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -14,8 +14,8 @@
 };
 use crate::{
     dialect::ResponseInfo, dispatcher::Ticket, explain::Decision, fingerprint::Fingerprint,
-    health::Outcome, ids::TargetId, prompt_cache::PartId, spans::HopSpan, units::Instant,
-    withdrawals::Withdrawal,
+    health::Outcome, ids::TargetId, prompt_cache::PartId, quarantine::PartKey, spans::HopSpan,
+    units::Instant, withdrawals::Withdrawal,
 };
 
 /// An attempt in progress at a target. It holds the dispatcher's ticket, and releases it when the attempt
@@ -27,7 +27,7 @@
     fingerprint: Fingerprint,
     shared_part: Option<PartId>,
     /// Parts of the prompt, except for the last one, which no other request has.
-    parts: Rc<[PartId]>,
+    parts: Rc<[PartKey]>,
     /// Number of events that the target has sent.
     events: u32,
     /// Id of the last event that the caller had when the attempt began.
@@ -82,6 +82,9 @@
     /// Handles a further event of a stream, which counts as activity of the target.
     pub(crate) fn on_event(&mut self) {
         self.events += 1;
+        if self.events == crash_checks::EVENTS_OF_SOUND_CALL {
+            crash_checks::on_parts_answered(&self.cx, &self.parts);
+        }
         let mut dispatcher = self.cx.dispatcher.borrow_mut();
         dispatcher
             .health
@@ -106,7 +109,10 @@
                 };
                 crash_checks::on_attempt_broke(&self.cx, &self.ticket.target, broken);
             }
-            end if end.is_answer() => crash_checks::on_answered(&self.cx, self.fingerprint),
+            end if end.is_answer() => {
+                crash_checks::on_answered(&self.cx, self.fingerprint);
+                crash_checks::on_parts_answered(&self.cx, &self.parts);
+            }
             _ => {}
         }
     }
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -34,7 +34,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Error text for a call whose request is quarantined.
-pub(super) const QUARANTINE_TEXT: &str = "targets crashed while they ran this request";
+pub(super) const QUARANTINE_TEXT: &str =
+    "targets crashed while they ran this request or others with a part of its prompt";
 
 /// Error text for a stream that no target can continue.
 const VERSION_GONE_TEXT: &str = "no target of the version that began the stream is left";
@@ -265,7 +266,7 @@
     );
     let is_shortage = no_capacity || none_left;
     let retry_delay = match failed.end {
-        AttemptEnd::Quarantined => crash_checks::quarantine_time_left(cx, call.fingerprint),
+        AttemptEnd::Quarantined => crash_checks::quarantine_time_left(cx, call),
         AttemptEnd::VersionGone => Some(VERSION_GONE_RETRY_AFTER),
         _ => is_shortage.then(|| retry_after(cx, call)),
     };
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -291,6 +291,7 @@
         shares: Vec::new(),
         share_sums: Vec::new(),
         brittle: cx.dispatcher.borrow().brittle.notices(now),
+        cleared: cx.dispatcher.borrow().quarantine.clear_notices(now),
     }
 }
 
@@ -339,7 +340,7 @@
     if let Some(confirmation) = cx.peers.borrow().config_confirmation(&received) {
         cx.freshness.borrow_mut().on_peer_confirmation(confirmation);
     }
-    crash_checks::on_notices(cx, now, &received.crashes, &received.quarantined);
+    crash_checks::on_notices(cx, now, &received);
     let shares = share_reports::take(&mut received).unwrap_or_else(|e| {
         debug!(cx.log, "shares not decoded"; "from" => %from, "why" => %e);
         Vec::new()
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -143,20 +143,20 @@
                 accepted_changes::apply_snapshot(cx, *snapshot);
             }
             Ok(OwnEntry::Change(change)) if cx.cfg.own_config => changes.push(*change),
-            Ok(OwnEntry::Quarantined(request)) => {
+            Ok(OwnEntry::Quarantined(key)) => {
                 let now = cx.now();
                 let change = {
                     let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
-                    quarantine.on_stored(now, request)
+                    quarantine.on_stored(now, key)
                 };
-                crash_checks::log_change(cx, request, change, "entered in the store");
+                crash_checks::log_change(cx, key, change, "entered in the store");
             }
-            Ok(OwnEntry::QuarantineEnded(request)) => {
+            Ok(OwnEntry::QuarantineEnded(key)) => {
                 let change = {
                     let quarantine = &mut cx.dispatcher.borrow_mut().quarantine;
-                    quarantine.on_removed(request)
+                    quarantine.on_removed(key)
                 };
-                crash_checks::log_change(cx, request, change, "its store entry was removed");
+                crash_checks::log_change(cx, key, change, "its store entry was removed");
             }
             Ok(_) => {}
             Err(why) => log_undecodable(cx, item, &why),
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -9,7 +9,7 @@
     limits::{Demand, Grant},
     outages::OutageNotice,
     prompt_cache::PartId,
-    quarantine::{CrashNotice, QuarantineNotice},
+    quarantine::{ClearNotice, CrashNotice, QuarantineNotice},
     stream_origin::OriginNotice,
     target_counts::{TargetCounts, TargetHash},
     units::{ConfigVersion, StoreRevision, Tokens},
@@ -147,4 +147,6 @@
     pub share_sums: Vec<u8>,
     /// Brittle targets, as they told the sender or others; usually empty.
     pub brittle: Vec<BrittleNotice>,
+    /// Suspected parts of prompts that targets answered; usually empty.
+    pub cleared: Vec<ClearNotice>,
 }
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -7,8 +7,8 @@
 use super::{PackedValue, StoreItem};
 use crate::{
     config::{Change, Snapshot},
-    fingerprint::Fingerprint,
     ids::{Revision, VmId},
+    quarantine_key::QuarantineKey,
 };
 
 /// Prefix of all keys that the routers write and watch.
@@ -26,7 +26,7 @@
 /// Prefix of the keys of accepted changes.
 pub const CHANGE_PREFIX: &str = "scaleford/config/change/";
 
-/// Prefix of the keys of quarantined requests.
+/// Prefix of the keys of quarantined requests and parts.
 const QUARANTINE_PREFIX: &str = "scaleford/held/";
 
 /// A decoded entry that a router wrote.
@@ -40,10 +40,10 @@
     Snapshot(Box<Snapshot>),
     /// An accepted change.
     Change(Box<Change>),
-    /// A request that all routers quarantine.
-    Quarantined(Fingerprint),
-    /// A request that is no longer quarantined.
-    QuarantineEnded(Fingerprint),
+    /// A request or a part of prompts that all routers quarantine.
+    Quarantined(QuarantineKey),
+    /// A request or a part that is no longer quarantined.
+    QuarantineEnded(QuarantineKey),
     /// An entry that was removed, or of a kind that a later version writes.
     Other,
 }
@@ -53,9 +53,9 @@
     format!("{ROUTER_PREFIX}{vm}")
 }
 
-/// Returns the key under which a request is quarantined.
-pub(crate) fn quarantine_key(request: Fingerprint) -> String {
-    format!("{QUARANTINE_PREFIX}{request}")
+/// Returns the key of the entry by which a request or a part is quarantined.
+pub(crate) fn quarantine_key(key: QuarantineKey) -> String {
+    format!("{QUARANTINE_PREFIX}{key}")
 }
 
 /// Returns the key of a change. The keys sort in the order of the changes.
--- a/src/stream_origin.rs
+++ b/src/stream_origin.rs
@@ -39,6 +39,23 @@
 #[serde(transparent)]
 pub struct ServiceHash(u32);
 
+impl fmt::Display for ServiceHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for ServiceHash {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        match u32::from_str_radix(s, 16) {
+            Ok(n) if s.len() == 8 => Ok(Self(n)),
+            _ => Err(IdError::new("8 hexadecimal digits", s)),
+        }
+    }
+}
+
 impl From<&ServiceName> for ServiceHash {
     fn from(service: &ServiceName) -> Self {
         Self(xxh3_64(service.as_str().as_bytes()) as u32)
@@ -71,7 +88,7 @@
 
 impl fmt::Display for StreamOrigin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}.{:08x}", self.service.0, self.version)
+        write!(f, "{}.{:08x}", self.service, self.version)
     }
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod changes;
 mod claims;
+mod crash_evidence;
 mod evacuation;
 mod flow;
 mod health;
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -75,6 +75,7 @@
         outages: Vec::new(),
         crashes: Vec::new(),
         quarantined: Vec::new(),
+        cleared: Vec::new(),
         member_digests: Vec::new(),
         exchange: Some(exchange),
         rates: Vec::new(),
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -181,6 +181,7 @@
             outages: Vec::new(),
             crashes: Vec::new(),
             quarantined: Vec::new(),
+            cleared: Vec::new(),
             member_digests: Vec::new(),
             exchange: None,
             rates: Vec::new(),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -57,6 +57,7 @@
         outages: Vec::new(),
         crashes: Vec::new(),
         quarantined: Vec::new(),
+        cleared: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -77,6 +77,7 @@
         outages: Vec::new(),
         crashes: Vec::new(),
         quarantined: Vec::new(),
+        cleared: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
