--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -3,6 +3,7 @@
 mod brittle_targets;
 mod cold_targets;
 mod crashing;
+mod crashing_parts;
 mod cut_off;
 mod lock_out;
 mod mixed_versions;
