An answer of an earlier HTTP version that breaks off does not look complete

Targets may answer with neither a length nor chunks. Where such an answer has an HTTP/1.0 head, the router passed the version on, and its own answer to the caller had no chunks either: a stream that broke off within an event ended as a complete one. The version belongs to the target's connection, as the other headers of one hop do.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Uri,
+    Request, Uri, Version,
     body::Incoming,
     http::{request, response},
 };
@@ -293,7 +293,10 @@
             return Err(AttemptFailure::may_have_run(AttemptEnd::Silent));
         }
     };
-    let (head, body) = res.into_parts();
+    let (mut head, body) = res.into_parts();
+    // The version concerns the target's connection only. An answer to the caller in an earlier one would have no
+    // chunks, so that it looked complete where it breaks off.
+    head.version = Version::HTTP_11;
     if !conn.is_tunnel() {
         let paths = &mut cx.dispatcher.borrow_mut().paths;
         paths.on_heard(cx.now(), &guard.ticket.target);
