A router that gets most callers may use connections that others do not

For some seconds the platform may send most new connections of a data hall to one router. Half of the usable connections less the calls of others may be used where that is more than an equal share.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -193,7 +193,7 @@
         deadline: received + timeout,
         rank,
         attempts: Attempts::default(),
-        conn_limit: spec.map_or(usize::MAX, |s| cx.conn_share(s.max_conns)),
+        max_conns: spec.map_or(u32::MAX, |s| s.max_conns),
         plan,
         head,
         body,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -50,8 +50,8 @@
     pub(crate) route: Rc<Route>,
     pub(crate) key_owner: Option<KeyOwner>,
     pub(crate) plan: CallPlan,
-    /// Maximum number of connections of this router to one target of the service.
-    pub(crate) conn_limit: usize,
+    /// Maximum number of connections of all routers to one target of the service.
+    pub(crate) max_conns: u32,
     /// Instant at which the head of the request was read.
     pub(crate) received: Instant,
     /// Instant at which the call ends: the caller's deadline or the route's timeout, whichever is
@@ -208,7 +208,8 @@
         if let Some(conn) = cx.conns.take(now, &target.id, repeatable, direct) {
             return Ok((guard, conn));
         }
-        let opening = target_conn::open(cx, &target, call.conn_limit);
+        let conn_limit = cx.conn_share(call.max_conns, &target.id);
+        let opening = target_conn::open(cx, &target, conn_limit);
         let Some(opened) = cx.clock.timeout_at(call.deadline, opening).await else {
             guard.end(AttemptEnd::NoTimeLeft);
             return Err(AttemptFailure::not_sent(AttemptEnd::NoTimeLeft));
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -25,7 +25,7 @@
     dispatcher::Dispatcher,
     explain::{Decision, ExplainRing},
     flow::FlowBounds,
-    ids::{Incarnation, Revision, ServiceName},
+    ids::{Incarnation, Revision, ServiceName, TargetId},
     lifecycle::{Phase, RouterEvent, RouterLifecycle},
     log::LogFlusher,
     membership::peers::Peers,
@@ -343,12 +343,21 @@
         self.store_unavailable_since.get().is_none() && self.store_age().is_some()
     }
 
-    /// Returns the number of connections to one target that this router may have, if the fleet may have
-    /// `max_conns`.
-    pub(crate) fn conn_share(&self, max_conns: u32) -> usize {
-        let routers = self.peers.borrow().live_count(self.now());
-        let share = (max_conns as usize).saturating_mul(CONN_USAGE_PERCENT) / 100 / routers;
-        share.max(MIN_CONNS_PER_TARGET)
+    /// Returns the number of connections to a target that this router may have, if the fleet may have
+    /// `max_conns`: an equal share, or more where other routers have few calls there. Otherwise a router that
+    /// gets most callers of a fleet would refuse them while the target's connections are free.
+    pub(crate) fn conn_share(&self, max_conns: u32, target: &TargetId) -> usize {
+        let now = self.now();
+        let routers = self.peers.borrow().live_count(now);
+        let usable = (max_conns as usize).saturating_mul(CONN_USAGE_PERCENT) / 100;
+        let others = self
+            .dispatcher
+            .borrow()
+            .load
+            .call_counts(now, target)
+            .others;
+        let unused = (usable / UNUSED_CONNS_DIVISOR).saturating_sub(others as usize);
+        (usable / routers).max(unused).max(MIN_CONNS_PER_TARGET)
     }
 }
 
@@ -360,5 +369,9 @@
 /// another.
 const CONN_USAGE_PERCENT: usize = 80;
 
+/// Part of a target's usable connections, as a divisor, that one router may have while others have no calls
+/// there. The rest allows for idle connections of others and for counts that are out of date.
+const UNUSED_CONNS_DIVISOR: usize = 2;
+
 /// Minimum number of connections to a target that each router may have.
 const MIN_CONNS_PER_TARGET: usize = 2;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod lock_out;
 mod mixed_versions;
 mod model;
+mod most_callers;
 mod overload;
 mod pool_shares;
 mod stale_counts;
--- a/tests/load/model.rs
+++ b/tests/load/model.rs
@@ -134,6 +134,9 @@
     notices_at_hubs: Vec<BrittleNotice>,
 }
 
+/// Fraction of the calls that arrive at one router while most callers do.
+const ONE_ROUTER_FRACTION: f64 = 0.9;
+
 impl Model {
     pub fn new(load: Load) -> Self {
         let router = |n| {
@@ -250,7 +253,14 @@
 
     fn on_call(&mut self, call: Call) {
         let active_routers = self.active_routers();
-        let router = self.rng.random_range(active_routers);
+        let is_one = self
+            .load
+            .one_router_from_s
+            .is_some_and(|s| self.now.0.as_secs() >= s);
+        let router = match is_one && call.tries == 0 && self.rng.random_bool(ONE_ROUTER_FRACTION) {
+            true => active_routers.start,
+            false => self.rng.random_range(active_routers),
+        };
         self.count += 1;
         let n = self.count;
         let account = format!("a{}", call.account).parse().unwrap();
--- a/tests/load/model/load.rs
+++ b/tests/load/model/load.rs
@@ -54,6 +54,8 @@
     pub shares: ShareScope,
     /// Time in which no hub sends sums; `None` if hubs always do.
     pub hubs_silent: Option<(Duration, Duration)>,
+    /// Second from which on nine tenths of the first tries arrive at one router.
+    pub one_router_from_s: Option<u64>,
     /// Targets whose speed changes; `None` if all keep their usual speed.
     pub uneven: Option<UnevenSchedule>,
     /// Targets that crash when they reject too many calls; `None` if none do.
@@ -137,6 +139,7 @@
         bounded_retries: false,
         shares: ShareScope::SmallPools,
         hubs_silent: None,
+        one_router_from_s: None,
         uneven: None,
         brittle: None,
     };
