--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -83,6 +83,13 @@
         self.read_response(req, None).await
     }
 
+    /// Sends a call whose prompt has these parts, and returns its outcome.
+    pub async fn call_with_prompt(&mut self, id: &str, key: &str, prompt: &str) -> CallOutcome {
+        let req = request("safe", id, key).header("x-prefix-hash", prompt);
+        let req = req.body(Full::from(id.to_owned()));
+        self.read_response(req, None).await
+    }
+
     /// Asks for a stream or the rest of one. After `patience`, the connection is dropped.
     pub async fn read_stream(
         &mut self,
--- a/soak/src/crashes.rs
+++ b/soak/src/crashes.rs
@@ -1,9 +1,11 @@
-//! A request that crashes each target that starts to run it.
+//! A request that crashes each target that starts to run it, or requests of which no two are alike that share a
+//! part of their prompts under which targets crash.
 //!
-//! It is sent repeatedly through random routers.
+//! They are sent repeatedly through random routers.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use futures::FutureExt;
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
 use tokio::task::JoinHandle;
@@ -16,6 +18,10 @@
 /// Body by which targets recognize the crashing request.
 pub const CRASH_BODY: &str = "the lot that nobody can describe";
 
+/// Part of prompts that crashes targets, and the part with which all prompts begin.
+pub const CRASH_PART: &str = "bad0";
+const FIRST_PART: &str = "f0";
+
 /// Range of the pause between two sends of the request, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..600;
 
@@ -34,8 +40,9 @@
     restarts: Vec<JoinHandle<()>>,
 }
 
-/// Starts to send the request repeatedly, also after the other faults have ended.
-pub fn start(env: &Rc<TestEnv>, seed: u64) -> CrashTasks {
+/// Starts to send the request repeatedly, also after the other faults have ended. With `parts`, each request is
+/// another one, and they share a part.
+pub fn start(env: &Rc<TestEnv>, seed: u64, parts: bool) -> CrashTasks {
     let restarts = (0..env.targets.len()).map(|target_index| {
         let env = Rc::clone(env);
         tokio::task::spawn_local(async move { restart_after_crashes(&env, target_index).await })
@@ -53,7 +60,15 @@
             if let Some(mut caller) = Caller::connect(vm.caller_address).await {
                 // The outcome is ignored: only what targets observe is checked.
                 let id = format!("crash-{n}");
-                let call = caller.call_with_body("safe", &id, API_KEYS[0], CRASH_BODY);
+                let prompt = format!("{FIRST_PART}:300,{CRASH_PART}:50,{n:x}:10");
+                let call = match parts {
+                    true => caller
+                        .call_with_prompt(&id, API_KEYS[0], &prompt)
+                        .left_future(),
+                    false => caller
+                        .call_with_body("safe", &id, API_KEYS[0], CRASH_BODY)
+                        .right_future(),
+                };
                 let _ = tokio::time::timeout(RESPONSE_TIMEOUT, call).await;
             }
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -58,6 +58,8 @@
     pub cuts: bool,
     /// Whether the targets of the small plain service are brittle; see `brittle`.
     pub brittle: bool,
+    /// Whether to send requests that share a part which crashes targets; see `crashes`.
+    pub parts: bool,
     /// Whether targets run several software versions; see `versions`.
     pub versions: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
@@ -80,7 +82,8 @@
     let promises = Rc::clone(&env.promises);
     env.until_ready().await;
     let caller_tasks = callers::start(&env, options.seed);
-    let crash_tasks = options.crashes.then(|| crashes::start(&env, options.seed));
+    let crash_tasks = (options.crashes || options.parts)
+        .then(|| crashes::start(&env, options.seed, options.parts));
     let slow_readers = options
         .slow_readers
         .then(|| slow_readers::start(&env, options.seed));
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,6 +22,8 @@
             optional --entries
             /// Also send a request that crashes each target that starts to run it.
             optional --crashes
+            /// Also send requests that share a part of their prompts, which crashes each target.
+            optional --parts
             /// Also let targets announce in responses that they are leaving or accept no calls for a while.
             optional --withdrawals
             /// Also revert the store to older copies.
@@ -57,6 +59,7 @@
         vms: flags.vms.unwrap_or(4).clamp(1, MAX_VMS),
         entries: flags.entries,
         crashes: flags.crashes,
+        parts: flags.parts,
         withdrawals: flags.withdrawals,
         set_backs: flags.set_backs,
         surge: flags.surge,
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -12,10 +12,10 @@
 };
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, Version,
     body::{Frame, Incoming},
 };
 use tokio::{sync::Notify, time::Instant};
@@ -151,7 +151,9 @@
             return status_response(400);
         };
         let body = body.to_bytes();
-        if body == crashes::CRASH_BODY {
+        let has_crash_part =
+            header_text(&head.headers, "x-prefix-hash").contains(crashes::CRASH_PART);
+        if body == crashes::CRASH_BODY || has_crash_part {
             self.promises.on_crash();
             self.crashed.notify_one();
             return std::future::pending().await;
@@ -268,6 +270,7 @@
                 }
                 Response::new(self.events(headers, call, LAST_EVENT, None))
             }
+            _ if is_unframed(call) => unframed(whole(expected_body(call))),
             _ => Response::new(whole(expected_body(call))),
         }
     }
@@ -294,6 +297,20 @@
     format!("answer to {call}")
 }
 
+/// Returns whether the answer to a call has neither a length nor chunks.
+fn is_unframed(call: &str) -> bool {
+    call.ends_with('7')
+}
+
+/// Returns an answer that ends with its connection.
+fn unframed(body: Body) -> Response<Body> {
+    let frames = body.into_data_stream().map(|data| data.map(Frame::data));
+    let mut res = Response::new(StreamBody::new(frames).boxed_unsync());
+    // A server sends a body of unknown length without chunks in this version only.
+    *res.version_mut() = Version::HTTP_10;
+    res
+}
+
 /// Returns the event with this number of a call's stream.
 pub fn event(call: &str, n: u64) -> String {
     let padding = match call.starts_with(slow_readers::ID_PREFIX) {
