Origins of streams wait by service; only calls that take up a stream are parsed for it

Each tenth of a second, the origins of the last minute were looked through one by one where a service has one version, and each call was parsed twice. Now a service's origins are skipped together, and a header tells which calls may take up a stream. Found by reading; tests of origins, mixed versions and parts pass unchanged.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -169,6 +169,10 @@
     }
     /// Returns the id of a call: the caller's own, or a generated one.
     fn call_id(&self, headers: &HeaderMap) -> Option<String>;
+    /// Returns whether a request may take up a stream that broke off.
+    fn may_take_up_stream(&self, _headers: &HeaderMap) -> bool {
+        false
+    }
     /// Parses a whole request.
     fn parse_call(
         &self,
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -17,7 +17,7 @@
     config::serving::Route,
     dialect::{CallInfo, Refusal},
     discovery::TargetRecord,
-    ids::ServiceName,
+    ids::{ClientAccountId, ServiceName},
     membership::datagram::Message,
     stream_origin::{OriginNotice, ServiceHash, StreamKey, StreamOrigin, StreamProgress},
 };
@@ -110,12 +110,12 @@
 /// Finds out which version began the stream that a call takes up. Other routers are asked if the version
 /// matters and is not known here.
 pub(super) async fn find(cx: &Gateway, incoming: &IncomingCall) -> Origin {
+    if !cx.dialect.may_take_up_stream(&incoming.head.headers) {
+        return Origin::New;
+    }
     let Some((facts, route, account)) = parse(cx, incoming) else {
         return Origin::New;
     };
-    if facts.last_event_id.is_none() {
-        return Origin::New;
-    }
     let Some(resumes) = facts.resumes.as_deref() else {
         return Origin::Unknown;
     };
@@ -140,11 +140,11 @@
     origin
 }
 
-/// Returns the facts of a call, its route and its account, if it would be admitted.
+/// Returns the facts of a call that takes up a stream, its route and its account, if it would be admitted.
 fn parse(
     cx: &Gateway,
     incoming: &IncomingCall,
-) -> Option<(CallInfo, Rc<Route>, Option<crate::ids::ClientAccountId>)> {
+) -> Option<(CallInfo, Rc<Route>, Option<ClientAccountId>)> {
     let body = incoming.body.as_ref()?;
     let facts = (cx.dialect).parse_call(&incoming.head, body, incoming.id.as_deref());
     let facts = facts.ok().filter(|f| f.last_event_id.is_some())?;
--- a/src/stream_origin.rs
+++ b/src/stream_origin.rs
@@ -9,6 +9,7 @@
 use std::{collections::VecDeque, fmt, num::NonZeroUsize, str::FromStr, time::Duration};
 
 use lru::LruCache;
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -24,7 +25,7 @@
 /// Time for which an origin is remembered: longer than a caller takes up its stream again and again.
 const ORIGIN_TTL: Duration = Duration::from_mins(10);
 
-/// Maximum number of origins that wait to be sent to others.
+/// Maximum number of origins of one service that wait to be sent to others.
 const MAX_UNSENT: usize = 4_096;
 
 /// Number of times that an origin is sent, as a datagram may be lost.
@@ -32,7 +33,7 @@
 
 /// Time for which an origin is kept that need not be sent, because its service has one version: in this
 /// time another version may appear, and the stream may break off.
-pub(crate) const UNSENT_TTL: Duration = Duration::from_mins(1);
+const UNSENT_TTL: Duration = Duration::from_mins(1);
 
 /// Hash of a service's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -199,14 +200,15 @@
 #[derive(Debug)]
 pub struct StreamOrigins {
     known: LruCache<StreamKey, (StreamOrigin, Instant)>,
-    unsent: VecDeque<UnsentOrigin>,
+    /// Origins to be sent, oldest first.
+    unsent: FxHashMap<ServiceHash, VecDeque<UnsentOrigin>>,
 }
 
 impl Default for StreamOrigins {
     fn default() -> Self {
         Self {
             known: LruCache::new(MAX_ORIGINS),
-            unsent: VecDeque::new(),
+            unsent: FxHashMap::default(),
         }
     }
 }
@@ -215,10 +217,11 @@
     /// Records that the first event of a stream is passed on to its caller.
     pub fn on_begun(&mut self, now: Instant, stream: StreamKey, origin: StreamOrigin) {
         self.known.put(stream, (origin, now));
-        if self.unsent.len() >= MAX_UNSENT {
-            self.unsent.pop_front();
+        let unsent = self.unsent.entry(origin.service).or_default();
+        if unsent.len() >= MAX_UNSENT {
+            unsent.pop_front();
         }
-        self.unsent.push_back(UnsentOrigin {
+        unsent.push_back(UnsentOrigin {
             notice: OriginNotice { stream, origin },
             begun_at: now,
             sends_left: SENDS,
@@ -246,12 +249,19 @@
         is_mixed: impl Fn(ServiceHash) -> bool,
     ) -> Vec<OriginNotice> {
         let mut notices = Vec::new();
-        self.unsent.retain_mut(|unsent| {
-            if is_mixed(unsent.notice.origin.service) {
-                notices.push(unsent.notice);
-                unsent.sends_left -= 1;
+        let is_over = |o: &UnsentOrigin| now.since(o.begun_at) >= UNSENT_TTL;
+        self.unsent.retain(|service, origins| {
+            while origins.front().is_some_and(is_over) {
+                origins.pop_front();
             }
-            unsent.sends_left > 0 && now.since(unsent.begun_at) < UNSENT_TTL
+            if is_mixed(*service) {
+                for origin in origins.iter_mut() {
+                    notices.push(origin.notice);
+                    origin.sends_left -= 1;
+                }
+                origins.retain(|origin| origin.sends_left > 0);
+            }
+            !origins.is_empty()
         });
         notices
     }
