Held requests are refused before they count for their account; failures clear no part

Found by reading the change: the check of parts had moved the refusal of quarantined requests behind the account's limits and counts, and a target's error of its own, which it gives before it begins to answer, cleared the parts of the call.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -138,14 +138,14 @@
     let account = key_owner.as_ref().map(|h| &h.account);
     let fingerprint = fingerprint(&head, &body, &facts, account);
     call_guard.fingerprint = Some(fingerprint);
-    let account_place = accounts::admit(cx, key_owner.as_ref())
-        .map_err(|retry_after| account_limit_refusal(cx, id.as_deref(), retry_after))?;
     let hash = xxh3_64(id.as_deref().unwrap_or_default().as_bytes());
     let service = stream_origins::service_for(&route, origin, hash).cloned();
     let no_service = Refusal::new(ResultCode::NoTarget, "no service on the route");
     let service = service.ok_or(no_service)?;
     let parts = other_parts(&service, &facts.prompt);
     let is_trial = crash_checks::check_quarantine(cx, fingerprint, &parts)?;
+    let account_place = accounts::admit(cx, key_owner.as_ref())
+        .map_err(|retry_after| account_limit_refusal(cx, id.as_deref(), retry_after))?;
     let progress = stream_origins::progress(cx, &service, origin, facts.last_event_id)?;
     let spec = config.service(&service);
     let engine = spec.and_then(|s| s.engine);
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -111,7 +111,10 @@
             }
             end if end.is_answer() => {
                 crash_checks::on_answered(&self.cx, self.fingerprint);
-                crash_checks::on_parts_answered(&self.cx, &self.parts);
+                // A target may fail a call before it begins to answer, which says nothing of the parts.
+                if end == AttemptEnd::Answered {
+                    crash_checks::on_parts_answered(&self.cx, &self.parts);
+                }
             }
             _ => {}
         }
