--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -178,15 +178,7 @@
         let ticket = chosen.map_err(|e| match e {
             PlacementError::NoTarget if lacks_slot => AttemptFailure::not_sent(AttemptEnd::AllFull),
             PlacementError::NoTarget if lacks_path => AttemptFailure::not_sent(AttemptEnd::NoPath),
-            PlacementError::NoTarget => AttemptFailure::not_sent(AttemptEnd::NoTarget),
-            PlacementError::AllFull => AttemptFailure::not_sent(AttemptEnd::AllFull),
-            PlacementError::AllCold => AttemptFailure::not_sent(AttemptEnd::AllCold),
-            PlacementError::AllEvacuated => AttemptFailure::not_sent(AttemptEnd::AllEvacuated),
-            PlacementError::VersionGone => AttemptFailure::not_sent(AttemptEnd::VersionGone),
-            PlacementError::AllLeaving => AttemptFailure::not_sent(AttemptEnd::AllLeaving),
-            PlacementError::AllBackedOff { .. } => {
-                AttemptFailure::not_sent(AttemptEnd::AllBackedOff)
-            }
+            e => AttemptFailure::not_sent(e.into()),
         })?;
         let target = Rc::clone(&ticket.target);
         cx.metrics.prompt_tokens_missing.inc_by(ticket.missing.0);
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::health::Outcome;
+use crate::{health::Outcome, placement::choice::PlacementError};
 
 /// How one attempt ended, or why none could be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -155,6 +155,20 @@
     }
 }
 
+impl From<PlacementError> for AttemptEnd {
+    fn from(e: PlacementError) -> Self {
+        match e {
+            PlacementError::NoTarget => Self::NoTarget,
+            PlacementError::AllFull => Self::AllFull,
+            PlacementError::AllCold => Self::AllCold,
+            PlacementError::AllEvacuated => Self::AllEvacuated,
+            PlacementError::VersionGone => Self::VersionGone,
+            PlacementError::AllLeaving => Self::AllLeaving,
+            PlacementError::AllBackedOff { .. } => Self::AllBackedOff,
+        }
+    }
+}
+
 impl fmt::Display for AttemptEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.name())
