--- a/review/src/broken_answer.rs
+++ b/review/src/broken_answer.rs
@@ -106,7 +106,7 @@
     let killer = thread::spawn(move || {
         let peer = halfway.recv_timeout(Duration::from_secs(5));
         if break_at == Break::AtRelay && peer.is_ok() {
-            second.signal("KILL");
+            second.signal(Signal::Kill);
             kill_record.line("SIGKILL to router 2");
         }
         (peer, second)
--- a/review/src/lost_on_stop.rs
+++ b/review/src/lost_on_stop.rs
@@ -20,7 +20,7 @@
 /// Size of each answer, in bytes.
 const ANSWER_BYTES: usize = 256 << 10;
 
-/// Bytes that a client reads at once, and its pause after that: 51 KB a second, so that it has the whole answer
+/// Bytes that a client reads at once at most, and the time that it takes for as many: 51 KB a second, so that it has the whole answer
 /// after 5.1 s, well within the 8 s of `graceS` and its deadline.
 const READ_BYTES: usize = 5_120;
 const READ_PAUSE: Duration = Duration::from_millis(100);
@@ -71,7 +71,7 @@
     let stopped_at = Instant::now();
     if with_trouble() {
         record.line("SIGTERM to the router; graceS is 8 s");
-        router.signal("TERM");
+        router.signal(Signal::Term);
     }
     let mut exited = false;
     while !clients.iter().all(|c| c.is_finished()) {
@@ -177,11 +177,8 @@
             Ok(len) => got.extend_from_slice(&piece[..len]),
             Err(e) => break e.to_string(),
         }
-        thread::sleep(
-            READ_PAUSE
-                .mul_f64(got.len() as f64 / READ_BYTES as f64)
-                .saturating_sub(paused(&got, started)),
-        );
+        let due = READ_PAUSE.mul_f64(got.len() as f64 / READ_BYTES as f64);
+        thread::sleep(due.saturating_sub(started.elapsed()));
     };
     let after = started.elapsed().as_secs_f64();
     record.line(&format!(
@@ -194,11 +191,6 @@
     })
 }
 
-/// Returns the time since the client began, so that it reads at an even rate.
-fn paused(_: &[u8], started: Instant) -> Duration {
-    started.elapsed()
-}
-
 fn bound_receive_buffer(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     let size = RECEIVE_BUFFER;
--- a/review/src/standins.rs
+++ b/review/src/standins.rs
@@ -508,12 +508,19 @@
 }
 
 unsafe extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
+/// Signals that a case sends to the processes that it started.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Kill = 9,
+    Term = 15,
+}
+
 /// Has the system kill a router should the case's own process be killed.
 const PR_SET_PDEATHSIG: i32 = 1;
-const SIGKILL: u64 = 9;
 
 /// A router process, started by the command of the deploy file. It is killed when this is dropped.
 pub struct Router {
@@ -577,7 +584,7 @@
         // SAFETY: between fork and exec, only one system call is made.
         unsafe {
             command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                prctl(PR_SET_PDEATHSIG, Signal::Kill as u64);
                 Ok(())
             })
         };
@@ -619,10 +626,10 @@
         ask().unwrap_or(false)
     }
 
-    /// Sends a signal, such as `TERM`, to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        // SAFETY: the process is a child that has not been waited for, so its id is still its own.
+        unsafe { kill(self.child.id().cast_signed(), signal as i32) };
     }
 
     pub fn has_exited(&mut self) -> bool {
