silence: an attempt at a silent target is kept until another has begun

Callers saw: streams that ended after event 4 of 9, and 502 `silent` for calls that may be repeated, although the target went on a moment later. Cause: after the timeout for silence, the connection was dropped first. Only then a retry was taken from the budget and another target looked for. The budget was looked at when the wait began: eight streams found it free, and it had room for two. With no other target that takes the call, the call ended as well. Change: edge::overlap takes the retry first, and makes the further attempt beside the first. The first to begin its answer is used, and the other is dropped in the same step. Without a retry, or if the further attempt fails, the call waits for the first. Sending a call and reading the head of its answer are parted (edge::sent_call), so that the answer of the first attempt can be awaited while the call chooses another target. Why it works: nothing is given up for a replacement that may not come. maxAttempts and the budget are taken as before. Ruled out: a longer timeout (a target that is down would hold streams longer); looking at the budget again when the timeout fires, before the drop (the other target may refuse). Not changed: calls that must not be repeated; connections that break.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -10,6 +10,7 @@
 use super::{
     accounts::{self, AccountPermit},
     attempt::Call,
+    attempt_guard::EndIfDropped,
     call_end::CallGuard,
     crash_checks,
     flow::{AnswerAccount, CallerConn},
@@ -193,6 +194,7 @@
         deadline: received + timeout,
         rank,
         attempts: Attempts::default(),
+        end_if_dropped: EndIfDropped::default(),
         max_conns: spec.map_or(u32::MAX, |s| s.max_conns),
         plan,
         head,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -1,33 +1,27 @@
-//! One attempt of a call: chooses a target, gets a connection, sends the call and reads the head of
-//! the answer.
+//! One attempt of a call: chooses a target, gets a connection and sends the call.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    Request, Uri, Version,
-    body::Incoming,
-    http::{request, response},
-};
-use slog::info;
+use hyper::{Request, Uri, http::request};
 
 use super::{
     attempt_end::AttemptEnd,
-    attempt_guard::AttemptGuard,
+    attempt_guard::{AttemptGuard, EndIfDropped},
     conn::{Conn, ConnectError},
     contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
+    sent_call::{self, SentCall},
     slot_lease, target_conn, withdrawals,
 };
 use crate::{
     config::serving::{KeyOwner, Route},
-    dialect::{CallInfo, ForwardInfo, RejectedBy, ResponseInfo},
+    dialect::{CallInfo, ForwardInfo},
     dispatcher::{CallPlan, Ticket},
     explain::Decision,
     fingerprint::Fingerprint,
-    ids::TargetId,
     placement::choice::PlacementError,
     quarantine::PartKey,
     retry::{Attempts, Execution},
@@ -62,6 +56,8 @@
     pub(crate) rank: Rank,
     /// Account of the bytes that are held of the answer.
     pub(crate) answer: AnswerAccount,
+    /// How its attempts end that are dropped.
+    pub(crate) end_if_dropped: EndIfDropped,
 }
 
 impl Call {
@@ -85,15 +81,6 @@
     }
 }
 
-/// An answer of which the head has arrived and is valid, and the body has not been read yet.
-pub(crate) struct StartedAnswer {
-    pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
-    pub(crate) facts: ResponseInfo,
-    pub(crate) conn: Conn,
-    pub(crate) guard: AttemptGuard,
-}
-
 /// A failed attempt.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AttemptFailure {
@@ -124,7 +111,7 @@
         }
     }
 
-    fn not_run(end: AttemptEnd) -> Self {
+    pub(super) fn not_run(end: AttemptEnd) -> Self {
         Self {
             execution: Execution::NotRun,
             end,
@@ -132,7 +119,16 @@
         }
     }
 
-    fn may_have_run(end: AttemptEnd) -> Self {
+    /// Failure of an attempt whose target answered with an error of its own.
+    pub(super) fn target_error() -> Self {
+        Self {
+            execution: Execution::Ran,
+            end: AttemptEnd::TargetError,
+            is_final: false,
+        }
+    }
+
+    pub(super) fn may_have_run(end: AttemptEnd) -> Self {
         Self {
             execution: Execution::MayHaveRun,
             end,
@@ -141,18 +137,22 @@
     }
 }
 
-/// Makes one attempt, and waits at most `timeout` for the head of the answer.
-pub(crate) async fn attempt(
-    cx: &Rc<Gateway>,
-    call: &mut Call,
-    timeout: Duration,
-) -> Result<StartedAnswer, AttemptFailure> {
-    let (guard, conn) = connect(cx, call).await?;
-    let result = send(cx, call, guard, conn, timeout).await;
-    if let Err(failed) = &result {
-        call.attempts.on_attempt_end(failed.execution);
-    }
-    result
+/// Chooses a target and sends the call to it.
+pub(crate) async fn send(cx: &Rc<Gateway>, call: &mut Call) -> Result<SentCall, AttemptFailure> {
+    let (guard, mut conn) = connect(cx, call).await?;
+    let now = cx.now();
+    let req = build_request(cx, call, now, &guard.ticket, &guard.span);
+    call.attempts.on_sent();
+    Ok(SentCall {
+        id: call.id.clone(),
+        sent_at: now,
+        deadline: call.deadline,
+        received: call.received,
+        account: call.answer.clone(),
+        response: Box::pin(conn.sender.try_send_request(req)),
+        conn,
+        guard,
+    })
 }
 
 /// Chooses a target and gets a connection to it. Targets that cannot be reached are skipped.
@@ -211,7 +211,7 @@
             Ok(conn) => return Ok((guard, conn)),
             Err(ConnectError::AtLimit) => guard.end(AttemptEnd::ConnectionsAtLimit),
             Err(ConnectError::Refused) => {
-                on_connection_refused(cx, call, &target.id);
+                sent_call::on_connection_refused(cx, call.id(), &target.id);
                 guard.end(AttemptEnd::ConnectionRefused);
             }
             Err(ConnectError::Unreachable) => guard.end(AttemptEnd::Unreachable),
@@ -239,138 +239,6 @@
     is_held
 }
 
-/// Records what a target states of how many calls it can reject.
-fn on_brittle_statement(cx: &Gateway, call: &Call, target: &TargetId, facts: &ResponseInfo) {
-    let brittle = &mut cx.dispatcher.borrow_mut().brittle;
-    if brittle.on_statement(cx.now(), target.into(), facts.rejection_limit) {
-        info!(cx.log, "brittle"; "id" => call.id(), "target" => %target,
-            "rejections_per_s" => facts.rejection_limit.map(|l| l.to_string()));
-    }
-}
-
-async fn send(
-    cx: &Rc<Gateway>,
-    call: &mut Call,
-    mut guard: AttemptGuard,
-    mut conn: Conn,
-    timeout: Duration,
-) -> Result<StartedAnswer, AttemptFailure> {
-    let now = cx.now();
-    let req = build_request(cx, call, now, &guard.ticket, &guard.span);
-    let until = (now + timeout).min(call.deadline);
-    call.attempts.on_sent();
-    let sent = conn.sender.try_send_request(req);
-    let answer = cx.clock.timeout_at(until, sent).await;
-    let res = match answer {
-        Some(Ok(res)) => res,
-        Some(Err(mut e)) => {
-            // The client hands a request back only if it was never written to the connection.
-            let unsent = e.take_message().is_some();
-            if let Some(idle_time) = conn.idle_time() {
-                cx.conns.on_idle_conn_broke(cx.now(), idle_time);
-            }
-            on_connection_broke(cx, call, guard.target(), now);
-            let failed = match unsent {
-                true => AttemptFailure::not_run(AttemptEnd::ClosedBeforeSend),
-                false => AttemptFailure::may_have_run(AttemptEnd::ConnectionBroke),
-            };
-            guard.end(failed.end);
-            return Err(failed);
-        }
-        None if until >= call.deadline => {
-            guard.end(AttemptEnd::DeadlineExceeded);
-            return Err(AttemptFailure::may_have_run(AttemptEnd::DeadlineExceeded));
-        }
-        None => {
-            guard.end(AttemptEnd::Silent);
-            return Err(AttemptFailure::may_have_run(AttemptEnd::Silent));
-        }
-    };
-    let (mut head, body) = res.into_parts();
-    // The version concerns the target's connection only. An answer to the caller in an earlier one would have no
-    // chunks, so that it looked complete where it breaks off.
-    head.version = Version::HTTP_11;
-    if !conn.is_tunnel() {
-        let paths = &mut cx.dispatcher.borrow_mut().paths;
-        paths.on_heard(cx.now(), &guard.ticket.target);
-    }
-    let facts = cx.dialect.parse_response(head.status, &head.headers);
-    if let Some(load) = facts.load {
-        let mut dispatcher = cx.dispatcher.borrow_mut();
-        dispatcher.on_load_report(cx.now(), guard.target(), load);
-    }
-    guard.on_head(&facts);
-    if facts.rejected_by != Some(RejectedBy::OtherTarget) && facts.is_authentic(head.status) {
-        on_brittle_statement(cx, call, guard.target(), &facts);
-    }
-    withdrawals::on_response_head(cx, call, guard.target(), head.status, &facts);
-    let answer = StartedAnswer {
-        head,
-        body,
-        facts,
-        conn,
-        guard,
-    };
-    check_head(cx, call, answer)
-}
-
-/// Records that a target is down: nothing listens at its address, or another target has the address.
-fn on_connection_refused(cx: &Gateway, call: &Call, target: &TargetId) {
-    let now = cx.now();
-    let mut dispatcher = cx.dispatcher.borrow_mut();
-    dispatcher.health.outages.on_refused(now, target.into());
-    info!(cx.log, "outage"; "id" => call.id(), "target" => %target, "refused" => true);
-}
-
-/// Records that a connection broke before the answer to a call that was sent on it at `sent`.
-fn on_connection_broke(cx: &Gateway, call: &Call, target: &TargetId, sent: Instant) {
-    let now = cx.now();
-    let after = now.since(sent);
-    let mut dispatcher = cx.dispatcher.borrow_mut();
-    dispatcher.withdrawals.on_broke(now, target);
-    let outages = &mut dispatcher.health.outages;
-    if outages.on_broke(now, target.into(), after) {
-        info!(cx.log, "outage"; "id" => call.id(), "target" => %target,
-            "broke_after_ms" => after.as_millis() as u64);
-    }
-}
-
-/// Checks that the head belongs to the target's answer to this call, and fails the attempt otherwise.
-fn check_head(
-    cx: &Rc<Gateway>,
-    call: &Call,
-    answer: StartedAnswer,
-) -> Result<StartedAnswer, AttemptFailure> {
-    let facts = &answer.facts;
-    let status = answer.head.status;
-    let is_other_call = facts.id.is_some() && facts.id != call.id;
-    match () {
-        () if is_other_call => {
-            answer.guard.end(AttemptEnd::AnswerToAnotherCall);
-            Err(AttemptFailure::may_have_run(
-                AttemptEnd::AnswerToAnotherCall,
-            ))
-        }
-        () if facts.rejected_by == Some(RejectedBy::OtherTarget) => {
-            on_connection_refused(cx, call, answer.guard.target());
-            answer.guard.end(AttemptEnd::AnotherTarget);
-            Err(AttemptFailure::not_run(AttemptEnd::AnotherTarget))
-        }
-        () if facts.rejected_by.is_some() => {
-            if let Some(slot) = &answer.guard.slot {
-                slot.on_rejected(cx);
-            }
-            answer.guard.end(AttemptEnd::Refused);
-            Err(AttemptFailure::not_run(AttemptEnd::Refused))
-        }
-        () if !facts.is_authentic(status) => {
-            answer.guard.end(AttemptEnd::UnverifiedAnswer);
-            Err(AttemptFailure::may_have_run(AttemptEnd::UnverifiedAnswer))
-        }
-        () => Ok(answer),
-    }
-}
-
 fn build_request(
     cx: &Gateway,
     call: &Call,
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -13,6 +13,8 @@
     TargetError,
     /// The attempt was dropped before it ended, for example because the caller left.
     Abandoned,
+    /// Another attempt of the call began its answer first.
+    Superseded,
     /// The call's deadline passed before the attempt was sent.
     NoTimeLeft,
     /// No target is left that the call has not tried.
@@ -49,7 +51,8 @@
     ConnectionBroke,
     /// The call's deadline passed before the answer was complete.
     DeadlineExceeded,
-    /// The target sent nothing for longer than the timeout.
+    /// The target sent nothing for longer than the timeout, and another attempt took its place or no time was
+    /// left.
     Silent,
     /// The answer carries the id of another call.
     AnswerToAnotherCall,
@@ -76,6 +79,7 @@
             Self::Answered => "answered",
             Self::TargetError => "target's error",
             Self::Abandoned => "abandoned",
+            Self::Superseded => "superseded",
             Self::NoTimeLeft => "no time left",
             Self::NoTarget => "no target left",
             Self::AllFull => "all targets full",
@@ -126,6 +130,7 @@
             Self::TargetError => Some(Outcome::Error),
             Self::ConnectionsAtLimit | Self::Refused => Some(Outcome::Full),
             Self::Abandoned
+            | Self::Superseded
             | Self::NoTimeLeft
             | Self::NoTarget
             | Self::AllFull
--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -1,7 +1,7 @@
 //! One attempt at a target from the choice of the target to the attempt's end, which is logged, counted
 //! and passed on to the target's health and to the quarantine of requests.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use slog::info;
 
@@ -18,8 +18,27 @@
     units::Instant, withdrawals::Withdrawal,
 };
 
+/// How the attempts of a call end that are dropped before their end.
+#[derive(Clone)]
+pub(crate) struct EndIfDropped(Rc<Cell<AttemptEnd>>);
+
+impl Default for EndIfDropped {
+    fn default() -> Self {
+        Self(Rc::new(Cell::new(AttemptEnd::Abandoned)))
+    }
+}
+
+impl EndIfDropped {
+    /// Drops what holds attempts of the call; they end in the given way.
+    pub(super) fn drop_as<T>(&self, end: AttemptEnd, attempts: T) {
+        let usual = self.0.replace(end);
+        drop(attempts);
+        self.0.set(usual);
+    }
+}
+
 /// An attempt in progress at a target. It holds the dispatcher's ticket, and releases it when the attempt
-/// ends or when it is dropped, which counts as an abandoned attempt.
+/// ends or when it is dropped. If it is dropped because its call was, it counts as abandoned.
 pub(crate) struct AttemptGuard {
     cx: Rc<Gateway>,
     pub(crate) ticket: Ticket,
@@ -36,6 +55,7 @@
     /// Withdrawal of the target that the head of the answer announced.
     withdrawal: Option<Withdrawal>,
     is_ended: bool,
+    end_if_dropped: EndIfDropped,
     /// Slot of a brittle target.
     pub(super) slot: Option<SlotLease>,
     pub(crate) span: HopSpan,
@@ -56,6 +76,7 @@
             started_at: now,
             withdrawal: None,
             is_ended: false,
+            end_if_dropped: call.end_if_dropped.clone(),
             slot: None,
             span: cx.spans.start_hop("target", call.id(), &call.head.headers),
         }
@@ -181,7 +202,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.finish(AttemptEnd::Abandoned);
+            self.finish(self.end_if_dropped.0.get());
         }
     }
 }
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -14,14 +14,16 @@
 
 use super::{
     admission::{IncomingCall, admit, await_config},
-    attempt::{AttemptFailure, Call, StartedAnswer, attempt},
+    attempt::{AttemptFailure, Call, send},
     attempt_end::AttemptEnd,
     body::{AnswerBody, CollectedBody},
     call_end::{CallGuard, give_up, pass_on, refuse},
     claimed_calls,
     flow::CallerConn,
     gateway::Gateway,
+    overlap::{self, Beginning, Start},
     read_body::{self, BodyError},
+    sent_call::StartedAnswer,
     stream,
     stream_origins::{self, Origin},
     view,
@@ -34,12 +36,12 @@
     retry::Execution,
 };
 
-/// Multiple of the route's latency goal that a repeatable plain call waits for its answer before it
-/// is sent to another target. The tail of a target's own latencies is well within it.
+/// Multiple of the route's latency goal that a repeatable plain call waits for its answer before another target is
+/// tried as well. The tail of a target's own latencies is well within it.
 const GOAL_TIMEOUT_FACTOR: f64 = 1.5;
 
-/// Minimum time that an attempt of a plain call waits for the head of its answer, if the call has that
-/// much time left.
+/// Minimum time that an attempt of a plain call waits for the head of its answer before another target is tried as
+/// well.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// The caller's request ended early, so that no answer can be sent and the connection is closed.
@@ -189,16 +191,11 @@
     let mut last_answer = None;
     let mut previous = None;
     loop {
-        let timeout = attempt_timeout(cx, call, GOAL_TIMEOUT_FACTOR, MIN_ATTEMPT_TIMEOUT);
-        let failed = match attempt(cx, call, timeout).await {
+        let failed = match begin(cx, call).await {
             Ok(started_answer) => match read_answer(cx, call, started_answer).await {
                 Ok(answer) if answer.0.status.is_server_error() => {
                     last_answer = Some(answer);
-                    AttemptFailure {
-                        execution: Execution::Ran,
-                        end: AttemptEnd::TargetError,
-                        is_final: false,
-                    }
+                    AttemptFailure::target_error()
                 }
                 Ok(answer) => return CallResult::Answer(answer),
                 Err(failed) => failed,
@@ -236,8 +233,7 @@
     taken
 }
 
-/// Returns whether the retry budget has a repeat left for a call. Without one, a call that gave up on a silent
-/// target would end although the target may go on.
+/// Returns whether the retry budget has a repeat left for a call.
 pub(crate) fn has_retry_budget(cx: &Gateway, call: &Call) -> bool {
     let now = cx.now();
     let share = cx.usable_retry_share(now);
@@ -245,25 +241,25 @@
     budget.has_left(now, &call.plan.service, share)
 }
 
-/// Computes how long an attempt waits for the head of its answer: a multiple of the route's goal
-/// (but at least `minimum`) if another attempt may follow, and otherwise all of the time that is left.
-pub(crate) fn attempt_timeout(
-    cx: &Gateway,
-    call: &Call,
-    goal_factor: f64,
-    minimum: Duration,
-) -> Duration {
-    let time_left = call.deadline.since(cx.now());
-    let may_follow =
-        call.attempts.sent() + 1 < call.route.max_attempts && has_retry_budget(cx, call);
-    match call.route.kind.is_repeatable() && may_follow {
-        true => call
-            .route
-            .goal
-            .mul_f64(goal_factor)
-            .max(minimum)
-            .min(time_left),
-        false => time_left,
+/// Computes how long a target may be silent before another one is tried as well: a multiple of the route's goal,
+/// but at least `minimum`.
+pub(crate) fn silence_timeout(call: &Call, goal_factor: f64, minimum: Duration) -> Duration {
+    call.route.goal.mul_f64(goal_factor).max(minimum)
+}
+
+/// Makes one attempt and waits for the head of its answer. If the target is silent, others are tried beside it.
+fn begin<'a>(cx: &'a Rc<Gateway>, call: &'a mut Call) -> Beginning<'a, StartedAnswer> {
+    Box::pin(async move {
+        let sent = send(cx, call).await?;
+        let silent_at = cx.now() + silence_timeout(call, GOAL_TIMEOUT_FACTOR, MIN_ATTEMPT_TIMEOUT);
+        let first = Box::pin(sent.head(Rc::clone(cx)));
+        overlap::first_start(cx, call, first, silent_at, begin).await
+    })
+}
+
+impl Start for StartedAnswer {
+    fn is_error(&self) -> bool {
+        self.head.status.is_server_error()
     }
 }
 
--- /dev/null
+++ b/src/edge/sent_call.rs
@@ -0,0 +1,180 @@
+//! A call that was sent to a target: waits for the head of its answer and checks it.
+
+use std::{pin::Pin, rc::Rc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode, Version, body::Incoming, client::conn::TrySendError,
+    http::response,
+};
+use slog::info;
+
+use super::{
+    attempt::AttemptFailure, attempt_end::AttemptEnd, attempt_guard::AttemptGuard, conn::Conn,
+    flow::AnswerAccount, gateway::Gateway, withdrawals,
+};
+use crate::{
+    dialect::{RejectedBy, ResponseInfo},
+    ids::TargetId,
+    units::Instant,
+};
+
+/// Response of a target, as a future.
+pub(super) type ResponseFuture =
+    Pin<Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>>>>;
+
+/// A call that was sent to a target, with all that reading its answer takes. Dropping it closes the connection.
+pub(crate) struct SentCall {
+    /// Caller's id of the call.
+    pub(super) id: Option<String>,
+    pub(super) sent_at: Instant,
+    /// Instant at which the call ends.
+    pub(super) deadline: Instant,
+    /// Instant at which the head of the request was read.
+    pub(super) received: Instant,
+    /// Account of the bytes that are held of the answer.
+    pub(super) account: AnswerAccount,
+    pub(super) response: ResponseFuture,
+    pub(super) conn: Conn,
+    pub(super) guard: AttemptGuard,
+}
+
+/// An answer of which the head has arrived and is valid, and the body has not been read yet.
+pub(crate) struct StartedAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) facts: ResponseInfo,
+    pub(crate) conn: Conn,
+    pub(crate) guard: AttemptGuard,
+}
+
+impl SentCall {
+    /// Waits for the head of the answer until the call's deadline.
+    pub(crate) async fn head(mut self, cx: Rc<Gateway>) -> Result<StartedAnswer, AttemptFailure> {
+        let response = cx.clock.timeout_at(self.deadline, &mut self.response);
+        match response.await {
+            Some(Ok(res)) => self.on_response(&cx, res),
+            Some(Err(e)) => Err(self.on_broke(&cx, e)),
+            None => {
+                self.guard.end(AttemptEnd::DeadlineExceeded);
+                Err(AttemptFailure::may_have_run(AttemptEnd::DeadlineExceeded))
+            }
+        }
+    }
+
+    fn on_broke(self, cx: &Gateway, mut e: TrySendError<Request<Full<Bytes>>>) -> AttemptFailure {
+        // The client hands a request back only if it was never written to the connection.
+        let unsent = e.take_message().is_some();
+        if let Some(idle_time) = self.conn.idle_time() {
+            cx.conns.on_idle_conn_broke(cx.now(), idle_time);
+        }
+        on_connection_broke(cx, self.log_id(), self.guard.target(), self.sent_at);
+        let failed = match unsent {
+            true => AttemptFailure::not_run(AttemptEnd::ClosedBeforeSend),
+            false => AttemptFailure::may_have_run(AttemptEnd::ConnectionBroke),
+        };
+        self.guard.end(failed.end);
+        failed
+    }
+
+    fn on_response(
+        mut self,
+        cx: &Rc<Gateway>,
+        res: Response<Incoming>,
+    ) -> Result<StartedAnswer, AttemptFailure> {
+        let (mut head, body) = res.into_parts();
+        // The version concerns the target's connection only. An answer to the caller in an earlier one would have
+        // no chunks, so that it looked complete where it breaks off.
+        head.version = Version::HTTP_11;
+        if !self.conn.is_tunnel() {
+            let paths = &mut cx.dispatcher.borrow_mut().paths;
+            paths.on_heard(cx.now(), &self.guard.ticket.target);
+        }
+        let facts = cx.dialect.parse_response(head.status, &head.headers);
+        if let Some(load) = facts.load {
+            let mut dispatcher = cx.dispatcher.borrow_mut();
+            dispatcher.on_load_report(cx.now(), self.guard.target(), load);
+        }
+        self.guard.on_head(&facts);
+        let (id, target) = (self.log_id(), self.guard.target());
+        if facts.rejected_by != Some(RejectedBy::OtherTarget) && facts.is_authentic(head.status) {
+            on_brittle_statement(cx, id, target, &facts);
+        }
+        withdrawals::on_response_head(cx, id, target, head.status, &facts);
+        if let Some(failed) = self.check_head(cx, head.status, &facts) {
+            self.guard.end(failed.end);
+            return Err(failed);
+        }
+        Ok(StartedAnswer {
+            head,
+            body,
+            facts,
+            conn: self.conn,
+            guard: self.guard,
+        })
+    }
+
+    /// Returns why the head does not belong to the target's answer to this call, if it does not.
+    fn check_head(
+        &self,
+        cx: &Rc<Gateway>,
+        status: StatusCode,
+        facts: &ResponseInfo,
+    ) -> Option<AttemptFailure> {
+        let is_other_call = facts.id.is_some() && facts.id != self.id;
+        match () {
+            () if is_other_call => Some(AttemptFailure::may_have_run(
+                AttemptEnd::AnswerToAnotherCall,
+            )),
+            () if facts.rejected_by == Some(RejectedBy::OtherTarget) => {
+                on_connection_refused(cx, self.log_id(), self.guard.target());
+                Some(AttemptFailure::not_run(AttemptEnd::AnotherTarget))
+            }
+            () if facts.rejected_by.is_some() => {
+                if let Some(slot) = &self.guard.slot {
+                    slot.on_rejected(cx);
+                }
+                Some(AttemptFailure::not_run(AttemptEnd::Refused))
+            }
+            () if !facts.is_authentic(status) => {
+                Some(AttemptFailure::may_have_run(AttemptEnd::UnverifiedAnswer))
+            }
+            () => None,
+        }
+    }
+
+    fn log_id(&self) -> &str {
+        self.id.as_deref().unwrap_or("-")
+    }
+}
+
+/// Records what a target states of how many calls it can reject.
+fn on_brittle_statement(cx: &Gateway, id: &str, target: &TargetId, facts: &ResponseInfo) {
+    let brittle = &mut cx.dispatcher.borrow_mut().brittle;
+    if brittle.on_statement(cx.now(), target.into(), facts.rejection_limit) {
+        info!(cx.log, "brittle"; "id" => id, "target" => %target,
+            "rejections_per_s" => facts.rejection_limit.map(|l| l.to_string()));
+    }
+}
+
+/// Records that a target is down: nothing listens at its address, or another target has the address.
+pub(super) fn on_connection_refused(cx: &Gateway, id: &str, target: &TargetId) {
+    let now = cx.now();
+    let mut dispatcher = cx.dispatcher.borrow_mut();
+    dispatcher.health.outages.on_refused(now, target.into());
+    info!(cx.log, "outage"; "id" => id, "target" => %target, "refused" => true);
+}
+
+/// Records that a connection broke before the answer to a call that was sent on it at `sent`.
+fn on_connection_broke(cx: &Gateway, id: &str, target: &TargetId, sent: Instant) {
+    let now = cx.now();
+    let after = now.since(sent);
+    let mut dispatcher = cx.dispatcher.borrow_mut();
+    dispatcher.withdrawals.on_broke(now, target);
+    let outages = &mut dispatcher.health.outages;
+    if outages.on_broke(now, target.into(), after) {
+        info!(cx.log, "outage"; "id" => id, "target" => %target,
+            "broke_after_ms" => after.as_millis() as u64);
+    }
+}
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -3,94 +3,34 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming, http::response};
+use hyper::{Response, StatusCode, http::response};
 
 use super::{
-    attempt::{AttemptFailure, Call, StartedAnswer, attempt},
+    attempt::{AttemptFailure, Call, send},
     attempt_end::AttemptEnd,
-    attempt_guard::AttemptGuard,
     body::{AnswerBody, CollectedBody, EventSender, StreamAborted},
-    call::{
-        attempt_timeout, has_retry_budget, return_to_pool, strip_connection_headers, take_retry,
-    },
+    call::{silence_timeout, strip_connection_headers, take_retry},
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
-    flow::{AnswerAccount, HeldCount, OfferedBytes},
+    event_source::{Event, EventSource, Next},
     gateway::Gateway,
-    read_body, stream_origins,
+    overlap::{self, Beginning, Start},
+    read_body,
+    sent_call::{SentCall, StartedAnswer},
+    stream_origins,
 };
-use crate::{ResultCode, event_stream::EventSplitter, retry::Execution, units::Instant};
+use crate::{ResultCode, retry::Execution};
 
-/// Multiple of the route's latency goal that a resumable stream waits for its first event before the
-/// call is sent to another target. Waiting a little costs less than reading the prompt again there.
+/// Multiple of the route's latency goal that a stream waits for its first event before another target is
+/// tried as well. Waiting a little costs less than reading the prompt again there.
 const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 1.2;
 
-/// Multiple of the route's goal for the pause between events that a target may be silent before the
-/// stream is resumed at another target.
+/// Multiple of the route's goal for the pause between events that a target may be silent before another one
+/// is asked to resume the stream.
 const GAP_TIMEOUT_FACTOR: f64 = 2.0;
 
 /// Minimum time that a target may be silent, before the first event and between events.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Reads one target's stream, as complete events in order.
-struct EventSource {
-    body: Incoming,
-    splitter: EventSplitter,
-    answer: AnswerAccount,
-    /// Count of the bytes in `splitter`.
-    count: HeldCount,
-    conn: super::conn::Conn,
-    guard: AttemptGuard,
-    facts: crate::dialect::ResponseInfo,
-}
-
-/// A complete event that the caller can read.
-struct Event {
-    id: Option<u64>,
-    bytes: OfferedBytes,
-}
-
-/// Next item of a target's stream.
-enum Next {
-    Event(Event),
-    /// The answer is complete.
-    End,
-    /// The stream broke off, or the target was silent for too long.
-    Broken(AttemptEnd),
-}
-
-impl EventSource {
-    async fn next(&mut self, cx: &Gateway, until: Instant) -> Next {
-        loop {
-            match self.splitter.next_event() {
-                Ok(Some(event)) => {
-                    let bytes = self.count.offer(event.bytes);
-                    return Next::Event(Event {
-                        id: event.id,
-                        bytes,
-                    });
-                }
-                Ok(None) => {}
-                Err(_) => return Next::Broken(AttemptEnd::EventTooLarge),
-            }
-            let frame = self.body.frame();
-            match cx.clock.timeout_at(until, frame).await {
-                None => return Next::Broken(AttemptEnd::Silent),
-                Some(Some(Err(_))) => return Next::Broken(AttemptEnd::AnswerTruncated),
-                Some(Some(Ok(frame))) => {
-                    let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
-                    self.count.add(self.answer.hold(data.len()).await);
-                    self.splitter.push(data);
-                }
-                Some(None) if self.splitter.has_incomplete_event() => {
-                    return Next::Broken(AttemptEnd::EventTruncated);
-                }
-                Some(None) => return Next::End,
-            }
-        }
-    }
-}
-
 /// Serves a call whose answer is a stream.
 pub(super) async fn serve(
     cx: &Rc<Gateway>,
@@ -123,113 +63,75 @@
     Whole(response::Parts, CollectedBody),
 }
 
-/// Makes one attempt and waits for its first event.
-async fn begin(cx: &Rc<Gateway>, call: &mut Call) -> Result<AnswerStart, AttemptFailure> {
-    let timeout = attempt_timeout(cx, call, FIRST_EVENT_TIMEOUT_FACTOR, MIN_EVENT_TIMEOUT);
-    let until = (cx.now() + timeout).min(call.deadline);
-    let started_answer = attempt(cx, call, timeout).await?;
+impl Start for AnswerStart {
+    fn is_error(&self) -> bool {
+        matches!(self, Self::Whole(head, _) if head.status.is_server_error())
+    }
+}
+
+/// Makes one attempt and waits for its first event. If the target is silent, others are tried beside it. A server
+/// error fails the attempt if the call may be sent to another target.
+fn begin<'a>(cx: &'a Rc<Gateway>, call: &'a mut Call) -> Beginning<'a, AnswerStart> {
+    Box::pin(async move {
+        let silent_at =
+            cx.now() + silence_timeout(call, FIRST_EVENT_TIMEOUT_FACTOR, MIN_EVENT_TIMEOUT);
+        let sent = send(cx, call).await?;
+        let last = call.plan.progress.last_event();
+        let first = Box::pin(read_start(Rc::clone(cx), sent, last));
+        let start = overlap::first_start(cx, call, first, silent_at, begin).await?;
+        if matches!(start, AnswerStart::Whole(..)) {
+            call.attempts.on_attempt_end(Execution::Ran);
+        }
+        let may_retry = (call.attempts).may_retry(call.route.kind, call.route.max_attempts);
+        match start.is_error() && may_retry {
+            true => Err(AttemptFailure::target_error()),
+            false => Ok(start),
+        }
+    })
+}
+
+/// Reads the start of an answer up to the first event after `last`.
+async fn read_start(
+    cx: Rc<Gateway>,
+    sent: SentCall,
+    last: Option<u64>,
+) -> Result<AnswerStart, AttemptFailure> {
+    let (received, deadline) = (sent.received, sent.deadline);
+    let account = sent.account.clone();
     let StartedAnswer {
         mut head,
         body,
         facts,
         conn,
         guard,
-    } = started_answer;
+    } = sent.head(Rc::clone(&cx)).await?;
     strip_connection_headers(&mut head.headers);
     if !head.status.is_success() {
-        return read_failure(cx, call, head, body, guard).await;
+        let reading = read_body::read_answer(body, &account);
+        let read = cx.clock.timeout_at(deadline, reading).await;
+        guard.end(match head.status.is_server_error() {
+            true => AttemptEnd::TargetError,
+            false => AttemptEnd::Answered,
+        });
+        return match read {
+            Some(Ok(body)) => Ok(AnswerStart::Whole(head, body)),
+            _ => Err(AttemptFailure::target_error()),
+        };
     }
     head.headers.remove(hyper::header::CONTENT_LENGTH);
-    let mut source = Box::new(EventSource {
-        body,
-        splitter: EventSplitter::default(),
-        answer: call.answer.clone(),
-        count: call.answer.hold_nothing(),
-        conn,
-        guard,
-        facts,
-    });
-    match next_unsent(cx, &mut source, call.plan.progress.last_event(), until).await {
+    let mut source = Box::new(EventSource::new(body, account.clone(), conn, guard, facts));
+    match source.next_after(&cx, last, deadline).await {
         Next::Event(event) => {
             source.guard.on_first_event();
-            cx.metrics.on_first_event(cx.now().since(call.received));
+            cx.metrics.on_first_event(cx.now().since(received));
             Ok(AnswerStart::Stream(head, source, event))
         }
         Next::End => {
-            let EventSource {
-                conn, guard, facts, ..
-            } = *source;
-            guard.end(AttemptEnd::Answered);
-            return_to_pool(cx, conn, &facts).await;
-            call.attempts.on_attempt_end(Execution::Ran);
-            let nothing = call.answer.hold_nothing();
+            source.on_complete(&cx).await;
+            let nothing = account.hold_nothing();
             Ok(AnswerStart::Whole(head, CollectedBody::empty(nothing)))
         }
-        Next::Broken(end) => {
-            source.guard.end(end);
-            call.attempts.on_attempt_end(Execution::MayHaveRun);
-            Err(AttemptFailure {
-                execution: Execution::MayHaveRun,
-                end,
-                is_final: false,
-            })
-        }
-    }
-}
-
-/// Reads the body of a response that is not a success. A server error fails the attempt if the call may
-/// be sent to another target.
-async fn read_failure(
-    cx: &Gateway,
-    call: &mut Call,
-    head: response::Parts,
-    body: Incoming,
-    place: AttemptGuard,
-) -> Result<AnswerStart, AttemptFailure> {
-    call.attempts.on_attempt_end(Execution::Ran);
-    let reading = read_body::read_answer(body, &call.answer);
-    let read = cx.clock.timeout_at(call.deadline, reading).await;
-    let is_error = head.status.is_server_error();
-    place.end(match is_error {
-        true => AttemptEnd::TargetError,
-        false => AttemptEnd::Answered,
-    });
-    let may_retry = is_error
-        && call
-            .attempts
-            .may_retry(call.route.kind, call.route.max_attempts);
-    match read {
-        Some(Ok(body)) if !may_retry => Ok(AnswerStart::Whole(head, body)),
-        _ => Err(AttemptFailure {
-            execution: Execution::Ran,
-            end: AttemptEnd::TargetError,
-            is_final: false,
-        }),
-    }
-}
-
-fn gap_timeout(cx: &Gateway, call: &Call) -> Duration {
-    let may_follow = call.attempts.sent() < call.route.max_attempts && has_retry_budget(cx, call);
-    match call.route.gap_goal {
-        Some(gap) if call.route.kind.is_resumable() && may_follow => {
-            gap.mul_f64(GAP_TIMEOUT_FACTOR).max(MIN_EVENT_TIMEOUT)
-        }
-        _ => call.route.max_silence,
-    }
-}
-
-/// Returns the next event that the caller does not have yet.
-async fn next_unsent(
-    cx: &Gateway,
-    source: &mut EventSource,
-    last: Option<u64>,
-    until: Instant,
-) -> Next {
-    loop {
-        match source.next(cx, until).await {
-            Next::Event(event) if event.id.is_some() && event.id <= last => {}
-            next => return next,
-        }
+        Next::Broken(end) => Err(source.on_broken(end)),
     }
 }
 
@@ -250,7 +152,7 @@
         tokio::select! {
             biased;
             () = events_tx.closed() => {}
-            () = forward_events(&cx_task, call, &call_guard, *source, first, tx) => {}
+            () = forward_events(&cx_task, call, &call_guard, source, first, tx) => {}
         }
     });
     res
@@ -260,7 +162,7 @@
     cx: &Rc<Gateway>,
     mut call: Call,
     call_guard: &CallGuard,
-    mut source: EventSource,
+    mut source: Box<EventSource>,
     first: Event,
     tx: EventSender,
 ) {
@@ -276,17 +178,13 @@
         if tx.send(Ok(event.bytes)).is_err() {
             return;
         }
-        let until = (cx.now() + gap_timeout(cx, &call)).min(call.deadline);
-        event = match next_unsent(cx, &mut source, call.plan.progress.last_event(), until).await {
-            Next::Event(event) => {
-                source.guard.on_event();
-                event
-            }
-            Next::End => {
-                let EventSource {
-                    conn, guard, facts, ..
-                } = source;
-                guard.end(AttemptEnd::Answered);
+        let step = match next_step(cx, &mut call, source).await {
+            Err(failed) => resume(cx, &mut call, failed).await,
+            step => step,
+        };
+        match step {
+            Ok(Step::Event(from, next)) => (source, event) = (from, next),
+            Ok(Step::End(source)) => {
                 call.answer.on_complete();
                 // A planned stop cuts off no answer that is still being read, so the call ends with it.
                 let delivery = async {
@@ -294,68 +192,102 @@
                     call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
                     drop(tx);
                 };
-                futures::join!(return_to_pool(cx, conn, &facts), delivery);
+                futures::join!(source.on_complete(cx), delivery);
                 return;
             }
-            Next::Broken(end) => match resume(cx, &mut call, source, end).await {
-                Ok((next, event)) => {
-                    cx.metrics.streams.resumed.inc();
-                    source = next;
-                    event
-                }
-                Err(failed) => {
-                    let end = CallEnd {
-                        status: 200,
-                        ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
-                    };
-                    call_guard.record_end(end, call.attempts);
-                    // If the caller has left as well, sending fails, and nothing more has to be done.
-                    let _ = tx.send(Err(StreamAborted));
-                    return;
-                }
-            },
-        };
+            Err(failed) => {
+                let end = CallEnd {
+                    status: 200,
+                    ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
+                };
+                call_guard.record_end(end, call.attempts);
+                // If the caller has left as well, sending fails, and nothing more has to be done.
+                let _ = tx.send(Err(StreamAborted));
+                return;
+            }
+        }
+    }
+}
+
+/// How a stream that has begun goes on.
+enum Step {
+    /// Its next event, and the target that sends it.
+    Event(Box<EventSource>, Event),
+    /// The answer is complete.
+    End(Box<EventSource>),
+}
+
+impl Start for Step {
+    fn is_error(&self) -> bool {
+        false
     }
 }
 
-/// Resumes the stream at another target after the last event that the caller has.
+/// Waits for the next event. If the target is silent, others are tried beside it.
+async fn next_step(
+    cx: &Rc<Gateway>,
+    call: &mut Call,
+    mut source: Box<EventSource>,
+) -> Result<Step, AttemptFailure> {
+    let (now, last) = (cx.now(), call.plan.progress.last_event());
+    let until = (now + call.route.max_silence).min(call.deadline);
+    let silent_at = call.route.gap_goal.map_or(until, |gap| {
+        let timeout = gap.mul_f64(GAP_TIMEOUT_FACTOR).max(MIN_EVENT_TIMEOUT);
+        until.min(now + timeout)
+    });
+    let next = source.next_after(cx, last, silent_at).await;
+    if !matches!(next, Next::Broken(AttemptEnd::Silent)) || silent_at >= until {
+        return to_step(source, next);
+    }
+    let cx_first = Rc::clone(cx);
+    let first = Box::pin(async move {
+        let next = source.next_after(&cx_first, last, until).await;
+        to_step(source, next)
+    });
+    overlap::first_start(cx, call, first, silent_at, continue_elsewhere).await
+}
+
+fn to_step(mut source: Box<EventSource>, next: Next) -> Result<Step, AttemptFailure> {
+    match next {
+        Next::Event(event) => {
+            source.guard.on_event();
+            Ok(Step::Event(source, event))
+        }
+        Next::End => Ok(Step::End(source)),
+        Next::Broken(end) => Err(source.on_broken(end)),
+    }
+}
+
+/// Resumes a stream that broke off at another target.
 async fn resume(
     cx: &Rc<Gateway>,
     call: &mut Call,
-    broken: EventSource,
-    end: AttemptEnd,
-) -> Result<(EventSource, Event), AttemptFailure> {
-    broken.guard.end(end);
-    // The connection is closed before the next attempt, so that the first target stops its run.
-    drop(broken.conn);
-    call.attempts.on_attempt_end(Execution::MayHaveRun);
-    let mut failed = AttemptFailure {
-        execution: Execution::MayHaveRun,
-        end,
-        is_final: false,
-    };
+    mut failed: AttemptFailure,
+) -> Result<Step, AttemptFailure> {
+    call.attempts.on_attempt_end(failed.execution);
     while take_retry(cx, call, failed) {
-        failed = match begin(cx, call).await {
-            Ok(AnswerStart::Stream(_, source, event))
-                if may_follow(call.plan.progress.last_event(), &event) =>
-            {
-                return Ok((*source, event));
-            }
-            Ok(_) => AttemptFailure {
-                execution: Execution::Ran,
-                end: AttemptEnd::NotContinued,
-                is_final: true,
-            },
+        failed = match continue_elsewhere(cx, call).await {
             Err(failed) => failed,
+            step => return step,
         };
     }
     Err(failed)
 }
 
-/// Returns whether an event of another run may directly follow the last one.
-fn may_follow(last: Option<u64>, event: &Event) -> bool {
-    match (last, event.id) {
-        (Some(last), Some(id)) => id > last,
-        _ => false,
-    }
+/// Makes one attempt to continue a stream after the last event that the caller has.
+fn continue_elsewhere<'a>(cx: &'a Rc<Gateway>, call: &'a mut Call) -> Beginning<'a, Step> {
+    Box::pin(async move {
+        let last = call.plan.progress.last_event();
+        match begin(cx, call).await? {
+            AnswerStart::Stream(_, source, event) if event.may_follow(last) => {
+                cx.metrics.streams.resumed.inc();
+                Ok(Step::Event(source, event))
+            }
+            _ => Err(AttemptFailure {
+                execution: Execution::Ran,
+                end: AttemptEnd::NotContinued,
+                is_final: true,
+            }),
+        }
+    })
 }
--- a/src/edge/stream_metrics.rs
+++ b/src/edge/stream_metrics.rs
@@ -30,7 +30,7 @@
         );
         r.register(
             "streams_resumed",
-            "Streams that broke off and went on at another target within the answer",
+            "Streams that broke off or fell silent and went on at another target within the answer",
             self.resumed.clone(),
         );
         r.register(
--- a/src/edge/withdrawals.rs
+++ b/src/edge/withdrawals.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 use slog::info;
 
-use super::{attempt::Call, gateway::Gateway};
+use super::gateway::Gateway;
 use crate::{
     dialect::{RejectedBy, ResponseInfo},
     ids::TargetId,
@@ -15,7 +15,7 @@
 /// ignored.
 pub(super) fn on_response_head(
     cx: &Gateway,
-    call: &Call,
+    id: &str,
     target: &TargetId,
     status: StatusCode,
     facts: &ResponseInfo,
@@ -32,7 +32,7 @@
         cx.conns.close_idle(target);
     }
     let backoff = withdrawal.backoff().map(|b| b.as_millis() as u64);
-    info!(cx.log, "withdrawal"; "id" => call.id(), "target" => %target,
+    info!(cx.log, "withdrawal"; "id" => id, "target" => %target,
         "withdrawal" => withdrawal.name(), "backoff_ms" => backoff);
 }
 
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -63,11 +63,19 @@
 
     /// Returns whether another target may be tried.
     pub fn may_retry(self, kind: CallKind, max_attempts: u32) -> bool {
-        let is_repeatable = match self.response_started {
+        self.sent < max_attempts.max(1) && (!self.may_have_run || self.is_repeatable(kind))
+    }
+
+    /// Returns whether another target may be tried while an attempt is in progress.
+    pub fn may_overlap(self, kind: CallKind, max_attempts: u32) -> bool {
+        self.sent < max_attempts.max(1) && self.is_repeatable(kind)
+    }
+
+    fn is_repeatable(self, kind: CallKind) -> bool {
+        match self.response_started {
             true => kind.is_resumable(),
             false => kind.is_repeatable(),
-        };
-        self.sent < max_attempts.max(1) && (!self.may_have_run || is_repeatable)
+        }
     }
 }
 
