--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -27,7 +27,7 @@
 /// Upper bound of the pause between two calls of one caller, in milliseconds.
 const MAX_PAUSE_MS: u64 = 30;
 
-/// Deadline that a caller sends with a call, and its timeout for the response head and for each body frame.
+/// Deadline of calls that need no longer one.
 pub const CALL_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Number of calls that must be served after the faults before the fleet counts as recovered.
@@ -36,17 +36,19 @@
 /// A caller's connection to a router.
 pub struct Caller {
     sender: SendRequest<Full<Bytes>>,
-}
-
-fn request(kind: &str, id: &str, key: &str) -> hyper::http::request::Builder {
-    Request::post(format!("/{kind}/x"))
-        .header("host", "desk.example")
-        .header("x-attempt-id", id)
-        .header("x-deadline-ms", CALL_DEADLINE.as_millis().to_string())
-        .header("authorization", format!("Token {key}"))
+    /// Deadline of its calls, and its timeout for the response head and for each body frame.
+    pub deadline: Duration,
 }
 
 impl Caller {
+    fn request(&self, kind: &str, id: &str, key: &str) -> hyper::http::request::Builder {
+        Request::post(format!("/{kind}/x"))
+            .header("host", "desk.example")
+            .header("x-attempt-id", id)
+            .header("x-deadline-ms", self.deadline.as_millis().to_string())
+            .header("authorization", format!("Token {key}"))
+    }
+
     /// Connects to a router, or returns `None` if that fails.
     pub async fn connect(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
@@ -55,7 +57,10 @@
             // The call that waits for a response on this connection gets the error as well.
             let _ = connection.await;
         });
-        Some(Self { sender })
+        Some(Self {
+            sender,
+            deadline: CALL_DEADLINE,
+        })
     }
 
     /// Returns whether `GET /` is answered with status 200.
@@ -79,13 +84,16 @@
         key: &str,
         body: &str,
     ) -> CallOutcome {
-        let req = request(kind, id, key).body(Full::from(body.to_owned()));
+        let req = self
+            .request(kind, id, key)
+            .body(Full::from(body.to_owned()));
         self.read_response(req, None).await
     }
 
     /// Sends a call whose prompt has these parts, and returns its outcome.
     pub async fn call_with_prompt(&mut self, id: &str, key: &str, prompt: &str) -> CallOutcome {
-        let req = request("safe", id, key).header("x-prefix-hash", prompt);
+        let req = self.request("safe", id, key);
+        let req = req.header("x-prefix-hash", prompt);
         let req = req.body(Full::from(id.to_owned()));
         self.read_response(req, None).await
     }
@@ -98,7 +106,7 @@
         continuation: Option<Continuation<'_>>,
         patience: Option<Duration>,
     ) -> CallOutcome {
-        let mut req = request("stream", id, key);
+        let mut req = self.request("stream", id, key);
         if let Some(Continuation { resumes, last }) = continuation {
             req = req
                 .header("resumes", resumes)
@@ -117,7 +125,7 @@
             return CallOutcome::NoResponse;
         };
         let until = patience.map(|patience| Instant::now() + patience);
-        let response = tokio::time::timeout(CALL_DEADLINE, self.sender.send_request(req)).await;
+        let response = tokio::time::timeout(self.deadline, self.sender.send_request(req)).await;
         let Ok(Ok(res)) = response else {
             return CallOutcome::NoResponse;
         };
@@ -128,7 +136,7 @@
             if until.is_some_and(|until| Instant::now() >= until) {
                 return CallOutcome::Response(status, body, false);
             }
-            match tokio::time::timeout(CALL_DEADLINE, incoming.frame()).await {
+            match tokio::time::timeout(self.deadline, incoming.frame()).await {
                 Ok(Some(Ok(frame))) => body.extend_from_slice(frame.data_ref().map_or(&[], |d| d)),
                 Ok(None) => return CallOutcome::Response(status, body, true),
                 _ => return CallOutcome::Response(status, body, false),
@@ -137,6 +145,45 @@
     }
 }
 
+/// A caller's connection to one process of a router, for several calls.
+pub struct Connection {
+    pub caller: Caller,
+    process: Rc<ProcessState>,
+    /// Whether a call on it has been answered.
+    is_kept: bool,
+}
+
+impl Connection {
+    /// Returns the connection if it can be used again, or opens one.
+    pub async fn reuse_or_open(connection: Option<Self>, vm: &Vm) -> Option<Self> {
+        match connection.filter(|c| c.caller.sender.is_ready()) {
+            Some(connection) => Some(connection),
+            None => Caller::connect(vm.caller_address).await.map(|caller| Self {
+                caller,
+                // A connection to an earlier process gets no response.
+                process: vm.process(),
+                is_kept: false,
+            }),
+        }
+    }
+
+    /// Checks how a call on the connection ended. Returns the connection if it got a response.
+    pub fn on_end(
+        mut self,
+        promises: &PromiseChecker,
+        call: &str,
+        outcome: &CallOutcome,
+        sent_at: Instant,
+    ) -> Option<Self> {
+        promises.check_stop(call, outcome, &self.process, sent_at);
+        if self.is_kept {
+            promises.check_loss(call, outcome, &self.process, sent_at, self.caller.deadline);
+        }
+        self.is_kept = true;
+        (*outcome != CallOutcome::NoResponse).then_some(self)
+    }
+}
+
 /// What a call says of the stream that it takes up.
 #[derive(Debug, Clone, Copy)]
 pub struct Continuation<'a> {
@@ -190,7 +237,7 @@
     mut rng: Pcg64,
     name: String,
 ) {
-    let mut idle_caller: Option<(Caller, Rc<ProcessState>)> = None;
+    let mut kept = None;
     let mut n = 0_u64;
     while !stop.get() {
         n += 1;
@@ -201,18 +248,13 @@
         let kind = ["safe", "once", "stream", version_kind.as_str()][rng.random_range(0..4)];
         let uses_second_key = rng.random_bool(0.2);
         let id = format!("{kind}-{name}-{n}");
-        let connected = idle_caller.take();
-        let (mut caller, process) = match connected.filter(|(c, _)| c.sender.is_ready()) {
-            Some(connected) => connected,
-            None => match Caller::connect(vm.caller_address).await {
-                // A connection to an earlier process gets no response.
-                Some(caller) => (caller, vm.process()),
-                None => continue,
-            },
+        let Some(mut connection) = Connection::reuse_or_open(kept.take(), &vm).await else {
+            continue;
         };
         let served_version = vm.applied_version.get();
         let sent_at = Instant::now();
         promises.on_sent(&id, sent_at);
+        let caller = &mut connection.caller;
         let outcome = caller
             .call(kind, &id, API_KEYS[usize::from(uses_second_key)])
             .await;
@@ -230,10 +272,7 @@
                 );
             }
         }
-        promises.check_stop(&id, &outcome, &process, sent_at);
-        if outcome != CallOutcome::NoResponse {
-            idle_caller = Some((caller, process));
-        }
+        kept = connection.on_end(&promises, &id, &outcome, sent_at);
     }
 }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -20,6 +20,12 @@
 /// Range of the delays of links and of the store's responses, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 20..400;
 
+/// Kinds of faults that are planned work: starts, stops, reloads, and changes of entries and the configuration.
+const PLANNED_KINDS: [u32; 6] = [START_KIND, 2, 2, 5, 11, 13];
+
+/// The kind that only starts routers.
+const START_KIND: u32 = 14;
+
 /// Injects faults for the given time. Faults may still be in force when it returns.
 pub async fn inject(env: &TestEnv, rng: &mut Pcg64, duration: Duration) {
     let end = Instant::now() + duration;
@@ -28,7 +34,11 @@
     while Instant::now() < end {
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         tokio::time::sleep(pause).await;
-        match rng.random_range(0..14) {
+        let kind = match env.planned_only {
+            true => PLANNED_KINDS.choose(rng).copied().unwrap_or_default(),
+            false => rng.random_range(0..14),
+        };
+        match kind {
             0 | 1 => kill(env, rng).await,
             2 => shut_down(env, rng).await,
             3 => pause_vm(env, rng),
@@ -43,6 +53,7 @@
                 env.write_config(&API_KEYS[..1]);
                 env.promises.on_revoked();
             }
+            START_KIND => start_all(env).await,
             _ if revoked => env.write_config(&API_KEYS[..1]),
             _ => env.write_config(&API_KEYS),
         }
@@ -60,13 +71,18 @@
     is_store_reachable && is_store_healthy && !env.vms.iter().any(|vm| vm.paused.get())
 }
 
-/// Starts each router that is not running, then kills a random one.
-async fn kill(env: &TestEnv, rng: &mut Pcg64) {
+/// Starts each router that is not running.
+async fn start_all(env: &TestEnv) {
     for vm in &env.vms {
         if !vm.is_running() {
             vm.ensure_running().await;
         }
     }
+}
+
+/// Starts each router that is not running, then kills a random one.
+async fn kill(env: &TestEnv, rng: &mut Pcg64) {
+    start_all(env).await;
     if let Some(vm) = env.vms.choose(rng) {
         vm.process().on_disruption();
         vm.terminating.set(true);
@@ -102,6 +118,7 @@
 /// Makes a random router reload its settings.
 fn reload(env: &TestEnv, rng: &mut Pcg64) {
     if let Some(vm) = env.vms.choose(rng) {
+        vm.process().on_reload();
         vm.signal(Signal::HUP);
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod budget;
 pub mod callers;
+mod config_changes;
 mod crashes;
 mod cuts;
 mod entries;
@@ -13,9 +14,11 @@
 #[path = "../../tests/support/http.rs"]
 mod http;
 pub mod link;
+pub mod lost_calls;
 pub mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
+pub mod silences;
 mod slow_readers;
 pub mod stops;
 #[allow(dead_code)]
@@ -62,6 +65,12 @@
     pub parts: bool,
     /// Whether targets run several software versions; see `versions`.
     pub versions: bool,
+    /// Whether targets fall silent for a moment; see `silences`.
+    pub silences: bool,
+    /// Whether to change the configuration in quick succession; see `config_changes`.
+    pub changes: bool,
+    /// Whether the faults are only planned work.
+    pub planned: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
     pub keep_logs: bool,
     /// Whether to start callers that read slowly; see `slow_readers`.
@@ -90,6 +99,19 @@
     let stream_callers = options
         .versions
         .then(|| versions::start(&env, options.seed));
+    let long_streams = options
+        .silences
+        .then(|| silences::start(&env, options.seed));
+    let silences = async {
+        if options.silences {
+            silences::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
+    let changes = async {
+        if options.changes {
+            config_changes::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let replacements = async {
         if options.versions {
             versions::inject(&env, options.seed, options.fault_duration).await;
@@ -128,7 +150,9 @@
         reverts,
         cuts,
         surges,
-        replacements
+        replacements,
+        silences,
+        changes
     );
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
@@ -146,6 +170,9 @@
     if let Some(stream_callers) = stream_callers {
         stream_callers.stop().await;
     }
+    if let Some(long_streams) = long_streams {
+        long_streams.stop().await;
+    }
     if let Some(slow_readers) = slow_readers {
         slow_readers.stop();
     }
--- /dev/null
+++ b/soak/src/lost_calls.rs
@@ -0,0 +1,84 @@
+//! Check that a request that a router has read on a kept connection ends in a whole answer or a refusal.
+//!
+//! It holds beside planned work: changes of the configuration, reloads, graceful stops, and silences of sound
+//! targets. A call whose router was killed, paused or resumed meanwhile does not count, nor one that its target
+//! or the link to it broke off, nor one that lasted until its deadline.
+
+use std::{cell::Cell, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::{
+    promises::CallOutcome,
+    stops::{LatestAttempts, ProcessState},
+};
+
+/// Time after which a router counts as having read a request that did not reach a target. An earlier close of
+/// the connection may have crossed the request.
+const READ_TIME: Duration = Duration::from_millis(200);
+
+/// Time before a call is sent from which planned work is named as having been beside it.
+const WORK_BEFORE: Duration = Duration::from_secs(3);
+
+/// When each kind of planned work was last done.
+#[derive(Debug, Default)]
+pub struct PlannedWork {
+    config_changed_at: Cell<Option<Instant>>,
+    silent_at: Cell<Option<Instant>>,
+}
+
+impl PlannedWork {
+    /// Records that the configuration changes.
+    pub fn on_config_change(&self) {
+        self.config_changed_at.set(Some(Instant::now()));
+    }
+
+    /// Records that targets fall silent.
+    pub fn on_silence(&self) {
+        self.silent_at.set(Some(Instant::now()));
+    }
+
+    /// Returns the planned work beside a call that was sent to the process at this instant.
+    fn beside(&self, process: &ProcessState, sent_at: Instant) -> Vec<&'static str> {
+        let is_near = |at: Option<Instant>| at.is_some_and(|at| at + WORK_BEFORE >= sent_at);
+        let kinds = [
+            ("stop", process.is_stop_requested()),
+            ("reload", is_near(process.reloaded_at())),
+            ("config", is_near(self.config_changed_at.get())),
+            ("silence", is_near(self.silent_at.get())),
+        ];
+        let near = kinds.iter().filter(|(_, is_near)| *is_near);
+        near.map(|(name, _)| *name).collect()
+    }
+
+    /// Returns a description of the loss if the call was lost: its connection was kept from an earlier call, and
+    /// ended without a whole answer.
+    pub fn describe_loss(
+        &self,
+        call: &str,
+        outcome: &CallOutcome,
+        process: &ProcessState,
+        sent_at: Instant,
+        deadline: Duration,
+        attempts: &LatestAttempts,
+    ) -> Option<String> {
+        let (lasted, has_arrived) = (sent_at.elapsed(), attempts.has_arrived(call));
+        let got = match outcome {
+            CallOutcome::NoResponse => "no answer".to_owned(),
+            CallOutcome::Response(status, body, false) => {
+                format!("{status} with only {} bytes", body.len())
+            }
+            CallOutcome::Response(_, _, true) => return None,
+        };
+        let is_excused = process.was_disrupted(sent_at)
+            || attempts.was_broken_off(call)
+            || lasted >= deadline
+            || !(has_arrived || lasted > READ_TIME);
+        let beside = self.beside(process, sent_at);
+        (!is_excused && !beside.is_empty()).then(|| {
+            let target = if has_arrived { "a target" } else { "no target" };
+            let (ms, beside) = (lasted.as_millis(), beside.join(", "));
+            format!("{call}: {got} after {ms} ms, reached {target}, beside {beside}")
+        })
+    }
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -38,6 +38,12 @@
             optional --versions
             /// Also let callers read large streams slowly or not at all, at routers with little memory.
             optional --slow-readers
+            /// Also let sound targets fall silent for a moment and go on.
+            optional --silences
+            /// Also change the configuration in quick succession.
+            optional --changes
+            /// Inject only planned work instead of the usual faults: stops, reloads, changes.
+            optional --planned
             /// Keep the routers' logs also if all guarantees were kept.
             optional --keep-logs
             /// Print the verdict as JSON.
@@ -67,6 +73,9 @@
         brittle: flags.brittle,
         versions: flags.versions,
         slow_readers: flags.slow_readers,
+        silences: flags.silences,
+        changes: flags.changes,
+        planned: flags.planned,
         keep_logs: flags.keep_logs,
         program: flags.program.or(default_program).unwrap_or_default(),
     };
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -13,6 +13,7 @@
     RunOptions,
     budget::RetryBudget,
     crashes,
+    lost_calls::PlannedWork,
     stops::{LatestAttempts, ProcessState},
     surge,
     target::{LAST_EVENT, Target, event, expected_body},
@@ -43,6 +44,8 @@
     Unchanged,
     /// A graceful shutdown cuts off no call.
     StopCutsNothing,
+    /// A request that was read on a kept connection ends in a whole answer or a refusal.
+    Answered,
     /// A router that has applied a configuration does not serve by an older one.
     ConfigNeverBack,
     /// A configuration that is written after the store was reverted takes effect at all routers.
@@ -121,6 +124,7 @@
     crashes: crashes::CrashCounts,
     pub withdrawals: withdrawals::WithdrawalChecker,
     pub attempts: LatestAttempts,
+    pub planned: PlannedWork,
 }
 
 impl PromiseChecker {
@@ -157,6 +161,11 @@
         self.revoked_at.set(Some(Instant::now()));
     }
 
+    /// Returns whether the second key was revoked.
+    pub fn is_key_revoked(&self) -> bool {
+        self.revoked_at.get().is_some()
+    }
+
     /// Records that a brittle target crashed.
     pub fn on_brittle_crash(&self, target: &str) {
         println!("brittle target {target} crashed");
@@ -309,6 +318,23 @@
         }
     }
 
+    /// Records a violation if a call on a kept connection was lost; see [`lost_calls`](crate::lost_calls).
+    pub fn check_loss(
+        &self,
+        call: &str,
+        outcome: &CallOutcome,
+        process: &ProcessState,
+        sent_at: Instant,
+        deadline: Duration,
+    ) {
+        let (planned, attempts) = (&self.planned, &self.attempts);
+        if let Some(description) =
+            planned.describe_loss(call, outcome, process, sent_at, deadline, attempts)
+        {
+            self.record_violation(Promise::Answered, description);
+        }
+    }
+
     /// Checks the body of a response with status 200.
     fn on_success(&self, call: &str, body: &[u8], is_complete: bool) {
         self.served.set(self.served.get() + 1);
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -25,6 +25,8 @@
     stop_requested: Cell<bool>,
     /// When the run last killed, paused or resumed the process.
     disrupted_at: Cell<Option<Instant>>,
+    /// When the process was last told to reload its settings.
+    reloaded_at: Cell<Option<Instant>>,
 }
 
 impl ProcessState {
@@ -38,8 +40,23 @@
         self.disrupted_at.set(Some(Instant::now()));
     }
 
+    /// Records that the process is told to reload its settings.
+    pub fn on_reload(&self) {
+        self.reloaded_at.set(Some(Instant::now()));
+    }
+
+    /// Returns whether the process was asked to stop gracefully.
+    pub fn is_stop_requested(&self) -> bool {
+        self.stop_requested.get()
+    }
+
+    /// Returns when the process was last told to reload its settings.
+    pub fn reloaded_at(&self) -> Option<Instant> {
+        self.reloaded_at.get()
+    }
+
     /// Returns whether the process was killed, paused or resumed at or after `since`.
-    fn was_disrupted(&self, since: Instant) -> bool {
+    pub fn was_disrupted(&self, since: Instant) -> bool {
         self.disrupted_at.get().is_some_and(|at| at >= since)
     }
 }
@@ -80,8 +97,13 @@
         flag.unwrap_or_default()
     }
 
+    /// Returns whether an attempt of the call has arrived at a target.
+    pub fn has_arrived(&self, call: &str) -> bool {
+        self.0.borrow().contains_key(call)
+    }
+
     /// Returns whether the latest attempt was broken off by its target or by the link to it.
-    fn was_broken_off(&self, call: &str) -> bool {
+    pub fn was_broken_off(&self, call: &str) -> bool {
         let attempts = self.0.borrow();
         attempts.get(call).is_some_and(|attempt| {
             let is_link_cause = attempt.path.as_ref().is_some_and(|(link, connection)| {
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -26,6 +26,7 @@
     link::Link,
     promises::PromiseChecker,
     serve::{Body, listen, whole},
+    silences::{self, Silence},
     slow_readers, versions,
     withdrawals::Withdrawal,
 };
@@ -53,6 +54,8 @@
     pub id: String,
     /// How it handles calls.
     pub behavior: Cell<TargetBehavior>,
+    /// Until when it is silent; its calls go on afterwards.
+    pub silence: Silence,
     /// What it announces about itself in responses.
     pub withdrawal: Cell<Withdrawal>,
     /// Number of its restarts, which identifies the current instance.
@@ -103,6 +106,7 @@
         let target = Rc::new(Self {
             id: id.to_owned(),
             behavior: Cell::default(),
+            silence: Silence::default(),
             withdrawal: Cell::default(),
             restarts: Cell::default(),
             started_at: Cell::new(Instant::now()),
@@ -176,6 +180,7 @@
                 self.run(&head.headers, &call, behavior).await
             }
         };
+        self.silence.until_over().await;
         if res.status() != 200 {
             self.promises.attempts.on_failed_by_target(&call);
         }
@@ -217,14 +222,20 @@
         let first = first_event(headers);
         let call = call.to_owned();
         let version = versions::version(&self.id, self.restarts.get());
+        let silence = self.silence.clone();
+        let pause = match call.starts_with(silences::ID_PREFIX) {
+            true => silences::EVENT_PAUSE,
+            false => PROCESSING_TIME,
+        };
         let frames = stream::unfold(first, move |n| {
-            let (call, reset_flag) = (call.clone(), reset_flag.clone());
+            let (reset_flag, silence) = (reset_flag.clone(), silence.clone());
             let event = match call.starts_with(versions::ID_PREFIX) {
                 true => format!("id: {n}\ndata: {n} {version}\n\n"),
                 false => event(&call, n),
             };
             async move {
-                tokio::time::sleep(PROCESSING_TIME).await;
+                tokio::time::sleep(pause).await;
+                silence.until_over().await;
                 let frame = match n {
                     n if n <= last => Ok(Frame::data(Bytes::from(event))),
                     _ => {
@@ -270,10 +281,30 @@
                 }
                 Response::new(self.events(headers, call, LAST_EVENT, None))
             }
-            _ if is_unframed(call) => unframed(whole(expected_body(call))),
-            _ => Response::new(whole(expected_body(call))),
+            _ if is_unframed(call) => unframed(self.plain_answer(call)),
+            _ if self.slots.is_some() => Response::new(whole(expected_body(call))),
+            _ => {
+                let mut res = Response::new(self.plain_answer(call));
+                let length = expected_body(call).len();
+                res.headers_mut().insert("content-length", length.into());
+                res
+            }
         }
     }
+
+    /// Returns the body of the answer to a plain call in two parts, between which a silence may fall.
+    fn plain_answer(&self, call: &str) -> Body {
+        let first = Bytes::from(expected_body(call));
+        let rest = first.clone().split_off(first.len() / 2);
+        let first = first.slice(..first.len() / 2);
+        let silence = self.silence.clone();
+        let frames = stream::iter([first]).chain(stream::once(async move {
+            tokio::time::sleep(PROCESSING_TIME / 2).await;
+            silence.until_over().await;
+            rest
+        }));
+        StreamBody::new(frames.map(|part| Ok(Frame::data(part)))).boxed_unsync()
+    }
 }
 
 /// A slot that a call occupies until this is dropped.
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -17,9 +17,10 @@
 use crate::{
     RunOptions,
     callers::Caller,
+    config_changes::Variation,
     link::Link,
     promises::PromiseChecker,
-    slow_readers,
+    silences, slow_readers,
     stops::ProcessState,
     store::{Store, StoreFault},
     surge,
@@ -74,6 +75,12 @@
     brittle: bool,
     /// Whether targets run several software versions.
     versions: bool,
+    /// Whether there is a route of long streams.
+    silences: bool,
+    /// Whether routers are only stopped and changed as planned.
+    pub planned_only: bool,
+    /// What of the configuration changes.
+    pub variation: Cell<Variation>,
     /// Version of the configuration that was written last.
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
@@ -114,6 +121,9 @@
             surge: options.surge,
             brittle: options.brittle,
             versions: options.versions,
+            silences: options.silences,
+            planned_only: options.planned,
+            variation: Cell::default(),
             version: Rc::default(),
             dir,
             keep_logs: options.keep_logs,
@@ -162,10 +172,12 @@
     /// Writes a new version of the configuration, in which the account has these keys.
     pub fn write_config(&self, keys: &[&str]) {
         self.version.set(self.version.get() + 1);
+        self.promises.planned.on_config_change();
+        let varied = self.variation.get();
         let route = |kind: &str, resumable: bool, prefix: &str| {
             json!({"name": prefix, "host": "desk.example", "pathPrefix": format!("/{prefix}/"),
-                "type": kind, "timeoutMs": 4_000, "goalMs": 200, "service": "desk",
-                "maxAttempts": 2, "resumable": resumable, "gapTargetMs": 200})
+                "type": kind, "timeoutMs": varied.timeout_ms, "goalMs": varied.goal_ms, "service": "desk",
+                "maxAttempts": varied.max_attempts, "resumable": resumable, "gapTargetMs": varied.gap_ms})
         };
         let mut routes = vec![
             route("safe", false, "safe"),
@@ -173,7 +185,18 @@
             route("streaming", true, "stream"),
             route("safe", false, &format!("only-{}", self.version.get())),
         ];
-        let mut services = vec![json!({"name": "desk", "maxConns": 400})];
+        let mut services = vec![json!({"name": "desk", "maxConns": varied.max_conns})];
+        let mut accounts = vec![json!({"name": "farm", "apiKeys": keys})];
+        if self.silences && varied.has_long_route {
+            let mut long = route("streaming", true, silences::ROUTE);
+            long["timeoutMs"] = (varied.timeout_ms * 4).into();
+            routes.push(long);
+        }
+        for n in 0..varied.extra {
+            routes.push(route("safe", false, &format!("extra-{n}")));
+            accounts
+                .push(json!({"name": format!("extra-{n}"), "apiKeys": [format!("extra-key-{n}")]}));
+        }
         if self.surge {
             let mut small = route("unsafe", false, surge::SERVICE);
             small["service"] = surge::SERVICE.into();
@@ -181,10 +204,19 @@
             services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
         }
         let config = json!({"version": self.version.get(), "routes": routes, "services": services,
-            "tenants": [{"name": "farm", "apiKeys": keys}]});
+            "tenants": accounts});
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
+    /// Writes a new version of the configuration that varies in this way, with the keys that were not revoked.
+    pub fn change_config(&self, variation: Variation) {
+        self.variation.set(variation);
+        match self.promises.is_key_revoked() {
+            true => self.write_config(&API_KEYS[..1]),
+            false => self.write_config(&API_KEYS),
+        }
+    }
+
     /// Returns the version of the configuration that was written last, as a shared cell.
     pub fn version(&self) -> Rc<Cell<u64>> {
         Rc::clone(&self.version)
