--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -21,7 +21,7 @@
 const DELAY_MS: std::ops::Range<u64> = 20..400;
 
 /// Kinds of faults that are planned work: starts, stops, reloads, and changes of entries and the configuration.
-const PLANNED_KINDS: [u32; 6] = [START_KIND, 2, 2, 5, 11, 13];
+const PLANNED_KINDS: [u32; 8] = [START_KIND, START_KIND, START_KIND, 2, 5, 5, 11, 13];
 
 /// The kind that only starts routers.
 const START_KIND: u32 = 14;
@@ -84,9 +84,7 @@
 async fn kill(env: &TestEnv, rng: &mut Pcg64) {
     start_all(env).await;
     if let Some(vm) = env.vms.choose(rng) {
-        vm.process().on_disruption();
-        vm.terminating.set(true);
-        vm.signal(Signal::KILL);
+        vm.kill();
     }
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod http;
 pub mod link;
 pub mod lost_calls;
+mod power_losses;
 pub mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
@@ -69,6 +70,8 @@
     pub silences: bool,
     /// Whether to change the configuration in quick succession; see `config_changes`.
     pub changes: bool,
+    /// Whether power is lost; see `power_losses`.
+    pub power: bool,
     /// Whether the faults are only planned work.
     pub planned: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
@@ -99,9 +102,8 @@
     let stream_callers = options
         .versions
         .then(|| versions::start(&env, options.seed));
-    let long_streams = options
-        .silences
-        .then(|| silences::start(&env, options.seed));
+    let long_streams =
+        (options.silences || options.changes).then(|| silences::start(&env, options.seed));
     let silences = async {
         if options.silences {
             silences::inject(&env, options.seed, options.fault_duration).await;
@@ -132,6 +134,11 @@
             store_reverts::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let power_losses = async {
+        if options.power {
+            power_losses::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let cuts = async {
         if options.cuts {
             cuts::inject(&env, options.seed, options.fault_duration).await;
@@ -152,13 +159,18 @@
         surges,
         replacements,
         silences,
-        changes
+        changes,
+        power_losses
     );
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
         store_reverts::check_config_after_revert(&env).await;
     }
+    if options.power {
+        power_losses::check_after_faults(&env, options.seed).await;
+        caller_tasks.until_recovered().await;
+    }
     if options.surge {
         surge::check_after_faults(&env, options.seed).await;
     }
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -48,9 +48,17 @@
     accept_task: RefCell<Option<AbortHandle>>,
     /// Notifies all connections that the link is closed.
     closed: Notify,
-    /// When the link last broke a connection or held back bytes of it, by the address from which the link
-    /// connected to the server.
-    interrupted_at: RefCell<HashMap<SocketAddr, Instant>>,
+    /// What the link last did to a connection, by the address from which the link connected to the server.
+    interruptions: RefCell<HashMap<SocketAddr, Interruption>>,
+}
+
+/// What a link did to a connection.
+#[derive(Debug, Clone, Copy)]
+enum Interruption {
+    /// It held back bytes at this instant.
+    Held(Instant),
+    /// It broke the connection. The server may still read what had reached it before.
+    Broken,
 }
 
 /// Interval at which a connection checks whether a fault has begun or ended.
@@ -71,7 +79,7 @@
             upstream_address: upstream,
             accept_task: RefCell::default(),
             closed: Notify::new(),
-            interrupted_at: RefCell::default(),
+            interruptions: RefCell::default(),
         });
         link.spawn_accept_loop(listener);
         Ok(link)
@@ -126,16 +134,17 @@
     ///
     /// `connection` is the client's address as seen by the server behind the link.
     pub fn has_interrupted(&self, connection: SocketAddr, since: Instant) -> bool {
-        let interrupted_at = self.interrupted_at.borrow();
-        interrupted_at
-            .get(&connection)
-            .is_some_and(|at| *at >= since)
+        match self.interruptions.borrow().get(&connection) {
+            Some(Interruption::Held(at)) => *at >= since,
+            Some(Interruption::Broken) => true,
+            None => false,
+        }
     }
 
-    /// Records that the link breaks a connection or holds back bytes of it.
-    fn on_interruption(&self, connection: SocketAddr) {
-        let mut interrupted_at = self.interrupted_at.borrow_mut();
-        interrupted_at.insert(connection, Instant::now());
+    /// Records what the link does to a connection.
+    fn on_interruption(&self, connection: SocketAddr, interruption: Interruption) {
+        let mut interruptions = self.interruptions.borrow_mut();
+        interruptions.insert(connection, interruption);
     }
 
     /// Starts the task that accepts connections.
@@ -174,14 +183,16 @@
     let Ok(client_ip) = client.peer_addr().map(|a| a.ip()) else {
         return;
     };
+    // An earlier connection may have had the same address.
+    link.interruptions.borrow_mut().remove(&connection);
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     tokio::select! {
         () = forward(&link, connection, client_read, upstream_write, LinkFault::StallRequests) => {}
         () = forward(&link, connection, upstream_read, client_write, LinkFault::StallResponses) => {}
-        () = until_reset(&link, client_ip) => link.on_interruption(connection),
-        () = link.closed.notified() => link.on_interruption(connection),
+        () = until_reset(&link, client_ip) => link.on_interruption(connection, Interruption::Broken),
+        () = link.closed.notified() => link.on_interruption(connection, Interruption::Broken),
     }
 }
 
@@ -207,7 +218,7 @@
             _ => return,
         };
         while link.fault.get() == stall {
-            link.on_interruption(connection);
+            link.on_interruption(connection, Interruption::Held(Instant::now()));
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         if let LinkFault::Delay(delay) = link.fault.get() {
--- a/soak/src/lost_calls.rs
+++ b/soak/src/lost_calls.rs
@@ -2,7 +2,8 @@
 //!
 //! It holds beside planned work: changes of the configuration, reloads, graceful stops, and silences of sound
 //! targets. A call whose router was killed, paused or resumed meanwhile does not count, nor one that its target
-//! or the link to it broke off, nor one that lasted until its deadline.
+//! or the link to it broke off, nor one that lasted until its deadline or almost until the end of the time for a
+//! stop.
 
 use std::{cell::Cell, time::Duration};
 
@@ -11,6 +12,7 @@
 use crate::{
     promises::CallOutcome,
     stops::{LatestAttempts, ProcessState},
+    vm::GRACE_MS,
 };
 
 /// Time after which a router counts as having read a request that did not reach a target. An earlier close of
@@ -20,6 +22,13 @@
 /// Time before a call is sent from which planned work is named as having been beside it.
 const WORK_BEFORE: Duration = Duration::from_secs(3);
 
+/// Time after a request to stop from which a router may end calls whose targets are still at work: five sixths of
+/// `graceS`.
+const STOP_TIME: Duration = Duration::from_millis(GRACE_MS * 5 / 6);
+
+/// Time after a request to stop within which a call was sent that a router may end then.
+const SENT_BEFORE_STOP: Duration = Duration::from_secs(3);
+
 /// When each kind of planned work was last done.
 #[derive(Debug, Default)]
 pub struct PlannedWork {
@@ -42,7 +51,7 @@
     fn beside(&self, process: &ProcessState, sent_at: Instant) -> Vec<&'static str> {
         let is_near = |at: Option<Instant>| at.is_some_and(|at| at + WORK_BEFORE >= sent_at);
         let kinds = [
-            ("stop", process.is_stop_requested()),
+            ("stop", process.stop_requested_at().is_some()),
             ("reload", is_near(process.reloaded_at())),
             ("config", is_near(self.config_changed_at.get())),
             ("silence", is_near(self.silent_at.get())),
@@ -51,8 +60,8 @@
         near.map(|(name, _)| *name).collect()
     }
 
-    /// Returns a description of the loss if the call was lost: its connection was kept from an earlier call, and
-    /// ended without a whole answer.
+    /// Returns a description of the loss if a call on a connection that was kept from an earlier call was lost: it
+    /// ended without a whole answer, or with a failure of the router's own although it reached a target.
     pub fn describe_loss(
         &self,
         call: &str,
@@ -68,11 +77,13 @@
             CallOutcome::Response(status, body, false) => {
                 format!("{status} with only {} bytes", body.len())
             }
+            CallOutcome::Response(502 | 504, _, true) if has_arrived => "a failure".to_owned(),
             CallOutcome::Response(_, _, true) => return None,
         };
         let is_excused = process.was_disrupted(sent_at)
             || attempts.was_broken_off(call)
             || lasted >= deadline
+            || outlasted_stop(process, sent_at)
             || !(has_arrived || lasted > READ_TIME);
         let beside = self.beside(process, sent_at);
         (!is_excused && !beside.is_empty()).then(|| {
@@ -82,3 +93,9 @@
         })
     }
 }
+
+/// Returns whether a call has lasted so long beside a stop of its router that this may end it.
+fn outlasted_stop(process: &ProcessState, sent_at: Instant) -> bool {
+    let requested_at = process.stop_requested_at();
+    requested_at.is_some_and(|at| at.elapsed() >= STOP_TIME && sent_at <= at + SENT_BEFORE_STOP)
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -42,6 +42,8 @@
             optional --silences
             /// Also change the configuration in quick succession.
             optional --changes
+            /// Also let all routers and the store lose power at the same moment.
+            optional --power
             /// Inject only planned work instead of the usual faults: stops, reloads, changes.
             optional --planned
             /// Keep the routers' logs also if all guarantees were kept.
@@ -75,6 +77,7 @@
         slow_readers: flags.slow_readers,
         silences: flags.silences,
         changes: flags.changes,
+        power: flags.power,
         planned: flags.planned,
         keep_logs: flags.keep_logs,
         program: flags.program.or(default_program).unwrap_or_default(),
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -158,7 +158,8 @@
 
     /// Records that the second key was revoked.
     pub fn on_revoked(&self) {
-        self.revoked_at.set(Some(Instant::now()));
+        let at = self.revoked_at.get().unwrap_or_else(Instant::now);
+        self.revoked_at.set(Some(at));
     }
 
     /// Returns whether the second key was revoked.
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -21,8 +21,8 @@
 /// What the run did to one router process.
 #[derive(Debug, Default)]
 pub struct ProcessState {
-    /// Whether the process was asked to stop gracefully.
-    stop_requested: Cell<bool>,
+    /// When the process was first asked to stop gracefully.
+    stop_requested_at: Cell<Option<Instant>>,
     /// When the run last killed, paused or resumed the process.
     disrupted_at: Cell<Option<Instant>>,
     /// When the process was last told to reload its settings.
@@ -32,7 +32,8 @@
 impl ProcessState {
     /// Records that the process is asked to stop gracefully.
     pub fn on_stop_requested(&self) {
-        self.stop_requested.set(true);
+        let at = self.stop_requested_at.get().unwrap_or_else(Instant::now);
+        self.stop_requested_at.set(Some(at));
     }
 
     /// Records that the process is killed, paused or resumed, which may break off calls that are in progress.
@@ -45,9 +46,9 @@
         self.reloaded_at.set(Some(Instant::now()));
     }
 
-    /// Returns whether the process was asked to stop gracefully.
-    pub fn is_stop_requested(&self) -> bool {
-        self.stop_requested.get()
+    /// Returns when the process was asked to stop gracefully.
+    pub fn stop_requested_at(&self) -> Option<Instant> {
+        self.stop_requested_at.get()
     }
 
     /// Returns when the process was last told to reload its settings.
@@ -125,7 +126,7 @@
         sent_at: Instant,
     ) -> bool {
         matches!(outcome, CallOutcome::Response(200, _, false))
-            && process.stop_requested.get()
+            && process.stop_requested_at().is_some()
             && !process.was_disrupted(sent_at)
             && sent_at.elapsed() < CALL_DEADLINE
             && !self.was_broken_off(call)
--- a/soak/src/store_reverts.rs
+++ b/soak/src/store_reverts.rs
@@ -73,8 +73,13 @@
 /// Writes a new configuration and checks that it is in force at all routers in time.
 async fn write_and_check_config(env: &TestEnv) {
     env.write_config(&API_KEYS[..1]);
+    check_config_in_force(env, CONFIG_PROPAGATION_TIME).await;
+}
+
+/// Checks that the configuration that was written last is in force at all routers within this time.
+pub async fn check_config_in_force(env: &TestEnv, within: Duration) {
     let version = env.version().get();
-    let deadline = Instant::now() + CONFIG_PROPAGATION_TIME;
+    let deadline = Instant::now() + within;
     for (vm_index, vm) in env.vms.iter().enumerate() {
         if tokio::time::timeout_at(deadline, until_served(vm, vm_index, version))
             .await
@@ -107,13 +112,13 @@
 }
 
 /// Sleeps for a random number of milliseconds from the range.
-async fn sleep_random_ms(rng: &mut Pcg64, ms: std::ops::Range<u64>) {
+pub async fn sleep_random_ms(rng: &mut Pcg64, ms: std::ops::Range<u64>) {
     tokio::time::sleep(Duration::from_millis(rng.random_range(ms))).await;
 }
 
 /// Restores the entries that others than the routers had written or removed since the copy, except those that
 /// have been changed again since the revert.
-fn rewrite_lost_entries(env: &TestEnv, lost: &Kv, copy: &Kv) {
+pub fn rewrite_lost_entries(env: &TestEnv, lost: &Kv, copy: &Kv) {
     let value = |kv: &Kv, key: &String| kv.items.get(key).map(|i| i.value.clone());
     let current = env.store.backup();
     let keys = lost.items.keys().chain(copy.items.keys());
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -12,7 +12,10 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use tokio::process::{Child, Command};
+use tokio::{
+    process::{Child, Command},
+    sync::Mutex,
+};
 
 use crate::{
     RunOptions,
@@ -31,6 +34,9 @@
 /// Number of targets. The entry of one of them may say that it is leaving.
 const TARGET_COUNT: usize = 4;
 
+/// Time for a graceful stop, in milliseconds.
+pub const GRACE_MS: u64 = 8_000;
+
 /// Maximum time for a start, a graceful shutdown or the recovery, even on a busy machine.
 pub const LIFECYCLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -54,6 +60,8 @@
     process: RefCell<Rc<ProcessState>>,
     /// Whether it was killed or asked to shut down, even if it has not exited yet.
     pub terminating: Cell<bool>,
+    /// Held while it is started again.
+    pub restart: Mutex<()>,
     /// Whether it is paused.
     pub paused: Cell<bool>,
     /// Its link to the store.
@@ -76,7 +84,7 @@
     /// Whether targets run several software versions.
     versions: bool,
     /// Whether there is a route of long streams.
-    silences: bool,
+    long_streams: bool,
     /// Whether routers are only stopped and changed as planned.
     pub planned_only: bool,
     /// What of the configuration changes.
@@ -121,7 +129,7 @@
             surge: options.surge,
             brittle: options.brittle,
             versions: options.versions,
-            silences: options.silences,
+            long_streams: options.silences || options.changes,
             planned_only: options.planned,
             variation: Cell::default(),
             version: Rc::default(),
@@ -187,7 +195,7 @@
         ];
         let mut services = vec![json!({"name": "desk", "maxConns": varied.max_conns})];
         let mut accounts = vec![json!({"name": "farm", "apiKeys": keys})];
-        if self.silences && varied.has_long_route {
+        if self.long_streams && varied.has_long_route {
             let mut long = route("streaming", true, silences::ROUTE);
             long["timeoutMs"] = (varied.timeout_ms * 4).into();
             routes.push(long);
@@ -309,7 +317,7 @@
         "internalPorts": [peers, peers], "seeds": seeds,
         "limits": {"maxFds": 4_100, "linkMbps": 1_000.0, "cpuShare": 0.25},
         "bounds": {"revokeMs": 5_000, "capFactor": 2, "budgetRatio": 0.2, "budgetWindowS": 10,
-            "budgetExtra": 54, "graceS": 8},
+            "budgetExtra": 54, "graceS": GRACE_MS / 1_000},
         "platform": {"address": store_link.address.to_string()}});
     if options.slow_readers {
         settings["limits"]["memoryMb"] = slow_readers::ROUTER_MEMORY_MB.into();
@@ -328,6 +336,7 @@
         process: RefCell::default(),
         paused: Cell::default(),
         terminating: Cell::default(),
+        restart: Mutex::default(),
         store_link,
         applied_version: Cell::default(),
     })
@@ -335,7 +344,7 @@
 
 impl Vm {
     /// Starts the process.
-    fn start(&self) {
+    pub fn start(&self) {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -371,6 +380,13 @@
         }
     }
 
+    /// Kills the process, if it is running.
+    pub fn kill(&self) {
+        self.process().on_disruption();
+        self.terminating.set(true);
+        self.signal(Signal::KILL);
+    }
+
     /// Returns what was done to the current process.
     pub fn process(&self) -> Rc<ProcessState> {
         Rc::clone(&self.process.borrow())
@@ -412,6 +428,7 @@
 
     /// Starts the process again if it has exited or is about to, after it has exited.
     pub async fn ensure_running(&self) {
+        let _restart = self.restart.lock().await;
         if self.terminating.get() || !self.is_running() {
             self.until_exited().await;
             self.start();
