--- a/soak/src/config_changes.rs
+++ b/soak/src/config_changes.rs
@@ -1,12 +1,13 @@
 //! Changes of the configuration in quick succession, derived from the seed.
 //!
-//! Timeouts and goals change, a route is removed and added again, many routes and keys are added, two changes
+//! Timeouts, goals and limits change, a route is removed and added again, many routes and keys are added, two changes
 //! follow each other within the time that routers need to apply one, and changes are taken back.
 
 use std::time::Duration;
 
 use rand::Rng;
 use rand_pcg::Pcg64;
+use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use crate::vm::TestEnv;
@@ -34,6 +35,10 @@
     pub max_conns: u32,
     /// Whether there is the route of long streams.
     pub has_long_route: bool,
+    /// Time for which a caller's connection may be idle in milliseconds, if it is limited.
+    pub idle_ms: Option<u64>,
+    /// Maximum size of a request's head and body in bytes, far above that of all requests.
+    pub max_bytes: Option<usize>,
     /// Number of further routes and of further accounts.
     pub extra: usize,
 }
@@ -47,12 +52,27 @@
             max_attempts: 2,
             max_conns: 400,
             has_long_route: true,
+            idle_ms: None,
+            max_bytes: None,
             extra: 0,
         }
     }
 }
 
 impl Variation {
+    /// Returns the limits of requests as the configuration holds them.
+    pub fn limits(&self) -> Value {
+        let limits = [
+            ("maxHeaderBytes", self.max_bytes.map(Value::from)),
+            ("maxBodyBytes", self.max_bytes.map(Value::from)),
+            ("idleTimeoutMs", self.idle_ms.map(Value::from)),
+        ];
+        let set = limits
+            .into_iter()
+            .filter_map(|(name, value)| Some((name.to_owned(), value?)));
+        Value::Object(set.collect())
+    }
+
     fn random(rng: &mut Pcg64) -> Self {
         Self {
             timeout_ms: rng.random_range(3_200..8_000),
@@ -61,6 +81,10 @@
             max_attempts: rng.random_range(1..4),
             max_conns: rng.random_range(100..400),
             has_long_route: rng.random_bool(0.8),
+            idle_ms: rng.random_bool(0.8).then(|| rng.random_range(500..3_000)),
+            max_bytes: rng
+                .random_bool(0.8)
+                .then(|| rng.random_range(8_000..1_000_000)),
             extra: if rng.random_bool(0.2) { 300 } else { 0 },
         }
     }
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -91,12 +91,14 @@
             accept_task.abort();
         }
         self.closed.notify_waiters();
+        self.last_fault_end.set(Some(Instant::now()));
     }
 
     /// Accepts connections again at the same address.
     pub async fn reopen(self: &Rc<Self>) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.address).await?;
         self.spawn_accept_loop(listener);
+        self.last_fault_end.set(Some(Instant::now()));
         Ok(())
     }
 
--- a/soak/src/lost_calls.rs
+++ b/soak/src/lost_calls.rs
@@ -2,14 +2,19 @@
 //!
 //! It holds beside planned work: changes of the configuration, reloads, graceful stops, and silences of sound
 //! targets. A call whose router was killed, paused or resumed meanwhile does not count, nor one that its target
-//! or the link to it broke off, nor one that lasted until its deadline or almost until the end of the time for a
+//! broke off, nor one that was sent while the link to any target had a fault (it may have been tried there), nor one that lasted until its deadline or almost until the end of the time for a
 //! stop.
 
-use std::{cell::Cell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
 use crate::{
+    link::Link,
     promises::CallOutcome,
     stops::{LatestAttempts, ProcessState},
     vm::GRACE_MS,
@@ -30,13 +35,20 @@
 const SENT_BEFORE_STOP: Duration = Duration::from_secs(3);
 
 /// When each kind of planned work was last done.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct PlannedWork {
     config_changed_at: Cell<Option<Instant>>,
     silent_at: Cell<Option<Instant>>,
+    /// Links to the targets.
+    links: RefCell<Vec<Rc<Link>>>,
 }
 
 impl PlannedWork {
+    /// Adds the link to a target.
+    pub fn add_link(&self, link: &Rc<Link>) {
+        self.links.borrow_mut().push(Rc::clone(link));
+    }
+
     /// Records that the configuration changes.
     pub fn on_config_change(&self) {
         self.config_changed_at.set(Some(Instant::now()));
@@ -82,6 +94,11 @@
         };
         let is_excused = process.was_disrupted(sent_at)
             || attempts.was_broken_off(call)
+            || self
+                .links
+                .borrow()
+                .iter()
+                .any(|link| !link.is_healthy_for(lasted))
             || lasted >= deadline
             || outlasted_stop(process, sent_at)
             || !(has_arrived || lasted > READ_TIME);
--- a/soak/src/silences.rs
+++ b/soak/src/silences.rs
@@ -43,22 +43,16 @@
 /// Number of callers of long streams of each router.
 const CALLERS_PER_VM: usize = 30;
 
-/// Until when a target is silent.
-#[derive(Debug, Clone)]
-pub struct Silence(watch::Sender<Instant>);
-
-impl Default for Silence {
-    fn default() -> Self {
-        Self(watch::Sender::new(Instant::now()))
-    }
-}
+/// Until when a target is silent, or was last.
+#[derive(Debug, Clone, Default)]
+pub struct Silence(watch::Sender<Option<Instant>>);
 
 impl Silence {
     /// Begins a silence, unless one has only just ended or has not.
     pub fn begin(&self, duration: Duration) {
-        let now = Instant::now();
-        if now >= *self.0.borrow() + MIN_AUDIBLE_TIME {
-            self.0.send_replace(now + duration);
+        let (now, last) = (Instant::now(), *self.0.borrow());
+        if last.is_none_or(|until| now >= until + MIN_AUDIBLE_TIME) {
+            self.0.send_replace(Some(now + duration));
         }
     }
 
@@ -66,9 +60,9 @@
     pub async fn until_over(&self) {
         loop {
             let until = *self.0.borrow();
-            match Instant::now() < until {
-                true => sleep_until(until).await,
-                false => return,
+            match until {
+                Some(until) if Instant::now() < until => sleep_until(until).await,
+                _ => return,
             }
         }
     }
@@ -126,11 +120,22 @@
     }
 }
 
+/// Returns the pause of a caller before its next call: a short one, or one of up to four fifths of the time for
+/// which its connection may be idle.
+fn rest(env: &TestEnv, rng: &mut Pcg64) -> Duration {
+    let is_long = rng.random_bool(0.2);
+    let max_ms = match env.variation.get().idle_ms {
+        Some(idle_ms) if is_long => idle_ms * 4 / 5,
+        _ => 200,
+    };
+    Duration::from_millis(rng.random_range(0..max_ms))
+}
+
 async fn run_caller(env: Rc<TestEnv>, stop: Rc<Cell<bool>>, mut rng: Pcg64, vm: usize, n: usize) {
     let (vm_index, vm, promises) = (vm, &env.vms[vm], &env.promises);
     let mut kept = None;
     for call in 0_u64.. {
-        sleep(Duration::from_millis(rng.random_range(0..200))).await;
+        sleep(rest(&env, &mut rng)).await;
         if stop.get() {
             return;
         }
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -110,6 +110,7 @@
             let (target, address) = Target::start(&format!("i-{n}"), &promises).await;
             let link = Link::start(address).await.expect("free port");
             target.link.get_or_init(|| Rc::clone(&link));
+            promises.planned.add_link(&link);
             targets.push((target, link));
         }
         let name = format!("scaleford-soak-{}-{}", std::process::id(), options.seed);
@@ -212,7 +213,7 @@
             services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
         }
         let config = json!({"version": self.version.get(), "routes": routes, "services": services,
-            "tenants": accounts});
+            "tenants": accounts, "limits": varied.limits()});
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
