--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod budget;
 pub mod callers;
+mod config_changes;
 mod crashes;
 mod cuts;
 mod entries;
@@ -13,9 +14,12 @@
 #[path = "../../tests/support/http.rs"]
 mod http;
 pub mod link;
+pub mod lost_calls;
+mod power_losses;
 pub mod promises;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
+pub mod silences;
 mod slow_readers;
 pub mod stops;
 #[allow(dead_code)]
@@ -62,6 +66,14 @@
     pub parts: bool,
     /// Whether targets run several software versions; see `versions`.
     pub versions: bool,
+    /// Whether targets fall silent for a moment; see `silences`.
+    pub silences: bool,
+    /// Whether to change the configuration in quick succession; see `config_changes`.
+    pub changes: bool,
+    /// Whether power is lost; see `power_losses`.
+    pub power: bool,
+    /// Whether the faults are only planned work.
+    pub planned: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
     pub keep_logs: bool,
     /// Whether to start callers that read slowly; see `slow_readers`.
@@ -90,6 +102,18 @@
     let stream_callers = options
         .versions
         .then(|| versions::start(&env, options.seed));
+    let long_streams =
+        (options.silences || options.changes).then(|| silences::start(&env, options.seed));
+    let silences = async {
+        if options.silences {
+            silences::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
+    let changes = async {
+        if options.changes {
+            config_changes::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let replacements = async {
         if options.versions {
             versions::inject(&env, options.seed, options.fault_duration).await;
@@ -110,6 +134,11 @@
             store_reverts::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let power_losses = async {
+        if options.power {
+            power_losses::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let cuts = async {
         if options.cuts {
             cuts::inject(&env, options.seed, options.fault_duration).await;
@@ -128,13 +157,20 @@
         reverts,
         cuts,
         surges,
-        replacements
+        replacements,
+        silences,
+        changes,
+        power_losses
     );
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
     if options.set_backs {
         store_reverts::check_config_after_revert(&env).await;
     }
+    if options.power {
+        power_losses::check_after_faults(&env, options.seed).await;
+        caller_tasks.until_recovered().await;
+    }
     if options.surge {
         surge::check_after_faults(&env, options.seed).await;
     }
@@ -146,6 +182,9 @@
     if let Some(stream_callers) = stream_callers {
         stream_callers.stop().await;
     }
+    if let Some(long_streams) = long_streams {
+        long_streams.stop().await;
+    }
     if let Some(slow_readers) = slow_readers {
         slow_readers.stop();
     }
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -21,16 +21,19 @@
 /// What the run did to one router process.
 #[derive(Debug, Default)]
 pub struct ProcessState {
-    /// Whether the process was asked to stop gracefully.
-    stop_requested: Cell<bool>,
+    /// When the process was first asked to stop gracefully.
+    stop_requested_at: Cell<Option<Instant>>,
     /// When the run last killed, paused or resumed the process.
     disrupted_at: Cell<Option<Instant>>,
+    /// When the process was last told to reload its settings.
+    reloaded_at: Cell<Option<Instant>>,
 }
 
 impl ProcessState {
     /// Records that the process is asked to stop gracefully.
     pub fn on_stop_requested(&self) {
-        self.stop_requested.set(true);
+        let at = self.stop_requested_at.get().unwrap_or_else(Instant::now);
+        self.stop_requested_at.set(Some(at));
     }
 
     /// Records that the process is killed, paused or resumed, which may break off calls that are in progress.
@@ -38,8 +41,23 @@
         self.disrupted_at.set(Some(Instant::now()));
     }
 
+    /// Records that the process is told to reload its settings.
+    pub fn on_reload(&self) {
+        self.reloaded_at.set(Some(Instant::now()));
+    }
+
+    /// Returns when the process was asked to stop gracefully.
+    pub fn stop_requested_at(&self) -> Option<Instant> {
+        self.stop_requested_at.get()
+    }
+
+    /// Returns when the process was last told to reload its settings.
+    pub fn reloaded_at(&self) -> Option<Instant> {
+        self.reloaded_at.get()
+    }
+
     /// Returns whether the process was killed, paused or resumed at or after `since`.
-    fn was_disrupted(&self, since: Instant) -> bool {
+    pub fn was_disrupted(&self, since: Instant) -> bool {
         self.disrupted_at.get().is_some_and(|at| at >= since)
     }
 }
@@ -80,8 +98,13 @@
         flag.unwrap_or_default()
     }
 
+    /// Returns whether an attempt of the call has arrived at a target.
+    pub fn has_arrived(&self, call: &str) -> bool {
+        self.0.borrow().contains_key(call)
+    }
+
     /// Returns whether the latest attempt was broken off by its target or by the link to it.
-    fn was_broken_off(&self, call: &str) -> bool {
+    pub fn was_broken_off(&self, call: &str) -> bool {
         let attempts = self.0.borrow();
         attempts.get(call).is_some_and(|attempt| {
             let is_link_cause = attempt.path.as_ref().is_some_and(|(link, connection)| {
@@ -103,7 +126,7 @@
         sent_at: Instant,
     ) -> bool {
         matches!(outcome, CallOutcome::Response(200, _, false))
-            && process.stop_requested.get()
+            && process.stop_requested_at().is_some()
             && !process.was_disrupted(sent_at)
             && sent_at.elapsed() < CALL_DEADLINE
             && !self.was_broken_off(call)
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -12,14 +12,18 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use tokio::process::{Child, Command};
+use tokio::{
+    process::{Child, Command},
+    sync::Mutex,
+};
 
 use crate::{
     RunOptions,
     callers::Caller,
+    config_changes::Variation,
     link::Link,
     promises::PromiseChecker,
-    slow_readers,
+    silences, slow_readers,
     stops::ProcessState,
     store::{Store, StoreFault},
     surge,
@@ -30,6 +34,9 @@
 /// Number of targets. The entry of one of them may say that it is leaving.
 const TARGET_COUNT: usize = 4;
 
+/// Time for a graceful stop, in milliseconds.
+pub const GRACE_MS: u64 = 8_000;
+
 /// Maximum time for a start, a graceful shutdown or the recovery, even on a busy machine.
 pub const LIFECYCLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -53,6 +60,8 @@
     process: RefCell<Rc<ProcessState>>,
     /// Whether it was killed or asked to shut down, even if it has not exited yet.
     pub terminating: Cell<bool>,
+    /// Held while it is started again.
+    pub restart: Mutex<()>,
     /// Whether it is paused.
     pub paused: Cell<bool>,
     /// Its link to the store.
@@ -74,6 +83,12 @@
     brittle: bool,
     /// Whether targets run several software versions.
     versions: bool,
+    /// Whether there is a route of long streams.
+    long_streams: bool,
+    /// Whether routers are only stopped and changed as planned.
+    pub planned_only: bool,
+    /// What of the configuration changes.
+    pub variation: Cell<Variation>,
     /// Version of the configuration that was written last.
     version: Rc<Cell<u64>>,
     /// Directory of the routers' settings and logs.
@@ -95,6 +110,7 @@
             let (target, address) = Target::start(&format!("i-{n}"), &promises).await;
             let link = Link::start(address).await.expect("free port");
             target.link.get_or_init(|| Rc::clone(&link));
+            promises.planned.add_link(&link);
             targets.push((target, link));
         }
         let name = format!("scaleford-soak-{}-{}", std::process::id(), options.seed);
@@ -114,6 +130,9 @@
             surge: options.surge,
             brittle: options.brittle,
             versions: options.versions,
+            long_streams: options.silences || options.changes,
+            planned_only: options.planned,
+            variation: Cell::default(),
             version: Rc::default(),
             dir,
             keep_logs: options.keep_logs,
@@ -162,10 +181,12 @@
     /// Writes a new version of the configuration, in which the account has these keys.
     pub fn write_config(&self, keys: &[&str]) {
         self.version.set(self.version.get() + 1);
+        self.promises.planned.on_config_change();
+        let varied = self.variation.get();
         let route = |kind: &str, resumable: bool, prefix: &str| {
             json!({"name": prefix, "host": "desk.example", "pathPrefix": format!("/{prefix}/"),
-                "type": kind, "timeoutMs": 4_000, "goalMs": 200, "service": "desk",
-                "maxAttempts": 2, "resumable": resumable, "gapTargetMs": 200})
+                "type": kind, "timeoutMs": varied.timeout_ms, "goalMs": varied.goal_ms, "service": "desk",
+                "maxAttempts": varied.max_attempts, "resumable": resumable, "gapTargetMs": varied.gap_ms})
         };
         let mut routes = vec![
             route("safe", false, "safe"),
@@ -173,7 +194,18 @@
             route("streaming", true, "stream"),
             route("safe", false, &format!("only-{}", self.version.get())),
         ];
-        let mut services = vec![json!({"name": "desk", "maxConns": 400})];
+        let mut services = vec![json!({"name": "desk", "maxConns": varied.max_conns})];
+        let mut accounts = vec![json!({"name": "farm", "apiKeys": keys})];
+        if self.long_streams && varied.has_long_route {
+            let mut long = route("streaming", true, silences::ROUTE);
+            long["timeoutMs"] = (varied.timeout_ms * 4).into();
+            routes.push(long);
+        }
+        for n in 0..varied.extra {
+            routes.push(route("safe", false, &format!("extra-{n}")));
+            accounts
+                .push(json!({"name": format!("extra-{n}"), "apiKeys": [format!("extra-key-{n}")]}));
+        }
         if self.surge {
             let mut small = route("unsafe", false, surge::SERVICE);
             small["service"] = surge::SERVICE.into();
@@ -181,10 +213,19 @@
             services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
         }
         let config = json!({"version": self.version.get(), "routes": routes, "services": services,
-            "tenants": [{"name": "farm", "apiKeys": keys}]});
+            "tenants": accounts, "limits": varied.limits()});
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
+    /// Writes a new version of the configuration that varies in this way, with the keys that were not revoked.
+    pub fn change_config(&self, variation: Variation) {
+        self.variation.set(variation);
+        match self.promises.is_key_revoked() {
+            true => self.write_config(&API_KEYS[..1]),
+            false => self.write_config(&API_KEYS),
+        }
+    }
+
     /// Returns the version of the configuration that was written last, as a shared cell.
     pub fn version(&self) -> Rc<Cell<u64>> {
         Rc::clone(&self.version)
@@ -277,7 +318,7 @@
         "internalPorts": [peers, peers], "seeds": seeds,
         "limits": {"maxFds": 4_100, "linkMbps": 1_000.0, "cpuShare": 0.25},
         "bounds": {"revokeMs": 5_000, "capFactor": 2, "budgetRatio": 0.2, "budgetWindowS": 10,
-            "budgetExtra": 54, "graceS": 8},
+            "budgetExtra": 54, "graceS": GRACE_MS / 1_000},
         "platform": {"address": store_link.address.to_string()}});
     if options.slow_readers {
         settings["limits"]["memoryMb"] = slow_readers::ROUTER_MEMORY_MB.into();
@@ -296,6 +337,7 @@
         process: RefCell::default(),
         paused: Cell::default(),
         terminating: Cell::default(),
+        restart: Mutex::default(),
         store_link,
         applied_version: Cell::default(),
     })
@@ -303,7 +345,7 @@
 
 impl Vm {
     /// Starts the process.
-    fn start(&self) {
+    pub fn start(&self) {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -339,6 +381,13 @@
         }
     }
 
+    /// Kills the process, if it is running.
+    pub fn kill(&self) {
+        self.process().on_disruption();
+        self.terminating.set(true);
+        self.signal(Signal::KILL);
+    }
+
     /// Returns what was done to the current process.
     pub fn process(&self) -> Rc<ProcessState> {
         Rc::clone(&self.process.borrow())
@@ -380,6 +429,7 @@
 
     /// Starts the process again if it has exited or is about to, after it has exited.
     pub async fn ensure_running(&self) {
+        let _restart = self.restart.lock().await;
         if self.terminating.get() || !self.is_running() {
             self.until_exited().await;
             self.start();
