Answers pass through tunnels in frames that say where the target ended

Callers saw: where a router reached a target through a peer, an answer without a length that broke off behind the peer came as complete: half of a plain answer with a length that fits it, or a stream that ends in order too early. Cause: a tunnel carried bare bytes, so that the end of the peer's connection stood for the end of the target's. The peer sent a FIN before its reset, as dropping the writing half does, and the system ends the connections of a killed process in order. Change: tunnel_frames (pieces with their length, an explicit end) and tunnel_conn, which reports an end only where the peer said so. Bytes that the target has sent are still passed on where it takes no more of the request. The protocol is agreed on in the Upgrade header; routers of earlier versions get bare bytes, and no answer without a length is complete that comes from one. Why it works: nobody but the router that holds the target's connection can say that it ended, and only its process can say so. Ruled out: a reset in place of the FIN alone, which leaves the killed peer; HTTP between the routers (docs/design/paths.md).

--- a/src/edge/conn.rs
+++ b/src/edge/conn.rs
@@ -12,7 +12,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::AbortHandle,
+};
 
 use crate::{ids::TargetId, units::Instant};
 
@@ -288,11 +292,14 @@
 
 impl OpeningGuard {
     /// Starts HTTP on a connection to the target, which passes through the peer at `via` if given.
-    pub(super) async fn finish(
+    pub(super) async fn finish<S>(
         self,
-        stream: TcpStream,
+        stream: S,
         via: Option<SocketAddr>,
-    ) -> Result<Conn, ConnectError> {
+    ) -> Result<Conn, ConnectError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -43,6 +43,7 @@
 mod sums;
 mod target_conn;
 mod tunnel;
+mod tunnel_conn;
 mod view;
 mod withdrawals;
 
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -26,7 +26,8 @@
     feed::{self, MAX_HOLD_TIME, Proof},
     gateway::Gateway,
     slot_lease,
-    tunnel::{self, TUNNEL_PROTOCOL, TunnelRefusal},
+    tunnel::{self, TunnelRefusal},
+    tunnel_conn::{TunnelConn, TunnelProtocol},
 };
 use crate::{
     claims::{ClaimStep, ClaimVerdict},
@@ -135,7 +136,7 @@
         let req = match self {
             Self::Tunnel(_) => req
                 .header(header::CONNECTION, "upgrade")
-                .header(header::UPGRADE, TUNNEL_PROTOCOL),
+                .header(header::UPGRADE, TunnelProtocol::Framed.name()),
             _ => req,
         };
         req.body(Full::new(body)).map_err(invalid_response)
@@ -239,16 +240,17 @@
 pub(super) async fn open_tunnel(
     peer: SocketAddr,
     target: &TargetId,
-) -> Result<Result<TcpStream, TunnelRefusal>, StoreError> {
+) -> Result<Result<TunnelConn, TunnelRefusal>, StoreError> {
     let conn = PeerConn::open(peer).await?;
     let req = PeerRequest::Tunnel(target.clone()).with_body(Bytes::new())?;
     let sent = conn.sender.borrow_mut().send_request(req);
     let res = sent.await.map_err(no_answer)?;
     match res.status() {
         StatusCode::SWITCHING_PROTOCOLS => {
+            let protocol = TunnelProtocol::of(res.headers());
             let upgraded = hyper::upgrade::on(res).await.map_err(no_answer)?;
             let stream = tunnel::into_stream(upgraded).map_err(invalid_response)?;
-            Ok(Ok(stream))
+            Ok(Ok(TunnelConn::new(stream, protocol)))
         }
         StatusCode::SERVICE_UNAVAILABLE => {
             let body = res.into_body().collect().await.map_err(no_answer)?;
--- a/src/edge/target_conn.rs
+++ b/src/edge/target_conn.rs
@@ -3,13 +3,13 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use slog::info;
-use tokio::net::TcpStream;
 
 use super::{
     conn::{Conn, ConnectError},
     gateway::Gateway,
     path_checks, peer_calls,
     tunnel::TunnelRefusal,
+    tunnel_conn::TunnelConn,
 };
 use crate::{
     discovery::TargetRecord,
@@ -64,7 +64,7 @@
 async fn open_through_peer(
     cx: &Rc<Gateway>,
     target: &TargetRecord,
-) -> Result<(TcpStream, SocketAddr), PeerVerdict> {
+) -> Result<(TunnelConn, SocketAddr), PeerVerdict> {
     let candidates = cx.peers.borrow().relay_candidates(cx.now());
     let mut tried: Vec<RelayCandidate> = Vec::new();
     while tried.len() < MAX_PEERS_ASKED {
--- a/src/edge/tunnel.rs
+++ b/src/edge/tunnel.rs
@@ -2,10 +2,13 @@
 //!
 //! A tunnel carries bytes, and knows nothing of calls: the router at its other end sends and counts them
 //! as on a direct connection. Where one side of a tunnel closes or breaks, the other does the same, so
-//! that a target notices a caller that left, and an answer that broke off does not look complete.
+//! that a target notices a caller that left. That a target ended its connection in order is said in the
+//! [frames](crate::tunnel_frames) of the answers, so that an answer that broke off does not look complete.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, pin::pin, rc::Rc, time::Duration};
 
+use bytes::Bytes;
+use futures::SinkExt;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header, header::HeaderValue, upgrade::Upgraded,
 };
@@ -19,19 +22,21 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
 };
+use tokio_util::codec::FramedWrite;
 
-use super::{body::AnswerBody, conn::set_socket_options, gateway::Gateway, path_checks};
+use super::{
+    body::AnswerBody, conn::set_socket_options, gateway::Gateway, path_checks,
+    tunnel_conn::TunnelProtocol,
+};
 use crate::{
-    discovery::TargetRecord, ids::TargetId, lifecycle::Phase, target_record::TargetState,
+    discovery::TargetRecord,
+    ids::TargetId,
+    lifecycle::Phase,
+    target_record::TargetState,
+    tunnel_frames::{MAX_PIECE_BYTES, TunnelCodec, TunnelFrame},
     units::Instant,
 };
 
-/// Protocol name in the `Upgrade` header.
-pub(super) const TUNNEL_PROTOCOL: &str = "scaleford-tunnel";
-
-/// Size of the buffer for each direction of a tunnel, in bytes.
-const BUFFER_BYTES: usize = 8 << 10;
-
 /// Silence after which a tunnel's connections are probed, and the interval between probes.
 const PROBE_AFTER: Duration = Duration::from_secs(5);
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
@@ -129,19 +134,20 @@
         }
     };
     cx.metrics.paths.on_tunnel_served("opened");
+    let protocol = TunnelProtocol::of(req.headers());
     let upgrade = hyper::upgrade::on(&mut req);
     tokio::task::spawn_local(async move {
         // The peer closed its connection before the tunnel was established.
         let Ok(upgraded) = upgrade.await else { return };
         if let Ok(near) = into_stream(upgraded) {
-            carry(&guard, near, far).await;
+            carry(&guard, near, far, protocol).await;
         }
     });
     let mut res = Response::new(AnswerBody::whole(""));
     *res.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
     let headers = res.headers_mut();
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(header::UPGRADE, HeaderValue::from_static(TUNNEL_PROTOCOL));
+    headers.insert(header::UPGRADE, HeaderValue::from_static(protocol.name()));
     res
 }
 
@@ -212,31 +218,33 @@
     (record.state == TargetState::Ready && !is_withdrawn).then(|| Rc::clone(record))
 }
 
-/// Passes bytes both ways until either side closes.
-async fn carry(guard: &TunnelGuard, near: TcpStream, far: TcpStream) {
+/// Passes bytes both ways until either side closes. An answer that the target has sent is still passed on if
+/// the target takes no further bytes of its request.
+async fn carry(guard: &TunnelGuard, near: TcpStream, far: TcpStream, protocol: TunnelProtocol) {
     set_socket_options(&near);
     keep_alive(&near);
     keep_alive(&far);
     let activity = Activity::new(guard.cx.now());
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let requests = pass(near_read, far_write, || {
+    let requests = pass_requests(near_read, far_write, || {
         activity.on_request(guard.cx.now());
         guard.set_busy(true);
     });
+    let on_answer = || activity.on_answer(guard.cx.now());
     let answers = async {
-        let (result, near_write) = pass(far_read, near_write, || {
-            activity.on_answer(guard.cx.now());
-        })
-        .await;
-        if result.is_err() {
-            // An answer without a length ends with its connection, so a break must not look like an end.
-            let _ = socket2::SockRef::from(near_write.as_ref()).set_linger(Some(Duration::ZERO));
+        match protocol {
+            TunnelProtocol::Framed => pass_framed(far_read, near_write, on_answer).await,
+            TunnelProtocol::Bare => pass_bare(far_read, near_write, on_answer).await,
         }
     };
+    let mut answers = pin!(answers);
     tokio::select! {
-        _ = requests => {}
-        () = answers => {}
+        end = requests => match end {
+            RequestsEnd::CallerLeft => {}
+            RequestsEnd::TargetTakesNoMore => answers.await,
+        },
+        () = &mut answers => {}
         () = follow_activity(guard, &activity) => {}
     }
 }
@@ -252,14 +260,54 @@
     let _ = socket2::SockRef::from(stream).set_tcp_keepalive(&probes);
 }
 
-/// Passes bytes in one direction until its end or an error; returns which, and the writing half.
-async fn pass(
+/// Reason why a tunnel passes no further bytes of requests.
+enum RequestsEnd {
+    /// The peer closed the tunnel, or its connection broke.
+    CallerLeft,
+    /// The target closed its connection, or it broke.
+    TargetTakesNoMore,
+}
+
+async fn pass_requests(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     on_bytes: impl Fn(),
-) -> (io::Result<()>, OwnedWriteHalf) {
-    let mut buf = vec![0; BUFFER_BYTES];
-    let result = loop {
+) -> RequestsEnd {
+    let mut buf = vec![0; MAX_PIECE_BYTES];
+    loop {
+        let n = match from.read(&mut buf).await {
+            Ok(0) | Err(_) => return RequestsEnd::CallerLeft,
+            Ok(n) => n,
+        };
+        on_bytes();
+        if to.write_all(&buf[..n]).await.is_err() {
+            return RequestsEnd::TargetTakesNoMore;
+        }
+    }
+}
+
+/// Passes answers on in frames. Without [`TunnelFrame::End`], the peer takes the end of the tunnel for a break.
+async fn pass_framed(mut from: OwnedReadHalf, to: OwnedWriteHalf, on_bytes: impl Fn()) {
+    let mut frames = FramedWrite::new(to, TunnelCodec::default());
+    let mut buf = vec![0; MAX_PIECE_BYTES];
+    loop {
+        let frame = match from.read(&mut buf).await {
+            Ok(0) => TunnelFrame::End,
+            Ok(n) => TunnelFrame::Piece(Bytes::copy_from_slice(&buf[..n])),
+            Err(_) => return,
+        };
+        on_bytes();
+        let is_end = frame == TunnelFrame::End;
+        if frames.send(frame).await.is_err() || is_end {
+            return;
+        }
+    }
+}
+
+/// Passes answers on as bare bytes. The peer takes the end of the tunnel for the target's.
+async fn pass_bare(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, on_bytes: impl Fn()) {
+    let mut buf = vec![0; MAX_PIECE_BYTES];
+    let result: io::Result<()> = loop {
         match from.read(&mut buf).await {
             Ok(0) => break Ok(()),
             Ok(n) => {
@@ -271,7 +319,12 @@
             Err(e) => break Err(e),
         }
     };
-    (result, to)
+    if result.is_err() {
+        // An answer without a length ends with its connection, so a break must not look like an end: the
+        // connection is reset, without the end that dropping the half would send first.
+        let _ = socket2::SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO));
+        to.forget();
+    }
 }
 
 /// When bytes last passed a tunnel, and in which direction.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 mod target_record;
 pub mod target_speed;
 mod ticket;
+pub mod tunnel_frames;
 pub mod units;
 pub mod withdrawals;
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -22,6 +22,7 @@
 mod target_speed;
 mod targets;
 mod trust;
+mod tunnel_frames;
 mod withdrawals;
 
 use std::{net::SocketAddr, time::Duration};
