edge: count calls that end without an answer, by stage and by what ended them

A call whose connection this router closed was logged as `caller left`, as one whose caller closed it, and nothing counted it. A panic in the task of a caller's connection was not logged, and its connection counted as open for ever. Each call now keeps the furthest stage that it reached, and the connection whether its caller left; a call that is dropped is counted and logged with both. A plain answer that was not written in full is logged as well, as its `call` line says `ok`.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -187,6 +187,7 @@
     let call_id = id.as_deref().unwrap_or("-");
     let call = Call {
         answer: AnswerAccount::open(cx, call_id, &conn, account, is_stream),
+        progress: call_guard.progress.clone(),
         fingerprint,
         parts,
         is_trial,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -19,7 +19,9 @@
     contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
-    slot_lease, target_conn, withdrawals,
+    slot_lease, target_conn,
+    unanswered::{CallProgress, CallStage},
+    withdrawals,
 };
 use crate::{
     config::serving::{KeyOwner, Route},
@@ -62,6 +64,7 @@
     pub(crate) rank: Rank,
     /// Account of the bytes that are held of the answer.
     pub(crate) answer: AnswerAccount,
+    pub(crate) progress: CallProgress,
 }
 
 impl Call {
@@ -147,7 +150,9 @@
     call: &mut Call,
     timeout: Duration,
 ) -> Result<StartedAnswer, AttemptFailure> {
+    call.progress.reach(CallStage::Placing);
     let (guard, conn) = connect(cx, call).await?;
+    call.progress.reach(CallStage::Sent);
     let result = send(cx, call, guard, conn, timeout).await;
     if let Err(failed) = &result {
         call.attempts.on_attempt_end(failed.execution);
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -24,6 +24,7 @@
     read_body::{self, BodyError},
     stream,
     stream_origins::{self, Origin},
+    unanswered::CallStage,
     view,
 };
 use crate::{
@@ -62,13 +63,16 @@
             .write_call_id(res.headers_mut(), id.as_deref().unwrap_or_default());
         return Ok(res);
     }
-    let mut call_guard = CallGuard::new(cx, id.as_deref());
+    let mut call_guard = CallGuard::new(cx, conn, id.as_deref());
     let body = match read_body::read_request(cx, &head.headers, body_stream).await {
         Ok((body, count)) => {
             call_guard.set_request_count(count);
             body
         }
-        Err(BodyError::Aborted) => return Err(RequestAborted),
+        Err(BodyError::Aborted) => {
+            conn.on_caller_left();
+            return Err(RequestAborted);
+        }
         Err(BodyError::TimedOut) => {
             let refusal = Refusal::new(ResultCode::SlowSender, "the body did not arrive in time");
             return Ok(refuse(cx, &call_guard, refusal));
@@ -79,6 +83,7 @@
             return Ok(refuse(cx, &call_guard, refusal));
         }
     };
+    call_guard.progress.reach(CallStage::Waiting);
     let mut incoming_call = IncomingCall {
         head,
         body,
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -15,8 +15,9 @@
     body::AnswerBody,
     call::CompleteAnswer,
     contended, crash_checks,
-    flow::{AnswerAccount, RequestCount},
+    flow::{AnswerAccount, CallerConn, RequestCount},
     gateway::Gateway,
+    unanswered::{CallProgress, CallStage, EndedBy},
 };
 use crate::{
     ResultCode,
@@ -60,8 +61,8 @@
     }
 }
 
-/// A call that is in progress. Its end is logged once; if it is dropped before that, the call is logged
-/// as left by its caller.
+/// A call that is in progress. Its end is logged once; if it is dropped before that, the call was not
+/// answered, and is logged with what ended it.
 pub(crate) struct CallGuard {
     cx: Rc<Gateway>,
     id: String,
@@ -70,6 +71,8 @@
     /// Id of the call whose stream this one takes up.
     pub(crate) resumes: Option<String>,
     received: Instant,
+    conn: Rc<CallerConn>,
+    pub(crate) progress: CallProgress,
     is_logged: Cell<bool>,
     account_place: Option<AccountPermit>,
     request_count: Option<RequestCount>,
@@ -87,6 +90,8 @@
     pub(crate) status: u16,
     /// Reason why the call was not served; empty if it was.
     pub(crate) why: &'a str,
+    /// What ended the call, if the caller got neither a complete answer nor a refusal.
+    pub(crate) ended_by: Option<EndedBy>,
 }
 
 impl<'a> CallEnd<'a> {
@@ -97,6 +102,7 @@
             number: code.number(),
             status: code.status(),
             why,
+            ended_by: None,
         }
     }
 
@@ -111,13 +117,14 @@
             number: 0,
             status: status.as_u16(),
             why: "",
+            ended_by: None,
         }
     }
 }
 
 impl CallGuard {
     /// Starts tracking a call that has just arrived.
-    pub(crate) fn new(cx: &Rc<Gateway>, id: Option<&str>) -> Self {
+    pub(crate) fn new(cx: &Rc<Gateway>, conn: &Rc<CallerConn>, id: Option<&str>) -> Self {
         Self {
             cx: Rc::clone(cx),
             id: id.unwrap_or("-").to_owned(),
@@ -125,6 +132,8 @@
             fingerprint: None,
             resumes: None,
             received: cx.now(),
+            conn: Rc::clone(conn),
+            progress: CallProgress::default(),
             is_logged: Cell::new(false),
             account_place: None,
             request_count: None,
@@ -152,11 +161,15 @@
     pub(crate) fn record_end(&self, end: CallEnd<'_>, attempts: Attempts) {
         self.is_logged.set(true);
         if let Some(answer) = &self.answer {
-            answer.on_call_end();
+            answer.on_call_end(end.ended_by.is_none());
         }
         let now = self.cx.now();
         let took = now.since(self.received);
         self.cx.metrics.on_call(end.name, end.number, took);
+        let unanswered = end.ended_by.map(|by| (self.progress.stage(), by));
+        if let Some((stage, by)) = unanswered {
+            self.cx.metrics.unanswered.on_end(stage, by);
+        }
         self.cx.record_decision(&self.id, || Decision::Ended {
             code: end.number,
             why: end.why.to_owned(),
@@ -165,6 +178,7 @@
         let revision = self.cx.serving().map(|c| c.revision);
         info!(self.cx.log, "call"; "id" => &self.id, "fingerprint" => self.fingerprint.map(|f| f.to_string()), "resumes" => &self.resumes, "route" => &self.route, "code" => end.name,
             "status" => end.status, "why" => end.why, "attempts" => attempts.sent(),
+            "stage" => unanswered.map(|(stage, _)| stage.name()), "ended_by" => unanswered.map(|(_, by)| by.name()),
             "took_ms" => took.as_millis() as u64, "config_revision" => revision.map(|r| r.number),
             "config_age_ms" => age.map(|a| a.as_millis() as u64));
     }
@@ -174,12 +188,16 @@
     fn drop(&mut self) {
         if !self.is_logged.get() {
             let given_up = self.answer.as_ref().and_then(AnswerAccount::given_up);
-            let (code, why) = match given_up {
-                Some(reason) => (ResultCode::AnswerNotRead, reason.text()),
-                None => (ResultCode::CallerGone, "caller left"),
+            let ended_by = self.conn.ended_by();
+            let (code, why) = match (given_up, ended_by) {
+                (_, EndedBy::Panic) => (ResultCode::Internal, "a task of the call panicked"),
+                (Some(reason), _) => (ResultCode::AnswerNotRead, reason.text()),
+                (None, EndedBy::Caller) => (ResultCode::CallerGone, "caller left"),
+                (None, _) => (ResultCode::Internal, "router closed the connection"),
             };
             let end = CallEnd {
                 status: 0,
+                ended_by: Some(ended_by),
                 ..CallEnd::failed(code, why)
             };
             self.record_end(end, Attempts::default());
@@ -195,6 +213,7 @@
     answer: CompleteAnswer,
 ) -> Response<AnswerBody> {
     let (head, body) = answer;
+    call.progress.reach(CallStage::Answering);
     call_guard.record_end(CallEnd::answered(head.status), call.attempts);
     call.answer.on_complete();
     finish_response(
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -14,7 +14,10 @@
 use slog::info;
 use tokio::sync::Notify;
 
-use super::gateway::Gateway;
+use super::{
+    gateway::Gateway,
+    unanswered::{CallStage, EndedBy},
+};
 use crate::{
     ResultCode,
     explain::Decision,
@@ -26,6 +29,7 @@
 #[derive(Default)]
 pub(crate) struct CallerConn {
     close: Notify,
+    has_caller_left: Cell<bool>,
 }
 
 impl CallerConn {
@@ -33,6 +37,20 @@
     pub(crate) async fn given_up(&self) {
         self.close.notified().await;
     }
+
+    /// Records that the caller closed the connection, or that it broke.
+    pub(crate) fn on_caller_left(&self) {
+        self.has_caller_left.set(true);
+    }
+
+    /// Returns what ends the call on the connection if it is dropped now.
+    pub(crate) fn ended_by(&self) -> EndedBy {
+        match () {
+            () if std::thread::panicking() => EndedBy::Panic,
+            () if self.has_caller_left.get() => EndedBy::Caller,
+            () => EndedBy::Router,
+        }
+    }
 }
 
 /// What a router holds for its callers.
@@ -73,6 +91,10 @@
     given_up: Cell<Option<GiveUpReason>>,
     /// Whether the end of the call is recorded: a plain call ends before its caller has read the answer.
     is_call_ended: Cell<bool>,
+    /// Whether the call ended with a complete answer.
+    is_answered: Cell<bool>,
+    /// Whether bytes were dropped before the caller's socket took them.
+    is_cut: Cell<bool>,
     /// Wakes the call that waits until nothing of its answer is held any more.
     drained: Notify,
 }
@@ -82,6 +104,11 @@
         let flow = &self.cx.flow;
         flow.flow.borrow_mut().close(self.id);
         flow.answers.borrow_mut().remove(&self.id);
+        if self.is_answered.get() && self.is_cut.get() {
+            let (stage, by) = (CallStage::Answering, self.conn.ended_by());
+            self.cx.metrics.unanswered.on_end(stage, by);
+            info!(self.cx.log, "answer cut off"; "id" => &self.call, "stage" => stage.name(), "ended_by" => by.name());
+        }
     }
 }
 
@@ -107,6 +134,8 @@
             conn: Rc::clone(conn),
             given_up: Cell::new(None),
             is_call_ended: Cell::new(false),
+            is_answered: Cell::new(false),
+            is_cut: Cell::new(false),
             drained: Notify::new(),
         });
         let mut answers = cx.flow.answers.borrow_mut();
@@ -119,9 +148,10 @@
         self.0.given_up.get()
     }
 
-    /// Handles the recorded end of the call.
-    pub(crate) fn on_call_end(&self) {
+    /// Handles the recorded end of the call: whether its answer is complete.
+    pub(crate) fn on_call_end(&self, is_answered: bool) {
         self.0.is_call_ended.set(true);
+        self.0.is_answered.set(is_answered);
     }
 
     /// Counts `n` bytes that have arrived from a target, and gives up the callers that the bounds require.
@@ -250,6 +280,9 @@
 impl Drop for OfferedBytes {
     fn drop(&mut self) {
         if let Some((answer, n)) = self.count.take() {
+            if self.bytes.has_remaining() {
+                answer.0.is_cut.set(true);
+            }
             answer.release(n, n);
         }
     }
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -12,7 +12,9 @@
     sync::Notify,
 };
 
-use super::{body::AnswerBody, call, conn::set_socket_options, flow::CallerConn, gateway::Gateway};
+use super::{
+    body::AnswerBody, call, conn::set_socket_options, flow::CallerConn, gateway::Gateway, task,
+};
 use crate::lifecycle::Phase;
 
 /// Pause after a connection could not be accepted, most likely because the process is out of file
@@ -52,15 +54,31 @@
             warn!(cx.log, "caller connection rejected, too many open"; "open" => open.get());
             continue;
         }
-        open.set(open.get() + 1);
-        let (cx, open) = (Rc::clone(&cx), Rc::clone(&open));
-        tokio::task::spawn_local(async move {
-            serve_caller(cx, stream).await;
-            open.set(open.get() - 1);
+        let open = OpenConn::new(&open);
+        let serving = serve_caller(Rc::clone(&cx), stream);
+        task::spawn(&cx, "caller connection", async move {
+            serving.await;
+            drop(open);
         });
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenConn(Rc<Cell<usize>>);
+
+impl OpenConn {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenConn {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Whether a connection has a call in progress, and since when it is idle.
 #[derive(Default)]
 struct ConnActivity {
@@ -98,24 +116,34 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = connection;
-    let given_up = async {
+    let ended = async {
         tokio::select! {
-            // A broken connection ends its own call, and the error can't be sent to the caller.
-            _ = &mut connection => return false,
-            () = caller.given_up() => return true,
+            ended = &mut connection => return Some(ended),
+            () = caller.given_up() => return None,
             () = wait_for_idle_timeout(&cx, &activity) => {}
         }
         Pin::new(&mut connection).graceful_shutdown();
         tokio::select! {
-            _ = &mut connection => false,
-            () = caller.given_up() => true,
+            ended = &mut connection => Some(ended),
+            () = caller.given_up() => None,
         }
     };
-    if given_up.await {
-        reset(connection.into_parts().io.inner());
+    match ended.await {
+        // The call on the connection is dropped with it.
+        Some(ended) if is_left_by_caller(&ended) => caller.on_caller_left(),
+        Some(_) => {}
+        None => reset(connection.into_parts().io.inner()),
     }
 }
 
+/// Returns whether a connection ended because its caller closed it or it broke. An error of the user of the
+/// HTTP library is this router's.
+fn is_left_by_caller(ended: &hyper::Result<()>) -> bool {
+    ended
+        .as_ref()
+        .is_err_and(|e| !e.is_user() && !e.is_timeout())
+}
+
 /// Bounds what the operating system holds for a caller that does not read. Without the bound, it takes up
 /// to several megabytes, which no account shows.
 fn bound_unsent_bytes(stream: &TcpStream) {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -8,7 +8,9 @@
     registry::Registry,
 };
 
-use super::{path_metrics::PathMetrics, stream_metrics::StreamMetrics};
+use super::{
+    path_metrics::PathMetrics, stream_metrics::StreamMetrics, unanswered::UnansweredMetrics,
+};
 use crate::{
     admission::shares::PoolStatus,
     contention::{self, HashedNames},
@@ -123,6 +125,7 @@
     first_event_time: Histogram,
     pub(crate) paths: PathMetrics,
     pub(crate) streams: StreamMetrics,
+    pub(super) unanswered: UnansweredMetrics,
     pub(crate) entries_unusable: Counter,
     pub(crate) halls_evacuated: Gauge,
     pub(crate) quarantined_requests: Gauge,
@@ -162,6 +165,7 @@
             first_event_time: Histogram::new(BUCKET_BOUNDS_SECONDS),
             paths: PathMetrics::default(),
             streams: StreamMetrics::default(),
+            unanswered: UnansweredMetrics::default(),
             entries_unusable: Counter::default(),
             halls_evacuated: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -190,6 +194,7 @@
         self.register_contended();
         self.paths.register(&mut self.registry);
         self.streams.register(&mut self.registry);
+        self.unanswered.register(&mut self.registry);
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -42,7 +42,9 @@
 mod stream_origins;
 mod sums;
 mod target_conn;
+mod task;
 mod tunnel;
+mod unanswered;
 mod view;
 mod withdrawals;
 
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -17,7 +17,8 @@
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
     flow::{AnswerAccount, HeldCount, OfferedBytes},
     gateway::Gateway,
-    read_body, stream_origins,
+    read_body, stream_origins, task,
+    unanswered::{CallStage, EndedBy},
 };
 use crate::{ResultCode, event_stream::EventSplitter, retry::Execution, units::Instant};
 
@@ -245,7 +246,8 @@
     let (tx, body) = AnswerBody::events();
     let res = finish_response(cx, &call_guard, Response::from_parts(head, body));
     let cx_task = Rc::clone(cx);
-    tokio::task::spawn_local(async move {
+    call.progress.reach(CallStage::Answering);
+    task::spawn(cx, "answer", async move {
         let events_tx = tx.clone();
         tokio::select! {
             biased;
@@ -306,6 +308,7 @@
                 Err(failed) => {
                     let end = CallEnd {
                         status: 200,
+                        ended_by: Some(EndedBy::Answer),
                         ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
                     };
                     call_guard.record_end(end, call.attempts);
