ingress: look for a request before an idle connection is closed

What callers saw: a request on a kept connection was answered by the end of the connection. Cause: an idle connection was closed without a look at what had arrived on it. Where the timer was late (a process that was busy or suspended) or the timeout had just been shortened by a new configuration, the request and the timer were found at the same moment, and `select!` took either first. A head that had begun to arrive did not count as activity.

The socket is looked at (a peek, which does not depend on what the event loop has been told so far) before the close; with bytes in it the connection stays open and the request is served. The idle time counts from the last byte in either direction. Ruled out: a request that had been handed to a call was never closed this way, as the call is marked before the next check. A request that arrives after the look still crosses the close; it was not read then, and the system says so with a reset.

--- /dev/null
+++ b/src/edge/caller_socket.rs
@@ -0,0 +1,150 @@
+//! Socket of a caller's connection, and whether the connection is idle.
+
+use std::{
+    cell::{Cell, RefCell},
+    io::{self, IoSlice},
+    mem::MaybeUninit,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use super::gateway::Gateway;
+use crate::units::Instant;
+
+/// Socket of a caller's connection.
+pub(super) struct CallerSocket {
+    cx: Rc<Gateway>,
+    stream: RefCell<TcpStream>,
+    is_busy: Cell<bool>,
+    /// Instant at which the connection became idle, or of the last byte since.
+    idle_since: Cell<Instant>,
+}
+
+impl CallerSocket {
+    /// Creates the socket of a connection that was just opened.
+    pub(super) fn new(cx: &Rc<Gateway>, stream: TcpStream) -> Rc<Self> {
+        Rc::new(Self {
+            cx: Rc::clone(cx),
+            stream: RefCell::new(stream),
+            is_busy: Cell::default(),
+            idle_since: Cell::new(cx.now()),
+        })
+    }
+
+    /// Returns whether a request is being served.
+    pub(super) fn is_busy(&self) -> bool {
+        self.is_busy.get()
+    }
+
+    /// Returns for how long no byte has passed on the connection since it became idle.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.cx.now().since(self.idle_since.get())
+    }
+
+    /// Returns whether bytes of the caller have arrived and are not read yet.
+    pub(super) fn has_unread(&self) -> bool {
+        let stream = self.stream.borrow();
+        let mut byte = [MaybeUninit::uninit()];
+        // An error is reported when the socket is read.
+        socket2::SockRef::from(&*stream)
+            .peek(&mut byte)
+            .is_ok_and(|n| n > 0)
+    }
+
+    /// Has the connection reset when it is closed, so that the operating system discards what the caller has
+    /// not read.
+    pub(super) fn reset_on_close(&self) {
+        let stream = self.stream.borrow();
+        // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
+        let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+    }
+
+    fn set_busy(&self, is_busy: bool) {
+        self.is_busy.set(is_busy);
+        self.on_bytes();
+    }
+
+    fn on_bytes(&self) {
+        self.idle_since.set(self.cx.now());
+    }
+}
+
+/// A request that is being served; the connection is idle again once it is dropped.
+pub(super) struct BusyGuard(Rc<CallerSocket>);
+
+impl BusyGuard {
+    /// Records that a request has arrived.
+    pub(super) fn new(socket: &Rc<CallerSocket>) -> Self {
+        socket.set_busy(true);
+        Self(Rc::clone(socket))
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.set_busy(false);
+    }
+}
+
+/// Reads and writes a caller's socket, and records when bytes pass.
+pub(super) struct CallerIo(pub(super) Rc<CallerSocket>);
+
+impl CallerIo {
+    fn poll<T>(
+        &self,
+        io: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let polled = io(Pin::new(&mut self.0.stream.borrow_mut()));
+        if polled.is_ready() {
+            self.0.on_bytes();
+        }
+        polled
+    }
+}
+
+impl AsyncRead for CallerIo {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.poll(|stream| stream.poll_read(cx, buf))
+    }
+}
+
+impl AsyncWrite for CallerIo {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll(|stream| stream.poll_write(cx, buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll(|stream| stream.poll_write_vectored(cx, bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -7,13 +7,16 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Notify,
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    body::AnswerBody, call, conn::set_socket_options, flow::CallerConn, gateway::Gateway, task,
+    body::AnswerBody,
+    call,
+    caller_socket::{BusyGuard, CallerIo, CallerSocket},
+    conn::set_socket_options,
+    flow::CallerConn,
+    gateway::Gateway,
+    task,
 };
 use crate::lifecycle::Phase;
 
@@ -79,48 +82,35 @@
     }
 }
 
-/// Whether a connection has a call in progress, and since when it is idle.
-#[derive(Default)]
-struct ConnActivity {
-    busy: Cell<bool>,
-    idle_since: Cell<crate::units::Instant>,
-    call_ended: Notify,
-}
-
 async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) {
     set_socket_options(&stream);
     bound_unsent_bytes(&stream);
     let limits = cx.caller_limits();
-    let activity = Rc::new(ConnActivity::default());
-    activity.idle_since.set(cx.now());
+    let socket = CallerSocket::new(&cx, stream);
     let caller = Rc::new(CallerConn::default());
     let service = {
-        let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
+        let (cx, socket) = (Rc::clone(&cx), Rc::clone(&socket));
         let caller = Rc::clone(&caller);
         service_fn(move |req: Request<Incoming>| {
-            let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
-            let caller = Rc::clone(&caller);
+            let busy = BusyGuard::new(&socket);
+            let (cx, caller) = (Rc::clone(&cx), Rc::clone(&caller));
             async move {
-                activity.busy.set(true);
                 let answer = call::on_call(&cx, &caller, req).await;
-                activity.idle_since.set(cx.now());
-                activity.busy.set(false);
-                activity.call_ended.notify_one();
+                drop(busy);
                 answer
             }
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEADER_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = connection;
+        .serve_connection(TokioIo::new(CallerIo(Rc::clone(&socket))), service);
     let ended = async {
         tokio::select! {
             ended = &mut connection => return Some(ended),
             () = caller.given_up() => return None,
-            () = wait_for_idle_timeout(&cx, &activity) => {}
+            () = wait_for_idle_timeout(&cx, &socket) => {}
         }
         Pin::new(&mut connection).graceful_shutdown();
         tokio::select! {
@@ -132,7 +122,7 @@
         // The call on the connection is dropped with it.
         Some(ended) if is_left_by_caller(&ended) => caller.on_caller_left(),
         Some(_) => {}
-        None => reset(connection.into_parts().io.inner()),
+        None => socket.reset_on_close(),
     }
 }
 
@@ -151,28 +141,18 @@
     let _ = socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
 }
 
-/// Has the connection reset when it is closed, so that the operating system discards what the caller has
-/// not read.
-fn reset(stream: &TcpStream) {
-    // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
-    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 /// Waits until the connection exceeds the idle timeout, or until a planned stop closes it.
-async fn wait_for_idle_timeout(cx: &Gateway, activity: &ConnActivity) {
+async fn wait_for_idle_timeout(cx: &Gateway, socket: &CallerSocket) {
     loop {
         let pause = match cx.phase() {
             Phase::Serving => IDLE_CHECK_INTERVAL,
             _ => IDLE_CHECK_INTERVAL / 10,
         };
         tokio::time::sleep(pause).await;
-        let limits = cx.caller_limits();
-        let idle = cx.now().since(activity.idle_since.get());
-        let max_idle = limits.idle_time + IDLE_TIMEOUT_SLACK;
-        if activity.busy.get() {
-            continue;
-        }
-        if idle > max_idle || cx.phase() >= Phase::Refusing {
+        let max_idle = cx.caller_limits().idle_time + IDLE_TIMEOUT_SLACK;
+        let is_due = socket.idle_time() > max_idle || cx.phase() >= Phase::Refusing;
+        // A request that lies in the socket arrived in time if the timer is late or the timeout is new.
+        if is_due && !socket.is_busy() && !socket.has_unread() {
             return;
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod body;
 mod call;
 mod call_end;
+mod caller_socket;
 mod claim_recorder;
 mod claimed_calls;
 mod confirm;
