ingress: count the idle time of a connection from the end of its answer

What callers saw: the next request after a long answer was answered by the end of the connection. Cause: the idle time counted from when the head of the answer was handed over, so that a stream (or an answer that its caller read slowly) of more than the idle timeout let the connection be closed at its end, without `Connection: close` in the head that had gone out before.

A connection is busy until the body of its answer is sent or dropped, and idle from its last byte on. A planned stop closes a connection with an answer under way at the end of the answer, as before. Ruled out: the stream itself was not cut off, as the HTTP library finishes what it sends.

--- a/src/edge/caller_socket.rs
+++ b/src/edge/caller_socket.rs
@@ -10,19 +10,38 @@
     time::Duration,
 };
 
+use hyper::{
+    Response,
+    body::{Body, Frame, SizeHint},
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-use super::gateway::Gateway;
+use super::{
+    body::{AnswerBody, StreamAborted},
+    gateway::Gateway,
+};
 use crate::units::Instant;
 
+/// What a caller's connection does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum ConnState {
+    /// It waits for a request.
+    #[default]
+    Idle,
+    /// A request is being served, and its answer has not begun.
+    Serving,
+    /// An answer is being sent.
+    Answering,
+}
+
 /// Socket of a caller's connection.
 pub(super) struct CallerSocket {
     cx: Rc<Gateway>,
     stream: RefCell<TcpStream>,
-    is_busy: Cell<bool>,
+    state: Cell<ConnState>,
     /// Instant at which the connection became idle, or of the last byte since.
     idle_since: Cell<Instant>,
 }
@@ -33,14 +52,14 @@
         Rc::new(Self {
             cx: Rc::clone(cx),
             stream: RefCell::new(stream),
-            is_busy: Cell::default(),
+            state: Cell::default(),
             idle_since: Cell::new(cx.now()),
         })
     }
 
-    /// Returns whether a request is being served.
-    pub(super) fn is_busy(&self) -> bool {
-        self.is_busy.get()
+    /// Returns what the connection does.
+    pub(super) fn state(&self) -> ConnState {
+        self.state.get()
     }
 
     /// Returns for how long no byte has passed on the connection since it became idle.
@@ -66,8 +85,8 @@
         let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
     }
 
-    fn set_busy(&self, is_busy: bool) {
-        self.is_busy.set(is_busy);
+    fn set_state(&self, state: ConnState) {
+        self.state.set(state);
         self.on_bytes();
     }
 
@@ -82,14 +101,46 @@
 impl BusyGuard {
     /// Records that a request has arrived.
     pub(super) fn new(socket: &Rc<CallerSocket>) -> Self {
-        socket.set_busy(true);
+        socket.set_state(ConnState::Serving);
         Self(Rc::clone(socket))
     }
+
+    /// Keeps the connection busy until the body of the answer is sent or dropped.
+    pub(super) fn guard(self, res: Response<AnswerBody>) -> Response<GuardedBody> {
+        self.0.set_state(ConnState::Answering);
+        res.map(|body| GuardedBody { body, _busy: self })
+    }
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.0.set_busy(false);
+        self.0.set_state(ConnState::Idle);
+    }
+}
+
+/// Body of an answer, during which the connection is busy.
+pub(super) struct GuardedBody {
+    body: AnswerBody,
+    _busy: BusyGuard,
+}
+
+impl Body for GuardedBody {
+    type Data = <AnswerBody as Body>::Data;
+    type Error = StreamAborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, StreamAborted>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -12,7 +12,7 @@
 use super::{
     body::AnswerBody,
     call,
-    caller_socket::{BusyGuard, CallerIo, CallerSocket},
+    caller_socket::{BusyGuard, CallerIo, CallerSocket, ConnState},
     conn::set_socket_options,
     flow::CallerConn,
     gateway::Gateway,
@@ -96,8 +96,7 @@
             let (cx, caller) = (Rc::clone(&cx), Rc::clone(&caller));
             async move {
                 let answer = call::on_call(&cx, &caller, req).await;
-                drop(busy);
-                answer
+                answer.map(|res| busy.guard(res))
             }
         })
     };
@@ -150,9 +149,14 @@
         };
         tokio::time::sleep(pause).await;
         let max_idle = cx.caller_limits().idle_time + IDLE_TIMEOUT_SLACK;
-        let is_due = socket.idle_time() > max_idle || cx.phase() >= Phase::Refusing;
+        let is_stopping = cx.phase() >= Phase::Refusing;
+        let is_due = match socket.state() {
+            ConnState::Idle => is_stopping || socket.idle_time() > max_idle,
+            ConnState::Serving => false,
+            ConnState::Answering => is_stopping,
+        };
         // A request that lies in the socket arrived in time if the timer is late or the timeout is new.
-        if is_due && !socket.is_busy() && !socket.has_unread() {
+        if is_due && !socket.has_unread() {
             return;
         }
     }
