ingress: read the rest of a refused request before the connection is closed

What callers saw: a caller that was still sending a body when it was refused (413, 408, 503 for want of room) got a reset, and lost the answer if a packet of it was lost or if it looked at its write error first. Cause: the HTTP library closes the connection with bytes unread, and the head of the answer did not announce it.

Such an answer has `Connection: close` now. After it, the router sends its FIN, and reads and drops what still comes for 2 s and 8 MB at most, also after a malformed or too large head (400, 431). Not after an idle connection was closed: a request that crosses the close must stay unread, so that its caller knows that it was not taken.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -64,7 +64,11 @@
         return Ok(res);
     }
     let mut call_guard = CallGuard::new(cx, conn, id.as_deref());
-    let body = match read_body::read_request(cx, &head.headers, body_stream).await {
+    let read = read_body::read_request(cx, &head.headers, body_stream).await;
+    if !matches!(read, Ok((Some(_), _))) {
+        conn.on_body_refused();
+    }
+    let body = match read {
         Ok((body, count)) => {
             call_guard.set_request_count(count);
             body
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -224,14 +224,14 @@
 }
 
 /// Writes the call's id to the response's headers, and has the caller's connection closed after the
-/// response if the router is stopping.
+/// response if the router is stopping or the request's body was not read.
 pub(crate) fn finish_response(
     cx: &Gateway,
     call_guard: &CallGuard,
     mut res: Response<AnswerBody>,
 ) -> Response<AnswerBody> {
     cx.dialect.write_call_id(res.headers_mut(), &call_guard.id);
-    if cx.phase() != Phase::Serving {
+    if cx.phase() != Phase::Serving || call_guard.conn.has_unread_body() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/edge/caller_socket.rs
+++ b/src/edge/caller_socket.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     io::{self, IoSlice},
     mem::MaybeUninit,
+    net::Shutdown,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -15,7 +16,7 @@
     body::{Body, Frame, SizeHint},
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
@@ -25,6 +26,12 @@
 };
 use crate::units::Instant;
 
+/// Maximum time for which the rest of a refused request is read.
+const MAX_LINGER: Duration = Duration::from_secs(2);
+
+/// Maximum number of bytes of a refused request that are read and dropped.
+const MAX_LINGER_BYTES: u64 = 8 << 20;
+
 /// What a caller's connection does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum ConnState {
@@ -85,6 +92,17 @@
         let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
     }
 
+    /// Reads and drops what the caller still sends, up to a bound. A close with unread bytes resets the
+    /// connection, and the caller may lose the answer.
+    pub(super) async fn linger(self: &Rc<Self>) {
+        let _ = socket2::SockRef::from(&*self.stream.borrow()).shutdown(Shutdown::Write);
+        let mut rest = CallerIo(Rc::clone(self)).take(MAX_LINGER_BYTES);
+        let mut sink = tokio::io::sink();
+        let reading = tokio::io::copy(&mut rest, &mut sink);
+        // Whatever ends it, the connection is closed next.
+        let _ = tokio::time::timeout(MAX_LINGER, reading).await;
+    }
+
     fn set_state(&self, state: ConnState) {
         self.state.set(state);
         self.on_bytes();
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -30,6 +30,7 @@
 pub(crate) struct CallerConn {
     close: Notify,
     has_caller_left: Cell<bool>,
+    has_unread_body: Cell<bool>,
 }
 
 impl CallerConn {
@@ -43,6 +44,21 @@
         self.has_caller_left.set(true);
     }
 
+    /// Returns whether the caller closed the connection, or it broke.
+    pub(crate) fn has_left(&self) -> bool {
+        self.has_caller_left.get()
+    }
+
+    /// Records that a request was refused before its body was read, so that the connection can't be kept.
+    pub(crate) fn on_body_refused(&self) {
+        self.has_unread_body.set(true);
+    }
+
+    /// Returns whether the connection ends with a request whose body was not read.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.has_unread_body.get()
+    }
+
     /// Returns what ends the call on the connection if it is dropped now.
     pub(crate) fn ended_by(&self) -> EndedBy {
         match () {
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -117,12 +117,18 @@
             () = caller.given_up() => None,
         }
     };
-    match ended.await {
-        // The call on the connection is dropped with it.
+    let ended = ended.await;
+    let is_malformed = matches!(&ended, Some(Err(e)) if e.is_parse());
+    match ended {
         Some(ended) if is_left_by_caller(&ended) => caller.on_caller_left(),
         Some(_) => {}
         None => socket.reset_on_close(),
     }
+    // The call on the connection ends with it, if there is one.
+    drop(connection);
+    if is_malformed || (caller.has_unread_body() && !caller.has_left()) {
+        socket.linger().await;
+    }
 }
 
 /// Returns whether a connection ended because its caller closed it or it broke. An error of the user of the
