--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -14,7 +14,9 @@
     flow::AnswerAccount,
     gateway::Gateway,
     sent_call::{self, SentCall},
-    slot_lease, target_conn, withdrawals,
+    slot_lease, target_conn,
+    unanswered::{CallProgress, CallStage},
+    withdrawals,
 };
 use crate::{
     config::serving::{KeyOwner, Route},
@@ -58,6 +60,7 @@
     pub(crate) answer: AnswerAccount,
     /// How its attempts end that are dropped.
     pub(crate) end_if_dropped: EndIfDropped,
+    pub(crate) progress: CallProgress,
 }
 
 impl Call {
@@ -139,7 +142,9 @@
 
 /// Chooses a target and sends the call to it.
 pub(crate) async fn send(cx: &Rc<Gateway>, call: &mut Call) -> Result<SentCall, AttemptFailure> {
+    call.progress.reach(CallStage::Placing);
     let (guard, mut conn) = connect(cx, call).await?;
+    call.progress.reach(CallStage::Sent);
     let now = cx.now();
     let req = build_request(cx, call, now, &guard.ticket, &guard.span);
     call.attempts.on_sent();
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -26,6 +26,7 @@
     sent_call::StartedAnswer,
     stream,
     stream_origins::{self, Origin},
+    unanswered::CallStage,
     view,
 };
 use crate::{
@@ -64,13 +65,20 @@
             .write_call_id(res.headers_mut(), id.as_deref().unwrap_or_default());
         return Ok(res);
     }
-    let mut call_guard = CallGuard::new(cx, id.as_deref());
-    let body = match read_body::read_request(cx, &head.headers, body_stream).await {
+    let mut call_guard = CallGuard::new(cx, conn, id.as_deref());
+    let read = read_body::read_request(cx, &head.headers, body_stream).await;
+    if !matches!(read, Ok((Some(_), _))) {
+        conn.on_body_refused();
+    }
+    let body = match read {
         Ok((body, count)) => {
             call_guard.set_request_count(count);
             body
         }
-        Err(BodyError::Aborted) => return Err(RequestAborted),
+        Err(BodyError::Aborted) => {
+            conn.on_caller_left();
+            return Err(RequestAborted);
+        }
         Err(BodyError::TimedOut) => {
             let refusal = Refusal::new(ResultCode::SlowSender, "the body did not arrive in time");
             return Ok(refuse(cx, &call_guard, refusal));
@@ -81,6 +89,7 @@
             return Ok(refuse(cx, &call_guard, refusal));
         }
     };
+    call_guard.progress.reach(CallStage::Waiting);
     let mut incoming_call = IncomingCall {
         head,
         body,
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -7,12 +7,17 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Notify,
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    body::AnswerBody,
+    call,
+    caller_socket::{BusyGuard, CallerIo, CallerSocket, ConnState},
+    conn::set_socket_options,
+    flow::CallerConn,
+    gateway::Gateway,
+    task,
 };
-
-use super::{body::AnswerBody, call, conn::set_socket_options, flow::CallerConn, gateway::Gateway};
 use crate::lifecycle::Phase;
 
 /// Pause after a connection could not be accepted, most likely because the process is out of file
@@ -52,68 +57,86 @@
             warn!(cx.log, "caller connection rejected, too many open"; "open" => open.get());
             continue;
         }
-        open.set(open.get() + 1);
-        let (cx, open) = (Rc::clone(&cx), Rc::clone(&open));
-        tokio::task::spawn_local(async move {
-            serve_caller(cx, stream).await;
-            open.set(open.get() - 1);
+        let open = OpenConn::new(&open);
+        let serving = serve_caller(Rc::clone(&cx), stream);
+        task::spawn(&cx, "caller connection", async move {
+            serving.await;
+            drop(open);
         });
     }
 }
 
-/// Whether a connection has a call in progress, and since when it is idle.
-#[derive(Default)]
-struct ConnActivity {
-    busy: Cell<bool>,
-    idle_since: Cell<crate::units::Instant>,
-    call_ended: Notify,
+/// Counts a connection as open until it is dropped.
+struct OpenConn(Rc<Cell<usize>>);
+
+impl OpenConn {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenConn {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) {
     set_socket_options(&stream);
     bound_unsent_bytes(&stream);
     let limits = cx.caller_limits();
-    let activity = Rc::new(ConnActivity::default());
-    activity.idle_since.set(cx.now());
+    let socket = CallerSocket::new(&cx, stream);
     let caller = Rc::new(CallerConn::default());
     let service = {
-        let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
+        let (cx, socket) = (Rc::clone(&cx), Rc::clone(&socket));
         let caller = Rc::clone(&caller);
         service_fn(move |req: Request<Incoming>| {
-            let (cx, activity) = (Rc::clone(&cx), Rc::clone(&activity));
-            let caller = Rc::clone(&caller);
+            let busy = BusyGuard::new(&socket);
+            let (cx, caller) = (Rc::clone(&cx), Rc::clone(&caller));
             async move {
-                activity.busy.set(true);
                 let answer = call::on_call(&cx, &caller, req).await;
-                activity.idle_since.set(cx.now());
-                activity.busy.set(false);
-                activity.call_ended.notify_one();
-                answer
+                answer.map(|res| busy.guard(res))
             }
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEADER_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = connection;
-    let given_up = async {
+        .serve_connection(TokioIo::new(CallerIo(Rc::clone(&socket))), service);
+    let ended = async {
         tokio::select! {
-            // A broken connection ends its own call, and the error can't be sent to the caller.
-            _ = &mut connection => return false,
-            () = caller.given_up() => return true,
-            () = wait_for_idle_timeout(&cx, &activity) => {}
+            ended = &mut connection => return Some(ended),
+            () = caller.given_up() => return None,
+            () = wait_for_idle_timeout(&cx, &socket) => {}
         }
         Pin::new(&mut connection).graceful_shutdown();
         tokio::select! {
-            _ = &mut connection => false,
-            () = caller.given_up() => true,
+            ended = &mut connection => Some(ended),
+            () = caller.given_up() => None,
         }
     };
-    if given_up.await {
-        reset(connection.into_parts().io.inner());
+    let ended = ended.await;
+    let is_malformed = matches!(&ended, Some(Err(e)) if e.is_parse());
+    match ended {
+        Some(ended) if is_left_by_caller(&ended) => caller.on_caller_left(),
+        Some(_) => {}
+        None => socket.reset_on_close(),
     }
+    // The call on the connection ends with it, if there is one.
+    drop(connection);
+    if is_malformed || (caller.has_unread_body() && !caller.has_left()) {
+        socket.linger().await;
+    }
+}
+
+/// Returns whether a connection ended because its caller closed it or it broke. An error of the user of the
+/// HTTP library is this router's.
+fn is_left_by_caller(ended: &hyper::Result<()>) -> bool {
+    ended
+        .as_ref()
+        .is_err_and(|e| !e.is_user() && !e.is_timeout())
 }
 
 /// Bounds what the operating system holds for a caller that does not read. Without the bound, it takes up
@@ -123,28 +146,23 @@
     let _ = socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
 }
 
-/// Has the connection reset when it is closed, so that the operating system discards what the caller has
-/// not read.
-fn reset(stream: &TcpStream) {
-    // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
-    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 /// Waits until the connection exceeds the idle timeout, or until a planned stop closes it.
-async fn wait_for_idle_timeout(cx: &Gateway, activity: &ConnActivity) {
+async fn wait_for_idle_timeout(cx: &Gateway, socket: &CallerSocket) {
     loop {
         let pause = match cx.phase() {
             Phase::Serving => IDLE_CHECK_INTERVAL,
             _ => IDLE_CHECK_INTERVAL / 10,
         };
         tokio::time::sleep(pause).await;
-        let limits = cx.caller_limits();
-        let idle = cx.now().since(activity.idle_since.get());
-        let max_idle = limits.idle_time + IDLE_TIMEOUT_SLACK;
-        if activity.busy.get() {
-            continue;
-        }
-        if idle > max_idle || cx.phase() >= Phase::Refusing {
+        let max_idle = cx.caller_limits().idle_time + IDLE_TIMEOUT_SLACK;
+        let is_stopping = cx.phase() >= Phase::Refusing;
+        let is_due = match socket.state() {
+            ConnState::Idle => is_stopping || socket.idle_time() > max_idle,
+            ConnState::Serving => false,
+            ConnState::Answering => is_stopping,
+        };
+        // A request that lies in the socket arrived in time if the timer is late or the timeout is new.
+        if is_due && !socket.has_unread() {
             return;
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,6 +12,7 @@
 mod body;
 mod call;
 mod call_end;
+mod caller_socket;
 mod claim_recorder;
 mod claimed_calls;
 mod confirm;
@@ -45,8 +46,10 @@
 mod stream_origins;
 mod sums;
 mod target_conn;
+mod task;
 mod tunnel;
 mod tunnel_conn;
+mod unanswered;
 mod view;
 mod withdrawals;
 
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -16,7 +16,8 @@
     overlap::{self, Beginning, Start},
     read_body,
     sent_call::{SentCall, StartedAnswer},
-    stream_origins,
+    stream_origins, task,
+    unanswered::{CallStage, EndedBy},
 };
 use crate::{ResultCode, retry::Execution};
 
@@ -147,7 +148,8 @@
     let (tx, body) = AnswerBody::events();
     let res = finish_response(cx, &call_guard, Response::from_parts(head, body));
     let cx_task = Rc::clone(cx);
-    tokio::task::spawn_local(async move {
+    call.progress.reach(CallStage::Answering);
+    task::spawn(cx, "answer", async move {
         let events_tx = tx.clone();
         tokio::select! {
             biased;
@@ -198,6 +200,7 @@
             Err(failed) => {
                 let end = CallEnd {
                     status: 200,
+                    ended_by: Some(EndedBy::Answer),
                     ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
                 };
                 call_guard.record_end(end, call.attempts);
