soak: a link that resets a connection no longer ends its answer normally first

An answer without a length, of which the link had passed a part, looked complete to a router: the halves of the link's connection sent an end when they were dropped.

--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -11,7 +11,7 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+    net::{TcpListener, TcpStream, tcp::ReadHalf, tcp::WriteHalf},
     sync::Notify,
     task::AbortHandle,
     time::Instant,
@@ -174,8 +174,8 @@
 }
 
 /// Connects to the server and passes bytes both ways until either end closes or a fault ends the connection.
-async fn proxy_connection(link: Rc<Link>, client: TcpStream, upstream_address: SocketAddr) {
-    let Ok(upstream) = TcpStream::connect(upstream_address).await else {
+async fn proxy_connection(link: Rc<Link>, mut client: TcpStream, upstream_address: SocketAddr) {
+    let Ok(mut upstream) = TcpStream::connect(upstream_address).await else {
         reset_on_close(&client);
         return;
     };
@@ -188,13 +188,18 @@
     // An earlier connection may have had the same address.
     link.interruptions.borrow_mut().remove(&connection);
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (upstream_read, upstream_write) = upstream.into_split();
-    tokio::select! {
-        () = forward(&link, connection, client_read, upstream_write, LinkFault::StallRequests) => {}
-        () = forward(&link, connection, upstream_read, client_write, LinkFault::StallResponses) => {}
-        () = until_reset(&link, client_ip) => link.on_interruption(connection, Interruption::Broken),
-        () = link.closed.notified() => link.on_interruption(connection, Interruption::Broken),
+    // Halves that are owned would end their direction normally when they are dropped.
+    let (client_read, client_write) = client.split();
+    let (upstream_read, upstream_write) = upstream.split();
+    let is_broken = tokio::select! {
+        () = forward(&link, connection, client_read, upstream_write, LinkFault::StallRequests) => false,
+        () = forward(&link, connection, upstream_read, client_write, LinkFault::StallResponses) => false,
+        () = until_reset(&link, client_ip) => true,
+        () = link.closed.notified() => true,
+    };
+    if is_broken {
+        link.on_interruption(connection, Interruption::Broken);
+        reset_on_close(&client);
     }
 }
 
@@ -209,8 +214,8 @@
 async fn forward(
     link: &Link,
     connection: SocketAddr,
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     stall: LinkFault,
 ) {
     let mut buf = vec![0; READ_BUFFER_BYTES];
