streams: keep a target's error until another attempt has answered

Callers saw: 502 of the router where a target had answered a stream with 500 before its first event and no other target was left. Cause: the error response was dropped when a retry was possible, before it was known whether one follows. Plain calls keep it. Evidence before (an_error_of_the_only_target_reaches_the_caller::case_2): 502 instead of 500. Change: stream::serve keeps the last error response and returns it if the last attempt fails. Ruled out: streams that are resumed; their head is sent already.

--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -31,25 +31,34 @@
 /// Minimum time that a target may be silent, before the first event and between events.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Serves a call whose answer is a stream.
+/// Serves a call whose answer is a stream. If the last attempt fails, an error response that a target sent earlier
+/// is returned.
 pub(super) async fn serve(
     cx: &Rc<Gateway>,
     mut call: Call,
     call_guard: CallGuard,
 ) -> Response<AnswerBody> {
+    let mut last_error = None;
     let mut previous = None;
     loop {
         let failed = match begin(cx, &mut call).await {
             Ok(AnswerStart::Stream(head, source, first)) => {
                 return relay(cx, call, call_guard, head, source, first);
             }
+            Ok(AnswerStart::Whole(head, body)) if may_replace(&call, &head) => {
+                last_error = Some((head, body));
+                AttemptFailure::target_error()
+            }
             Ok(AnswerStart::Whole(head, body)) => {
                 return pass_on(cx, &call_guard, &call, (head, body));
             }
             Err(failed) => failed,
         };
         if !take_retry(cx, &call, failed) {
-            return give_up(cx, &call_guard, &call, failed.or_previous(previous));
+            return match last_error {
+                Some(answer) => pass_on(cx, &call_guard, &call, answer),
+                None => give_up(cx, &call_guard, &call, failed.or_previous(previous)),
+            };
         }
         previous = Some(failed);
     }
@@ -69,8 +78,13 @@
     }
 }
 
-/// Makes one attempt and waits for its first event. If the target is silent, others are tried beside it. A server
-/// error fails the attempt if the call may be sent to another target.
+/// Returns whether another target may be tried instead of an error response of a target.
+fn may_replace(call: &Call, head: &response::Parts) -> bool {
+    let may_retry = (call.attempts).may_retry(call.route.kind, call.route.max_attempts);
+    head.status.is_server_error() && may_retry
+}
+
+/// Makes one attempt and waits for its first event. If the target is silent, others are tried beside it.
 fn begin<'a>(cx: &'a Rc<Gateway>, call: &'a mut Call) -> Beginning<'a, AnswerStart> {
     Box::pin(async move {
         let silent_at =
@@ -82,11 +96,7 @@
         if matches!(start, AnswerStart::Whole(..)) {
             call.attempts.on_attempt_end(Execution::Ran);
         }
-        let may_retry = (call.attempts).may_retry(call.route.kind, call.route.max_attempts);
-        match start.is_error() && may_retry {
-            true => Err(AttemptFailure::target_error()),
-            false => Ok(start),
-        }
+        Ok(start)
     })
 }
 
@@ -283,6 +293,9 @@
                 cx.metrics.streams.resumed.inc();
                 Ok(Step::Event(source, event))
             }
+            AnswerStart::Whole(head, _) if may_replace(call, &head) => {
+                Err(AttemptFailure::target_error())
+            }
             _ => Err(AttemptFailure {
                 execution: Execution::Ran,
                 end: AttemptEnd::NotContinued,
