stream: a stream whose task panics does not look complete

What callers saw: events, and then the end of the body, of a stream that had not ended. Cause: the body of a stream ended where its sender was dropped, and a break had to be sent as such; a panic drops the sender. Evidence: unanswered::a_stream_whose_task_panics_does_not_look_complete got two events of a broken stream with a complete body.

The end of a stream is a part that is sent, and a sender that is dropped without it breaks the body off. No code path that panics is known; the test injects one where a connection is opened.

--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -20,15 +20,24 @@
 #[error("the stream broke off")]
 pub(crate) struct StreamAborted;
 
-/// Sending half of a stream of events. What waits for a slow caller is bounded by [`crate::flow`].
-pub(crate) type EventSender = mpsc::UnboundedSender<Result<OfferedBytes, StreamAborted>>;
+/// Part of a stream.
+pub(crate) enum StreamPart {
+    /// Bytes of events.
+    Events(OfferedBytes),
+    /// End of a complete stream.
+    End,
+}
+
+/// Sending half of a stream of events. If it is dropped before the end is sent, the stream breaks off. What
+/// waits for a slow caller is bounded by [`crate::flow`].
+pub(crate) type EventSender = mpsc::UnboundedSender<StreamPart>;
 
 /// Body of a response.
 pub(crate) enum AnswerBody {
     /// Complete body: the pieces that are not sent yet, and their total size in bytes.
     Whole(VecDeque<OfferedBytes>, u64),
     /// Events as they arrive.
-    Events(mpsc::UnboundedReceiver<Result<OfferedBytes, StreamAborted>>),
+    Events(mpsc::UnboundedReceiver<StreamPart>),
     /// No bytes until the other side closes the connection, which takes the slot back.
     Held { _slot: OwnSlot },
 }
@@ -78,9 +87,11 @@
                 *size -= piece.as_ref().map_or(0, |p| p.len() as u64);
                 Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
             }
-            Self::Events(rx) => rx
-                .poll_recv(cx)
-                .map(|event| event.map(|e| e.map(Frame::data))),
+            Self::Events(rx) => rx.poll_recv(cx).map(|part| match part {
+                Some(StreamPart::Events(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(StreamAborted)),
+            }),
             Self::Held { .. } => Poll::Pending,
         }
     }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -10,7 +10,7 @@
     attempt::{AttemptFailure, Call, StartedAnswer, attempt},
     attempt_end::AttemptEnd,
     attempt_guard::AttemptGuard,
-    body::{AnswerBody, CollectedBody, EventSender, StreamAborted},
+    body::{AnswerBody, CollectedBody, EventSender, StreamPart},
     call::{
         attempt_timeout, has_retry_budget, return_to_pool, strip_connection_headers, take_retry,
     },
@@ -275,7 +275,7 @@
         if let Some(id) = event.id {
             call.plan.progress.on_event(id, &source.guard.ticket.target);
         }
-        if tx.send(Ok(event.bytes)).is_err() {
+        if tx.send(StreamPart::Events(event.bytes)).is_err() {
             return;
         }
         let until = (cx.now() + gap_timeout(cx, &call)).min(call.deadline);
@@ -294,7 +294,8 @@
                 let delivery = async {
                     call.answer.drained().await;
                     call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
-                    drop(tx);
+                    // If the caller has left, nothing more has to be done.
+                    let _ = tx.send(StreamPart::End);
                 };
                 futures::join!(return_to_pool(cx, conn, &facts), delivery);
                 return;
@@ -312,8 +313,6 @@
                         ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
                     };
                     call_guard.record_end(end, call.attempts);
-                    // If the caller has left as well, sending fails, and nothing more has to be done.
-                    let _ = tx.send(Err(StreamAborted));
                     return;
                 }
             },
