--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -192,9 +192,7 @@
     fn register(&mut self) {
         self.register_flow();
         self.register_contended();
-        self.paths.register(&mut self.registry);
-        self.streams.register(&mut self.registry);
-        self.unanswered.register(&mut self.registry);
+        self.register_parts();
         let r = &mut self.registry;
         r.register("calls", "Calls by how they ended", self.calls.clone());
         r.register(
@@ -293,6 +291,14 @@
         );
     }
 
+    /// Registers the metrics that have modules of their own.
+    fn register_parts(&mut self) {
+        let r = &mut self.registry;
+        self.paths.register(r);
+        self.streams.register(r);
+        self.unanswered.register(r);
+    }
+
     /// Registers what is known of contended pools.
     fn register_contended(&mut self) {
         let r = &mut self.registry;
