--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -8,7 +8,7 @@
 use super::{
     attempt::{AttemptFailure, Call, send},
     attempt_end::AttemptEnd,
-    body::{AnswerBody, CollectedBody, EventSender, StreamAborted},
+    body::{AnswerBody, CollectedBody, EventSender, StreamPart},
     call::{silence_timeout, strip_connection_headers, take_retry},
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
     event_source::{Event, EventSource, Next},
@@ -187,7 +187,7 @@
         if let Some(id) = event.id {
             call.plan.progress.on_event(id, &source.guard.ticket.target);
         }
-        if tx.send(Ok(event.bytes)).is_err() {
+        if tx.send(StreamPart::Events(event.bytes)).is_err() {
             return;
         }
         let step = match next_step(cx, &mut call, source).await {
@@ -202,7 +202,8 @@
                 let delivery = async {
                     call.answer.drained().await;
                     call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
-                    drop(tx);
+                    // If the caller has left, nothing more has to be done.
+                    let _ = tx.send(StreamPart::End);
                 };
                 futures::join!(source.on_complete(cx), delivery);
                 return;
@@ -214,8 +215,6 @@
                     ..CallEnd::failed(ResultCode::Incomplete, failed.end.name())
                 };
                 call_guard.record_end(end, call.attempts);
-                // If the caller has left as well, sending fails, and nothing more has to be done.
-                let _ = tx.send(Err(StreamAborted));
                 return;
             }
         }
