--- a/src/edge/caller_socket.rs
+++ b/src/edge/caller_socket.rs
@@ -1,7 +1,7 @@
 //! Socket of a caller's connection, and whether the connection is idle.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::Cell,
     io::{self, IoSlice},
     mem::MaybeUninit,
     net::Shutdown,
@@ -15,13 +15,11 @@
     Response,
     body::{Body, Frame, SizeHint},
 };
-use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 
 use super::{
-    body::{AnswerBody, StreamAborted},
+    body::StreamAborted,
+    deliveries::{FollowedBody, FollowedConn, FollowedIo},
     gateway::Gateway,
 };
 use crate::units::Instant;
@@ -47,7 +45,7 @@
 /// Socket of a caller's connection.
 pub(super) struct CallerSocket {
     cx: Rc<Gateway>,
-    stream: RefCell<TcpStream>,
+    conn: Rc<FollowedConn>,
     state: Cell<ConnState>,
     /// Instant at which the connection became idle, or of the last byte since.
     idle_since: Cell<Instant>,
@@ -55,15 +53,23 @@
 
 impl CallerSocket {
     /// Creates the socket of a connection that was just opened.
-    pub(super) fn new(cx: &Rc<Gateway>, stream: TcpStream) -> Rc<Self> {
+    pub(super) fn new(cx: &Rc<Gateway>, conn: &Rc<FollowedConn>) -> Rc<Self> {
         Rc::new(Self {
             cx: Rc::clone(cx),
-            stream: RefCell::new(stream),
+            conn: Rc::clone(conn),
             state: Cell::default(),
             idle_since: Cell::new(cx.now()),
         })
     }
 
+    /// Returns the connection for reading and writing.
+    pub(super) fn io(self: &Rc<Self>) -> CallerIo {
+        CallerIo {
+            io: self.conn.io(),
+            socket: Rc::clone(self),
+        }
+    }
+
     /// Returns what the connection does.
     pub(super) fn state(&self) -> ConnState {
         self.state.get()
@@ -76,27 +82,18 @@
 
     /// Returns whether bytes of the caller have arrived and are not read yet.
     pub(super) fn has_unread(&self) -> bool {
-        let stream = self.stream.borrow();
         let mut byte = [MaybeUninit::uninit()];
         // An error is reported when the socket is read.
-        socket2::SockRef::from(&*stream)
-            .peek(&mut byte)
-            .is_ok_and(|n| n > 0)
-    }
-
-    /// Has the connection reset when it is closed, so that the operating system discards what the caller has
-    /// not read.
-    pub(super) fn reset_on_close(&self) {
-        let stream = self.stream.borrow();
-        // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
-        let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        let peeked = (self.conn).with_socket(|s| socket2::SockRef::from(s).peek(&mut byte));
+        peeked.is_ok_and(|n| n > 0)
     }
 
     /// Reads and drops what the caller still sends, up to a bound. A close with unread bytes resets the
     /// connection, and the caller may lose the answer.
     pub(super) async fn linger(self: &Rc<Self>) {
-        let _ = socket2::SockRef::from(&*self.stream.borrow()).shutdown(Shutdown::Write);
-        let mut rest = CallerIo(Rc::clone(self)).take(MAX_LINGER_BYTES);
+        // The caller may have closed the connection already.
+        let _ = (self.conn).with_socket(|s| socket2::SockRef::from(s).shutdown(Shutdown::Write));
+        let mut rest = self.io().take(MAX_LINGER_BYTES);
         let mut sink = tokio::io::sink();
         let reading = tokio::io::copy(&mut rest, &mut sink);
         // Whatever ends it, the connection is closed next.
@@ -124,7 +121,7 @@
     }
 
     /// Keeps the connection busy until the body of the answer is sent or dropped.
-    pub(super) fn guard(self, res: Response<AnswerBody>) -> Response<GuardedBody> {
+    pub(super) fn guard(self, res: Response<FollowedBody>) -> Response<GuardedBody> {
         self.0.set_state(ConnState::Answering);
         res.map(|body| GuardedBody { body, _busy: self })
     }
@@ -138,12 +135,12 @@
 
 /// Body of an answer, during which the connection is busy.
 pub(super) struct GuardedBody {
-    body: AnswerBody,
+    body: FollowedBody,
     _busy: BusyGuard,
 }
 
 impl Body for GuardedBody {
-    type Data = <AnswerBody as Body>::Data;
+    type Data = <FollowedBody as Body>::Data;
     type Error = StreamAborted;
 
     fn poll_frame(
@@ -163,16 +160,19 @@
 }
 
 /// Reads and writes a caller's socket, and records when bytes pass.
-pub(super) struct CallerIo(pub(super) Rc<CallerSocket>);
+pub(super) struct CallerIo {
+    io: FollowedIo,
+    socket: Rc<CallerSocket>,
+}
 
 impl CallerIo {
     fn poll<T>(
-        &self,
-        io: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
+        &mut self,
+        io: impl FnOnce(Pin<&mut FollowedIo>) -> Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
-        let polled = io(Pin::new(&mut self.0.stream.borrow_mut()));
+        let polled = io(Pin::new(&mut self.io));
         if polled.is_ready() {
-            self.0.on_bytes();
+            self.socket.on_bytes();
         }
         polled
     }
@@ -180,40 +180,40 @@
 
 impl AsyncRead for CallerIo {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.poll(|stream| stream.poll_read(cx, buf))
+        self.poll(|io| io.poll_read(cx, buf))
     }
 }
 
 impl AsyncWrite for CallerIo {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll(|stream| stream.poll_write(cx, buf))
+        self.poll(|io| io.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll(|stream| stream.poll_write_vectored(cx, bufs))
+        self.poll(|io| io.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
+        self.io.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -12,8 +12,9 @@
 use super::{
     body::AnswerBody,
     call,
-    caller_socket::{BusyGuard, CallerIo, CallerSocket, ConnState},
+    caller_socket::{BusyGuard, CallerSocket, ConnState},
     conn::set_socket_options,
+    deliveries::FollowedConn,
     flow::CallerConn,
     gateway::Gateway,
     task,
@@ -60,8 +61,11 @@
         let open = OpenConn::new(&open);
         let serving = serve_caller(Rc::clone(&cx), stream);
         task::spawn(&cx, "caller connection", async move {
-            serving.await;
+            let closing = serving.await;
             drop(open);
+            if let Some(conn) = closing {
+                conn.linger().await;
+            }
         });
     }
 }
@@ -82,21 +86,25 @@
     }
 }
 
-async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) {
+/// Serves a connection to its end, and returns it unless its caller was given up.
+async fn serve_caller(cx: Rc<Gateway>, stream: TcpStream) -> Option<Rc<FollowedConn>> {
     set_socket_options(&stream);
     bound_unsent_bytes(&stream);
+    let conn = FollowedConn::new(&cx, stream);
     let limits = cx.caller_limits();
-    let socket = CallerSocket::new(&cx, stream);
+    let socket = CallerSocket::new(&cx, &conn);
     let caller = Rc::new(CallerConn::default());
     let service = {
         let (cx, socket) = (Rc::clone(&cx), Rc::clone(&socket));
-        let caller = Rc::clone(&caller);
+        let (caller, conn) = (Rc::clone(&caller), Rc::clone(&conn));
         service_fn(move |req: Request<Incoming>| {
             let busy = BusyGuard::new(&socket);
+            conn.on_request();
             let (cx, caller) = (Rc::clone(&cx), Rc::clone(&caller));
+            let conn = Rc::clone(&conn);
             async move {
                 let answer = call::on_call(&cx, &caller, req).await;
-                answer.map(|res| busy.guard(res))
+                answer.map(|res| busy.guard(conn.follow(res)))
             }
         })
     };
@@ -104,7 +112,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEADER_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(CallerIo(Rc::clone(&socket))), service);
+        .serve_connection(TokioIo::new(socket.io()), service);
     let ended = async {
         tokio::select! {
             ended = &mut connection => return Some(ended),
@@ -119,16 +127,19 @@
     };
     let ended = ended.await;
     let is_malformed = matches!(&ended, Some(Err(e)) if e.is_parse());
-    match ended {
-        Some(ended) if is_left_by_caller(&ended) => caller.on_caller_left(),
-        Some(_) => {}
-        None => socket.reset_on_close(),
+    let is_given_up = ended.is_none();
+    if ended.is_some_and(|ended| is_left_by_caller(&ended)) {
+        caller.on_caller_left();
     }
-    // The call on the connection ends with it, if there is one.
+    // The call on the connection ends with it, if there is one, and with it the attempt at its target.
     drop(connection);
+    if is_given_up {
+        conn.reset();
+    }
     if is_malformed || (caller.has_unread_body() && !caller.has_left()) {
         socket.linger().await;
     }
+    (!is_given_up).then_some(conn)
 }
 
 /// Returns whether a connection ended because its caller closed it or it broke. An error of the user of the
