--- a/soak/src/config_changes.rs
+++ b/soak/src/config_changes.rs
@@ -7,10 +7,13 @@
 
 use rand::Rng;
 use rand_pcg::Pcg64;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::vm::TestEnv;
+use crate::{
+    silences, surge,
+    vm::{API_KEYS, TestEnv},
+};
 
 /// Range of the pause between two changes, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 200..1_000;
@@ -60,8 +63,48 @@
 }
 
 impl Variation {
+    /// Returns the configuration of this version, in which the account of the callers has these keys. The flags
+    /// tell whether it has the route of long streams, and the service that surges overload.
+    pub fn config(
+        &self,
+        version: u64,
+        keys: &[&str],
+        (has_long_streams, has_surges): (bool, bool),
+    ) -> Value {
+        let route = |kind: &str, resumable: bool, prefix: &str| {
+            json!({"name": prefix, "host": "desk.example", "pathPrefix": format!("/{prefix}/"),
+                "type": kind, "timeoutMs": self.timeout_ms, "goalMs": self.goal_ms, "service": "desk",
+                "maxAttempts": self.max_attempts, "resumable": resumable, "gapTargetMs": self.gap_ms})
+        };
+        let mut routes = vec![
+            route("safe", false, "safe"),
+            route("unsafe", false, "once"),
+            route("streaming", true, "stream"),
+            route("safe", false, &format!("only-{version}")),
+        ];
+        let mut services = vec![json!({"name": "desk", "maxConns": self.max_conns})];
+        let mut accounts = vec![json!({"name": "farm", "apiKeys": keys})];
+        if has_long_streams && self.has_long_route {
+            let mut long = route("streaming", true, silences::ROUTE);
+            long["timeoutMs"] = (self.timeout_ms * 4).into();
+            routes.push(long);
+        }
+        for name in (0..self.extra).map(|n| format!("extra-{n}")) {
+            routes.push(route("safe", false, &name));
+            accounts.push(json!({"name": name, "apiKeys": [format!("{name}-key")]}));
+        }
+        if has_surges {
+            let mut small = route("unsafe", false, surge::SERVICE);
+            small["service"] = surge::SERVICE.into();
+            routes.push(small);
+            services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
+        }
+        json!({"version": version, "routes": routes, "services": services, "tenants": accounts,
+            "limits": self.limits()})
+    }
+
     /// Returns the limits of requests as the configuration holds them.
-    pub fn limits(&self) -> Value {
+    fn limits(&self) -> Value {
         let limits = [
             ("maxHeaderBytes", self.max_bytes.map(Value::from)),
             ("maxBodyBytes", self.max_bytes.map(Value::from)),
@@ -97,7 +140,7 @@
     while Instant::now() < end {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let before = env.variation.get();
-        env.change_config(Variation::random(&mut rng));
+        change(env, Variation::random(&mut rng));
         let is_next_at_once = rng.random_bool(0.3);
         let next = match rng.random_bool(0.5) {
             true => before,
@@ -105,8 +148,17 @@
         };
         if is_next_at_once {
             sleep(Duration::from_millis(rng.random_range(SHORT_PAUSE_MS))).await;
-            env.change_config(next);
+            change(env, next);
         }
     }
-    env.change_config(Variation::default());
+    change(env, Variation::default());
+}
+
+/// Writes a new version of the configuration that varies in this way, with the keys that were not revoked.
+fn change(env: &TestEnv, variation: Variation) {
+    env.variation.set(variation);
+    match env.promises.is_key_revoked() {
+        true => env.write_config(&API_KEYS[..1]),
+        false => env.write_config(&API_KEYS),
+    }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -28,6 +28,7 @@
 mod store_reverts;
 mod surge;
 pub mod target;
+pub mod verdict;
 mod versions;
 mod vm;
 mod withdrawals;
@@ -88,7 +89,7 @@
 const CRASHES_AFTER_FAULTS: Duration = Duration::from_secs(6);
 
 /// Runs the soak test and returns its verdict.
-pub async fn run(options: &RunOptions) -> promises::Verdict {
+pub async fn run(options: &RunOptions) -> verdict::Verdict {
     let mut rng = Pcg64::seed_from_u64(options.seed);
     let env = Rc::new(vm::TestEnv::start(options).await);
     let promises = Rc::clone(&env.promises);
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -64,6 +64,8 @@
 
 /// An attempt of a call that reached a target.
 struct Attempt {
+    /// Id of the target.
+    target: String,
     arrived_at: Instant,
     /// Link through which it arrived, and the connection as seen by the target.
     path: Option<(Rc<Link>, SocketAddr)>,
@@ -71,30 +73,49 @@
     failed_by_target: Arc<AtomicBool>,
 }
 
-/// Latest attempt of each call, by the call's id.
+impl Attempt {
+    /// Returns whether it was broken off by its target or by the link to it.
+    fn was_broken_off(&self) -> bool {
+        let is_link_cause = self
+            .path
+            .as_ref()
+            .is_some_and(|(link, connection)| link.has_interrupted(*connection, self.arrived_at));
+        self.failed_by_target.load(Ordering::Relaxed) || is_link_cause
+    }
+}
+
+/// Latest attempt of each call, and those before that had not been broken off when it arrived, by the call's id.
 #[derive(Default)]
-pub struct LatestAttempts(RefCell<HashMap<String, Attempt>>);
+pub struct LatestAttempts(RefCell<HashMap<String, Vec<Attempt>>>);
 
 impl LatestAttempts {
     /// Records that an attempt arrives at a target, through its link and a connection of that link.
-    pub fn on_arrival(&self, call: &str, path: Option<(Rc<Link>, SocketAddr)>) {
+    pub fn on_arrival(&self, call: &str, target: &str, path: Option<(Rc<Link>, SocketAddr)>) {
         let attempt = Attempt {
+            target: target.to_owned(),
             arrived_at: Instant::now(),
             path,
             failed_by_target: Arc::default(),
         };
-        self.0.borrow_mut().insert(call.to_owned(), attempt);
+        let mut attempts = self.0.borrow_mut();
+        let attempts = attempts.entry(call.to_owned()).or_default();
+        // What was broken off before is not what ends the call.
+        attempts.retain(|a| !a.was_broken_off());
+        attempts.push(attempt);
     }
 
-    /// Records that the target refuses, fails, hangs or truncates the latest attempt at this moment.
-    pub fn on_failed_by_target(&self, call: &str) {
-        self.failure_flag(call).store(true, Ordering::Relaxed);
+    /// Records that the target refuses, fails, hangs or truncates its latest attempt at this moment.
+    pub fn on_failed_by_target(&self, call: &str, target: &str) {
+        self.failure_flag(call, target)
+            .store(true, Ordering::Relaxed);
     }
 
-    /// Returns the flag to be set when the target truncates the answer to the latest attempt.
-    pub fn failure_flag(&self, call: &str) -> Arc<AtomicBool> {
+    /// Returns the flag to be set when the target truncates the answer to its latest attempt.
+    pub fn failure_flag(&self, call: &str, target: &str) -> Arc<AtomicBool> {
         let attempts = self.0.borrow();
-        let flag = attempts.get(call).map(|a| Arc::clone(&a.failed_by_target));
+        let mut attempts = attempts.get(call).into_iter().flatten().rev();
+        let of_target = attempts.find(|a| a.target == target);
+        let flag = of_target.map(|a| Arc::clone(&a.failed_by_target));
         flag.unwrap_or_default()
     }
 
@@ -103,15 +124,12 @@
         self.0.borrow().contains_key(call)
     }
 
-    /// Returns whether the latest attempt was broken off by its target or by the link to it.
+    /// Returns whether the latest attempt was broken off by its target or by the link to it, or one before that
+    /// since the latest arrived: a router may keep a silent attempt beside the next.
     pub fn was_broken_off(&self, call: &str) -> bool {
         let attempts = self.0.borrow();
-        attempts.get(call).is_some_and(|attempt| {
-            let is_link_cause = attempt.path.as_ref().is_some_and(|(link, connection)| {
-                link.has_interrupted(*connection, attempt.arrived_at)
-            });
-            attempt.failed_by_target.load(Ordering::Relaxed) || is_link_cause
-        })
+        let mut attempts = attempts.get(call).into_iter().flatten();
+        attempts.any(Attempt::was_broken_off)
     }
 
     /// Returns whether the answer to a call that was sent at `sent_at` was cut off by a planned stop of the
--- a/soak/src/surge.rs
+++ b/soak/src/surge.rs
@@ -9,6 +9,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use serde_json::json;
 use tokio::time::Instant;
 
 use crate::{
@@ -17,6 +18,7 @@
     link::LinkFault,
     promises::{CallOutcome, Promise, PromiseChecker},
     store::StoreFault,
+    target::Target,
     vm::{API_KEYS, TestEnv, Vm},
 };
 
@@ -71,6 +73,22 @@
     id.starts_with("once-small-")
 }
 
+/// Starts the targets that surges overload, and writes their entries.
+pub async fn start_targets(env: &TestEnv) {
+    for n in 0..TARGET_COUNT {
+        let id = format!("s-{n}");
+        let slots = Some(SLOTS);
+        let started = Target::start_limited(&id, slots, CALL_TIME, &env.promises);
+        let (target, address) = started.await;
+        target.brittle.set(env.brittle);
+        let entry = json!({"service": SERVICE, "address": address.to_string(),
+            "zone": "yard", "version": "v1", "slots": SLOTS, "state": "ready",
+            "coldLeftMs": 0, "callSeq": 0, "born": 1_764_720_000_000_u64});
+        env.store
+            .put(&format!("servers/{id}"), entry.to_string().as_bytes());
+    }
+}
+
 /// Overloads the service over and over for the given time.
 pub async fn inject(env: &TestEnv, seed: u64, duration: Duration) {
     let mut rng = Pcg64::new(u128::from(seed), RNG_STREAM);
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -164,7 +164,7 @@
         }
         let connection = head.extensions.get::<SocketAddr>().copied();
         let path = self.link.get().cloned().zip(connection);
-        self.promises.attempts.on_arrival(&call, path);
+        self.promises.attempts.on_arrival(&call, &self.id, path);
         self.promises.on_arrival(&call, &self);
         let expected = header_text(&head.headers, "x-expect-instance");
         let behavior = match self.withdrawal.get() {
@@ -182,7 +182,7 @@
         };
         self.silence.until_over().await;
         if res.status() != 200 {
-            self.promises.attempts.on_failed_by_target(&call);
+            self.promises.attempts.on_failed_by_target(&call, &self.id);
         }
         let headers = res.headers_mut();
         if let Ok(id) = call.parse() {
@@ -267,17 +267,17 @@
         match behavior {
             TargetBehavior::Failing => status_response(500),
             TargetBehavior::Hanging => {
-                self.promises.attempts.on_failed_by_target(call);
+                self.promises.attempts.on_failed_by_target(call, &self.id);
                 std::future::pending().await
             }
             TargetBehavior::Truncating => {
-                let flag = self.promises.attempts.failure_flag(call);
+                let flag = self.promises.attempts.failure_flag(call, &self.id);
                 Response::new(self.events(headers, call, LAST_EVENT / 2, Some(flag)))
             }
             _ if is_stream => {
                 if first_event(headers) > LAST_EVENT {
                     // Only the end of the earlier answer was lost, which no router can resume.
-                    self.promises.attempts.on_failed_by_target(call);
+                    self.promises.attempts.on_failed_by_target(call, &self.id);
                 }
                 Response::new(self.events(headers, call, LAST_EVENT, None))
             }
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -23,7 +23,7 @@
     config_changes::Variation,
     link::Link,
     promises::PromiseChecker,
-    silences, slow_readers,
+    slow_readers,
     stops::ProcessState,
     store::{Store, StoreFault},
     surge,
@@ -80,7 +80,7 @@
     /// Whether there is a small service that surges overload.
     surge: bool,
     /// Whether the targets of that service are brittle.
-    brittle: bool,
+    pub brittle: bool,
     /// Whether targets run several software versions.
     versions: bool,
     /// Whether there is a route of long streams.
@@ -138,7 +138,7 @@
             keep_logs: options.keep_logs,
         };
         if env.surge {
-            env.start_small_service().await;
+            surge::start_targets(&env).await;
         }
         for (target, _) in &env.targets {
             env.write_entry(&target.id, "ready");
@@ -148,22 +148,6 @@
         env
     }
 
-    /// Starts the targets that surges overload, and writes their entries.
-    async fn start_small_service(&self) {
-        for n in 0..surge::TARGET_COUNT {
-            let id = format!("s-{n}");
-            let slots = Some(surge::SLOTS);
-            let started = Target::start_limited(&id, slots, surge::CALL_TIME, &self.promises);
-            let (target, address) = started.await;
-            target.brittle.set(self.brittle);
-            let entry = json!({"service": surge::SERVICE, "address": address.to_string(),
-                "zone": "yard", "version": "v1", "slots": surge::SLOTS, "state": "ready",
-                "coldLeftMs": 0, "callSeq": 0, "born": 1_764_720_000_000_u64});
-            self.store
-                .put(&format!("servers/{id}"), entry.to_string().as_bytes());
-        }
-    }
-
     /// Waits until all routers are ready.
     ///
     /// Panics if one of them takes too long.
@@ -182,50 +166,11 @@
     pub fn write_config(&self, keys: &[&str]) {
         self.version.set(self.version.get() + 1);
         self.promises.planned.on_config_change();
-        let varied = self.variation.get();
-        let route = |kind: &str, resumable: bool, prefix: &str| {
-            json!({"name": prefix, "host": "desk.example", "pathPrefix": format!("/{prefix}/"),
-                "type": kind, "timeoutMs": varied.timeout_ms, "goalMs": varied.goal_ms, "service": "desk",
-                "maxAttempts": varied.max_attempts, "resumable": resumable, "gapTargetMs": varied.gap_ms})
-        };
-        let mut routes = vec![
-            route("safe", false, "safe"),
-            route("unsafe", false, "once"),
-            route("streaming", true, "stream"),
-            route("safe", false, &format!("only-{}", self.version.get())),
-        ];
-        let mut services = vec![json!({"name": "desk", "maxConns": varied.max_conns})];
-        let mut accounts = vec![json!({"name": "farm", "apiKeys": keys})];
-        if self.long_streams && varied.has_long_route {
-            let mut long = route("streaming", true, silences::ROUTE);
-            long["timeoutMs"] = (varied.timeout_ms * 4).into();
-            routes.push(long);
-        }
-        for n in 0..varied.extra {
-            routes.push(route("safe", false, &format!("extra-{n}")));
-            accounts
-                .push(json!({"name": format!("extra-{n}"), "apiKeys": [format!("extra-key-{n}")]}));
-        }
-        if self.surge {
-            let mut small = route("unsafe", false, surge::SERVICE);
-            small["service"] = surge::SERVICE.into();
-            routes.push(small);
-            services.push(json!({"name": surge::SERVICE, "maxConns": 400}));
-        }
-        let config = json!({"version": self.version.get(), "routes": routes, "services": services,
-            "tenants": accounts, "limits": varied.limits()});
+        let services = (self.long_streams, self.surge);
+        let config = (self.variation.get()).config(self.version.get(), keys, services);
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
-    /// Writes a new version of the configuration that varies in this way, with the keys that were not revoked.
-    pub fn change_config(&self, variation: Variation) {
-        self.variation.set(variation);
-        match self.promises.is_key_revoked() {
-            true => self.write_config(&API_KEYS[..1]),
-            false => self.write_config(&API_KEYS),
-        }
-    }
-
     /// Returns the version of the configuration that was written last, as a shared cell.
     pub fn version(&self) -> Rc<Cell<u64>> {
         Rc::clone(&self.version)
