--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -154,10 +154,7 @@
     let (guard, conn) = connect(cx, call).await?;
     call.progress.reach(CallStage::Sent);
     let result = send(cx, call, guard, conn, timeout).await;
-    if let Err(failed) = &result {
-        call.attempts.on_attempt_end(failed.execution);
-    }
-    result
+    result.inspect_err(|failed| call.attempts.on_attempt_end(failed.execution))
 }
 
 /// Chooses a target and gets a connection to it. Targets that cannot be reached are skipped.
