--- a/src/edge/attempt_guard.rs
+++ b/src/edge/attempt_guard.rs
@@ -38,7 +38,7 @@
 }
 
 /// An attempt in progress at a target. It holds the dispatcher's ticket, and releases it when the attempt
-/// ends or when it is dropped. If it is dropped because its call was, it counts as abandoned.
+/// ends or when it is dropped. Then it ends as its call says: abandoned, unless another attempt took its place.
 pub(crate) struct AttemptGuard {
     cx: Rc<Gateway>,
     pub(crate) ticket: Ticket,
--- a/src/edge/overlap.rs
+++ b/src/edge/overlap.rs
@@ -29,7 +29,8 @@
 }
 
 /// Returns the first start of an answer, of the attempt `first` or of further ones that are made while its target
-/// is silent from `silent_at` on. The others are dropped at once, as two targets must not go on with one stream.
+/// is silent from `silent_at` on. The others are dropped with it, so that a stream has one target again once its answer
+/// goes on.
 ///
 /// If no further attempt is allowed, or all of them fail, it waits for `first`.
 pub(super) async fn first_start<T: Start>(
--- a/src/edge/tunnel.rs
+++ b/src/edge/tunnel.rs
@@ -304,7 +304,7 @@
     }
 }
 
-/// Passes answers on as bare bytes. The peer takes the end of the tunnel for the target's.
+/// Passes answers on as bare bytes, for a peer of an earlier version, which takes the end of the tunnel for the target's.
 async fn pass_bare(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, on_bytes: impl Fn()) {
     let mut buf = vec![0; MAX_PIECE_BYTES];
     let result: io::Result<()> = loop {
