Soak: a call whose relay is killed is not lost by its own router

The check knew disruptions of the call's own router only. It now excuses calls during which any router is killed, paused, resumed or cut off; stops of relays still count.

--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -30,7 +30,7 @@
         let vms = env.vms.choose_multiple(&mut rng, count);
         let cut = vms.map(|vm| {
             // A stop during a cut may end streams whose connections the cut resets.
-            vm.process().on_disruption();
+            vm.on_disruption();
             vm.caller_address.ip()
         });
         let cut: Vec<IpAddr> = cut.collect();
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -102,7 +102,7 @@
 /// Pauses a random router.
 fn pause_vm(env: &TestEnv, rng: &mut Pcg64) {
     if let Some(vm) = env.vms.choose(rng) {
-        vm.process().on_disruption();
+        vm.on_disruption();
         vm.paused.set(true);
         vm.signal(Signal::STOP);
     }
--- a/soak/src/lost_calls.rs
+++ b/soak/src/lost_calls.rs
@@ -39,6 +39,8 @@
 pub struct PlannedWork {
     config_changed_at: Cell<Option<Instant>>,
     silent_at: Cell<Option<Instant>>,
+    /// When a router was last killed, paused, resumed or cut off.
+    router_disrupted_at: Cell<Option<Instant>>,
     /// Links to the targets.
     links: RefCell<Vec<Rc<Link>>>,
 }
@@ -54,6 +56,17 @@
         self.config_changed_at.set(Some(Instant::now()));
     }
 
+    /// Records that a router is killed, paused, resumed or cut off.
+    pub fn on_router_disrupted(&self) {
+        self.router_disrupted_at.set(Some(Instant::now()));
+    }
+
+    /// Returns whether a router was disrupted at or after `since`: a call may pass through another router than
+    /// its own.
+    fn was_router_disrupted(&self, since: Instant) -> bool {
+        self.router_disrupted_at.get().is_some_and(|at| at >= since)
+    }
+
     /// Records that targets fall silent.
     pub fn on_silence(&self) {
         self.silent_at.set(Some(Instant::now()));
@@ -93,6 +106,7 @@
             CallOutcome::Response(_, _, true) => return None,
         };
         let is_excused = process.was_disrupted(sent_at)
+            || self.was_router_disrupted(sent_at)
             || attempts.was_broken_off(call)
             || self
                 .links
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -326,9 +326,16 @@
         }
     }
 
+    /// Records that the process is killed, paused, resumed or cut off, which may break off calls that are in
+    /// progress at it or pass through it.
+    pub fn on_disruption(&self) {
+        self.process().on_disruption();
+        self.promises.planned.on_router_disrupted();
+    }
+
     /// Kills the process, if it is running.
     pub fn kill(&self) {
-        self.process().on_disruption();
+        self.on_disruption();
         self.terminating.set(true);
         self.signal(Signal::KILL);
     }
@@ -341,7 +348,7 @@
     /// Resumes the process if it is paused.
     pub fn resume(&self) {
         if self.paused.replace(false) {
-            self.process().on_disruption();
+            self.on_disruption();
         }
         self.signal(Signal::CONT);
     }
@@ -365,7 +372,7 @@
             .await
             .is_ok();
         if !has_exited {
-            self.process().on_disruption();
+            self.on_disruption();
             // An error is ignored: the drop right after this kills the process as well.
             let _ = child.start_kill();
         }
--- a/soak/tests/lost_calls.rs
+++ b/soak/tests/lost_calls.rs
@@ -118,6 +118,19 @@
     assert_eq!(is_reported(&promises), reported);
 }
 
+/// A call may pass through another router than its own, which is killed.
+#[tokio::test(start_paused = true)]
+async fn a_call_during_which_a_router_is_killed_is_not_lost_by_its_own() {
+    let (promises, process) = (PromiseChecker::default(), ProcessState::default());
+    promises.planned.on_config_change();
+    let sent_at = Instant::now();
+    promises.attempts.on_arrival(CALL, "i-1", None);
+    advance(Duration::from_millis(50)).await;
+    promises.planned.on_router_disrupted();
+    promises.check_loss(CALL, &CallOutcome::NoResponse, &process, sent_at, DEADLINE);
+    assert!(!is_reported(&promises));
+}
+
 /// Draws in quick succession would otherwise join to a silence that lasts until deadlines.
 #[tokio::test(start_paused = true)]
 async fn a_silence_is_not_prolonged() {
