A prompt counts as read by an overlapping attempt only once its answer begins

Cause: since attempts overlap, one that is given up has begun to read its prompt and no more, but its target counted as holding the prompt from the sending on, and peers were told so. Change: the prompt of an attempt beside another one is recorded and announced with its first event.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -253,6 +253,7 @@
         warm_up: None,
         progress: StreamProgress::NotBegun,
         tried: Vec::new(),
+        is_overlapping: false,
     }
 }
 
--- a/src/call_plan.rs
+++ b/src/call_plan.rs
@@ -45,6 +45,9 @@
     pub progress: StreamProgress,
     /// Targets to which the call was already sent.
     pub tried: Vec<TargetId>,
+    /// Whether another attempt of the call is in progress, so that the next one may be ended before its target
+    /// has read the prompt.
+    pub is_overlapping: bool,
 }
 
 impl CallPlan {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -31,7 +31,7 @@
     retry::RetryBudget,
     target_counts::{InProgress, TargetHash},
     target_speed::TargetSpeeds,
-    ticket::CallTiming,
+    ticket::{CallTiming, SentPrompt},
     units::{Instant, Tokens},
     withdrawals::{self, Withdrawal, Withdrawals},
 };
@@ -187,7 +187,7 @@
             found = self.select_least_loaded(now, plan, &scored);
         }
         let (target, view) = found.inspect_err(|e| self.on_refusal(now, plan, *e))?;
-        let ticket = Ticket {
+        let mut ticket = Ticket {
             target,
             work: InProgress::one(view.missing + plan.answer),
             answer: plan.answer,
@@ -204,12 +204,13 @@
             slot_since: (view.counts.all() < view.slots).then_some(now),
             time_factor: view.time_factor,
             timing: CallTiming::new(now, &view),
+            unread: None,
         };
         let first = plan
             .chat
             .and_then(|chat| first_choice(&scored.targets, chat));
         let is_first = first.is_none_or(|t| *t == ticket.target.id);
-        self.on_send(now, &ticket, plan, is_first);
+        self.on_send(now, &mut ticket, plan, is_first);
         Ok(ticket)
     }
 
@@ -360,6 +361,11 @@
         self.on_call_time(now, ticket, timing);
         // The first event shows that the call has a slot, even if it had to wait for one.
         ticket.slot_since = ticket.slot_since.or(Some(now));
+        if let Some(sent) = ticket.unread.take() {
+            let target = &ticket.target.id;
+            self.cache
+                .on_send(target, &sent.parts, sent.announced, sent.memory);
+        }
     }
 
     /// Records the load that a target reported in an answer.
@@ -507,7 +513,10 @@
 
     /// Records that a call was sent. `is_first` tells whether peers expect the chat at this target: then
     /// they are notified of the shared parts of the prompt only, otherwise of all parts but the last.
-    fn on_send(&mut self, now: Instant, ticket: &Ticket, plan: &CallPlan, is_first: bool) {
+    ///
+    /// A target counts as having read the prompt from then on, so that other calls that share it follow, but
+    /// only once the answer begins if another attempt of the call may still be preferred.
+    fn on_send(&mut self, now: Instant, ticket: &mut Ticket, plan: &CallPlan, is_first: bool) {
         let target = &ticket.target.id;
         self.load.on_send(target, ticket.work);
         if ticket.warmth == Warmth::Shared {
@@ -521,8 +530,16 @@
         let memory = plan
             .engine
             .map_or(DEFAULT_MEMORY_TOKENS, |e| e.memory_tokens);
-        if !plan.prompt.is_empty() {
-            self.cache.on_send(target, &plan.prompt, announced, memory);
+        match plan.is_overlapping {
+            _ if plan.prompt.is_empty() => {}
+            true => {
+                ticket.unread = Some(SentPrompt {
+                    parts: plan.prompt.clone(),
+                    announced,
+                    memory,
+                });
+            }
+            false => self.cache.on_send(target, &plan.prompt, announced, memory),
         }
     }
 
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -182,6 +182,7 @@
         goal: config.shortest_goal(&service).unwrap_or(route.goal),
         progress,
         tried: Vec::new(),
+        is_overlapping: false,
         service,
     };
     let is_stream = route.kind.is_stream() && !route.claimed;
--- a/src/edge/overlap.rs
+++ b/src/edge/overlap.rs
@@ -52,7 +52,10 @@
             is_refused = true;
             continue;
         }
-        match race(cx, call, first, further).await {
+        call.plan.is_overlapping = true;
+        let raced = race(cx, call, first, further).await;
+        call.plan.is_overlapping = false;
+        match raced {
             Race::First(start) => return Ok(start),
             Race::Further(start) => {
                 call.attempts.on_attempt_end(Execution::MayHaveRun);
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -8,6 +8,7 @@
     health::HealthStatus,
     ids::ServiceName,
     placement::choice::{RUNNING_CALL_TOKENS, TargetView, UNREAD_TOKEN_WEIGHT},
+    prompt_cache::PromptPart,
     target_counts::InProgress,
     target_speed::TimeFactor,
     units::{Instant, Tokens},
@@ -48,6 +49,18 @@
     pub(crate) slot_since: Option<Instant>,
     /// What the target's speed is measured by; `None` if the call does not count or was counted.
     pub(crate) timing: Option<CallTiming>,
+    /// Prompt that the target counts as having read once the answer begins; `None` if it does already.
+    pub(crate) unread: Option<SentPrompt>,
+}
+
+/// Prompt that was sent to a target.
+#[derive(Debug, Clone)]
+pub(crate) struct SentPrompt {
+    pub(crate) parts: Vec<PromptPart>,
+    /// Number of leading parts that peers are told of.
+    pub(crate) announced: usize,
+    /// Size of the target's memory in tokens.
+    pub(crate) memory: u64,
 }
 
 /// Start of a call whose time to the first event, or to its answer, tells the speed of its target.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -115,6 +115,7 @@
         warm_up: None,
         progress: StreamProgress::NotBegun,
         tried: Vec::new(),
+        is_overlapping: false,
     }
 }
 
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -343,3 +343,19 @@
         "only once"
     );
 }
+
+/// Guards against a prompt that counts as read by a target whose attempt was ended while another one went on.
+#[test]
+fn a_prompt_counts_as_read_by_an_overlapping_attempt_only_once_its_answer_begins() {
+    let mut d = dispatcher(1);
+    let target = record(0).id;
+    let prompt = vec![part(1, 4_000), part(2, 100)];
+    let mut overlapping = plan(RESUMABLE, prompt.clone(), 1);
+    overlapping.is_overlapping = true;
+    let ended = d.choose(at(0), &overlapping).unwrap();
+    d.on_end(at(300), &ended, None);
+    assert_eq!(d.cache.missing(&target, &prompt), Tokens(4_100));
+    let mut begun = d.choose(at(400), &overlapping).unwrap();
+    d.on_first_event(at(500), &mut begun);
+    assert_eq!(d.cache.missing(&target, &prompt), Tokens(0));
+}
--- a/tests/load/model/setup.rs
+++ b/tests/load/model/setup.rs
@@ -139,6 +139,7 @@
             warm_up: self.load.warm_up,
             progress: StreamProgress::NotBegun,
             tried: Vec::new(),
+            is_overlapping: false,
         }
     }
 }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -200,6 +200,7 @@
             warm_up: None,
             progress: StreamProgress::NotBegun,
             tried: Vec::new(),
+            is_overlapping: false,
             prompt,
         };
         let measured = r.t_ms >= WARM_UP_MS;
