--- a/soak/src/lost_calls.rs
+++ b/soak/src/lost_calls.rs
@@ -1,9 +1,9 @@
 //! Check that a request that a router has read on a kept connection ends in a whole answer or a refusal.
 //!
 //! It holds beside planned work: changes of the configuration, reloads, graceful stops, and silences of sound
-//! targets. A call whose router was killed, paused or resumed meanwhile does not count, nor one that its target
-//! broke off, nor one that was sent while the link to any target had a fault (it may have been tried there), nor one that lasted until its deadline or almost until the end of the time for a
-//! stop.
+//! targets. A call does not count if its target broke it off, if any router was killed, paused, resumed or cut off
+//! meanwhile (the call may pass through it), if the link to any target had a fault (it may have been tried there), or
+//! if it lasted until its deadline or almost until the end of the time for a stop.
 
 use std::{
     cell::{Cell, RefCell},
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -127,8 +127,7 @@
     router.stop().await
 }
 
-/// A plain call counted as ended when its answer was handed to the connection, so that a stop ended the
-/// process while callers still read.
+/// Guards against a stop that ends the process while callers still read plain answers.
 #[rstest]
 #[case::kb_5(5 << 10, SMALL_BUFFER)]
 #[case::kb_32(32 << 10, SMALL_BUFFER)]
