edge: one type for a caller's connection

CallerSocket and FollowedConn were two views of the same socket, each with a wrapper for reading and writing and one for the body. The state of a connection and its idle time are parts of FollowedConn now.

--- a/src/edge/deliveries.rs
+++ b/src/edge/deliveries.rs
@@ -8,6 +8,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     io,
+    mem::MaybeUninit,
     net::Shutdown,
     pin::Pin,
     rc::{Rc, Weak},
@@ -21,7 +22,7 @@
 };
 use slog::{info, warn};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
@@ -32,7 +33,10 @@
     gateway::Gateway,
     send_queue::unacked_bytes,
 };
-use crate::delivery::{Delivery, DeliveryState};
+use crate::{
+    delivery::{Delivery, DeliveryState},
+    units::Instant,
+};
 
 /// Interval at which a connection that is about to close is checked.
 const LINGER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -40,6 +44,24 @@
 /// Number of bytes that are discarded per check from a connection that is about to close.
 const DISCARDED_BYTES: usize = 16 << 10;
 
+/// Maximum time for which the rest of a refused request is read.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Maximum number of bytes of a refused request that are read and dropped.
+const MAX_DRAINED_BYTES: u64 = 8 << 20;
+
+/// What a connection does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum ConnState {
+    /// It waits for a request.
+    #[default]
+    Idle,
+    /// A request is being served, and its answer has not begun.
+    Serving,
+    /// An answer is being sent.
+    Answering,
+}
+
 /// The open connections of a router.
 #[derive(Default)]
 pub(crate) struct Deliveries {
@@ -70,6 +92,9 @@
     id: u64,
     socket: RefCell<TcpStream>,
     delivery: RefCell<Delivery>,
+    state: Cell<ConnState>,
+    /// Instant at which the connection became idle, or of the last byte since.
+    idle_since: Cell<Instant>,
 }
 
 impl Drop for FollowedConn {
@@ -91,6 +116,8 @@
             id,
             socket: RefCell::new(socket),
             delivery: RefCell::new(delivery),
+            state: Cell::default(),
+            idle_since: Cell::new(cx.now()),
         });
         if !conn.delivery.borrow().is_measured() {
             conn.log_unknown(&unacked);
@@ -101,9 +128,23 @@
         conn
     }
 
-    /// Passes the socket to `view`.
-    pub(super) fn with_socket<T>(&self, view: impl FnOnce(&TcpStream) -> T) -> T {
-        view(&self.socket.borrow())
+    /// Returns what the connection does.
+    pub(super) fn state(&self) -> ConnState {
+        self.state.get()
+    }
+
+    /// Returns for how long no byte has passed on the connection since it became idle.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.cx.now().since(self.idle_since.get())
+    }
+
+    /// Returns whether bytes have arrived that are not read yet.
+    pub(super) fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let socket = self.socket.borrow();
+        let peeked = socket2::SockRef::from(&*socket).peek(&mut byte);
+        // An error is reported when the socket is read.
+        peeked.is_ok_and(|n| n > 0)
     }
 
     /// Returns the connection for reading and writing.
@@ -114,10 +155,12 @@
     /// Handles a request on the connection.
     pub(super) fn on_request(&self) {
         self.delivery.borrow_mut().on_request();
+        self.set_state(ConnState::Serving);
     }
 
     /// Follows the answer to the latest request.
     pub(super) fn follow(self: &Rc<Self>, answer: Response<AnswerBody>) -> Response<FollowedBody> {
+        self.set_state(ConnState::Answering);
         answer.map(|body| FollowedBody {
             body,
             conn: Rc::clone(self),
@@ -133,14 +176,24 @@
         let _ = socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
     }
 
+    /// Reads and drops the rest of a refused request, up to a bound. A close with unread bytes resets the
+    /// connection, and the caller may lose the answer.
+    pub(super) async fn drain_request(self: &Rc<Self>) {
+        self.shut_down_writing();
+        let mut rest = self.io().take(MAX_DRAINED_BYTES);
+        let mut sink = tokio::io::sink();
+        let reading = tokio::io::copy(&mut rest, &mut sink);
+        // Whatever ends it, the connection is closed next.
+        let _ = tokio::time::timeout(MAX_DRAIN_TIME, reading).await;
+    }
+
     /// Ends the writing side, and waits until the other side's system has taken everything that was written,
     /// has closed the connection, or takes nothing any more. Returns early if too many connections are open.
     ///
     /// What arrives meanwhile is discarded: closing a connection with unread bytes would reset it.
     pub(super) async fn linger(&self) {
         self.delivery.borrow_mut().on_closed();
-        // The other side may have closed the connection already.
-        let _ = socket2::SockRef::from(&*self.socket.borrow()).shutdown(Shutdown::Write);
+        self.shut_down_writing();
         let mut last = (self.unacked().ok(), self.cx.now());
         while self.is_pending() && self.has_room() && self.discard_arrived().is_ok() {
             tokio::time::sleep(LINGER_CHECK_INTERVAL).await;
@@ -156,6 +209,20 @@
         }
     }
 
+    fn shut_down_writing(&self) {
+        // The other side may have closed the connection already.
+        let _ = socket2::SockRef::from(&*self.socket.borrow()).shutdown(Shutdown::Write);
+    }
+
+    fn set_state(&self, state: ConnState) {
+        self.state.set(state);
+        self.on_bytes();
+    }
+
+    fn on_bytes(&self) {
+        self.idle_since.set(self.cx.now());
+    }
+
     fn has_room(&self) -> bool {
         let max = self.cx.cfg.max_connections;
         self.cx.deliveries.conns.borrow().len() <= max
@@ -200,6 +267,7 @@
 
 impl FollowedIo {
     fn on_written(&self, written: io::Result<usize>) -> Poll<io::Result<usize>> {
+        self.0.on_bytes();
         if let Ok(n) = written {
             self.0.delivery.borrow_mut().on_written(n);
         }
@@ -213,7 +281,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, buf)
+        let polled = Pin::new(&mut *self.0.socket.borrow_mut()).poll_read(cx, buf);
+        if polled.is_ready() {
+            self.0.on_bytes();
+        }
+        polled
     }
 }
 
@@ -262,6 +334,7 @@
 impl Drop for FollowedBody {
     fn drop(&mut self) {
         self.conn.delivery.borrow_mut().on_answer_end();
+        self.conn.set_state(ConnState::Idle);
     }
 }
 
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -12,9 +12,8 @@
 use super::{
     body::AnswerBody,
     call,
-    caller_socket::{BusyGuard, CallerSocket, ConnState},
     conn::set_socket_options,
-    deliveries::FollowedConn,
+    deliveries::{ConnState, FollowedConn},
     flow::CallerConn,
     gateway::Gateway,
     task,
@@ -92,19 +91,17 @@
     bound_unsent_bytes(&stream);
     let conn = FollowedConn::new(&cx, stream);
     let limits = cx.caller_limits();
-    let socket = CallerSocket::new(&cx, &conn);
     let caller = Rc::new(CallerConn::default());
     let service = {
-        let (cx, socket) = (Rc::clone(&cx), Rc::clone(&socket));
+        let cx = Rc::clone(&cx);
         let (caller, conn) = (Rc::clone(&caller), Rc::clone(&conn));
         service_fn(move |req: Request<Incoming>| {
-            let busy = BusyGuard::new(&socket);
             conn.on_request();
-            let (cx, caller) = (Rc::clone(&cx), Rc::clone(&caller));
-            let conn = Rc::clone(&conn);
+            let cx = Rc::clone(&cx);
+            let (caller, conn) = (Rc::clone(&caller), Rc::clone(&conn));
             async move {
                 let answer = call::on_call(&cx, &caller, req).await;
-                answer.map(|res| busy.guard(conn.follow(res)))
+                answer.map(|res| conn.follow(res))
             }
         })
     };
@@ -112,12 +109,12 @@
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEADER_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(socket.io()), service);
+        .serve_connection(TokioIo::new(conn.io()), service);
     let ended = async {
         tokio::select! {
             ended = &mut connection => return Some(ended),
             () = caller.given_up() => return None,
-            () = wait_for_idle_timeout(&cx, &socket) => {}
+            () = wait_for_idle_timeout(&cx, &conn) => {}
         }
         Pin::new(&mut connection).graceful_shutdown();
         tokio::select! {
@@ -137,7 +134,7 @@
         conn.reset();
     }
     if is_malformed || (caller.has_unread_body() && !caller.has_left()) {
-        socket.linger().await;
+        conn.drain_request().await;
     }
     (!is_given_up).then_some(conn)
 }
@@ -158,7 +155,7 @@
 }
 
 /// Waits until the connection exceeds the idle timeout, or until a planned stop closes it.
-async fn wait_for_idle_timeout(cx: &Gateway, socket: &CallerSocket) {
+async fn wait_for_idle_timeout(cx: &Gateway, conn: &FollowedConn) {
     loop {
         let pause = match cx.phase() {
             Phase::Serving => IDLE_CHECK_INTERVAL,
@@ -167,13 +164,13 @@
         tokio::time::sleep(pause).await;
         let max_idle = cx.caller_limits().idle_time + IDLE_TIMEOUT_SLACK;
         let is_stopping = cx.phase() >= Phase::Refusing;
-        let is_due = match socket.state() {
-            ConnState::Idle => is_stopping || socket.idle_time() > max_idle,
+        let is_due = match conn.state() {
+            ConnState::Idle => is_stopping || conn.idle_time() > max_idle,
             ConnState::Serving => false,
             ConnState::Answering => is_stopping,
         };
         // A request that lies in the socket arrived in time if the timer is late or the timeout is new.
-        if is_due && !socket.has_unread() {
+        if is_due && !conn.has_unread() {
             return;
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,7 +12,6 @@
 mod body;
 mod call;
 mod call_end;
-mod caller_socket;
 mod claim_recorder;
 mod claimed_calls;
 mod confirm;
