deliveries: a broken answer does not end in order where that completes it

Callers saw: a stream that breaks off looks complete to a caller of HTTP/1.0, whose answers of unknown length end with their connection. Now a connection on which such an answer broke off is reset once its caller's system has taken what was sent.

--- a/src/edge/deliveries.rs
+++ b/src/edge/deliveries.rs
@@ -17,7 +17,7 @@
 };
 
 use hyper::{
-    Response,
+    Response, Version,
     body::{Body, Frame, SizeHint},
 };
 use slog::{info, warn};
@@ -93,6 +93,10 @@
     socket: RefCell<TcpStream>,
     delivery: RefCell<Delivery>,
     state: Cell<ConnState>,
+    /// Whether the latest answer ends with the connection if its length is not known.
+    ends_by_close: Cell<bool>,
+    /// Whether an answer broke off that an end of the connection would complete.
+    is_cut_short: Cell<bool>,
     /// Instant at which the connection became idle, or of the last byte since.
     idle_since: Cell<Instant>,
 }
@@ -117,6 +121,8 @@
             socket: RefCell::new(socket),
             delivery: RefCell::new(delivery),
             state: Cell::default(),
+            ends_by_close: Cell::default(),
+            is_cut_short: Cell::default(),
             idle_since: Cell::new(cx.now()),
         });
         if !conn.delivery.borrow().is_measured() {
@@ -152,9 +158,10 @@
         FollowedIo(Rc::clone(self))
     }
 
-    /// Handles a request on the connection.
-    pub(super) fn on_request(&self) {
+    /// Handles a request on the connection. A caller that uses HTTP/1.0 knows no chunks.
+    pub(super) fn on_request(&self, version: Version) {
         self.delivery.borrow_mut().on_request();
+        self.ends_by_close.set(version == Version::HTTP_10);
         self.set_state(ConnState::Serving);
     }
 
@@ -189,11 +196,23 @@
 
     /// Ends the writing side, and waits until the other side's system has taken everything that was written,
     /// has closed the connection, or takes nothing any more. Returns early if too many connections are open.
-    ///
-    /// What arrives meanwhile is discarded: closing a connection with unread bytes would reset it.
+    /// An answer that broke off does not end in order where that would complete it.
     pub(super) async fn linger(&self) {
         self.delivery.borrow_mut().on_closed();
-        self.shut_down_writing();
+        match self.is_cut_short.get() {
+            true => {
+                self.wait_for_delivery().await;
+                self.reset();
+            }
+            false => {
+                self.shut_down_writing();
+                self.wait_for_delivery().await;
+            }
+        }
+    }
+
+    /// What arrives meanwhile is discarded: closing a connection with unread bytes would reset it.
+    async fn wait_for_delivery(&self) {
         let mut last = (self.unacked().ok(), self.cx.now());
         while self.is_pending() && self.has_room() && self.discard_arrived().is_ok() {
             tokio::time::sleep(LINGER_CHECK_INTERVAL).await;
@@ -346,7 +365,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<OfferedBytes>, StreamAborted>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let body = self.get_mut();
+        let polled = Pin::new(&mut body.body).poll_frame(cx);
+        if let Poll::Ready(Some(Err(StreamAborted))) = polled {
+            body.conn.is_cut_short.set(body.conn.ends_by_close.get());
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -96,7 +96,7 @@
         let cx = Rc::clone(&cx);
         let (caller, conn) = (Rc::clone(&caller), Rc::clone(&conn));
         service_fn(move |req: Request<Incoming>| {
-            conn.on_request();
+            conn.on_request(req.version());
             let cx = Rc::clone(&cx);
             let (caller, conn) = (Rc::clone(&caller), Rc::clone(&conn));
             async move {
--- a/src/edge/operators.rs
+++ b/src/edge/operators.rs
@@ -32,10 +32,10 @@
         };
         let conn = FollowedConn::new(&cx, socket);
         let (service_cx, followed) = (Rc::clone(&cx), Rc::clone(&conn));
-        let service = service_fn(move |req| {
+        let service = service_fn(move |req: Request<Incoming>| {
             let (cx, conn) = (Rc::clone(&service_cx), Rc::clone(&followed));
             async move {
-                conn.on_request();
+                conn.on_request(req.version());
                 let answer = on_request(&cx, req).await;
                 Ok::<_, std::convert::Infallible>(conn.follow(answer))
             }
