blocks: small pieces take up what is counted as held

Cause: each piece was kept as it arrived, with an entry of its own in a list or a channel, and kept the buffer alive that it was read into. Pieces are now copied into blocks of 16 KB: of plain answers, of requests, and of the events that wait for a caller (event_queue in place of a channel).

--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -8,36 +8,25 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
 
 use super::{
+    event_queue::{EventReceiver, EventSender, event_queue},
     flow::{HeldCount, OfferedBytes},
     slot_lease::OwnSlot,
 };
+use crate::blocks::Blocks;
 
 /// A stream ended before its last event; the caller's connection is closed without the end of the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
 pub(crate) struct StreamAborted;
 
-/// Part of a stream.
-pub(crate) enum StreamPart {
-    /// Bytes of events.
-    Events(OfferedBytes),
-    /// End of a complete stream.
-    End,
-}
-
-/// Sending half of a stream of events. If it is dropped before the end is sent, the stream breaks off. What
-/// waits for a slow caller is bounded by [`crate::flow`].
-pub(crate) type EventSender = mpsc::UnboundedSender<StreamPart>;
-
 /// Body of a response.
 pub(crate) enum AnswerBody {
     /// Complete body: the pieces that are not sent yet, and their total size in bytes.
     Whole(VecDeque<OfferedBytes>, u64),
     /// Events as they arrive.
-    Events(mpsc::UnboundedReceiver<StreamPart>),
+    Events(EventReceiver),
     /// No bytes until the other side closes the connection, which takes the slot back.
     Held { _slot: OwnSlot },
 }
@@ -51,8 +40,12 @@
 
     /// Creates a complete body of a target's answer.
     pub(crate) fn collected(body: CollectedBody) -> Self {
-        let CollectedBody { pieces, mut count } = body;
-        Self::of_pieces(pieces.into_iter().map(|piece| count.offer(piece)))
+        let CollectedBody {
+            mut blocks,
+            mut count,
+        } = body;
+        let blocks = std::iter::from_fn(|| blocks.pop());
+        Self::of_pieces(blocks.map(|block| count.offer(block)))
     }
 
     fn of_pieces(pieces: impl Iterator<Item = OfferedBytes>) -> Self {
@@ -68,7 +61,7 @@
 
     /// Creates a stream, and returns the sender of its events.
     pub(crate) fn events() -> (EventSender, Self) {
-        let (tx, rx) = mpsc::unbounded_channel();
+        let (tx, rx) = event_queue();
         (tx, Self::Events(rx))
     }
 }
@@ -87,11 +80,7 @@
                 *size -= piece.as_ref().map_or(0, |p| p.len() as u64);
                 Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
             }
-            Self::Events(rx) => rx.poll_recv(cx).map(|part| match part {
-                Some(StreamPart::Events(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(StreamPart::End) => None,
-                None => Some(Err(StreamAborted)),
-            }),
+            Self::Events(rx) => rx.poll_next(cx).map_ok(Frame::data),
             Self::Held { .. } => Poll::Pending,
         }
     }
@@ -113,7 +102,7 @@
 
 /// Complete body of a target's answer, with the count of its bytes.
 pub(crate) struct CollectedBody {
-    pieces: Vec<Bytes>,
+    blocks: Blocks,
     count: HeldCount,
 }
 
@@ -121,14 +110,14 @@
     /// Creates an empty body; `count` counts what is added to it.
     pub(crate) fn empty(count: HeldCount) -> Self {
         Self {
-            pieces: Vec::new(),
+            blocks: Blocks::default(),
             count,
         }
     }
 
     /// Adds bytes with their count.
-    pub(crate) fn push(&mut self, bytes: Bytes, count: HeldCount) {
-        self.pieces.push(bytes);
+    pub(crate) fn push(&mut self, bytes: &[u8], count: HeldCount) {
+        self.blocks.push(bytes);
         self.count.add(count);
     }
 }
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    mem,
     rc::{Rc, Weak},
 };
 
@@ -244,7 +245,7 @@
         state.cx.flow.flow.borrow_mut().offer(state.id, n);
         OfferedBytes {
             bytes,
-            count: Some((self.answer.clone(), n)),
+            count: OfferedCount(Some((self.answer.clone(), n))),
         }
     }
 }
@@ -257,17 +258,59 @@
     }
 }
 
+/// Count of bytes that the caller can read, with the answer that they belong to; `None` for a response of the router
+/// itself.
+#[derive(Default)]
+pub(crate) struct OfferedCount(Option<(AnswerAccount, usize)>);
+
+impl OfferedCount {
+    /// Adds another count of the same answer to this one.
+    pub(crate) fn add(&mut self, mut other: Self) {
+        match (&mut self.0, other.0.take()) {
+            (Some((_, n)), Some((_, added))) => *n += added,
+            (count, Some(added)) => *count = Some(added),
+            (_, None) => {}
+        }
+    }
+
+    /// Removes the count of `n` bytes, and returns it.
+    pub(crate) fn split(&mut self, n: usize) -> Self {
+        Self(self.0.as_mut().map(|(answer, rest)| {
+            let n = n.min(*rest);
+            *rest -= n;
+            (answer.clone(), n)
+        }))
+    }
+}
+
+impl Drop for OfferedCount {
+    fn drop(&mut self) {
+        if let Some((answer, n)) = self.0.take().filter(|(_, n)| *n > 0) {
+            answer.release(n, n);
+        }
+    }
+}
+
 /// Bytes of a response body, held until they are written to the caller's socket.
 pub(crate) struct OfferedBytes {
     bytes: Bytes,
-    /// Answer that they belong to, and their number; `None` for a response of the router itself.
-    count: Option<(AnswerAccount, usize)>,
+    count: OfferedCount,
 }
 
 impl OfferedBytes {
+    /// Creates bytes with their count.
+    pub(crate) fn new(bytes: Bytes, count: OfferedCount) -> Self {
+        Self { bytes, count }
+    }
+
     /// Creates bytes of a response of the router itself, which are not counted.
     pub(crate) fn uncounted(bytes: Bytes) -> Self {
-        Self { bytes, count: None }
+        Self::new(bytes, OfferedCount::default())
+    }
+
+    /// Separates the bytes from their count.
+    pub(crate) fn into_parts(mut self) -> (Bytes, OfferedCount) {
+        (mem::take(&mut self.bytes), mem::take(&mut self.count))
     }
 
     /// Returns their number.
@@ -287,7 +330,7 @@
 
     fn advance(&mut self, n: usize) {
         self.bytes.advance(n);
-        if let Some((AnswerAccount(state), _)) = &self.count {
+        if let Some((AnswerAccount(state), _)) = &self.count.0 {
             state.cx.flow.flow.borrow_mut().on_progress(state.id);
         }
     }
@@ -295,11 +338,10 @@
 
 impl Drop for OfferedBytes {
     fn drop(&mut self) {
-        if let Some((answer, n)) = self.count.take() {
-            if self.bytes.has_remaining() {
-                answer.0.is_cut.set(true);
-            }
-            answer.release(n, n);
+        if let Some((AnswerAccount(state), _)) = &self.count.0 {
+            state
+                .is_cut
+                .set(state.is_cut.get() || self.bytes.has_remaining());
         }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,6 +20,7 @@
 mod crash_checks;
 mod deliveries;
 mod dial;
+mod event_queue;
 mod event_source;
 mod exchange;
 mod feed;
--- a/src/edge/read_body.rs
+++ b/src/edge/read_body.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, body::Incoming, header};
 
@@ -11,6 +11,7 @@
     flow::{AnswerAccount, NoRoomForRequest, RequestCount},
     gateway::Gateway,
 };
+use crate::blocks::Blocks;
 
 /// Maximum size of a plain (not streamed) answer, in bytes; it is read completely before it is passed on.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -63,31 +64,19 @@
     count: &mut RequestCount,
 ) -> Result<Option<Bytes>, BodyError> {
     let mut body = Limited::new(body, max_bytes);
-    let mut pieces = Vec::new();
+    let mut blocks = Blocks::default();
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => {
                 let bytes = frame.into_data().unwrap_or_default();
                 count.grow(bytes.len())?;
-                pieces.push(bytes);
+                blocks.push(&bytes);
             }
             Err(e) if e.is::<http_body_util::LengthLimitError>() => return Ok(None),
             Err(_) => return Err(BodyError::Aborted),
         }
     }
-    Ok(Some(concat(pieces)))
-}
-
-fn concat(mut pieces: Vec<Bytes>) -> Bytes {
-    match pieces.len() {
-        0 | 1 => pieces.pop().unwrap_or_default(),
-        _ => {
-            let size = pieces.iter().map(Bytes::len).sum();
-            let mut whole = BytesMut::with_capacity(size);
-            pieces.iter().for_each(|p| whole.extend_from_slice(p));
-            whole.freeze()
-        }
-    }
+    Ok(Some(blocks.into_bytes()))
 }
 
 /// A target's answer ended before it was complete, or is above the size limit.
@@ -104,7 +93,7 @@
         let frame = frame.map_err(|_| AnswerIncomplete)?;
         let bytes = frame.into_data().unwrap_or_default();
         let count = answer.hold(bytes.len()).await;
-        collected.push(bytes, count);
+        collected.push(&bytes, count);
     }
     Ok(collected)
 }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -8,9 +8,10 @@
 use super::{
     attempt::{AttemptFailure, Call, send},
     attempt_end::AttemptEnd,
-    body::{AnswerBody, CollectedBody, EventSender, StreamPart},
+    body::{AnswerBody, CollectedBody},
     call::{silence_timeout, strip_connection_headers, take_retry},
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
+    event_queue::EventSender,
     event_source::{Event, EventSource, Next},
     gateway::Gateway,
     overlap::{self, Beginning, Start},
@@ -160,10 +161,9 @@
     let cx_task = Rc::clone(cx);
     call.progress.reach(CallStage::Answering);
     task::spawn(cx, "answer", async move {
-        let events_tx = tx.clone();
         tokio::select! {
             biased;
-            () = events_tx.closed() => {}
+            () = tx.closed() => {}
             () = forward_events(&cx_task, call, &call_guard, source, first, tx) => {}
         }
     });
@@ -187,7 +187,7 @@
         if let Some(id) = event.id {
             call.plan.progress.on_event(id, &source.guard.ticket.target);
         }
-        if tx.send(StreamPart::Events(event.bytes)).is_err() {
+        if tx.send(event.bytes).is_err() {
             return;
         }
         let step = match next_step(cx, &mut call, source).await {
@@ -202,8 +202,7 @@
                 let delivery = async {
                     call.answer.drained().await;
                     call_guard.record_end(CallEnd::answered(StatusCode::OK), call.attempts);
-                    // If the caller has left, nothing more has to be done.
-                    let _ = tx.send(StreamPart::End);
+                    tx.end();
                 };
                 futures::join!(source.on_complete(cx), delivery);
                 return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 )]
 
 pub mod admission;
+pub mod blocks;
 pub mod brittle;
 mod call_plan;
 pub mod claims;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the library's decisions, without a clock or a socket.
 
 mod admission;
+mod blocks;
 mod calls;
 mod changes;
 mod claims;
