bounded_body: answers of the store and of peers have a maximum size

What would be seen: a store or a router that sends a body without end is read at full speed until a timeout of 0.6 to 5 s; the router's memory is gone by then, and with it its callers' answers. Found by a test, not reported. Cause: these bodies were collected without a bound. Requests of operators and peers, whose bounds existed, are read by the same function. an_answer_of_the_store_without_end_is_given_up failed before in both cases (a length, chunks).

--- a/src/edge/operators.rs
+++ b/src/edge/operators.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use subtle::ConstantTimeEq;
@@ -13,6 +12,7 @@
     ingress::ACCEPT_RETRY_DELAY, view,
 };
 use crate::{
+    bounded_body::read_whole,
     config::ConfigLog,
     intent::{self, IntentError, Plan},
     reply,
@@ -92,10 +92,8 @@
 
 async fn read_body(req: Request<Incoming>) -> Result<Vec<u8>, IntentError> {
     let error = || IntentError::new(ResultCode::BodyTooLarge, "the body was not taken");
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await;
-    Ok(body.map_err(|_| error())?.to_bytes().to_vec())
+    let body = read_whole(req.into_body(), MAX_BODY_BYTES).await;
+    Ok(body.map_err(|_| error())?.to_vec())
 }
 
 fn plan(cx: &Gateway, author: &str, text: &[u8]) -> Response<AnswerBody> {
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -8,7 +8,7 @@
 use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, client, header, header::HeaderValue,
     server, service::service_fn,
@@ -30,6 +30,7 @@
     tunnel_conn::{TunnelConn, TunnelProtocol},
 };
 use crate::{
+    bounded_body::read_whole,
     claims::{ClaimStep, ClaimVerdict},
     explain::DecisionRecord,
     ids::TargetId,
@@ -143,6 +144,9 @@
     }
 }
 
+/// Maximum size of a response, in bytes; a list of ten thousand entries takes some megabytes.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+
 /// Maximum size of a change, in bytes: as much as an operator may send.
 const MAX_CHANGE_BYTES: usize = 4 << 20;
 
@@ -224,9 +228,10 @@
                 .headers()
                 .get(PROOF_HEADER)
                 .map(|p| parse_proof(p.as_bytes()));
-            let body = res.into_body().collect().await.map_err(no_answer)?;
+            let body = read_whole(res.into_body(), MAX_RESPONSE_BYTES).await;
+            let body = body.map_err(no_answer)?;
             match status {
-                StatusCode::OK => Ok((body.to_bytes(), proof.transpose()?)),
+                StatusCode::OK => Ok((body, proof.transpose()?)),
                 status => Err(StoreError::Rejected(status.as_u16())),
             }
         };
@@ -253,8 +258,8 @@
             Ok(Ok(TunnelConn::new(stream, protocol)))
         }
         StatusCode::SERVICE_UNAVAILABLE => {
-            let body = res.into_body().collect().await.map_err(no_answer)?;
-            let refusal = serde_json::from_slice(&body.to_bytes());
+            let body = read_whole(res.into_body(), MAX_RESPONSE_BYTES).await;
+            let refusal = serde_json::from_slice(&body.map_err(no_answer)?);
             Ok(Err(refusal.map_err(invalid_response)?))
         }
         status => Err(StoreError::Rejected(status.as_u16())),
@@ -436,11 +441,9 @@
 }
 
 async fn on_change(cx: &Gateway, req: Request<Incoming>) -> Result<Vec<u8>, StoreError> {
-    let body = Limited::new(req.into_body(), MAX_CHANGE_BYTES)
-        .collect()
-        .await;
-    let change = serde_json::from_slice(&body.map_err(invalid_response)?.to_bytes())
-        .map_err(invalid_response)?;
+    let body = read_whole(req.into_body(), MAX_CHANGE_BYTES).await;
+    let change =
+        serde_json::from_slice(&body.map_err(invalid_response)?).map_err(invalid_response)?;
     if cx.cfg.own_config {
         accepted_changes::apply_change(cx, change);
     }
@@ -448,11 +451,8 @@
 }
 
 async fn on_claim(cx: &Gateway, req: Request<Incoming>) -> Result<Vec<u8>, StoreError> {
-    let body = Limited::new(req.into_body(), MAX_CLAIM_BODY_BYTES)
-        .collect()
-        .await;
-    let step = postcard::from_bytes(&body.map_err(invalid_response)?.to_bytes())
-        .map_err(invalid_response)?;
+    let body = read_whole(req.into_body(), MAX_CLAIM_BODY_BYTES).await;
+    let step = postcard::from_bytes(&body.map_err(invalid_response)?).map_err(invalid_response)?;
     let verdict = cx.claims.step(step).await;
     postcard::to_stdvec(&verdict).map_err(invalid_response)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub mod admission;
 pub mod blocks;
+pub mod bounded_body;
 pub mod brittle;
 mod call_plan;
 pub mod claims;
