sent_call: an answer has at most 32 informational heads

What was seen: informational heads without end are read at full speed until the deadline (160 to 720 MB a connection, shared/DESIGN.md), which takes the process, so that calls of another service took up to 1.4 s instead of 0.4 s, and a call that another target could have answered in time waits for its silence. Cause: the HTTP library drops informational heads without a bound. They are counted now; with the 33rd the attempt ends as "too many informational heads", which counts against its target, and the call goes on elsewhere if it may be repeated. a_call_is_sent_elsewhere_after_too_many_informational_heads failed before (plain and stream: ended as "silent"). How long other calls take meanwhile was not measured again.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -13,7 +13,7 @@
     contended, crash_checks,
     flow::AnswerAccount,
     gateway::Gateway,
-    sent_call::{self, SentCall},
+    sent_call::{self, InformationalHeads, SentCall},
     slot_lease, target_conn,
     unanswered::{CallProgress, CallStage},
     withdrawals,
@@ -146,7 +146,8 @@
     let (guard, mut conn) = connect(cx, call).await?;
     call.progress.reach(CallStage::Sent);
     let now = cx.now();
-    let req = build_request(cx, call, now, &guard.ticket, &guard.span);
+    let mut req = build_request(cx, call, now, &guard.ticket, &guard.span);
+    let informational = InformationalHeads::of(&mut req);
     call.attempts.on_sent();
     Ok(SentCall {
         id: call.id.clone(),
@@ -155,6 +156,7 @@
         received: call.received,
         account: call.answer.clone(),
         response: Box::pin(conn.sender.try_send_request(req)),
+        informational,
         conn,
         guard,
     })
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -64,6 +64,8 @@
     UnverifiedAnswer,
     /// The body of the answer ended before it was complete.
     AnswerTruncated,
+    /// The target sent too many informational heads before the head of an answer.
+    NoFinalHead,
     /// The stream ended in the middle of an event.
     EventTruncated,
     /// An event was larger than the maximum size.
@@ -104,6 +106,7 @@
             Self::Refused => "refused",
             Self::UnverifiedAnswer => "not the target's answer",
             Self::AnswerTruncated => "answer broke off",
+            Self::NoFinalHead => "too many informational heads",
             Self::EventTruncated => "event cut off",
             Self::EventTooLarge => "event too large",
             Self::NotContinued => "does not go on where it broke off",
@@ -153,6 +156,7 @@
             | Self::AnotherTarget
             | Self::UnverifiedAnswer
             | Self::AnswerTruncated
+            | Self::NoFinalHead
             | Self::EventTruncated
             | Self::EventTooLarge
             | Self::NotContinued => Some(Outcome::Broken),
--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -1,6 +1,13 @@
 //! A call that was sent to a target: waits for the head of its answer and checks it.
 
-use std::{pin::Pin, rc::Rc};
+use std::{
+    pin::Pin,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,6 +16,7 @@
     http::response,
 };
 use slog::info;
+use tokio::sync::Notify;
 
 use super::{
     attempt::AttemptFailure, attempt_end::AttemptEnd, attempt_guard::AttemptGuard, conn::Conn,
@@ -20,6 +28,37 @@
     units::Instant,
 };
 
+/// Maximum number of informational heads (1xx) before the head of an answer.
+const MAX_INFORMATIONAL_HEADS: usize = 32;
+
+/// Counts the informational heads of one answer. The HTTP library reads them for as long as they come.
+#[derive(Debug, Default)]
+pub(crate) struct InformationalHeads {
+    count: AtomicUsize,
+    exceeded: Notify,
+}
+
+impl InformationalHeads {
+    /// Counts those of the answer to a request.
+    pub(super) fn of<B>(req: &mut Request<B>) -> Arc<Self> {
+        let heads: Arc<Self> = Arc::default();
+        let counter = Arc::clone(&heads);
+        hyper::ext::on_informational(req, move |_| counter.on_head());
+        heads
+    }
+
+    fn on_head(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_HEADS {
+            self.exceeded.notify_one();
+        }
+    }
+
+    /// Waits until there are too many.
+    async fn exceeded(&self) {
+        self.exceeded.notified().await;
+    }
+}
+
 /// Response of a target, as a future.
 pub(super) type ResponseFuture =
     Pin<Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>>>>;
@@ -36,6 +75,7 @@
     /// Account of the bytes that are held of the answer.
     pub(super) account: AnswerAccount,
     pub(super) response: ResponseFuture,
+    pub(super) informational: Arc<InformationalHeads>,
     pub(super) conn: Conn,
     pub(super) guard: AttemptGuard,
 }
@@ -53,14 +93,17 @@
     /// Waits for the head of the answer until the call's deadline.
     pub(crate) async fn head(mut self, cx: Rc<Gateway>) -> Result<StartedAnswer, AttemptFailure> {
         let response = cx.clock.timeout_at(self.deadline, &mut self.response);
-        match response.await {
-            Some(Ok(res)) => self.on_response(&cx, res),
-            Some(Err(e)) => Err(self.on_broke(&cx, e)),
-            None => {
-                self.guard.end(AttemptEnd::DeadlineExceeded);
-                Err(AttemptFailure::may_have_run(AttemptEnd::DeadlineExceeded))
-            }
-        }
+        let end = tokio::select! {
+            biased;
+            () = self.informational.exceeded() => AttemptEnd::NoFinalHead,
+            response = response => match response {
+                Some(Ok(res)) => return self.on_response(&cx, res),
+                Some(Err(e)) => return Err(self.on_broke(&cx, e)),
+                None => AttemptEnd::DeadlineExceeded,
+            },
+        };
+        self.guard.end(end);
+        Err(AttemptFailure::may_have_run(end))
     }
 
     fn on_broke(self, cx: &Gateway, mut e: TrySendError<Request<Full<Bytes>>>) -> AttemptFailure {
