streams: comments are no events

What was seen: a target that sends only comments is never silent, so that nobody else is asked to go on with its stream; the stream's caller is given up as one that reads too slowly (answer_not_read, "its stream reached its bound") although it reads as fast as it can, and its memory is many times what is counted. Cause: a comment counted as an event: of the target's activity, of the silence between events, as the begin of an answer, and of what is owed to the caller. Now silence counts from the last event.

--- a/src/edge/event_queue.rs
+++ b/src/edge/event_queue.rs
@@ -89,6 +89,11 @@
         self.0.queue.borrow_mut().end = End::Complete;
     }
 
+    /// Returns whether no event waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.queue.borrow().events.is_empty()
+    }
+
     /// Waits until the caller's connection has dropped the stream.
     pub(super) fn closed(&self) -> impl Future<Output = ()> + use<> {
         let shared = Rc::clone(&self.0);
--- a/src/edge/event_source.rs
+++ b/src/edge/event_source.rs
@@ -29,9 +29,20 @@
 /// A complete event that the caller can read.
 pub(super) struct Event {
     pub(super) id: Option<u64>,
+    /// Whether callers ignore it.
+    pub(super) is_comment: bool,
     pub(super) bytes: OfferedBytes,
 }
 
+/// What becomes of comments between events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Comments {
+    /// They are returned as events are.
+    Return,
+    /// They are dropped.
+    Drop,
+}
+
 impl Event {
     /// Returns whether the event may directly follow the last one if another run made that.
     pub(super) fn may_follow(&self, last: Option<u64>) -> bool {
@@ -72,16 +83,30 @@
     }
 
     /// Returns the next event after `last`, which the caller has. It may be called again if the target was silent
-    /// until `until`.
+    /// until `until`, or sent only what the caller ignores or has.
     pub(super) async fn next_after(
         &mut self,
         cx: &Gateway,
         last: Option<u64>,
         until: Instant,
+        comments: Comments,
     ) -> Next {
         loop {
             match self.next(cx, until).await {
-                Next::Event(event) if event.id.is_some() && event.id <= last => {}
+                Next::Event(event) if event.is_comment => match comments {
+                    _ if cx.now() >= until => {
+                        event.bytes.discard();
+                        return Next::Broken(AttemptEnd::Silent);
+                    }
+                    Comments::Return => return Next::Event(event),
+                    Comments::Drop => event.bytes.discard(),
+                },
+                Next::Event(event) if event.id.is_some() && event.id <= last => {
+                    event.bytes.discard();
+                    if cx.now() >= until {
+                        return Next::Broken(AttemptEnd::Silent);
+                    }
+                }
                 next => return next,
             }
         }
@@ -106,6 +131,7 @@
                     let bytes = self.count.offer(event.bytes);
                     return Next::Event(Event {
                         id: event.id,
+                        is_comment: event.is_comment,
                         bytes,
                     });
                 }
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -308,6 +308,11 @@
         Self::new(bytes, OfferedCount::default())
     }
 
+    /// Drops bytes that are not owed to the caller. Dropping others cuts their answer off.
+    pub(crate) fn discard(self) {
+        let _ = self.into_parts();
+    }
+
     /// Separates the bytes from their count.
     pub(crate) fn into_parts(mut self) -> (Bytes, OfferedCount) {
         (mem::take(&mut self.bytes), mem::take(&mut self.count))
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -12,7 +12,7 @@
     call::{silence_timeout, strip_connection_headers, take_retry},
     call_end::{CallEnd, CallGuard, finish_response, give_up, pass_on},
     event_queue::EventSender,
-    event_source::{Event, EventSource, Next},
+    event_source::{Comments, Event, EventSource, Next},
     gateway::Gateway,
     overlap::{self, Beginning, Start},
     read_body,
@@ -20,7 +20,7 @@
     stream_origins, task,
     unanswered::{CallStage, EndedBy},
 };
-use crate::{ResultCode, retry::Execution};
+use crate::{ResultCode, retry::Execution, units::Instant};
 
 /// Multiple of the route's latency goal that a stream waits for its first event before another target is
 /// tried as well. Waiting a little costs less than reading the prompt again there.
@@ -132,7 +132,9 @@
     }
     head.headers.remove(hyper::header::CONTENT_LENGTH);
     let mut source = Box::new(EventSource::new(body, account.clone(), conn, guard, facts));
-    match source.next_after(&cx, last, deadline).await {
+    // Comments do not begin the answer: until its first event, another target may still take the call.
+    let first = source.next_after(&cx, last, deadline, Comments::Drop);
+    match first.await {
         Next::Event(event) => {
             source.guard.on_first_event();
             cx.metrics.on_first_event(cx.now().since(received));
@@ -179,6 +181,7 @@
     tx: EventSender,
 ) {
     let mut event = first;
+    let mut heard_at = cx.now();
     call.attempts.on_response_started();
     if !call.plan.progress.is_begun() {
         stream_origins::on_begun(cx, &call, &source.guard.ticket.target);
@@ -187,10 +190,16 @@
         if let Some(id) = event.id {
             call.plan.progress.on_event(id, &source.guard.ticket.target);
         }
-        if tx.send(event.bytes).is_err() {
-            return;
+        // A caller that still has events to read needs no comment to keep its connection open.
+        match event.is_comment && !tx.is_empty() {
+            true => event.bytes.discard(),
+            false if tx.send(event.bytes).is_err() => return,
+            false => {}
         }
-        let step = match next_step(cx, &mut call, source).await {
+        if !event.is_comment {
+            heard_at = cx.now();
+        }
+        let step = match next_step(cx, &mut call, source, heard_at).await {
             Err(failed) => resume(cx, &mut call, failed).await,
             step => step,
         };
@@ -234,25 +243,29 @@
     }
 }
 
-/// Waits for the next event. If the target is silent, others are tried beside it.
+/// Waits for the next event. If the target has sent none since `heard_at` for too long, others are tried beside it.
+/// Comments are returned until then.
 async fn next_step(
     cx: &Rc<Gateway>,
     call: &mut Call,
     mut source: Box<EventSource>,
+    heard_at: Instant,
 ) -> Result<Step, AttemptFailure> {
-    let (now, last) = (cx.now(), call.plan.progress.last_event());
-    let until = (now + call.route.max_silence).min(call.deadline);
+    let last = call.plan.progress.last_event();
+    let until = (heard_at + call.route.max_silence).min(call.deadline);
     let silent_at = call.route.gap_goal.map_or(until, |gap| {
         let timeout = gap.mul_f64(GAP_TIMEOUT_FACTOR).max(MIN_EVENT_TIMEOUT);
-        until.min(now + timeout)
+        until.min(heard_at + timeout)
     });
-    let next = source.next_after(cx, last, silent_at).await;
+    let next = source.next_after(cx, last, silent_at, Comments::Return);
+    let next = next.await;
     if !matches!(next, Next::Broken(AttemptEnd::Silent)) || silent_at >= until {
         return to_step(source, next);
     }
     let cx_first = Rc::clone(cx);
     let first = Box::pin(async move {
-        let next = source.next_after(&cx_first, last, until).await;
+        let next = source.next_after(&cx_first, last, until, Comments::Drop);
+        let next = next.await;
         to_step(source, next)
     });
     overlap::first_start(cx, call, first, silent_at, continue_elsewhere).await
@@ -261,7 +274,9 @@
 fn to_step(mut source: Box<EventSource>, next: Next) -> Result<Step, AttemptFailure> {
     match next {
         Next::Event(event) => {
-            source.guard.on_event();
+            if !event.is_comment {
+                source.guard.on_event();
+            }
             Ok(Step::Event(source, event))
         }
         Next::End => Ok(Step::End(source)),
--- a/tests/decisions/streams.rs
+++ b/tests/decisions/streams.rs
@@ -1,6 +1,7 @@
 //! Splitting of a stream into complete events, each returned once.
 
 use proptest::prelude::*;
+use rstest::rstest;
 use scaleford::event_stream::EventSplitter;
 
 proptest! {
@@ -35,3 +36,38 @@
     assert_eq!(splitter.next_event().unwrap(), None);
     assert!(splitter.has_incomplete_event());
 }
+
+#[rstest]
+#[case::comment(": ping\n\n", true)]
+#[case::blank_line("\n\n", true)]
+#[case::unknown_field("idx: 1\n\n", true)]
+#[case::data("data: x\n\n", false)]
+#[case::data_without_value("data\r\n\r\n", false)]
+#[case::id("id:7\n\n", false)]
+#[case::comment_before_data(": ping\ndata: x\n\n", false)]
+fn what_callers_ignore_is_a_comment(#[case] sent: &str, #[case] is_comment: bool) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(sent.as_bytes());
+    let event = splitter.next_event().unwrap().unwrap();
+    assert_eq!(
+        (event.is_comment, &event.bytes[..]),
+        (is_comment, sent.as_bytes())
+    );
+}
+
+/// Guards against comments without end, each of which is small.
+#[test]
+fn comments_count_toward_the_size_of_the_next_event() {
+    let comments = ": ping\n\n".repeat(1 << 10);
+    let mut splitter = EventSplitter::default();
+    let mut read_all = |sent: &str| {
+        splitter.push(sent.as_bytes());
+        let mut next = || splitter.next_event();
+        std::iter::from_fn(|| next().transpose()).collect::<Result<Vec<_>, _>>()
+    };
+    for _ in 0..2 {
+        (0..100).for_each(|_| drop(read_all(&comments).unwrap()));
+        assert_eq!(read_all("data: x\n\n").unwrap().len(), 1);
+    }
+    assert!((0..129).any(|_| read_all(&comments).is_err()));
+}
