flow: an answer without end is refused, and not those beside it

What was seen: plain answers without a length that never end are read up to the bound of their account (20 MB of 160); then callers of streams in progress are given up one after the other, however little they hold, and at last the connections of the calls themselves are reset without an answer. Cause: only callers that had been offered something could be chosen when room was short, so never the plain answer that took it. Answers in progress are chosen by what is held for them now, plain ones too; where the caller has got nothing yet, its call gets a refusal (502, "no room for the answer") in place of a reset.

--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -1,6 +1,10 @@
 //! How attempts end. Code matches on the type; its text is for logs, metrics and error messages only.
 
-use std::fmt;
+use std::{
+    error::Error,
+    fmt,
+    io::{self, ErrorKind},
+};
 
 use crate::{health::Outcome, placement::choice::PlacementError};
 
@@ -64,17 +68,35 @@
     UnverifiedAnswer,
     /// The body of the answer ended before it was complete.
     AnswerTruncated,
+    /// The answer is larger than the maximum size.
+    AnswerTooLarge,
+    /// The target sent bytes that are no answer.
+    AnswerMalformed,
     /// The target sent too many informational heads before the head of an answer.
     NoFinalHead,
+    /// The answers that the router holds have reached their bound, and this one had not begun for its caller.
+    NoRoomForAnswer,
     /// The stream ended in the middle of an event.
     EventTruncated,
-    /// An event was larger than the maximum size.
+    /// An event, with the comments before it, was larger than the maximum size.
     EventTooLarge,
     /// The stream of another target does not continue after the last event that the caller has.
     NotContinued,
 }
 
 impl AttemptEnd {
+    /// Returns the end of an attempt whose answer broke off with an error of the HTTP library: bytes that are no
+    /// answer, or `broken`.
+    pub(crate) fn of_error(e: &hyper::Error, broken: Self) -> Self {
+        let source = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+        let is_invalid = source
+            .is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidData | ErrorKind::InvalidInput));
+        match e.is_parse() || is_invalid {
+            true => Self::AnswerMalformed,
+            false => broken,
+        }
+    }
+
     /// Returns the name in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
         match self {
@@ -106,7 +128,10 @@
             Self::Refused => "refused",
             Self::UnverifiedAnswer => "not the target's answer",
             Self::AnswerTruncated => "answer broke off",
+            Self::AnswerTooLarge => "answer too large",
+            Self::AnswerMalformed => "malformed answer",
             Self::NoFinalHead => "too many informational heads",
+            Self::NoRoomForAnswer => "no room for the answer",
             Self::EventTruncated => "event cut off",
             Self::EventTooLarge => "event too large",
             Self::NotContinued => "does not go on where it broke off",
@@ -156,7 +181,10 @@
             | Self::AnotherTarget
             | Self::UnverifiedAnswer
             | Self::AnswerTruncated
+            | Self::AnswerTooLarge
+            | Self::AnswerMalformed
             | Self::NoFinalHead
+            | Self::NoRoomForAnswer
             | Self::EventTruncated
             | Self::EventTooLarge
             | Self::NotContinued => Some(Outcome::Broken),
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns the number of bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
     /// Adds bytes with their count.
     pub(crate) fn push(&mut self, bytes: &[u8], count: HeldCount) {
         self.blocks.push(bytes);
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -292,7 +292,7 @@
     let end = match &read {
         Some(Ok(_)) if head.status.is_server_error() => AttemptEnd::TargetError,
         Some(Ok(_)) => AttemptEnd::Answered,
-        Some(Err(_)) => AttemptEnd::AnswerTruncated,
+        Some(Err(end)) => *end,
         None => AttemptEnd::DeadlineExceeded,
     };
     guard.end(end);
@@ -301,7 +301,8 @@
         return Err(AttemptFailure {
             execution: Execution::Ran,
             end,
-            is_final: false,
+            // What was refused for want of room would find none at another target either.
+            is_final: end == AttemptEnd::NoRoomForAnswer,
         });
     };
     return_to_pool(cx, conn, &facts).await;
--- a/src/edge/event_source.rs
+++ b/src/edge/event_source.rs
@@ -91,24 +91,32 @@
         until: Instant,
         comments: Comments,
     ) -> Next {
-        loop {
-            match self.next(cx, until).await {
-                Next::Event(event) if event.is_comment => match comments {
-                    _ if cx.now() >= until => {
+        let answer = self.answer.clone();
+        let next = async {
+            loop {
+                match self.next(cx, until).await {
+                    Next::Event(event) if event.is_comment => match comments {
+                        _ if cx.now() >= until => {
+                            event.bytes.discard();
+                            return Next::Broken(AttemptEnd::Silent);
+                        }
+                        Comments::Return => return Next::Event(event),
+                        Comments::Drop => event.bytes.discard(),
+                    },
+                    Next::Event(event) if event.id.is_some() && event.id <= last => {
                         event.bytes.discard();
-                        return Next::Broken(AttemptEnd::Silent);
-                    }
-                    Comments::Return => return Next::Event(event),
-                    Comments::Drop => event.bytes.discard(),
-                },
-                Next::Event(event) if event.id.is_some() && event.id <= last => {
-                    event.bytes.discard();
-                    if cx.now() >= until {
-                        return Next::Broken(AttemptEnd::Silent);
+                        if cx.now() >= until {
+                            return Next::Broken(AttemptEnd::Silent);
+                        }
                     }
+                    next => return next,
                 }
-                next => return next,
             }
+        };
+        tokio::select! {
+            biased;
+            () = answer.refused() => Next::Broken(AttemptEnd::NoRoomForAnswer),
+            next = next => next,
         }
     }
 
@@ -121,7 +129,11 @@
     /// Ends the attempt, and closes the connection so that the target stops its run.
     pub(super) fn on_broken(self, end: AttemptEnd) -> AttemptFailure {
         self.guard.end(end);
-        AttemptFailure::may_have_run(end)
+        AttemptFailure {
+            // What was refused for want of room would find none at another target either.
+            is_final: end == AttemptEnd::NoRoomForAnswer,
+            ..AttemptFailure::may_have_run(end)
+        }
     }
 
     async fn next(&mut self, cx: &Gateway, until: Instant) -> Next {
@@ -141,7 +153,10 @@
             let frame = self.body.frame();
             match cx.clock.timeout_at(until, frame).await {
                 None => return Next::Broken(AttemptEnd::Silent),
-                Some(Some(Err(_))) => return Next::Broken(AttemptEnd::AnswerTruncated),
+                Some(Some(Err(e))) => {
+                    let end = AttemptEnd::of_error(&e, AttemptEnd::AnswerTruncated);
+                    return Next::Broken(end);
+                }
                 Some(Some(Ok(frame))) => {
                     let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
                     self.count.add(self.answer.hold(data.len()).await);
--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -106,6 +106,10 @@
     call: String,
     conn: Rc<CallerConn>,
     given_up: Cell<Option<GiveUpReason>>,
+    /// Whether the answer is refused for want of room.
+    is_refused: Cell<bool>,
+    /// Wakes the attempts of a call whose answer is refused.
+    refused: Notify,
     /// Whether the end of the call is recorded: a plain call ends before its caller has read the answer.
     is_call_ended: Cell<bool>,
     /// Whether the call ended with a complete answer.
@@ -150,6 +154,8 @@
             call: call.to_owned(),
             conn: Rc::clone(conn),
             given_up: Cell::new(None),
+            is_refused: Cell::new(false),
+            refused: Notify::new(),
             is_call_ended: Cell::new(false),
             is_answered: Cell::new(false),
             is_cut: Cell::new(false),
@@ -174,7 +180,8 @@
     /// Counts `n` bytes that have arrived from a target, and gives up the callers that the bounds require.
     ///
     /// Waits while the bytes of callers that were given up are released. If this caller is itself given up,
-    /// it does not return; its connection is being closed, which ends the call.
+    /// it does not return; its connection is being closed, which ends the call. If its answer has not begun, it
+    /// waits until [`refused`](Self::refused) ends the attempt.
     pub(crate) async fn hold(&self, n: usize) -> HeldCount {
         let control = &self.0.cx.flow;
         loop {
@@ -194,6 +201,14 @@
         }
     }
 
+    /// Waits until the answer is refused for want of room, of which its caller has got nothing.
+    pub(crate) async fn refused(&self) {
+        let refused = self.0.refused.notified();
+        if !self.0.is_refused.get() {
+            refused.await;
+        }
+    }
+
     /// Returns a count of no bytes.
     pub(crate) fn hold_nothing(&self) -> HeldCount {
         HeldCount {
@@ -409,6 +424,12 @@
             continue;
         };
         drop(answers);
+        if !caller.has_begun {
+            answer.is_refused.set(true);
+            answer.refused.notify_waiters();
+            info!(cx.log, "answer refused"; "id" => &answer.call, "reason" => caller.reason.name(), "held_bytes" => caller.held);
+            continue;
+        }
         answer.given_up.set(Some(caller.reason));
         answer.conn.close.notify_one();
         cx.metrics.on_caller_given_up(caller.reason);
--- a/src/edge/read_body.rs
+++ b/src/edge/read_body.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, body::Incoming, header};
 
 use super::{
+    attempt_end::AttemptEnd,
     body::CollectedBody,
     flow::{AnswerAccount, NoRoomForRequest, RequestCount},
     gateway::Gateway,
@@ -79,19 +80,29 @@
     Ok(Some(blocks.into_bytes()))
 }
 
-/// A target's answer ended before it was complete, or is above the size limit.
-pub(super) struct AnswerIncomplete;
-
-/// Reads the whole body of a target's answer.
+/// Reads the whole body of a target's answer. Fails with the end of the attempt if the answer is not complete.
 pub(super) async fn read_answer(
     body: Incoming,
     answer: &AnswerAccount,
-) -> Result<CollectedBody, AnswerIncomplete> {
-    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+) -> Result<CollectedBody, AttemptEnd> {
+    tokio::select! {
+        biased;
+        () = answer.refused() => Err(AttemptEnd::NoRoomForAnswer),
+        collected = collect_answer(body, answer) => collected,
+    }
+}
+
+async fn collect_answer(
+    mut body: Incoming,
+    answer: &AnswerAccount,
+) -> Result<CollectedBody, AttemptEnd> {
     let mut collected = CollectedBody::empty(answer.hold_nothing());
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| AnswerIncomplete)?;
+        let frame = frame.map_err(|e| AttemptEnd::of_error(&e, AttemptEnd::AnswerTruncated))?;
         let bytes = frame.into_data().unwrap_or_default();
+        if collected.len() + bytes.len() > MAX_ANSWER_BYTES {
+            return Err(AttemptEnd::AnswerTooLarge);
+        }
         let count = answer.hold(bytes.len()).await;
         collected.push(&bytes, count);
     }
--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -115,7 +115,10 @@
         on_connection_broke(cx, self.log_id(), self.guard.target(), self.sent_at);
         let failed = match unsent {
             true => AttemptFailure::not_run(AttemptEnd::ClosedBeforeSend),
-            false => AttemptFailure::may_have_run(AttemptEnd::ConnectionBroke),
+            false => {
+                let end = AttemptEnd::of_error(e.error(), AttemptEnd::ConnectionBroke);
+                AttemptFailure::may_have_run(end)
+            }
         };
         self.guard.end(failed.end);
         failed
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -41,6 +41,8 @@
     pub held: usize,
     /// Time for which it has read nothing.
     pub stalled: Duration,
+    /// Whether it could read a part of its answer. If not, its call can still be refused.
+    pub has_begun: bool,
 }
 
 /// Decision about further bytes of an answer.
@@ -55,6 +57,18 @@
     GiveUp(Vec<GivenUp>),
 }
 
+/// Stage of an answer, in order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// The target has not sent all of it.
+    #[default]
+    InProgress,
+    /// The target has sent all of it.
+    Complete,
+    /// Its caller was given up, or its call refused.
+    GivenUp,
+}
+
 /// What is known of one answer.
 #[derive(Debug)]
 struct Answer {
@@ -62,12 +76,12 @@
     held: usize,
     /// Part of `held` that its caller could read.
     offered: usize,
-    /// Whether the target has sent all of it.
-    is_complete: bool,
+    stage: Stage,
     is_stream: bool,
+    /// Whether any of it was offered to its caller.
+    has_begun: bool,
     /// Time without progress while bytes were offered.
     stalled: Duration,
-    is_given_up: bool,
 }
 
 /// Bytes that a router holds, by answer and account.
@@ -143,10 +157,10 @@
             account: account.map(|a| Rc::new(a.clone())),
             held: 0,
             offered: 0,
-            is_complete: false,
+            stage: Stage::default(),
             is_stream,
+            has_begun: false,
             stalled: Duration::ZERO,
-            is_given_up: false,
         };
         self.answers.insert(id, answer);
         id
@@ -161,7 +175,7 @@
 
     /// Decides whether `n` further bytes of an answer may be held, and counts them if so.
     pub fn hold(&mut self, id: AnswerId, n: usize) -> HoldVerdict {
-        let Some(answer) = self.answers.get(&id).filter(|a| !a.is_given_up) else {
+        let Some(answer) = self.answers.get(&id).filter(|a| a.stage != Stage::GivenUp) else {
             return HoldVerdict::Wait;
         };
         let account = answer.account.clone();
@@ -209,13 +223,16 @@
     ) -> HoldVerdict {
         let is_concerned = |a: &Answer| account.is_none() || a.account.as_ref() == account;
         let concerned = self.answers.values().filter(|a| is_concerned(a));
-        let mut released: usize = concerned.filter(|a| a.is_given_up).map(|a| a.held).sum();
+        let mut released: usize = concerned
+            .filter(|a| a.stage == Stage::GivenUp)
+            .map(|a| a.held)
+            .sum();
         let mut given_up = Vec::new();
         while released < excess {
             let candidates = self.answers.iter().filter(|(_, a)| is_concerned(a));
             let slowest = candidates.filter_map(|(id, a)| Some((a.slowness()?, *id)));
-            // Without a candidate, all others are read or not answered yet, so the answer that grows is
-            // the one for which there is no room.
+            // Without a candidate, all others are complete and read, so the answer that grows is the one for
+            // which there is no room.
             let victim = slowest.max().map_or(id, |(_, id)| id);
             let victim = self.give_up(victim, reason);
             released += victim.held;
@@ -232,15 +249,16 @@
 
     fn give_up(&mut self, id: AnswerId, reason: GiveUpReason) -> GivenUp {
         let answer = self.answers.get_mut(&id);
-        let (held, stalled) = answer.map_or((0, Duration::ZERO), |a| {
-            a.is_given_up = true;
-            (a.held, a.stalled)
+        let (held, stalled, has_begun) = answer.map_or((0, Duration::ZERO, true), |a| {
+            a.stage = Stage::GivenUp;
+            (a.held, a.stalled, a.has_begun)
         });
         GivenUp {
             answer: id,
             reason,
             held,
             stalled,
+            has_begun,
         }
     }
 
@@ -251,6 +269,7 @@
                 answer.stalled = Duration::ZERO;
             }
             answer.offered += n;
+            answer.has_begun = true;
         }
     }
 
@@ -264,7 +283,7 @@
     /// Records that the target has sent all of an answer.
     pub fn on_complete(&mut self, id: AnswerId) {
         if let Some(answer) = self.answers.get_mut(&id) {
-            answer.is_complete = true;
+            answer.stage = answer.stage.max(Stage::Complete);
         }
     }
 
@@ -313,7 +332,7 @@
         let step = now.since(self.last_tick).min(MAX_TICK);
         self.last_tick = now;
         let waiting = self.answers.iter_mut();
-        let waiting = waiting.filter(|(_, a)| a.offered > 0 && !a.is_given_up);
+        let waiting = waiting.filter(|(_, a)| a.offered > 0 && a.stage != Stage::GivenUp);
         let mut stalled = Vec::new();
         for (id, answer) in waiting {
             answer.stalled += step;
@@ -330,17 +349,19 @@
     /// Returns how much its caller holds up the router, in an order in which the first to be given up is the
     /// greatest; `None` if it can't be given up for others.
     ///
-    /// Callers that do not read come first, by bytes held times time without progress; then streams in
-    /// progress, by bytes held. A complete answer whose caller reads is delivered.
+    /// Callers that do not read come first, by bytes held times time without progress; then answers in
+    /// progress, by bytes held: a target may send without end. A complete answer whose caller reads is delivered.
     fn slowness(&self) -> Option<(bool, u128)> {
         let is_paused = self.stalled >= READING_PAUSE;
-        let may_be_given_up = self.offered > 0 && !self.is_given_up;
+        let is_in_progress = self.stage == Stage::InProgress;
+        let is_growing = is_in_progress && !self.is_stream && self.held > 0;
+        let may_be_given_up = self.stage != Stage::GivenUp && (self.offered > 0 || is_growing);
         let held = self.held as u128;
         match () {
             () if !may_be_given_up => None,
             () if is_paused => Some((true, held * self.stalled.as_millis())),
-            () if self.is_complete => None,
-            () => Some((false, held)),
+            () if is_in_progress => Some((false, held)),
+            () => None,
         }
     }
 }
--- a/tests/decisions/flow.rs
+++ b/tests/decisions/flow.rs
@@ -144,6 +144,30 @@
     assert_eq!(flow.held_of(ready), 500);
 }
 
+/// Guards against callers of streams that are given up one after the other, as a target sends a plain answer without end.
+#[rstest]
+#[case::of_its_account("a", GiveUpReason::AccountBound)]
+#[case::of_another_account("b", GiveUpReason::RouterBound)]
+fn a_plain_answer_without_end_is_refused_before_streams_that_are_read(
+    #[case] of: &str,
+    #[case] reason: GiveUpReason,
+) {
+    let mut flow = Flow::new(SMALL);
+    let streams: Vec<_> = (0..4).map(|_| stream(&mut flow, "a", 50)).collect();
+    let others = stream(&mut flow, "c", 250);
+    let endless = flow.open(Some(&account(of)), false);
+    assert_eq!(flow.hold(endless, 350), HoldVerdict::Held);
+    let growing = streams[0];
+    let verdict = flow.hold(growing, 201);
+    let HoldVerdict::GiveUp(callers) = verdict else {
+        panic!("{verdict:?}");
+    };
+    let given_up: Vec<_> = callers.iter().map(|c| (c.answer, c.reason)).collect();
+    assert_eq!(given_up, [(endless, reason)]);
+    assert!(!callers[0].has_begun, "so that its call can be refused");
+    assert_eq!(flow.held_of(others), 250);
+}
+
 /// Guards against a caller that reads nothing and stays below all bounds, and against giving up one that
 /// reads a little, or whose target sends nothing.
 #[test]
