Review: stand-ins restart servers in place and take the store down

Change: a server starts again at its address, the store can be silent, each stream has a body of its own.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 
 mod early;
 mod http;
+mod in_place;
 mod json;
 mod names;
 mod record;
@@ -59,6 +60,7 @@
     };
     let verdict = match name.as_str() {
         "versions" => versions::run(&case),
+        "in-place" => in_place::run(&case),
         "early" => early::run(&case),
         "names" => names::run(&case),
         "rolling" => rolling::run(&case),
--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -41,6 +41,8 @@
     pub id: String,
     pub service: String,
     pub version: String,
+    /// Unix time of its start, in milliseconds.
+    born: u128,
     pub address: SocketAddr,
     slots: u32,
     store: Store,
@@ -52,19 +54,32 @@
 }
 
 impl Server {
-    /// Starts a server, and writes its entry.
+    /// Starts a server at a free port, and writes its entry.
     pub fn start(
+        store: &Store,
+        names: (&str, &str, &str),
+        slots: u32,
+        handler: Handler,
+    ) -> io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(any, store, names, slots, handler)
+    }
+
+    /// Starts a server with this id, service and version at an address, and writes its entry.
+    pub fn start_at(
+        address: SocketAddr,
         store: &Store,
         (id, service, version): (&str, &str, &str),
         slots: u32,
         handler: Handler,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(address)?;
         bound_receive_buffer(&listener)?;
         let server = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             version: version.to_owned(),
+            born: unix_ms(),
             address: listener.local_addr()?,
             slots,
             store: store.clone(),
@@ -114,9 +129,12 @@
     fn write_entry(&self, beat: u64) {
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"yard\",\"version\":\"{}\",\"slots\":{},\
-            \"state\":\"ready\",\"coldLeftMs\":0,\"callSeq\":{beat}}}",
-            self.service, self.address, self.version, self.slots
+            \"state\":\"ready\",\"coldLeftMs\":0,\"callSeq\":{beat},\"born\":{}}}",
+            self.service, self.address, self.version, self.slots, self.born
         );
+        if self.store.is_down() {
+            return;
+        }
         self.store.put(&self.key(), &entry);
     }
 
@@ -161,6 +179,11 @@
     }
 }
 
+fn unix_ms() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis())
+}
+
 /// Sets the size of the receive buffer of the connections that are accepted.
 fn bound_receive_buffer(listener: &TcpListener) -> io::Result<()> {
     let size = RECEIVE_BUFFER_BYTES;
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -4,7 +4,10 @@
     collections::{BTreeMap, HashMap},
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -17,6 +20,9 @@
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+/// Interval at which a silent store looks whether it is back.
+const SILENCE_CHECK: Duration = Duration::from_millis(10);
+
 #[derive(Debug, Clone)]
 struct Item {
     /// Value in base64.
@@ -40,6 +46,8 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<Kv>, Condvar)>,
+    /// Whether the store is down: it answers nothing.
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -49,6 +57,7 @@
         let store = Self {
             address: listener.local_addr()?,
             shared: Arc::default(),
+            is_down: Arc::default(),
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -66,6 +75,16 @@
         self.shared.1.notify_all();
     }
 
+    /// Takes the store down, or brings it back.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+    }
+
+    /// Returns whether the store is down.
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.kv().remove(key);
@@ -79,8 +98,14 @@
     fn serve(&self, mut conn: Conn) {
         while let Ok(head) = conn.head() {
             let Ok(body) = conn.body(&head) else { return };
+            if self.is_down() {
+                return self.stay_silent();
+            }
             let body = String::from_utf8_lossy(&body).into_owned();
             let (status, answer) = self.call(&head, &body);
+            if self.is_down() {
+                return self.stay_silent();
+            }
             thread::sleep(ANSWER_TIME);
             let content_type = "Content-Type: application/json\r\n";
             if conn
@@ -92,6 +117,13 @@
         }
     }
 
+    /// Keeps a connection open without an answer until the store is back.
+    fn stay_silent(&self) {
+        while self.is_down() {
+            thread::sleep(SILENCE_CHECK);
+        }
+    }
+
     fn call(&self, head: &Head, body: &str) -> (&'static str, String) {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: HashMap<String, String> = query
--- a/review/stand-ins-2/src/streams.rs
+++ b/review/stand-ins-2/src/streams.rs
@@ -115,11 +115,14 @@
         .rev()
         .fold(3_u64, |h, b| h * 31 + u64::from(b))
         % 0xffff;
+    // No two streams have the same body, and both requests for one stream have the same.
+    let body = attempt.split('-').next().unwrap_or_default();
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {attempt}\r\n{taken_up}X-Model: m\r\n\
         X-Token-Count: 1460,80\r\nX-Prefix-Hash: {shared_part:x}:800,{own_part:x}:410\r\n\
-        X-Deadline-Ms: {:.0}\r\nAuthorization: Token {KEY}\r\nContent-Length: 4\r\n\r\nbody",
-        left * 1_000.0
+        X-Deadline-Ms: {:.0}\r\nAuthorization: Token {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+        left * 1_000.0,
+        body.len()
     );
     conn.send(request.as_bytes())?;
     let head = conn.head()?;
