versions: a router that starts learns which versions left the list

Cause: what left the list was known only to routers that had seen it leave. One that had just started took the single version of its list for the one that had begun all streams, and asked nobody for their origins.

Change: datagrams carry the versions that left a moment ago with the time since, as does the saved state, which is written when a version leaves or its time is over. In its first minute a router asks for origins also where it sees one version; where nobody knows, one version is enough as before.

Why it works: the knowledge outlives the routers that saw the version leave, whether they restart one by one (datagrams) or all at once (saved state), and keeps its age, so that it ends when it would have ended with them.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -18,7 +18,7 @@
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
     pools::Pools,
-    service_versions::ServiceVersions,
+    service_versions::{ServiceVersions, VersionNotice},
     stream_origin::{ServiceHash, StreamOrigin},
     units::{Instant, StoreRevision},
 };
@@ -351,6 +351,21 @@
         self.versions.is_mixed(now, service)
     }
 
+    /// Applies versions that left the list before this router saw it, or that it did not see leave.
+    pub fn on_version_notices(&mut self, now: Instant, notices: &[VersionNotice]) {
+        self.versions.on_notices(now, notices);
+    }
+
+    /// Returns the versions that left the list a moment ago, to pass on to other routers.
+    pub fn version_notices(&self, now: Instant) -> Vec<VersionNotice> {
+        self.versions.notices(now)
+    }
+
+    /// Returns a number that differs once other versions count, or others have targets in the list.
+    pub fn version_changes(&self) -> u64 {
+        self.versions.changes()
+    }
+
     /// Returns the targets of a service that began to leave less than `within` ago: they serve on for a
     /// while. At most those of the last seconds are known.
     pub fn leaving(
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -292,6 +292,7 @@
         share_sums: Vec::new(),
         brittle: cx.dispatcher.borrow().brittle.notices(now),
         cleared: cx.dispatcher.borrow().quarantine.clear_notices(now),
+        versions: cx.dispatcher.borrow().discovery.version_notices(now),
     }
 }
 
@@ -355,6 +356,8 @@
     if !shares.is_empty() {
         (dispatcher.shares).on_reports(now, &received.vm, &received.hall, shares);
     }
+    let discovery = &mut dispatcher.discovery;
+    discovery.on_version_notices(now, &received.versions);
     let brittle = dispatcher.brittle.on_notices(now, &received.brittle);
     if brittle > 0 {
         info!(cx.log, "brittle"; "peer" => %received.vm, "targets" => brittle);
--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -1,5 +1,5 @@
-//! State that routers save in the store: the targets and the prompts that these have read, for routers
-//! that start when no other is running, and the address of a router that knows no other.
+//! State that routers save in the store, for routers that start when no other is running: the targets, the
+//! prompts that these have read and versions that left the list. Also the address of a router that knows no other.
 
 use std::{rc::Rc, time::Duration};
 
@@ -13,6 +13,7 @@
     ids::{ServiceName, TargetId},
     prompt_cache::PromptPart,
     prompt_snapshot::PromptSnapshot,
+    service_versions::VersionNotice,
     store::{StoreError, own},
 };
 
@@ -42,6 +43,8 @@
     targets: Vec<TargetRecord>,
     /// Mean time for which a call occupies a slot, by service.
     slot_times: Vec<(ServiceName, Duration)>,
+    /// Versions that left the list a moment before.
+    versions: Vec<VersionNotice>,
 }
 
 /// Decodes the saved state; returns an empty one if another version saved it.
@@ -60,8 +63,12 @@
 pub(super) fn restore(cx: &Gateway, saved: SavedState, is_first: bool) {
     let now = cx.now();
     let mut dispatcher = cx.dispatcher.borrow_mut();
+    let discovery = &mut dispatcher.discovery;
     let expired = match is_first && !cx.cfg.own_config {
-        true => dispatcher.discovery.on_saved_targets(now, saved.targets),
+        true => {
+            discovery.on_version_notices(now, &saved.versions);
+            discovery.on_saved_targets(now, saved.targets)
+        }
         false => Vec::new(),
     };
     for (service, slot_time) in &saved.slot_times {
@@ -69,40 +76,56 @@
             .admission
             .on_restored_slot_time(service, *slot_time);
     }
-    info!(cx.log, "restored saved prompts"; "parts" => saved.prompts.len(), "lapsed_targets" => expired.len());
+    info!(cx.log, "restored saved prompts"; "parts" => saved.prompts.len(), "lapsed_targets" => expired.len(),
+        "versions" => saved.versions.len());
     for (id, tokens, target) in saved.prompts.part_locations() {
         let part = PromptPart { id, tokens };
         dispatcher.cache.on_peer(&target, part, false);
     }
 }
 
-/// Saves periodically which prompts the targets have read; one router does so for the whole fleet.
+/// Saves the state periodically if it changed; one router does so for the whole fleet.
 pub(super) async fn save(cx: Rc<Gateway>) {
+    // Number of version changes that are saved.
+    let mut saved: Option<u64> = None;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
-        let is_owner = cx.peers.borrow().is_owner_of(cx.now(), "prompts");
-        let changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
-        if !is_owner || !changed {
+        let prompts_changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
+        if !cx.peers.borrow().is_owner_of(cx.now(), "prompts") {
+            saved = None;
             continue;
         }
         let state = snapshot(&cx);
-        let result = match postcard::to_stdvec(&state) {
-            Ok(bytes) if bytes.len() <= MAX_SAVED_BYTES => {
-                cx.store.put(own::PROMPTS_KEY, bytes).await
+        let changes = cx.dispatcher.borrow().discovery.version_changes();
+        // A router that starts learns from the list of versions that have targets there.
+        let versions_changed =
+            saved.map_or_else(|| !state.versions.is_empty(), |before| before != changes);
+        if !prompts_changed && !versions_changed {
+            saved = Some(changes);
+            continue;
+        }
+        match write(&cx, &state).await {
+            Ok(()) => saved = Some(changes),
+            Err(e) => {
+                info!(cx.log, "prompts not saved"; "parts" => state.prompts.len(), "why" => %e);
             }
-            Ok(bytes) => Err(StoreError::InvalidResponse(format!(
-                "{} bytes exceed the size limit of the saved prompts",
-                bytes.len()
-            ))),
-            Err(e) => Err(StoreError::InvalidResponse(e.to_string())),
-        };
-        cx.metrics.on_store_call("save");
-        if let Err(e) = result {
-            info!(cx.log, "prompts not saved"; "parts" => state.prompts.len(), "why" => %e);
         }
     }
 }
 
+async fn write(cx: &Gateway, state: &SavedState) -> Result<(), StoreError> {
+    let result = match postcard::to_stdvec(state) {
+        Ok(bytes) if bytes.len() <= MAX_SAVED_BYTES => cx.store.put(own::PROMPTS_KEY, bytes).await,
+        Ok(bytes) => Err(StoreError::InvalidResponse(format!(
+            "{} bytes exceed the size limit of the saved prompts",
+            bytes.len()
+        ))),
+        Err(e) => Err(StoreError::InvalidResponse(e.to_string())),
+    };
+    cx.metrics.on_store_call("save");
+    result
+}
+
 fn snapshot(cx: &Gateway) -> SavedState {
     let dispatcher = cx.dispatcher.borrow();
     let has_read = |id: &TargetId| dispatcher.cache.cached_tokens(id).0 > 0;
@@ -111,6 +134,7 @@
         prompts: PromptSnapshot::new(&dispatcher.cache.shared_parts()),
         targets: dispatcher.discovery.targets_to_save(has_read),
         slot_times: slot_times.map(|(s, time)| (s.clone(), time)).collect(),
+        versions: dispatcher.discovery.version_notices(cx.now()),
     }
 }
 
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -19,6 +19,7 @@
     discovery::TargetRecord,
     ids::{ClientAccountId, ServiceName},
     membership::datagram::Message,
+    service_versions::VERSION_TTL,
     stream_origin::{OriginNotice, ServiceHash, StreamKey, StreamOrigin, StreamProgress},
 };
 
@@ -124,10 +125,11 @@
     let has_mixed = (route.split.iter()).any(|(service, _)| is_mixed(cx, service.into()));
     let (origin, source) = match known {
         Some(origin) => (Origin::Known(origin), "here"),
-        None if !has_mixed => (Origin::Unknown, "one version"),
+        None if !has_mixed && !is_young(cx) => (Origin::Unknown, "one version"),
         None => match ask_owners(cx, stream).await {
             Some(origin) => (Origin::Known(origin), "a peer"),
-            None => (Origin::Unknown, "nobody"),
+            None if has_mixed => (Origin::Unknown, "nobody"),
+            None => (Origin::Unknown, "one version"),
         },
     };
     cx.metrics.streams.on_taken_up(source);
@@ -140,6 +142,11 @@
     origin
 }
 
+/// Whether this router may not know yet which versions left the list before it started.
+fn is_young(cx: &Gateway) -> bool {
+    cx.now().0 < VERSION_TTL
+}
+
 /// Returns the facts of a call that takes up a stream, its route and its account, if it would be admitted.
 fn parse(
     cx: &Gateway,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,7 +69,7 @@
 mod reply;
 pub mod result_code;
 pub mod retry;
-mod service_versions;
+pub mod service_versions;
 pub mod settings;
 pub mod slot_gate;
 pub mod spans;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -10,6 +10,7 @@
     outages::OutageNotice,
     prompt_cache::PartId,
     quarantine::{ClearNotice, CrashNotice, QuarantineNotice},
+    service_versions::VersionNotice,
     stream_origin::OriginNotice,
     target_counts::{TargetCounts, TargetHash},
     units::{ConfigVersion, StoreRevision, Tokens},
@@ -84,7 +85,7 @@
         /// Granted share.
         grant: Grant,
     },
-    /// Origins of streams whose keys the receiver owns.
+    /// Origins of streams of which the receiver keeps a copy.
     StreamOrigins(Vec<OriginNotice>),
 }
 
@@ -149,4 +150,6 @@
     pub brittle: Vec<BrittleNotice>,
     /// Suspected parts of prompts that targets answered; usually empty.
     pub cleared: Vec<ClearNotice>,
+    /// Software versions that left the list of targets a moment ago; usually empty.
+    pub versions: Vec<VersionNotice>,
 }
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -1,9 +1,13 @@
 //! Software versions of the targets of each service, of those in the list and of those that left it a
 //! moment ago.
+//!
+//! The list says nothing of versions that left it. A router that starts learns of them from the saved state
+//! and from its peers, each with the time since it left.
 
 use std::{collections::HashMap, time::Duration};
 
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     stream_origin::{ServiceHash, StreamOrigin},
@@ -13,45 +17,102 @@
 
 /// Time after its last target left the list for which a version still counts. A target serves on for some
 /// seconds, and callers take up its streams soon after they break off.
-const VERSION_TTL: Duration = Duration::from_mins(1);
+pub const VERSION_TTL: Duration = Duration::from_mins(1);
+
+/// Addition to the age of a version that is passed on, more than its transmission takes. Otherwise a version
+/// that routers pass to one another would never expire.
+const TRANSMISSION_MARGIN: Duration = Duration::from_millis(100);
+
+/// Maximum number of versions that are passed on at once, in less than a kilobyte.
+const MAX_NOTICES: usize = 64;
+
+/// A version without targets in the list, as routers tell it to one another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionNotice {
+    version: StreamOrigin,
+    /// Time since its last target left the list, in milliseconds.
+    age_ms: u32,
+}
 
 /// Targets of one version.
 #[derive(Debug, Default)]
 struct VersionUse {
     /// Number of targets in the list.
     targets: usize,
-    /// When the last one left the list.
-    left_at: Instant,
+    /// Until when it counts if it has no target in the list.
+    counts_until: Instant,
+}
+
+impl VersionUse {
+    fn counts(&self, now: Instant) -> bool {
+        self.targets > 0 || now < self.counts_until
+    }
 }
 
 /// Versions that may have begun streams which are still in progress.
 #[derive(Debug, Default)]
-pub(crate) struct ServiceVersions(HashMap<ServiceHash, FxHashMap<StreamOrigin, VersionUse>>);
+pub(crate) struct ServiceVersions {
+    by_service: HashMap<ServiceHash, FxHashMap<StreamOrigin, VersionUse>>,
+    /// Number of changes in which versions count and which of them have targets.
+    changes: u64,
+}
 
 impl ServiceVersions {
     /// Records a target that is now in the list.
     pub(crate) fn on_listed(&mut self, target: &TargetRecord) {
-        self.version(target).targets += 1;
+        let version = self.version(target.into());
+        version.targets += 1;
+        self.changes += u64::from(version.targets == 1);
     }
 
     /// Records a target that is no longer in the list.
     pub(crate) fn on_delisted(&mut self, now: Instant, target: &TargetRecord) {
-        let version = self.version(target);
+        let version = self.version(target.into());
         version.targets = version.targets.saturating_sub(1);
-        version.left_at = now;
+        version.counts_until = now + VERSION_TTL;
+        self.changes += u64::from(version.targets == 0);
     }
 
     /// Records a target that was in the list before this router started.
     pub(crate) fn on_former(&mut self, now: Instant, target: &TargetRecord) {
-        let version = self.version(target);
-        version.left_at = version.left_at.max(now);
+        self.count_until(now, target.into(), now + VERSION_TTL);
+    }
+
+    /// Records versions that left the list according to another router, or to one of an earlier time.
+    pub(crate) fn on_notices(&mut self, now: Instant, notices: &[VersionNotice]) {
+        for notice in notices {
+            let age = Duration::from_millis(u64::from(notice.age_ms)) + TRANSMISSION_MARGIN;
+            let until = now + VERSION_TTL.saturating_sub(age);
+            if now < until {
+                self.count_until(now, notice.version, until);
+            }
+        }
+    }
+
+    /// Returns the versions that left the list a moment ago, to pass on.
+    pub(crate) fn notices(&self, now: Instant) -> Vec<VersionNotice> {
+        let versions = self.by_service.values().flatten();
+        let left = versions.filter(|(_, u)| u.targets == 0 && u.counts(now));
+        let notice = |(version, u): (&StreamOrigin, &VersionUse)| VersionNotice {
+            version: *version,
+            age_ms: VERSION_TTL
+                .saturating_sub(u.counts_until.since(now))
+                .as_millis() as u32,
+        };
+        left.map(notice).take(MAX_NOTICES).collect()
+    }
+
+    /// Returns a number that differs once other versions count, or others have targets in the list.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Returns the versions of a service that have targets, or had some a moment ago.
     fn recent(&self, now: Instant, service: ServiceHash) -> impl Iterator<Item = StreamOrigin> {
-        let versions = self.0.get(&service).into_iter().flatten();
-        let is_recent = move |u: &VersionUse| u.targets > 0 || now.since(u.left_at) < VERSION_TTL;
-        versions.filter(move |(_, u)| is_recent(u)).map(|(v, _)| *v)
+        let versions = self.by_service.get(&service).into_iter().flatten();
+        versions
+            .filter(move |(_, u)| u.counts(now))
+            .map(|(v, _)| *v)
     }
 
     /// Returns the version that began all streams of a service which may be in progress; `None` if there are
@@ -69,15 +130,25 @@
 
     /// Forgets versions whose time is over.
     pub(crate) fn on_tick(&mut self, now: Instant) {
-        self.0.retain(|_, versions| {
-            versions.retain(|_, u| u.targets > 0 || now.since(u.left_at) < VERSION_TTL);
+        let changes = &mut self.changes;
+        self.by_service.retain(|_, versions| {
+            let before = versions.len();
+            versions.retain(|_, u| u.counts(now));
+            *changes += u64::from(versions.len() < before);
             !versions.is_empty()
         });
     }
 
-    fn version(&mut self, target: &TargetRecord) -> &mut VersionUse {
-        let origin = StreamOrigin::from(target);
-        let versions = self.0.entry(origin.service).or_default();
+    /// Lets a version count until an instant, or longer if it does already.
+    fn count_until(&mut self, now: Instant, origin: StreamOrigin, until: Instant) {
+        let version = self.version(origin);
+        let is_new = !version.counts(now);
+        version.counts_until = version.counts_until.max(until);
+        self.changes += u64::from(is_new);
+    }
+
+    fn version(&mut self, origin: StreamOrigin) -> &mut VersionUse {
+        let versions = self.by_service.entry(origin.service).or_default();
         versions.entry(origin).or_default()
     }
 }
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -125,6 +125,65 @@
     assert_eq!(sole, None);
 }
 
+/// Returns a dispatcher whose list has one target of v2, and had one of v1 until 100 ms.
+fn v1_left_at_100_ms() -> Dispatcher {
+    let mut dispatcher = dispatcher(0);
+    for (n, version) in ["v1", "v2"].into_iter().enumerate() {
+        let target = with_version(n, version, TargetState::Ready);
+        put(&mut dispatcher, 0, 2, target);
+    }
+    let removed = ListChange::Removed(record(0).id.to_name());
+    let revision = StoreRevision::first_era(3);
+    dispatcher.discovery.on_change(at(100), removed, revision);
+    dispatcher
+}
+
+/// Returns a dispatcher of a router that has just started, whose list has one target of v2.
+fn started() -> Dispatcher {
+    let mut dispatcher = dispatcher(0);
+    let target = with_version(1, "v2", TargetState::Ready);
+    put(&mut dispatcher, 0, 4, target);
+    dispatcher
+}
+
+/// Guards against ORDER where routers restart in turn, faster than a version is forgotten: each learns of it from
+/// the one before, and none of them knows it for longer.
+#[test]
+fn a_version_that_left_is_known_after_restarts_in_turn_and_for_no_longer() {
+    let mut notices = v1_left_at_100_ms().discovery.version_notices(at(5_100));
+    // Each router runs for five seconds, and its clock begins at its start.
+    for restart in 1..=10 {
+        let mut next = started();
+        next.discovery.on_version_notices(at(10), &notices);
+        let is_mixed = |ms| next.discovery.has_mixed_versions(at(ms), service());
+        assert!(is_mixed(5_000), "restart {restart}");
+        notices = next.discovery.version_notices(at(5_010));
+        assert_eq!(notices.len(), 1);
+    }
+    let mut last = started();
+    last.discovery.on_version_notices(at(10), &notices);
+    assert!(!last.discovery.has_mixed_versions(at(5_100), service()));
+    assert!(last.discovery.version_notices(at(5_100)).is_empty());
+}
+
+/// Routers that tell each other of a version must not keep it for ever.
+#[test]
+fn a_version_that_routers_tell_one_another_of_expires() {
+    let (mut a, mut b) = (v1_left_at_100_ms(), started());
+    for ms in (200..70_000).step_by(100) {
+        let (of_a, of_b) = (
+            a.discovery.version_notices(at(ms)),
+            b.discovery.version_notices(at(ms)),
+        );
+        // A datagram takes 50 ms.
+        b.discovery.on_version_notices(at(ms + 50), &of_a);
+        a.discovery.on_version_notices(at(ms + 50), &of_b);
+    }
+    for router in [&a, &b] {
+        assert!(!router.discovery.has_mixed_versions(at(70_000), service()));
+    }
+}
+
 #[test]
 fn origins_are_told_twice_and_only_while_versions_are_mixed() {
     let mut origins = StreamOrigins::default();
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -76,6 +76,7 @@
         crashes: Vec::new(),
         quarantined: Vec::new(),
         cleared: Vec::new(),
+        versions: Vec::new(),
         member_digests: Vec::new(),
         exchange: Some(exchange),
         rates: Vec::new(),
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -182,6 +182,7 @@
             crashes: Vec::new(),
             quarantined: Vec::new(),
             cleared: Vec::new(),
+            versions: Vec::new(),
             member_digests: Vec::new(),
             exchange: None,
             rates: Vec::new(),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -58,6 +58,7 @@
         crashes: Vec::new(),
         quarantined: Vec::new(),
         cleared: Vec::new(),
+        versions: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -78,6 +78,7 @@
         crashes: Vec::new(),
         quarantined: Vec::new(),
         cleared: Vec::new(),
+        versions: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
