replicas: origins of streams outlive restarts of all that know them

Cause: an origin was sent to three routers when its stream began, and never again. Routers that stop were neither told nor asked, though they serve for eight seconds more; no copy took the place of one that was lost; holders were computed anew at each lookup, so that those who know were not asked.

The line has the number of routers asked and answered now, which tells "they don't know" from "they don't answer".

Change: `replicas` keeps who holds a copy of a key and who is still to be sent it. Each router that knows an origin sends it, with its age, to those that become holders, on a stop, a death or a start. Where all stop, they hold for one another. Lookups ask stopping and dead routers of the last ten seconds as well. A stream that is taken up is told like one that begins. In small fleets the router that saves the state is told all origins and saves them, for a restart of all at once. The test of the bounded queue counts 16,384 streams instead of 4,096: all that is known may have to be sent again.

Nothing is refused where there was one version; nothing is joined.

--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -1,5 +1,6 @@
 //! State that routers save in the store, for routers that start when no other is running: the targets, the
-//! prompts that these have read and versions that left the list. Also the address of a router that knows no other.
+//! prompts that these have read, versions that left the list and the origins of streams. Also the address of a
+//! router that knows no other.
 
 use std::{rc::Rc, time::Duration};
 
@@ -7,14 +8,16 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use super::gateway::Gateway;
+use super::{gateway::Gateway, stream_origins};
 use crate::{
     discovery::TargetRecord,
     ids::{ServiceName, TargetId},
+    lifecycle::Phase,
     prompt_cache::PromptPart,
     prompt_snapshot::PromptSnapshot,
     service_versions::VersionNotice,
     store::{StoreError, own},
+    stream_origin::{OriginNotice, StreamKey},
 };
 
 /// Time after its start for which a router waits for another one before it writes its address to the
@@ -45,6 +48,8 @@
     slot_times: Vec<(ServiceName, Duration)>,
     /// Versions that left the list a moment before.
     versions: Vec<VersionNotice>,
+    /// Origins of streams of services with several versions.
+    origins: Vec<OriginNotice>,
 }
 
 /// Decodes the saved state; returns an empty one if another version saved it.
@@ -55,6 +60,20 @@
     })
 }
 
+impl SavedState {
+    /// Whether it has what a router that starts can't learn from the list of targets.
+    fn has_history(&self) -> bool {
+        !self.versions.is_empty() || !self.origins.is_empty()
+    }
+}
+
+/// What of the state was saved last, to notice that it changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SavedMarks {
+    version_changes: u64,
+    latest_origin: Option<StreamKey>,
+}
+
 /// Restores the saved state after a list of targets.
 ///
 /// `is_first` is set for the first list since this router started: only then are saved targets
@@ -62,6 +81,7 @@
 /// own configuration defines its targets itself, so none are restored with it.
 pub(super) fn restore(cx: &Gateway, saved: SavedState, is_first: bool) {
     let now = cx.now();
+    stream_origins::on_notices(cx, &saved.origins);
     let mut dispatcher = cx.dispatcher.borrow_mut();
     let discovery = &mut dispatcher.discovery;
     let expired = match is_first && !cx.cfg.own_config {
@@ -77,7 +97,7 @@
             .on_restored_slot_time(service, *slot_time);
     }
     info!(cx.log, "restored saved prompts"; "parts" => saved.prompts.len(), "lapsed_targets" => expired.len(),
-        "versions" => saved.versions.len());
+        "versions" => saved.versions.len(), "origins" => saved.origins.len());
     for (id, tokens, target) in saved.prompts.part_locations() {
         let part = PromptPart { id, tokens };
         dispatcher.cache.on_peer(&target, part, false);
@@ -86,26 +106,26 @@
 
 /// Saves the state periodically if it changed; one router does so for the whole fleet.
 pub(super) async fn save(cx: Rc<Gateway>) {
-    // Number of version changes that are saved.
-    let mut saved: Option<u64> = None;
+    let mut saved: Option<SavedMarks> = None;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
         let prompts_changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
-        if !cx.peers.borrow().is_owner_of(cx.now(), "prompts") {
+        if !is_keeper(&cx) {
             saved = None;
             continue;
         }
         let state = snapshot(&cx);
-        let changes = cx.dispatcher.borrow().discovery.version_changes();
-        // A router that starts learns from the list of versions that have targets there.
-        let versions_changed =
-            saved.map_or_else(|| !state.versions.is_empty(), |before| before != changes);
-        if !prompts_changed && !versions_changed {
-            saved = Some(changes);
+        let marks = SavedMarks {
+            version_changes: cx.dispatcher.borrow().discovery.version_changes(),
+            latest_origin: state.origins.first().map(|o| o.stream),
+        };
+        let history_changed = saved.map_or_else(|| state.has_history(), |before| before != marks);
+        if !prompts_changed && !history_changed {
+            saved = Some(marks);
             continue;
         }
         match write(&cx, &state).await {
-            Ok(()) => saved = Some(changes),
+            Ok(()) => saved = Some(marks),
             Err(e) => {
                 info!(cx.log, "prompts not saved"; "parts" => state.prompts.len(), "why" => %e);
             }
@@ -113,6 +133,12 @@
     }
 }
 
+/// Whether this router writes the state of the fleet.
+fn is_keeper(cx: &Gateway) -> bool {
+    let is_stopping = cx.phase() != Phase::Serving;
+    cx.peers.borrow().is_keeper(cx.now(), is_stopping)
+}
+
 async fn write(cx: &Gateway, state: &SavedState) -> Result<(), StoreError> {
     let result = match postcard::to_stdvec(state) {
         Ok(bytes) if bytes.len() <= MAX_SAVED_BYTES => cx.store.put(own::PROMPTS_KEY, bytes).await,
@@ -127,6 +153,7 @@
 }
 
 fn snapshot(cx: &Gateway) -> SavedState {
+    let origins = stream_origins::to_save(cx);
     let dispatcher = cx.dispatcher.borrow();
     let has_read = |id: &TargetId| dispatcher.cache.cached_tokens(id).0 > 0;
     let slot_times = dispatcher.admission.mean_slot_times();
@@ -135,6 +162,7 @@
         targets: dispatcher.discovery.targets_to_save(has_read),
         slot_times: slot_times.map(|(s, time)| (s.clone(), time)).collect(),
         versions: dispatcher.discovery.version_notices(cx.now()),
+        origins,
     }
 }
 
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -1,8 +1,8 @@
 //! Tells other routers which software version began a stream, and asks them for the origin of one that its
 //! caller takes up.
 //!
-//! The few routers that own a stream's key are told. They answer also where the router that began the
-//! stream is gone.
+//! The few routers that hold a stream's key are told. They answer also where the router that began the
+//! stream is gone, and tell those that take the place of one of them.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -18,17 +18,31 @@
     dialect::{CallInfo, Refusal},
     discovery::TargetRecord,
     ids::{ClientAccountId, ServiceName},
+    lifecycle::Phase,
     membership::datagram::Message,
+    replicas::Holder,
     service_versions::VERSION_TTL,
     stream_origin::{OriginNotice, ServiceHash, StreamKey, StreamOrigin, StreamProgress},
 };
 
-/// Number of routers that are told the origin of a stream, beside the one that began it.
-const OWNERS: usize = 3;
-
 /// Interval at which origins are sent that were not sent at once.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Part of the interval per router of the fleet at which copies are completed after other routers became
+/// holders. A router that joins a large fleet is sent copies by all others.
+const REPAIR_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(2);
+
+/// Number of origins that are sent at once as a stream begins, and at each interval: at most half a megabyte a
+/// second where other routers become holders of all that is known here.
+const SENDS_PER_BEGIN: usize = 64;
+const SENDS_PER_INTERVAL: usize = 2_048;
+
+/// Maximum number of origins in one datagram, which fits into one packet.
+const MAX_NOTICES_PER_DATAGRAM: usize = 56;
+
+/// Maximum number of origins that are saved, in less than a hundred kilobytes.
+const MAX_SAVED: usize = 4_096;
+
 /// Maximum time to wait for the answers of other routers about a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -68,44 +82,68 @@
     discovery.has_mixed_versions(cx.now(), service)
 }
 
-/// Sends the origins of streams to the routers that own their keys until the router ends.
+/// Sends the origins of streams to the routers that hold their keys until the router ends.
 pub(super) async fn send_notices(cx: Rc<Gateway>, udp: Rc<UdpSocket>) {
+    let mut repaired_at = cx.now();
+    let mut next_interval = tokio::time::Instant::now();
     loop {
-        tokio::select! {
-            () = cx.origins_changed.notified() => {}
-            () = tokio::time::sleep(RESEND_INTERVAL) => {}
-        }
-        let notices = {
-            let mut origins = cx.stream_origins.borrow_mut();
-            origins.take_notices(cx.now(), |service| is_mixed(&cx, service))
+        let limit = tokio::select! {
+            () = cx.origins_changed.notified() => SENDS_PER_BEGIN,
+            () = tokio::time::sleep_until(next_interval) => SENDS_PER_INTERVAL,
         };
-        cx.metrics
-            .streams
-            .origins_known
-            .set(cx.stream_origins.borrow().len() as i64);
-        let mut by_owner: FxHashMap<SocketAddr, Vec<OriginNotice>> = FxHashMap::default();
-        for notice in notices {
-            for owner in owners(&cx, notice.stream) {
-                by_owner.entry(owner).or_default().push(notice);
-            }
+        if limit == SENDS_PER_INTERVAL {
+            next_interval = tokio::time::Instant::now() + RESEND_INTERVAL;
         }
-        for (owner, notices) in by_owner {
-            cx.metrics.streams.origins_sent.inc_by(notices.len() as u64);
-            let message: Message = Message::StreamOrigins(notices);
-            gossip::send_message(&cx, &udp, &message, owner);
+        let now = cx.now();
+        let routers = cx.peers.borrow().fleet_size() as u32;
+        let interval = RESEND_INTERVAL.max(REPAIR_INTERVAL_PER_ROUTER * routers);
+        if now.since(repaired_at) >= interval {
+            repaired_at = now;
+            let holders = state_holders(&cx);
+            cx.stream_origins.borrow_mut().on_holders(now, holders);
         }
+        send_due(&cx, &udp, limit);
     }
 }
 
-/// Handles origins of streams that a peer began.
-pub(super) fn on_notices(cx: &Gateway, notices: &[OriginNotice]) {
-    cx.stream_origins.borrow_mut().on_notices(cx.now(), notices);
+/// Returns origins to save, latest first.
+pub(super) fn to_save(cx: &Gateway) -> Vec<OriginNotice> {
+    let origins = cx.stream_origins.borrow();
+    let of_mixed = origins.to_save(cx.now(), |service| is_mixed(cx, service));
+    of_mixed.take(MAX_SAVED).collect()
+}
+
+/// Returns the routers that may hold copies of origins now.
+fn state_holders(cx: &Gateway) -> Vec<Holder> {
+    let is_stopping = cx.phase() != Phase::Serving;
+    cx.peers.borrow().state_holders(cx.now(), is_stopping)
+}
+
+fn send_due(cx: &Gateway, udp: &UdpSocket, limit: usize) {
+    let notices = {
+        let mut origins = cx.stream_origins.borrow_mut();
+        origins.take_notices(cx.now(), limit, |service| is_mixed(cx, service))
+    };
+    cx.metrics
+        .streams
+        .origins_known
+        .set(cx.stream_origins.borrow().len() as i64);
+    let mut by_holder: FxHashMap<SocketAddr, Vec<OriginNotice>> = FxHashMap::default();
+    for (holder, notice) in notices {
+        by_holder.entry(holder).or_default().push(notice);
+    }
+    for (holder, notices) in by_holder {
+        cx.metrics.streams.origins_sent.inc_by(notices.len() as u64);
+        for chunk in notices.chunks(MAX_NOTICES_PER_DATAGRAM) {
+            let message: Message = Message::StreamOrigins(chunk.to_vec());
+            gossip::send_message(cx, udp, &message, holder);
+        }
+    }
 }
 
-/// Returns the other routers that know the origin of a stream.
-fn owners(cx: &Gateway, stream: StreamKey) -> Vec<SocketAddr> {
-    let peers = cx.peers.borrow();
-    peers.owners_of(cx.now(), &stream.to_string(), OWNERS)
+/// Handles origins of streams that a peer knows.
+pub(super) fn on_notices(cx: &Gateway, notices: &[OriginNotice]) {
+    cx.stream_origins.borrow_mut().on_notices(cx.now(), notices);
 }
 
 /// Finds out which version began the stream that a call takes up. Other routers are asked if the version
@@ -123,23 +161,31 @@
     let stream = StreamKey::new(account.as_ref(), resumes);
     let known = cx.stream_origins.borrow().get(cx.now(), stream);
     let has_mixed = (route.split.iter()).any(|(service, _)| is_mixed(cx, service.into()));
-    let (origin, source) = match known {
-        Some(origin) => (Origin::Known(origin), "here"),
-        None if !has_mixed && !is_young(cx) => (Origin::Unknown, "one version"),
-        None => match ask_owners(cx, stream).await {
-            Some(origin) => (Origin::Known(origin), "a peer"),
-            None if has_mixed => (Origin::Unknown, "nobody"),
-            None => (Origin::Unknown, "one version"),
-        },
+    let lookup = match known {
+        Some(origin) => Lookup::known_here(origin),
+        None if !has_mixed && !is_young(cx) => Lookup::default(),
+        None => ask_holders(cx, stream).await,
     };
-    cx.metrics.streams.on_taken_up(source);
-    let named = match origin {
-        Origin::Known(origin) => Some(origin.to_string()),
-        _ => None,
+    let source = match lookup {
+        Lookup { asked: 0, .. } if known.is_some() => "here",
+        Lookup {
+            origin: Some(_), ..
+        } => "a peer",
+        _ if has_mixed => "nobody",
+        _ => "one version",
     };
+    if let Some(origin) = lookup.origin {
+        // The caller may lose its connection again, at this router or with it.
+        let mut origins = cx.stream_origins.borrow_mut();
+        origins.on_begun(cx.now(), stream, origin);
+        cx.origins_changed.notify_one();
+    }
+    cx.metrics.streams.on_taken_up(source);
     info!(cx.log, "stream taken up"; "id" => incoming.id.as_deref(), "resumes" => resumes,
-        "after_event" => facts.last_event_id, "origin" => named, "known_by" => source);
-    origin
+        "after_event" => facts.last_event_id, "origin" => lookup.origin.map(|o| o.to_string()),
+        "known_by" => source, "asked" => lookup.asked, "answered" => lookup.answered,
+        "holders" => cx.stream_origins.borrow().holder_count());
+    lookup.origin.map_or(Origin::Unknown, Origin::Known)
 }
 
 /// Whether this router may not know yet which versions left the list before it started.
@@ -161,20 +207,51 @@
     Some((facts, route, key_owner.map(|owner| owner.account)))
 }
 
-/// Asks the routers that own a stream's key; the first that knows the origin decides.
-async fn ask_owners(cx: &Gateway, stream: StreamKey) -> Option<StreamOrigin> {
-    let asked: FuturesUnordered<_> = owners(cx, stream)
+/// What was found out about the origin of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lookup {
+    origin: Option<StreamOrigin>,
+    /// Number of routers that were asked.
+    asked: usize,
+    /// Number of them that answered before one of them knew, or in time.
+    answered: usize,
+}
+
+impl Lookup {
+    fn known_here(origin: StreamOrigin) -> Self {
+        Self {
+            origin: Some(origin),
+            ..Self::default()
+        }
+    }
+}
+
+/// Asks the routers that hold a stream's key, or held it a moment ago; the first that knows the origin decides.
+async fn ask_holders(cx: &Gateway, stream: StreamKey) -> Lookup {
+    let holders = {
+        let peers = cx.peers.borrow();
+        peers.former_holders(cx.now(), &stream.to_string())
+    };
+    let mut lookup = Lookup {
+        asked: holders.len(),
+        ..Lookup::default()
+    };
+    let mut answers: FuturesUnordered<_> = holders
         .into_iter()
-        .map(|owner| peer_calls::fetch_origin(owner, stream))
+        .map(|holder| peer_calls::fetch_origin(holder, stream))
         .collect();
-    let known = asked.filter_map(async |answer| answer.ok().flatten());
-    let mut known = std::pin::pin!(known);
-    let first = tokio::time::timeout(LOOKUP_TIMEOUT, known.next()).await;
-    let origin = first.ok().flatten()?;
-    // The caller may lose its connection again.
-    let notice = OriginNotice { stream, origin };
-    on_notices(cx, &[notice]);
-    Some(origin)
+    let first_known = async {
+        while let Some(answer) = answers.next().await {
+            lookup.answered += usize::from(answer.is_ok());
+            lookup.origin = answer.ok().flatten();
+            if lookup.origin.is_some() {
+                return;
+            }
+        }
+    };
+    // Without an answer in time, nobody knows.
+    let _ = tokio::time::timeout(LOOKUP_TIMEOUT, first_known).await;
+    lookup
 }
 
 /// Returns the service of a route that serves a call: that of the stream which the call takes up, or the one
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod feeders;
 pub mod first_read;
 pub mod heartbeats;
+mod holders;
 mod hubs;
 mod packed_sums;
 mod peer;
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -237,13 +237,6 @@
         self.by_vm.get(owner).map(|p| p.address)
     }
 
-    /// Returns the addresses of the other routers among the `n` that jointly own `key`.
-    pub fn owners_of(&self, now: Instant, key: &str, n: usize) -> Vec<SocketAddr> {
-        let owners = owners(key, self.live_names(now), n);
-        let others = owners.into_iter().filter_map(|vm| self.by_vm.get(vm));
-        others.map(|p| p.address).collect()
-    }
-
     /// Returns all other known routers, each with its data hall and state.
     pub fn members(&self, now: Instant) -> Vec<Member> {
         let limits = self.silence_limits();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,22 +13,36 @@
 
 use crate::ids::VmId;
 
+/// Hash of a thing for which routers are responsible.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyHash(u64);
+
+impl From<&str> for KeyHash {
+    fn from(thing: &str) -> Self {
+        Self(xxh3_64(thing.as_bytes()))
+    }
+}
+
+/// Returns the hash of a router for a thing; the routers with the highest ones are responsible for it.
+pub fn weight(key: KeyHash, vm: &VmId) -> u64 {
+    xxh3_64_with_seed(vm.as_str().as_bytes(), key.0)
+}
+
 /// Returns the router among `vms` that is responsible for `thing`, or `None` if `vms` is empty.
 pub fn owner<'a>(thing: &str, vms: impl Iterator<Item = &'a VmId>) -> Option<&'a VmId> {
-    let key = xxh3_64(thing.as_bytes());
+    let key = KeyHash::from(thing);
     vms.max_by(|a, b| compare(key, a, b))
 }
 
 /// Returns the `n` routers among `vms` that are jointly responsible for `thing`, highest hash first.
 pub fn owners<'a>(thing: &str, vms: impl Iterator<Item = &'a VmId>, n: usize) -> Vec<&'a VmId> {
-    let key = xxh3_64(thing.as_bytes());
+    let key = KeyHash::from(thing);
     let mut all: Vec<_> = vms.collect();
     all.sort_unstable_by(|a, b| compare(key, b, a));
     all.truncate(n);
     all
 }
 
-fn compare(key: u64, a: &VmId, b: &VmId) -> Ordering {
-    let hash = |vm: &VmId| xxh3_64_with_seed(vm.as_str().as_bytes(), key);
-    hash(a).cmp(&hash(b)).then_with(|| a.cmp(b))
+fn compare(key: KeyHash, a: &VmId, b: &VmId) -> Ordering {
+    weight(key, a).cmp(&weight(key, b)).then_with(|| a.cmp(b))
 }
--- a/src/stream_origin.rs
+++ b/src/stream_origin.rs
@@ -6,35 +6,17 @@
 //! another call. For the latter, routers tell a few others of each origin while a service has several
 //! versions ([`StreamOrigins`]): the router that began the stream may be gone by then.
 
-use std::{collections::VecDeque, fmt, num::NonZeroUsize, str::FromStr, time::Duration};
+use std::{fmt, str::FromStr};
 
-use lru::LruCache;
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+pub use crate::stream_origins::{OriginNotice, StreamOrigins};
 use crate::{
     ids::{ClientAccountId, IdError, ServiceName, SoftwareVersion},
     target_record::TargetRecord,
-    units::Instant,
 };
 
-/// Maximum number of origins that a router remembers, in about a megabyte.
-const MAX_ORIGINS: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
-
-/// Time for which an origin is remembered: longer than a caller takes up its stream again and again.
-const ORIGIN_TTL: Duration = Duration::from_mins(10);
-
-/// Maximum number of origins of one service that wait to be sent to others.
-const MAX_UNSENT: usize = 4_096;
-
-/// Number of times that an origin is sent, as a datagram may be lost.
-const SENDS: u8 = 2;
-
-/// Time for which an origin is kept that need not be sent, because its service has one version: in this
-/// time another version may appear, and the stream may break off.
-const UNSENT_TTL: Duration = Duration::from_mins(1);
-
 /// Hash of a service's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -178,101 +160,3 @@
         }
     }
 }
-
-/// The origin of one stream, as routers tell one another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OriginNotice {
-    /// The stream.
-    pub stream: StreamKey,
-    /// What began it.
-    pub origin: StreamOrigin,
-}
-
-/// An origin of this router's that others may have to know.
-#[derive(Debug)]
-struct UnsentOrigin {
-    notice: OriginNotice,
-    begun_at: Instant,
-    sends_left: u8,
-}
-
-/// Origins of streams that this router began, or that others told it.
-#[derive(Debug)]
-pub struct StreamOrigins {
-    known: LruCache<StreamKey, (StreamOrigin, Instant)>,
-    /// Origins to be sent, oldest first.
-    unsent: FxHashMap<ServiceHash, VecDeque<UnsentOrigin>>,
-}
-
-impl Default for StreamOrigins {
-    fn default() -> Self {
-        Self {
-            known: LruCache::new(MAX_ORIGINS),
-            unsent: FxHashMap::default(),
-        }
-    }
-}
-
-impl StreamOrigins {
-    /// Records that the first event of a stream is passed on to its caller.
-    pub fn on_begun(&mut self, now: Instant, stream: StreamKey, origin: StreamOrigin) {
-        self.known.put(stream, (origin, now));
-        let unsent = self.unsent.entry(origin.service).or_default();
-        if unsent.len() >= MAX_UNSENT {
-            unsent.pop_front();
-        }
-        unsent.push_back(UnsentOrigin {
-            notice: OriginNotice { stream, origin },
-            begun_at: now,
-            sends_left: SENDS,
-        });
-    }
-
-    /// Handles origins of streams that other routers began.
-    pub fn on_notices(&mut self, now: Instant, notices: &[OriginNotice]) {
-        for OriginNotice { stream, origin } in notices {
-            self.known.put(*stream, (*origin, now));
-        }
-    }
-
-    /// Returns the origin of a stream, if it is known here.
-    pub fn get(&self, now: Instant, stream: StreamKey) -> Option<StreamOrigin> {
-        let (origin, at) = self.known.peek(&stream)?;
-        (now.since(*at) < ORIGIN_TTL).then_some(*origin)
-    }
-
-    /// Takes the origins to send now: those of services of which `is_mixed` says that their targets are, or
-    /// were a moment ago, of several versions. With one version, a stream can go on anywhere.
-    pub fn take_notices(
-        &mut self,
-        now: Instant,
-        is_mixed: impl Fn(ServiceHash) -> bool,
-    ) -> Vec<OriginNotice> {
-        let mut notices = Vec::new();
-        let is_over = |o: &UnsentOrigin| now.since(o.begun_at) >= UNSENT_TTL;
-        self.unsent.retain(|service, origins| {
-            while origins.front().is_some_and(is_over) {
-                origins.pop_front();
-            }
-            if is_mixed(*service) {
-                for origin in origins.iter_mut() {
-                    notices.push(origin.notice);
-                    origin.sends_left -= 1;
-                }
-                origins.retain(|origin| origin.sends_left > 0);
-            }
-            !origins.is_empty()
-        });
-        notices
-    }
-
-    /// Returns the number of origins that are remembered.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
-
-    /// Returns whether no origin is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-}
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -1,12 +1,14 @@
 //! Streams go on at the version that began them: what placement allows, and what routers know of origins.
 
-use std::time::Duration;
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use scaleford::{
     config::serving::{CallKind, StreamRepeats},
     discovery::{ListChange, TargetRecord, TargetState},
     dispatcher::{CallPlan, Dispatcher},
-    placement::choice::PlacementError,
+    ids::{Incarnation, VmId},
+    placement::{choice::PlacementError, owners},
+    replicas::Holder,
     stream_origin::{ServiceHash, StreamKey, StreamOrigin, StreamOrigins, StreamProgress},
     units::StoreRevision,
 };
@@ -52,6 +54,17 @@
     }
 }
 
+/// Returns this router and three others.
+fn holders() -> Vec<Holder> {
+    let holder = |n: u16| Holder {
+        vm: format!("vm-{n}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: (n > 0).then(|| ([127, 0, 0, 1], n).into()),
+        keeps_all: false,
+    };
+    (0..4).map(holder).collect()
+}
+
 fn service() -> ServiceHash {
     ServiceHash::from(&record(0).service)
 }
@@ -191,12 +204,20 @@
         StreamOrigin::new(&record(0).service, &"v1".into()),
         StreamKey::new(None, "a"),
     );
+    origins.on_holders(at(0), holders());
+    let names: Vec<VmId> = holders().into_iter().map(|h| h.vm).collect();
+    let holding = owners(&stream.to_string(), names.iter(), 3);
+    let others = holders().into_iter().filter(|h| holding.contains(&&h.vm));
+    let others: HashSet<SocketAddr> = others.filter_map(|h| h.address).collect();
     origins.on_begun(at(0), stream, v1);
-    assert!(origins.take_notices(at(10), |_| false).is_empty());
+    assert!(origins.take_notices(at(10), 100, |_| false).is_empty());
     for ms in [20, 120] {
-        assert_eq!(origins.take_notices(at(ms), |_| true).len(), 1);
+        let notices = origins.take_notices(at(ms), 100, |_| true);
+        assert_eq!(notices.len(), others.len());
+        let told: HashSet<SocketAddr> = notices.into_iter().map(|(to, _)| to).collect();
+        assert_eq!(told, others);
     }
-    assert!(origins.take_notices(at(220), |_| true).is_empty());
+    assert!(origins.take_notices(at(220), 100, |_| true).is_empty());
     assert_eq!(origins.get(at(300), stream), Some(v1));
     let old = at(0) + Duration::from_mins(11);
     assert_eq!(origins.get(old, stream), None);
@@ -214,10 +235,13 @@
 #[test]
 fn the_number_of_remembered_origins_is_bounded() {
     let mut origins = StreamOrigins::default();
+    origins.on_holders(at(0), holders());
     let v1 = StreamOrigin::new(&record(0).service, &"v1".into());
     for n in 0..40_000 {
         origins.on_begun(at(n), StreamKey::new(None, &n.to_string()), v1);
     }
     assert!(origins.len() <= 16_384);
-    assert!(origins.take_notices(at(40_000), |_| true).len() <= 4_096);
+    let unsent = origins.take_notices(at(40_000), usize::MAX, |_| true);
+    let unsent: HashSet<StreamKey> = unsent.into_iter().map(|(_, n)| n.stream).collect();
+    assert!(unsent.len() <= 16_384);
 }
