stream_origins: the queue of a service with one version drops the oldest

Test: origins_of_the_last_minute_are_told_once_versions_are_mixed. Names: `Replica` and `Replicas` in place of `Copy` and `Copies`; the hash of a holder no longer mixes its flag into the lowest bit of the incarnation.

--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -28,8 +28,8 @@
 /// Interval at which origins are sent that were not sent at once.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Part of the interval per router of the fleet at which copies are completed after other routers became
-/// holders. A router that joins a large fleet is sent copies by all others.
+/// Part of the interval per router of the fleet at which origins are sent to routers that became holders. A
+/// router that joins a large fleet is sent them by all others.
 const REPAIR_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(2);
 
 /// Number of origins that are sent at once as a stream begins, and at each interval: at most half a megabyte a
@@ -113,7 +113,7 @@
     of_mixed.take(MAX_SAVED).collect()
 }
 
-/// Returns the routers that may hold copies of origins now.
+/// Returns the routers that may hold origins now.
 fn state_holders(cx: &Gateway) -> Vec<Holder> {
     let is_stopping = cx.phase() != Phase::Serving;
     cx.peers.borrow().state_holders(cx.now(), is_stopping)
@@ -167,7 +167,7 @@
         None => ask_holders(cx, stream).await,
     };
     let source = match lookup {
-        Lookup { asked: 0, .. } if known.is_some() => "here",
+        _ if known.is_some() => "here",
         Lookup {
             origin: Some(_), ..
         } => "a peer",
--- a/src/replicas.rs
+++ b/src/replicas.rs
@@ -1,4 +1,4 @@
-//! Which routers hold a copy of a key, and which of them have yet to be sent it.
+//! Which routers hold a replica of a key, and which of them have yet to be sent it.
 //!
 //! Rendezvous hashing selects a few holders for each key. Once another router becomes one of them, because
 //! a holder ended, stops or started again, each router that knows the key sends it to the new holder. So a
@@ -28,12 +28,12 @@
 /// router that has started learns of the others, which are not new.
 const JOIN_NOTICE_TIME: Duration = Duration::from_secs(1);
 
-/// A router that may hold copies.
+/// A router that may hold replicas.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// Its VM.
     pub vm: VmId,
-    /// Its incarnation; a later one has no copies.
+    /// Its incarnation; a later one has no replicas.
     pub incarnation: Incarnation,
     /// Address at which it is sent keys; `None` for this router.
     pub address: Option<SocketAddr>,
@@ -47,12 +47,12 @@
 
 impl From<&Holder> for HolderId {
     fn from(holder: &Holder) -> Self {
-        let seed = holder.incarnation.0 ^ u64::from(holder.keeps_all);
+        let seed = holder.incarnation.0 << 1 | u64::from(holder.keeps_all);
         Self(xxh3_64_with_seed(holder.vm.as_str().as_bytes(), seed) as u32)
     }
 }
 
-/// The routers that may hold copies now.
+/// The routers that may hold replicas now.
 #[derive(Debug, Default)]
 pub(crate) struct Holders {
     by_id: FxHashMap<HolderId, (Holder, Instant)>,
@@ -121,23 +121,23 @@
 
 /// One holder of a key.
 #[derive(Debug, Clone, Copy)]
-struct Copy {
+struct Replica {
     weight: u64,
     holder: HolderId,
     /// Number of times that the key is still to be sent to the holder.
     sends_left: u8,
 }
 
-/// Copies of one key.
+/// Replicas of one key.
 #[derive(Debug)]
-pub(crate) struct Copies {
-    /// Holders of the key, the one with the highest weight first.
-    holders: Vec<Copy>,
+pub(crate) struct Replicas {
+    /// One for each holder of the key, the one with the highest weight first.
+    replicas: Vec<Replica>,
     /// Whether this router is the first to know the key.
     is_own: bool,
 }
 
-impl Copies {
+impl Replicas {
     /// Selects the holders of a key of which this router tells them.
     pub(crate) fn of_own(holders: &Holders, key: KeyHash) -> Self {
         Self::new(holders, key, true, |_| FIRST_SENDS)
@@ -150,14 +150,14 @@
     }
 
     fn new(holders: &Holders, key: KeyHash, is_own: bool, sends: impl Fn(HolderId) -> u8) -> Self {
-        let mut copies = Self {
-            holders: Vec::with_capacity(HOLDERS + 1),
+        let mut replicas = Self {
+            replicas: Vec::with_capacity(HOLDERS + 1),
             is_own,
         };
         for id in holders.by_id.keys() {
-            copies.add(holders, key, *id, sends(*id));
+            replicas.add(holders, key, *id, sends(*id));
         }
-        copies
+        replicas
     }
 
     /// Selects other holders after a change.
@@ -174,26 +174,26 @@
             false => holders.repair_sends(now, id),
         };
         let has_lost = self
-            .holders
+            .replicas
             .iter()
-            .any(|c| changes.left.contains(&c.holder));
+            .any(|r| changes.left.contains(&r.holder));
         if !has_lost {
             for id in &changes.joined {
                 self.add(holders, key, *id, sends(*id));
             }
             return;
         }
-        let before = std::mem::take(&mut self.holders);
+        let before = std::mem::take(&mut self.replicas);
         for id in holders.by_id.keys() {
-            let known = before.iter().find(|c| c.holder == *id);
-            let sends_left = known.map_or(REPAIR_SENDS, |c| c.sends_left);
+            let known = before.iter().find(|r| r.holder == *id);
+            let sends_left = known.map_or(REPAIR_SENDS, |r| r.sends_left);
             self.add(holders, key, *id, sends_left);
         }
     }
 
     /// Returns whether the key is still to be sent to a holder.
     pub(crate) fn has_unsent(&self) -> bool {
-        self.holders.iter().any(|c| c.sends_left > 0)
+        self.replicas.iter().any(|r| r.sends_left > 0)
     }
 
     /// Returns the addresses of the holders to send the key to now, and counts this as a send to each.
@@ -201,10 +201,10 @@
         &'a mut self,
         holders: &'a Holders,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
-        let unsent = self.holders.iter_mut().filter(|c| c.sends_left > 0);
-        unsent.filter_map(|copy| {
-            copy.sends_left -= 1;
-            let (holder, _) = holders.by_id.get(&copy.holder)?;
+        let unsent = self.replicas.iter_mut().filter(|r| r.sends_left > 0);
+        unsent.filter_map(|replica| {
+            replica.sends_left -= 1;
+            let (holder, _) = holders.by_id.get(&replica.holder)?;
             holder.address
         })
     }
@@ -212,16 +212,16 @@
     /// Adds a holder in place of the one with the lowest weight, if its own is higher.
     fn add(&mut self, holders: &Holders, key: KeyHash, id: HolderId, sends: u8) {
         let weight = holders.weight(key, id);
-        let at = (self.holders).partition_point(|c| (c.weight, c.holder) > (weight, id));
+        let at = (self.replicas).partition_point(|r| (r.weight, r.holder) > (weight, id));
         let max = holders.holders_per_key();
         if at < max {
-            self.holders.truncate(max - 1);
-            let copy = Copy {
+            self.replicas.truncate(max - 1);
+            let replica = Replica {
                 weight,
                 holder: id,
                 sends_left: if holders.is_self(id) { 0 } else { sends },
             };
-            self.holders.insert(at, copy);
+            self.replicas.insert(at, replica);
         }
     }
 }
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     placement::KeyHash,
-    replicas::{Copies, Holder, Holders},
+    replicas::{Holder, Holders, Replicas},
     stream_origin::{ServiceHash, StreamKey, StreamOrigin},
     units::Instant,
 };
@@ -46,7 +46,7 @@
 struct KnownOrigin {
     origin: StreamOrigin,
     expires_at: Instant,
-    copies: Copies,
+    replicas: Replicas,
     /// Whether the stream is in the queue of origins to be sent.
     is_queued: bool,
 }
@@ -88,11 +88,11 @@
 impl StreamOrigins {
     /// Records that the first event of a stream is passed on to its caller, or that the stream is taken up here.
     pub fn on_begun(&mut self, now: Instant, stream: StreamKey, origin: StreamOrigin) {
-        let copies = Copies::of_own(&self.holders, key_hash(stream));
+        let replicas = Replicas::of_own(&self.holders, key_hash(stream));
         let known = KnownOrigin {
             origin,
             expires_at: now + ORIGIN_TTL,
-            copies,
+            replicas,
             is_queued: false,
         };
         self.known.put(stream, known);
@@ -111,10 +111,10 @@
             let known = KnownOrigin {
                 origin: notice.origin,
                 expires_at,
-                copies: Copies::of_received(now, &self.holders, key_hash(notice.stream)),
+                replicas: Replicas::of_received(now, &self.holders, key_hash(notice.stream)),
                 is_queued: false,
             };
-            let has_unsent = known.copies.has_unsent();
+            let has_unsent = known.replicas.has_unsent();
             self.known.put(notice.stream, known);
             if has_unsent {
                 self.queue(notice.stream, Position::Last);
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Replaces the routers that may hold copies. Origins of which other routers become holders are sent to them.
+    /// Replaces the routers that may hold replicas. Origins of which other routers become holders are sent to them.
     pub fn on_holders(&mut self, now: Instant, current: Vec<Holder>) {
         let Some(changes) = self.holders.set(now, current) else {
             return;
@@ -130,8 +130,8 @@
         let mut unsent = Vec::new();
         for (stream, known) in &mut self.known {
             let key = key_hash(*stream);
-            known.copies.on_change(now, &self.holders, &changes, key);
-            if known.copies.has_unsent() {
+            known.replicas.on_change(now, &self.holders, &changes, key);
+            if known.replicas.has_unsent() {
                 unsent.push(*stream);
             }
         }
@@ -189,7 +189,7 @@
         of_mixed.map(move |(stream, known)| to_notice(now, *stream, known))
     }
 
-    /// Returns the number of routers that may hold copies, this one included.
+    /// Returns the number of routers that may hold replicas, this one included.
     pub fn holder_count(&self) -> usize {
         self.holders.len()
     }
@@ -250,27 +250,27 @@
         return Vec::new();
     };
     let notice = to_notice(now, stream, origin);
-    let addresses = origin.copies.take_unsent(holders);
+    let addresses = origin.replicas.take_unsent(holders);
     let notices = addresses.map(|address| (address, notice)).collect();
-    origin.is_queued = origin.copies.has_unsent();
+    origin.is_queued = origin.replicas.has_unsent();
     if origin.is_queued {
         streams.push_back(stream);
     }
     notices
 }
 
-/// Drops origins from the queue of a service with one version that began too long ago.
+/// Drops origins from the end of the queue of a service with one version that began too long ago.
 fn drop_old(
     now: Instant,
     streams: &mut VecDeque<StreamKey>,
     known: &mut LruCache<StreamKey, KnownOrigin>,
 ) {
-    while let Some(stream) = streams.front() {
+    while let Some(stream) = streams.back() {
         match known.peek_mut(stream) {
             Some(origin) if origin.age(now) < UNSENT_TTL => return,
             Some(origin) => origin.is_queued = false,
             None => {}
         }
-        streams.pop_front();
+        streams.pop_back();
     }
 }
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -223,6 +223,22 @@
     assert_eq!(origins.get(old, stream), None);
 }
 
+/// Streams that began long before a second version appears need not be told to others any more.
+#[test]
+fn origins_of_the_last_minute_are_told_once_versions_are_mixed() {
+    let mut origins = StreamOrigins::default();
+    origins.on_holders(at(0), holders());
+    let v1 = StreamOrigin::new(&record(0).service, &"v1".into());
+    let streams = ["old", "recent"].map(|id| StreamKey::new(None, id));
+    for (stream, ms) in streams.into_iter().zip([0, 50_000]) {
+        origins.on_begun(at(ms), stream, v1);
+    }
+    assert!(origins.take_notices(at(61_000), 100, |_| false).is_empty());
+    let told = origins.take_notices(at(61_100), 100, |_| true);
+    assert!(!told.is_empty());
+    assert!(told.iter().all(|(_, notice)| notice.stream == streams[1]));
+}
+
 #[test]
 fn an_account_does_not_know_the_streams_of_another() {
     let (farm, mill) = ("farm".parse().unwrap(), "mill".parse().unwrap());
