--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -110,7 +110,7 @@
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
         let prompts_changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
-        if !is_keeper(&cx) {
+        if !is_state_writer(&cx) {
             saved = None;
             continue;
         }
@@ -134,9 +134,9 @@
 }
 
 /// Whether this router writes the state of the fleet.
-fn is_keeper(cx: &Gateway) -> bool {
+fn is_state_writer(cx: &Gateway) -> bool {
     let is_stopping = cx.phase() != Phase::Serving;
-    cx.peers.borrow().is_keeper(cx.now(), is_stopping)
+    cx.peers.borrow().is_state_writer(cx.now(), is_stopping)
 }
 
 async fn write(cx: &Gateway, state: &SavedState) -> Result<(), StoreError> {
--- a/src/membership/holders.rs
+++ b/src/membership/holders.rs
@@ -28,7 +28,7 @@
             vm: vm.clone(),
             incarnation: p.incarnation(),
             address: Some(p.address),
-            keeps_all: false,
+            holds_all: false,
         };
         let mut holders: Vec<Holder> = self.live_members(now).map(holder).collect();
         let all_stop = is_stopping && holders.is_empty();
@@ -43,22 +43,22 @@
                 vm: self.me.clone(),
                 incarnation: self.incarnation,
                 address: None,
-                keeps_all: false,
+                holds_all: false,
             });
         }
-        // The state of a large fleet is more than one router could keep.
+        // The state of a large fleet is more than one router could hold.
         if holders.len() < MIN_LARGE_FLEET {
-            let keeper = keeper(&holders).cloned();
+            let writer = state_writer(&holders).cloned();
             for holder in &mut holders {
-                holder.keeps_all = Some(&holder.vm) == keeper.as_ref();
+                holder.holds_all = Some(&holder.vm) == writer.as_ref();
             }
         }
         holders
     }
 
     /// Whether this router writes the fleet's state to the store. `is_stopping` says whether it stops.
-    pub fn is_keeper(&self, now: Instant, is_stopping: bool) -> bool {
-        keeper(&self.state_holders(now, is_stopping)) == Some(&self.me)
+    pub fn is_state_writer(&self, now: Instant, is_stopping: bool) -> bool {
+        state_writer(&self.state_holders(now, is_stopping)) == Some(&self.me)
     }
 
     /// Returns the addresses of the other routers that may know what the holders of `key` were sent: its holders
@@ -77,6 +77,6 @@
 }
 
 /// Returns the router that writes the fleet's state to the store.
-fn keeper(holders: &[Holder]) -> Option<&VmId> {
+fn state_writer(holders: &[Holder]) -> Option<&VmId> {
     owner(SAVED_STATE_KEY, holders.iter().map(|h| &h.vm))
 }
--- a/src/replicas.rs
+++ b/src/replicas.rs
@@ -15,7 +15,7 @@
     units::Instant,
 };
 
-/// Number of holders of a key, beside the router that keeps all keys of a small fleet.
+/// Number of holders of a key, beside the router that holds all keys of a small fleet.
 pub(crate) const HOLDERS: usize = 3;
 
 /// Number of times that a new key is sent to each holder, as a datagram may be lost.
@@ -38,7 +38,7 @@
     /// Address at which it is sent keys; `None` for this router.
     pub address: Option<SocketAddr>,
     /// Whether it holds all keys.
-    pub keeps_all: bool,
+    pub holds_all: bool,
 }
 
 /// Short hash of a holder.
@@ -47,7 +47,7 @@
 
 impl From<&Holder> for HolderId {
     fn from(holder: &Holder) -> Self {
-        let seed = holder.incarnation.0 << 1 | u64::from(holder.keeps_all);
+        let seed = holder.incarnation.0 << 1 | u64::from(holder.holds_all);
         Self(xxh3_64_with_seed(holder.vm.as_str().as_bytes(), seed) as u32)
     }
 }
@@ -92,7 +92,7 @@
 
     fn weight(&self, key: KeyHash, id: HolderId) -> u64 {
         match self.by_id.get(&id) {
-            Some((holder, _)) if holder.keeps_all => u64::MAX,
+            Some((holder, _)) if holder.holds_all => u64::MAX,
             Some((holder, _)) => weight(key, &holder.vm),
             None => 0,
         }
@@ -114,8 +114,8 @@
     }
 
     fn holders_per_key(&self) -> usize {
-        let has_keeper = self.by_id.values().any(|(holder, _)| holder.keeps_all);
-        HOLDERS + usize::from(has_keeper)
+        let has_state_writer = self.by_id.values().any(|(holder, _)| holder.holds_all);
+        HOLDERS + usize::from(has_state_writer)
     }
 }
 
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -60,7 +60,7 @@
         vm: format!("vm-{n}").parse().unwrap(),
         incarnation: Incarnation(1),
         address: (n > 0).then(|| ([127, 0, 0, 1], n).into()),
-        keeps_all: false,
+        holds_all: false,
     };
     (0..4).map(holder).collect()
 }
--- a/tests/load/mixed_versions.rs
+++ b/tests/load/mixed_versions.rs
@@ -59,7 +59,7 @@
             vm: self.name.clone(),
             incarnation: Incarnation(self.incarnation),
             address: (me != n).then(|| ([127, 0, 0, 1], n as u16).into()),
-            keeps_all: false,
+            holds_all: false,
         }
     }
 }
