origin_log: streams go on after a restart of all routers

Cause: origins were saved with the fleet's state, every two seconds, by one router. Streams of these kinds last about one second, so that most that a kill of all routers broke off were in no save. Class: a copy in memory stands for a durable one for longer than the thing that it is about lasts.

Origins now go into a log in the store: segments that two routers write, one every tenth of a second, the other every half second, as the first may have ended unnoticed. What could not be written is part of a later segment. The state is saved for its origins every six seconds only. Nothing is written where a service has one version. A line says what was saved when.

Weighed: a write before the first event is passed on (delays each stream, none begins while the store is away), writes by every router (seven times the calls).

--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -11,7 +11,7 @@
 use super::{
     StopReport, contended, crash_checks, exchange, flow,
     gateway::{Gateway, GatewayParts},
-    gossip, ingress, operators, path_checks, peer_calls, saved_state, stop,
+    gossip, ingress, operators, origin_log, path_checks, peer_calls, saved_state, stop,
     stop::Signals,
     store_sync, store_updates, stream_origins, withdrawals,
 };
@@ -55,6 +55,7 @@
         spawn_local(store_sync::sync_store(Rc::clone(&cx)));
         spawn_local(saved_state::announce_address(Rc::clone(&cx)));
         spawn_local(saved_state::save(Rc::clone(&cx)));
+        spawn_local(origin_log::write(Rc::clone(&cx)));
         spawn_local(crash_checks::write_quarantined(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::send_updates(Rc::clone(&cx), Rc::clone(&udp)));
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 mod listening;
 mod metrics;
 mod operators;
+mod origin_log;
 mod overlap;
 mod path_checks;
 mod path_metrics;
--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -18,6 +18,7 @@
     service_versions::VersionNotice,
     store::{StoreError, own},
     stream_origin::{OriginNotice, StreamKey},
+    units::Instant,
 };
 
 /// Time after its start for which a router waits for another one before it writes its address to the
@@ -33,6 +34,10 @@
 /// interval costs more, as each write wakes the readers' watches.
 const SAVE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Minimum interval at which the state is saved because streams have begun: the log of their origins holds
+/// twice as many.
+const ORIGINS_SAVE_INTERVAL: Duration = Duration::from_secs(6);
+
 /// Maximum size of the saved state, in bytes. Encoded in base64, it is well below the largest value
 /// that the stores of the users' sites accept.
 const MAX_SAVED_BYTES: usize = 512 << 10;
@@ -68,10 +73,20 @@
 }
 
 /// What of the state was saved last, to notice that it changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 struct SavedMarks {
     version_changes: u64,
     latest_origin: Option<StreamKey>,
+    at: Instant,
+}
+
+impl SavedMarks {
+    /// Whether so much has changed since that the state is to be saved again.
+    fn is_outdated(self, now: Self) -> bool {
+        let has_waited = now.at.since(self.at) >= ORIGINS_SAVE_INTERVAL;
+        self.version_changes != now.version_changes
+            || (self.latest_origin != now.latest_origin && has_waited)
+    }
 }
 
 /// Restores the saved state after a list of targets.
@@ -110,7 +125,7 @@
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
         let prompts_changed = cx.dispatcher.borrow_mut().cache.take_unsaved();
-        if !is_state_writer(&cx) {
+        if writer_rank(&cx) != Some(0) {
             saved = None;
             continue;
         }
@@ -118,14 +133,21 @@
         let marks = SavedMarks {
             version_changes: cx.dispatcher.borrow().discovery.version_changes(),
             latest_origin: state.origins.first().map(|o| o.stream),
+            at: cx.now(),
         };
-        let history_changed = saved.map_or_else(|| state.has_history(), |before| before != marks);
+        let history_changed =
+            saved.map_or_else(|| state.has_history(), |before| before.is_outdated(marks));
         if !prompts_changed && !history_changed {
-            saved = Some(marks);
+            saved = saved.or(Some(marks));
             continue;
         }
         match write(&cx, &state).await {
-            Ok(()) => saved = Some(marks),
+            Ok(()) => {
+                info!(cx.log, "state saved"; "parts" => state.prompts.len(), "targets" => state.targets.len(),
+                    "versions" => state.versions.len(), "origins" => state.origins.len(),
+                    "took_ms" => cx.now().since(marks.at).as_millis() as u64);
+                saved = Some(marks);
+            }
             Err(e) => {
                 info!(cx.log, "prompts not saved"; "parts" => state.prompts.len(), "why" => %e);
             }
@@ -133,10 +155,11 @@
     }
 }
 
-/// Whether this router writes the state of the fleet.
-fn is_state_writer(cx: &Gateway) -> bool {
+/// Returns the rank of this router among those that write the state of the fleet, if it is one.
+pub(super) fn writer_rank(cx: &Gateway) -> Option<usize> {
     let is_stopping = cx.phase() != Phase::Serving;
-    cx.peers.borrow().is_state_writer(cx.now(), is_stopping)
+    let peers = cx.peers.borrow();
+    peers.state_writer_rank(cx.now(), is_stopping)
 }
 
 async fn write(cx: &Gateway, state: &SavedState) -> Result<(), StoreError> {
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -5,7 +5,7 @@
 
 use slog::{info, warn};
 
-use super::{accepted_changes, crash_checks, gateway::Gateway, saved_state};
+use super::{accepted_changes, crash_checks, gateway::Gateway, origin_log, saved_state};
 use crate::{
     config::serving::ServingConfig,
     discovery::{Changes, ListChange, RETURN_GRACE, TargetChange},
@@ -139,6 +139,7 @@
             Ok(OwnEntry::Prompts(saved)) if is_list => {
                 recovered = Some(saved_state::decode(cx, &saved));
             }
+            Ok(OwnEntry::Origins(segment)) if is_list => origin_log::restore(cx, &segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
                 accepted_changes::apply_snapshot(cx, *snapshot);
             }
--- a/src/edge/stream_metrics.rs
+++ b/src/edge/stream_metrics.rs
@@ -12,6 +12,7 @@
 pub(crate) struct StreamMetrics {
     pub(crate) origins_known: Gauge,
     pub(crate) origins_sent: Counter,
+    pub(crate) origins_saved: Counter,
     pub(crate) resumed: Counter,
     taken_up: Family<ReasonLabel, Counter>,
 }
@@ -28,6 +29,11 @@
             "Origins of streams sent to other routers",
             self.origins_sent.clone(),
         );
+        r.register(
+            "stream_origins_saved",
+            "Origins of streams written to the log in the store",
+            self.origins_saved.clone(),
+        );
         r.register(
             "streams_resumed",
             "Streams that broke off or fell silent and went on at another target within the answer",
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -113,6 +113,12 @@
     of_mixed.take(MAX_SAVED).collect()
 }
 
+/// Takes at most `limit` origins that this router has not saved.
+pub(super) fn take_unsaved(cx: &Gateway, limit: usize) -> Vec<OriginNotice> {
+    let mut origins = cx.stream_origins.borrow_mut();
+    origins.take_unsaved(cx.now(), limit, |service| is_mixed(cx, service))
+}
+
 /// Returns the routers that may hold origins now.
 fn state_holders(cx: &Gateway) -> Vec<Holder> {
     let is_stopping = cx.phase() != Phase::Serving;
--- a/src/membership/holders.rs
+++ b/src/membership/holders.rs
@@ -5,14 +5,17 @@
 use super::{hubs::MIN_LARGE_FLEET, peer::Peer, peers::Peers, timing};
 use crate::{
     ids::VmId,
-    placement::{owner, owners},
+    placement::owners,
     replicas::{HOLDERS, Holder},
     units::Instant,
 };
 
-/// Key whose owner writes the fleet's state to the store.
+/// Key whose owners write the fleet's state to the store.
 const SAVED_STATE_KEY: &str = "prompts";
 
+/// Number of routers that write it.
+const STATE_WRITERS: usize = 2;
+
 /// Number of routers that are asked for a key, among those that serve and those that did a moment ago. It is
 /// larger than the number of holders, as some of these may have joined since the key was sent.
 const FORMER_HOLDERS: usize = 2 * HOLDERS;
@@ -48,17 +51,20 @@
         }
         // The state of a large fleet is more than one router could hold.
         if holders.len() < MIN_LARGE_FLEET {
-            let writer = state_writer(&holders).cloned();
+            let writers: Vec<VmId> = state_writers(&holders).into_iter().cloned().collect();
             for holder in &mut holders {
-                holder.holds_all = Some(&holder.vm) == writer.as_ref();
+                holder.holds_all = writers.contains(&holder.vm);
             }
         }
         holders
     }
 
-    /// Whether this router writes the fleet's state to the store. `is_stopping` says whether it stops.
-    pub fn is_state_writer(&self, now: Instant, is_stopping: bool) -> bool {
-        state_writer(&self.state_holders(now, is_stopping)) == Some(&self.me)
+    /// Returns the position of this router among those that write the fleet's state to the store, if it is one.
+    /// `is_stopping` says whether it stops.
+    pub fn state_writer_rank(&self, now: Instant, is_stopping: bool) -> Option<usize> {
+        let holders = self.state_holders(now, is_stopping);
+        let writers = state_writers(&holders);
+        writers.iter().position(|vm| **vm == self.me)
     }
 
     /// Returns the addresses of the other routers that may know what the holders of `key` were sent: its holders
@@ -76,7 +82,12 @@
     }
 }
 
-/// Returns the router that writes the fleet's state to the store.
-fn state_writer(holders: &[Holder]) -> Option<&VmId> {
-    owner(SAVED_STATE_KEY, holders.iter().map(|h| &h.vm))
+/// Returns the routers that write the fleet's state to the store. The first one writes all of it; the second one
+/// writes what must not be lost in the time until the end of the first one is noticed.
+fn state_writers(holders: &[Holder]) -> Vec<&VmId> {
+    owners(
+        SAVED_STATE_KEY,
+        holders.iter().map(|h| &h.vm),
+        STATE_WRITERS,
+    )
 }
--- a/src/replicas.rs
+++ b/src/replicas.rs
@@ -15,7 +15,7 @@
     units::Instant,
 };
 
-/// Number of holders of a key, beside the router that holds all keys of a small fleet.
+/// Number of holders of a key, beside the routers that hold all keys of a small fleet.
 pub(crate) const HOLDERS: usize = 3;
 
 /// Number of times that a new key is sent to each holder, as a datagram may be lost.
@@ -114,8 +114,8 @@
     }
 
     fn holders_per_key(&self) -> usize {
-        let has_state_writer = self.by_id.values().any(|(holder, _)| holder.holds_all);
-        HOLDERS + usize::from(has_state_writer)
+        let all = self.by_id.values();
+        HOLDERS + all.filter(|(holder, _)| holder.holds_all).count()
     }
 }
 
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -20,6 +20,9 @@
 /// Key of the saved map from cached prompts to targets.
 pub(crate) const PROMPTS_KEY: &str = "scaleford/prompts";
 
+/// Prefix of the keys of the log of stream origins.
+const ORIGINS_PREFIX: &str = "scaleford/origins/";
+
 /// Key of the latest snapshot of the operators' configuration.
 pub(crate) const SNAPSHOT_KEY: &str = "scaleford/config/snapshot";
 
@@ -36,6 +39,8 @@
     Router(SocketAddr),
     /// Encoded map from cached prompts to targets.
     Prompts(Vec<u8>),
+    /// Encoded segment of the log of stream origins.
+    Origins(Vec<u8>),
     /// A snapshot of the configuration.
     Snapshot(Box<Snapshot>),
     /// An accepted change.
@@ -53,6 +58,16 @@
     format!("{ROUTER_PREFIX}{vm}")
 }
 
+/// Returns the key of a segment of the log of stream origins that one of its writers keeps.
+pub(crate) fn origins_key(writer: usize, slot: usize) -> String {
+    format!("{ORIGINS_PREFIX}{writer}/{slot}")
+}
+
+/// Returns whether running routers learn what an entry says otherwise, so that only those that start read it.
+pub(crate) fn is_for_restarts(key: &str) -> bool {
+    key == PROMPTS_KEY || key.starts_with(ORIGINS_PREFIX)
+}
+
 /// Returns the key of the entry by which a request or a part is quarantined.
 pub(crate) fn quarantine_key(key: QuarantineKey) -> String {
     format!("{QUARANTINE_PREFIX}{key}")
@@ -94,6 +109,9 @@
             Ok(OwnEntry::Router(address))
         }
         () if key == PROMPTS_KEY => Ok(OwnEntry::Prompts(packed.unpack()?.into_owned())),
+        () if key.starts_with(ORIGINS_PREFIX) => {
+            Ok(OwnEntry::Origins(packed.unpack()?.into_owned()))
+        }
         () if key == SNAPSHOT_KEY => Ok(OwnEntry::Snapshot(Box::new(json(name, packed)?))),
         () if key.starts_with(CHANGE_PREFIX) => Ok(OwnEntry::Change(Box::new(json(name, packed)?))),
         () => Ok(OwnEntry::Other),
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -30,6 +30,10 @@
 /// time another version may appear, and the stream may break off.
 const UNSENT_TTL: Duration = Duration::from_mins(1);
 
+/// Maximum number of origins of one service that wait to be saved: those of a minute in a small fleet. A router
+/// that begins to save the fleet's origins writes these first.
+const MAX_UNSAVED: usize = 4_096;
+
 /// The origin of one stream, as routers tell one another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginNotice {
@@ -72,6 +76,8 @@
     known: LruCache<StreamKey, KnownOrigin>,
     /// Streams whose origins are to be sent.
     unsent: HashMap<ServiceHash, VecDeque<StreamKey>>,
+    /// Streams whose origins this router has not saved, latest last.
+    unsaved: HashMap<ServiceHash, VecDeque<StreamKey>>,
     holders: Holders,
 }
 
@@ -80,6 +86,7 @@
         Self {
             known: LruCache::new(MAX_ORIGINS),
             unsent: HashMap::default(),
+            unsaved: HashMap::default(),
             holders: Holders::default(),
         }
     }
@@ -97,6 +104,7 @@
         };
         self.known.put(stream, known);
         self.queue(stream, Position::First);
+        self.queue_to_save(stream, origin);
     }
 
     /// Handles origins of streams that other routers know.
@@ -108,6 +116,7 @@
             if known.is_some_and(|k| k.expires_at >= expires_at) || expires_at <= now {
                 continue;
             }
+            let is_new = known.is_none_or(|k| k.origin != notice.origin);
             let known = KnownOrigin {
                 origin: notice.origin,
                 expires_at,
@@ -119,6 +128,9 @@
             if has_unsent {
                 self.queue(notice.stream, Position::Last);
             }
+            if is_new {
+                self.queue_to_save(notice.stream, notice.origin);
+            }
         }
     }
 
@@ -160,6 +172,7 @@
             known,
             unsent,
             holders,
+            ..
         } = self;
         for (service, streams) in unsent.iter_mut() {
             match is_mixed(*service) {
@@ -178,6 +191,38 @@
         notices
     }
 
+    /// Takes at most `limit` of the origins to save, latest first: those of services of which `is_mixed` says
+    /// that their targets are, or were a moment ago, of several versions.
+    pub fn take_unsaved(
+        &mut self,
+        now: Instant,
+        limit: usize,
+        is_mixed: impl Fn(ServiceHash) -> bool,
+    ) -> Vec<OriginNotice> {
+        let mut notices = Vec::new();
+        let Self { known, unsaved, .. } = self;
+        for (service, streams) in unsaved.iter_mut() {
+            if !is_mixed(*service) {
+                continue;
+            }
+            while notices.len() < limit
+                && let Some(stream) = streams.pop_back()
+            {
+                let origin = known.peek(&stream).filter(|k| k.age(now) < UNSENT_TTL);
+                notices.extend(origin.map(|k| to_notice(now, stream, k)));
+            }
+        }
+        unsaved.retain(|_, streams| !streams.is_empty());
+        notices
+    }
+
+    /// Queues origins again that could not be saved.
+    pub fn on_not_saved(&mut self, notices: &[OriginNotice]) {
+        for notice in notices.iter().rev() {
+            self.queue_to_save(notice.stream, notice.origin);
+        }
+    }
+
     /// Returns the origins that may still be needed after a loss of all routers, latest first.
     pub fn to_save(
         &self,
@@ -204,6 +249,14 @@
         self.known.is_empty()
     }
 
+    fn queue_to_save(&mut self, stream: StreamKey, origin: StreamOrigin) {
+        let streams = self.unsaved.entry(origin.service).or_default();
+        if streams.len() >= MAX_UNSAVED {
+            streams.pop_front();
+        }
+        streams.push_back(stream);
+    }
+
     /// Queues a stream whose origin is to be sent.
     fn queue(&mut self, stream: StreamKey, position: Position) {
         let Some(known) = self.known.peek_mut(&stream).filter(|k| !k.is_queued) else {
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -261,3 +261,22 @@
     let unsent: HashSet<StreamKey> = unsent.into_iter().map(|(_, n)| n.stream).collect();
     assert!(unsent.len() <= 16_384);
 }
+
+#[test]
+fn each_origin_is_saved_once_and_again_only_where_that_failed() {
+    let mut origins = StreamOrigins::default();
+    let v1 = StreamOrigin::new(&record(0).service, &"v1".into());
+    let streams: Vec<StreamKey> = (0..5)
+        .map(|n| StreamKey::new(None, &format!("s{n}")))
+        .collect();
+    for stream in &streams {
+        origins.on_begun(at(0), *stream, v1);
+    }
+    assert!(origins.take_unsaved(at(10), 8, |_| false).is_empty());
+    let first = origins.take_unsaved(at(10), 3, |_| true);
+    let saved: Vec<StreamKey> = first.iter().map(|n| n.stream).collect();
+    assert_eq!(saved, [streams[4], streams[3], streams[2]]);
+    origins.on_not_saved(&first);
+    assert_eq!(origins.take_unsaved(at(20), 8, |_| true).len(), 5);
+    assert!(origins.take_unsaved(at(30), 8, |_| true).is_empty());
+}
