version_record: one version in sight is not believed without evidence

Callers got streams of two versions: where nobody knew which version began a stream, a router in its first minute took the only version of its list for it, also where it had no readable saved state to say that there had been no other.

Cause: "none known" was read as "there was none". The same belief without a restart: a router whose list is behind, as its readers are cut off or it was suspended, has one version in its list while others use two.

A record in the store has the versions that count. The router that writes the fleet's state writes it as soon as others count, and only if it knows them all: it followed the list for a minute, read the record, or the fleet is new (no router has saved anything). Without such evidence what nobody knows is refused. Datagrams name also the listed versions of services that have several. A router whose list is older than two seconds asks others, and refuses if nobody answers.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -18,7 +18,7 @@
     evacuation::Evacuations,
     ids::{DataHall, ServiceName, TargetId, TargetName},
     pools::Pools,
-    service_versions::{ServiceVersions, VersionNotice},
+    service_versions::{ServiceVersions, VERSION_TTL, VersionNotice},
     stream_origin::{ServiceHash, StreamOrigin},
     units::{Instant, StoreRevision},
 };
@@ -85,14 +85,16 @@
     /// When lists may again contradict what an earlier era of the store contained; `None` if they
     /// may now.
     settles_at: Option<Instant>,
-    /// Whether a list was ever read.
-    is_loaded: bool,
+    /// When a list was first read.
+    loaded_at: Option<Instant>,
+    /// Whether the versions are known that left the list before it was first read.
+    has_version_history: bool,
 }
 
 impl Discovery {
     /// Whether a list was ever read.
     pub fn is_loaded(&self) -> bool {
-        self.is_loaded
+        self.loaded_at.is_some()
     }
 
     /// Handles the return of the store after an outage, `ago` before now. That may have been before
@@ -169,7 +171,7 @@
         list: Vec<(TargetRecord, StoreRevision)>,
         revision: StoreRevision,
     ) -> Changes {
-        self.is_loaded = true;
+        self.loaded_at.get_or_insert(now);
         let listed: HashSet<TargetName> = list.iter().map(|(r, _)| r.id.to_name()).collect();
         let mut changes = Changes::new();
         for (record, at) in list {
@@ -356,11 +358,35 @@
         self.versions.on_notices(now, notices);
     }
 
-    /// Returns the versions that left the list a moment ago, to pass on to other routers.
+    /// Applies the versions that counted when a router recorded them, before this one started. Without a record,
+    /// in a new fleet, there were none.
+    pub fn on_version_record(&mut self, now: Instant, record: &[VersionNotice]) {
+        self.versions.on_notices(now, record);
+        self.has_version_history = true;
+    }
+
+    /// Whether this router has followed the list for as long as versions count that left it.
+    pub fn has_followed_list(&self, now: Instant) -> bool {
+        let followed = self.loaded_at.map(|at| now.since(at));
+        followed.is_some_and(|time| time >= VERSION_TTL)
+    }
+
+    /// Whether all versions are known that may have begun streams which are in progress. Otherwise one that is
+    /// the only one in the list need not have been the only one.
+    pub fn knows_versions(&self, now: Instant) -> bool {
+        self.has_version_history || self.has_followed_list(now)
+    }
+
+    /// Returns the versions to tell other routers of.
     pub fn version_notices(&self, now: Instant) -> Vec<VersionNotice> {
         self.versions.notices(now)
     }
 
+    /// Returns all versions that count, to record for routers that start.
+    pub fn version_record(&self, now: Instant) -> Vec<VersionNotice> {
+        self.versions.all_notices(now)
+    }
+
     /// Returns a number that differs once other versions count, or others have targets in the list.
     pub fn version_changes(&self) -> u64 {
         self.versions.changes()
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -13,7 +13,7 @@
     gateway::{Gateway, GatewayParts},
     gossip, ingress, operators, origin_log, path_checks, peer_calls, saved_state, stop,
     stop::Signals,
-    store_sync, store_updates, stream_origins, withdrawals,
+    store_sync, store_updates, stream_origins, version_record, withdrawals,
 };
 use crate::{Error, Result, ids::TargetId};
 
@@ -56,6 +56,7 @@
         spawn_local(saved_state::announce_address(Rc::clone(&cx)));
         spawn_local(saved_state::save(Rc::clone(&cx)));
         spawn_local(origin_log::write(Rc::clone(&cx)));
+        spawn_local(version_record::write(Rc::clone(&cx)));
         spawn_local(crash_checks::write_quarantined(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::send_updates(Rc::clone(&cx), Rc::clone(&udp)));
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -53,6 +53,7 @@
 mod tunnel;
 mod tunnel_conn;
 mod unanswered;
+mod version_record;
 mod view;
 mod withdrawals;
 
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -5,7 +5,12 @@
 
 use slog::{info, warn};
 
-use super::{accepted_changes, crash_checks, gateway::Gateway, origin_log, saved_state};
+use super::{
+    accepted_changes, crash_checks,
+    gateway::Gateway,
+    origin_log, saved_state,
+    version_record::{self, StoredRecord},
+};
 use crate::{
     config::serving::ServingConfig,
     discovery::{Changes, ListChange, RETURN_GRACE, TargetChange},
@@ -45,7 +50,7 @@
     cx.metrics.store_era.set(known.era.0.cast_signed());
     cx.metrics.store_revision.set(known.number.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_loaded();
-    let saved = apply_own_entries(cx, &update.items, is_list);
+    let history = apply_own_entries(cx, &update.items, is_list);
     if is_list {
         cx.stored_config.set(None);
     }
@@ -82,11 +87,21 @@
         }
         on_targets_changed(cx, &changes, update.revision);
     }
-    if let Some(saved) = saved {
+    if is_list && is_first {
+        version_record::restore(cx, history.versions);
+    }
+    if let Some(saved) = history.saved {
         saved_state::restore(cx, saved, is_first);
     }
 }
 
+/// What routers stored for those that start, to be applied after the list of targets.
+#[derive(Default)]
+pub(super) struct StoredHistory {
+    saved: Option<saved_state::SavedState>,
+    versions: StoredRecord,
+}
+
 /// Handles a store that was restored from an older copy: lost entries that are known here may be about
 /// to be written again.
 fn on_store_reverted(
@@ -122,14 +137,13 @@
 }
 
 /// Applies entries that routers wrote. A whole configuration is applied before changes, which build on
-/// it. Returns the saved targets and prompts, which are to be applied after the list of targets.
-pub(super) fn apply_own_entries(
-    cx: &Gateway,
-    items: &[StoreItem],
-    is_list: bool,
-) -> Option<saved_state::SavedState> {
+/// it. Returns what is to be applied after the list of targets.
+pub(super) fn apply_own_entries(cx: &Gateway, items: &[StoreItem], is_list: bool) -> StoredHistory {
     let mut changes = Vec::new();
-    let mut recovered = None;
+    let mut history = StoredHistory::default();
+    if items.iter().any(|item| own::is_for_restarts(&item.key)) {
+        history.versions = StoredRecord::Missing;
+    }
     let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
     for (item, entry) in own {
         match entry {
@@ -137,7 +151,10 @@
                 cx.peers.borrow_mut().add_address(cx.now(), address);
             }
             Ok(OwnEntry::Prompts(saved)) if is_list => {
-                recovered = Some(saved_state::decode(cx, &saved));
+                history.saved = Some(saved_state::decode(cx, &saved));
+            }
+            Ok(OwnEntry::Versions(record)) if is_list => {
+                history.versions = StoredRecord::Found(record);
             }
             Ok(OwnEntry::Origins(segment)) if is_list => origin_log::restore(cx, &segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
@@ -166,7 +183,7 @@
     for change in changes {
         accepted_changes::apply_change(cx, change);
     }
-    recovered
+    history
 }
 
 fn log_undecodable(cx: &Gateway, item: &StoreItem, why: &str) {
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -21,7 +21,6 @@
     lifecycle::Phase,
     membership::datagram::Message,
     replicas::Holder,
-    service_versions::VERSION_TTL,
     stream_origin::{OriginNotice, ServiceHash, StreamKey, StreamOrigin, StreamProgress},
 };
 
@@ -46,6 +45,10 @@
 /// Maximum time to wait for the answers of other routers about a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum time since the store is known to have held the list for a router to rely on it alone. A healthy router's
+/// is younger; after a suspension it may lack the entries of a version that others use.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+
 /// Error text for a stream whose origin is not known where it matters.
 const UNKNOWN_ORIGIN_TEXT: &str = "it is not known which version began the stream";
 
@@ -56,7 +59,9 @@
     New,
     /// This version began the stream.
     Known(StreamOrigin),
-    /// No router knows, or the call does not name the stream.
+    /// No router knows, but the service has had one version only.
+    SoleVersion,
+    /// Nobody knows.
     Unknown,
 }
 
@@ -161,42 +166,73 @@
     let Some((facts, route, account)) = parse(cx, incoming) else {
         return Origin::New;
     };
+    let services = route.split.iter().map(|(service, _)| service.into());
+    let services: Vec<ServiceHash> = services.collect();
     let Some(resumes) = facts.resumes.as_deref() else {
-        return Origin::Unknown;
+        return match knows_sole_versions(cx, &services) {
+            true => Origin::SoleVersion,
+            false => Origin::Unknown,
+        };
     };
     let stream = StreamKey::new(account.as_ref(), resumes);
     let known = cx.stream_origins.borrow().get(cx.now(), stream);
-    let has_mixed = (route.split.iter()).any(|(service, _)| is_mixed(cx, service.into()));
+    let is_sure = || knows_sole_versions(cx, &services) && is_up_to_date(cx);
     let lookup = match known {
         Some(origin) => Lookup::known_here(origin),
-        None if !has_mixed && !is_young(cx) => Lookup::default(),
+        None if is_sure() => Lookup::default(),
         None => ask_holders(cx, stream).await,
     };
-    let source = match lookup {
-        _ if known.is_some() => "here",
-        Lookup {
-            origin: Some(_), ..
-        } => "a peer",
-        _ if has_mixed => "nobody",
-        _ => "one version",
+    let origin = match lookup.origin {
+        Some(origin) => Origin::Known(origin),
+        // A router that reaches nobody may lack entries that others have.
+        None if lookup.is_unanswered() && !has_current_list(cx) => Origin::Unknown,
+        None if knows_sole_versions(cx, &services) => Origin::SoleVersion,
+        None => Origin::Unknown,
     };
-    if let Some(origin) = lookup.origin {
+    if let Origin::Known(origin) = origin {
         // The caller may lose its connection again, at this router or with it.
         let mut origins = cx.stream_origins.borrow_mut();
         origins.on_begun(cx.now(), stream, origin);
         cx.origins_changed.notify_one();
     }
+    let source = match origin {
+        _ if known.is_some() => "here",
+        Origin::Known(_) => "a peer",
+        Origin::SoleVersion => "one version",
+        Origin::New | Origin::Unknown => "nobody",
+    };
     cx.metrics.streams.on_taken_up(source);
+    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(cx.now());
     info!(cx.log, "stream taken up"; "id" => incoming.id.as_deref(), "resumes" => resumes,
         "after_event" => facts.last_event_id, "origin" => lookup.origin.map(|o| o.to_string()),
         "known_by" => source, "asked" => lookup.asked, "answered" => lookup.answered,
-        "holders" => cx.stream_origins.borrow().holder_count());
-    lookup.origin.map_or(Origin::Unknown, Origin::Known)
+        "holders" => cx.stream_origins.borrow().holder_count(), "knows_versions" => knows_versions,
+        "list_age_ms" => list_age(cx).map(|age| age.as_millis() as u64));
+    origin
+}
+
+/// Whether each of these services has had one version only, as far as is known here, so that it began all streams
+/// which are in progress.
+fn knows_sole_versions(cx: &Gateway, services: &[ServiceHash]) -> bool {
+    let discovery = &cx.dispatcher.borrow().discovery;
+    let now = cx.now();
+    let is_mixed = |service: &ServiceHash| discovery.has_mixed_versions(now, *service);
+    discovery.knows_versions(now) && !services.iter().any(is_mixed)
+}
+
+/// Whether this router has followed the list of targets long enough, and until a moment ago, to know of each version.
+fn is_up_to_date(cx: &Gateway) -> bool {
+    let has_followed = cx.dispatcher.borrow().discovery.has_followed_list(cx.now());
+    has_followed && has_current_list(cx)
 }
 
-/// Whether this router may not know yet which versions left the list before it started.
-fn is_young(cx: &Gateway) -> bool {
-    cx.now().0 < VERSION_TTL
+fn has_current_list(cx: &Gateway) -> bool {
+    list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
+}
+
+/// Returns the time since the store is known to have held what this router has of it.
+fn list_age(cx: &Gateway) -> Option<Duration> {
+    cx.freshness.borrow().age(cx.now())
 }
 
 /// Returns the facts of a call that takes up a stream, its route and its account, if it would be admitted.
@@ -224,6 +260,11 @@
 }
 
 impl Lookup {
+    /// Whether routers were asked, and none of them answered.
+    fn is_unanswered(&self) -> bool {
+        self.asked > 0 && self.answered == 0
+    }
+
     fn known_here(origin: StreamOrigin) -> Self {
         Self {
             origin: Some(origin),
@@ -269,7 +310,7 @@
             let mut services = services.filter(|s| ServiceHash::from(*s) == origin.service);
             services.next()
         }
-        Origin::New | Origin::Unknown => route.service_for(hash),
+        Origin::New | Origin::SoleVersion | Origin::Unknown => route.service_for(hash),
     }
 }
 
@@ -287,7 +328,8 @@
     let discovery = &cx.dispatcher.borrow().discovery;
     let origin = match origin {
         Origin::Known(origin) => Some(origin),
-        Origin::New | Origin::Unknown => discovery.sole_version(cx.now(), service.into()),
+        Origin::SoleVersion => discovery.sole_version(cx.now(), service.into()),
+        Origin::New | Origin::Unknown => None,
     };
     match origin {
         Some(origin) => Ok(StreamProgress::Begun { origin, last }),
--- /dev/null
+++ b/src/edge/version_record.rs
@@ -0,0 +1,87 @@
+//! The record of software versions in the store, by which routers that start know whether streams of several
+//! versions may be in progress.
+//!
+//! The list of targets alone can't tell them: a version may have left it before they read it. The record is
+//! written as soon as other versions count, and only by a router that knows them all.
+
+use std::{rc::Rc, time::Duration};
+
+use slog::{info, warn};
+
+use super::{gateway::Gateway, saved_state};
+use crate::{service_versions::VersionNotice, store::own};
+
+/// Interval at which a change of the versions is noticed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Writes the record when versions change, if this router is the one that writes the fleet's state.
+pub(super) async fn write(cx: Rc<Gateway>) {
+    let mut written = None;
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if saved_state::writer_rank(&cx) != Some(0) {
+            written = None;
+            continue;
+        }
+        let (changes, record) = {
+            let discovery = &cx.dispatcher.borrow().discovery;
+            let now = cx.now();
+            if !discovery.is_loaded() || !discovery.knows_versions(now) {
+                continue;
+            }
+            (discovery.version_changes(), discovery.version_record(now))
+        };
+        if written != Some(changes) && write_record(&cx, &record).await {
+            written = Some(changes);
+        }
+    }
+}
+
+async fn write_record(cx: &Gateway, record: &[VersionNotice]) -> bool {
+    let written = match postcard::to_stdvec(record) {
+        Ok(bytes) => cx.store.put(own::VERSIONS_KEY, bytes).await,
+        Err(e) => {
+            warn!(cx.log, "cannot encode the record of versions"; "why" => %e);
+            return false;
+        }
+    };
+    cx.metrics.on_store_call("versions");
+    match &written {
+        Ok(()) => info!(cx.log, "versions recorded"; "versions" => record.len()),
+        Err(e) => info!(cx.log, "versions not recorded"; "versions" => record.len(), "why" => %e),
+    }
+    written.is_ok()
+}
+
+/// Applies what the store has for routers that start, after this router's first list.
+pub(super) fn restore(cx: &Gateway, stored: StoredRecord) {
+    let record = match &stored {
+        StoredRecord::Found(bytes) => postcard::from_bytes(bytes),
+        StoredRecord::NewFleet => Ok(Vec::new()),
+        StoredRecord::Missing => {
+            warn!(cx.log, "no record of versions");
+            return;
+        }
+    };
+    match record {
+        Ok(record) => {
+            info!(cx.log, "restored versions"; "versions" => record.len(),
+                "new_fleet" => stored == StoredRecord::NewFleet);
+            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+            discovery.on_version_record(cx.now(), &record);
+        }
+        Err(e) => warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
+    }
+}
+
+/// What a router's first list has of the record.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) enum StoredRecord {
+    /// The encoded record.
+    Found(Vec<u8>),
+    /// Nothing, as no router has saved anything yet.
+    #[default]
+    NewFleet,
+    /// Nothing, though routers have saved other state.
+    Missing,
+}
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -1,8 +1,9 @@
 //! Software versions of the targets of each service, of those in the list and of those that left it a
 //! moment ago.
 //!
-//! The list says nothing of versions that left it. A router that starts learns of them from the saved state
-//! and from its peers, each with the time since it left.
+//! The list says nothing of versions that left it. A router that starts learns of them from a record in the
+//! store and from its peers, each with the time since it left. Until it has learned of them, or has followed
+//! the list for as long as they count, "there is one version" is not known, though the list has only one.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -26,11 +27,11 @@
 /// Maximum number of versions that are passed on at once, in less than a kilobyte.
 const MAX_NOTICES: usize = 64;
 
-/// A version without targets in the list, as routers tell it to one another.
+/// A version that counts, as routers tell it to one another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionNotice {
     version: StreamOrigin,
-    /// Time since its last target left the list, in milliseconds.
+    /// Time since its last target left the list, in milliseconds; 0 if it has one.
     age_ms: u32,
 }
 
@@ -47,6 +48,17 @@
     fn counts(&self, now: Instant) -> bool {
         self.targets > 0 || now < self.counts_until
     }
+
+    fn notice(&self, now: Instant, version: StreamOrigin) -> VersionNotice {
+        let age = match self.targets {
+            0 => VERSION_TTL.saturating_sub(self.counts_until.since(now)),
+            _ => Duration::ZERO,
+        };
+        VersionNotice {
+            version,
+            age_ms: age.as_millis() as u32,
+        }
+    }
 }
 
 /// Versions that may have begun streams which are still in progress.
@@ -89,17 +101,23 @@
         }
     }
 
-    /// Returns the versions that left the list a moment ago, to pass on.
+    /// Returns the versions to pass on: those that left the list a moment ago, and all that count where there
+    /// are several, as a peer may lack the latest entries of the list.
     pub(crate) fn notices(&self, now: Instant) -> Vec<VersionNotice> {
         let versions = self.by_service.values().flatten();
-        let left = versions.filter(|(_, u)| u.targets == 0 && u.counts(now));
-        let notice = |(version, u): (&StreamOrigin, &VersionUse)| VersionNotice {
-            version: *version,
-            age_ms: VERSION_TTL
-                .saturating_sub(u.counts_until.since(now))
-                .as_millis() as u32,
-        };
-        left.map(notice).take(MAX_NOTICES).collect()
+        let recent = versions.filter(|(_, u)| u.counts(now));
+        let is_told =
+            |v: &StreamOrigin, u: &VersionUse| u.targets == 0 || self.is_mixed(now, v.service);
+        let told = recent.filter(|(v, u)| is_told(v, u));
+        let notices = told.map(|(version, u)| u.notice(now, *version));
+        notices.take(MAX_NOTICES).collect()
+    }
+
+    /// Returns all versions that count, to record for routers that start.
+    pub(crate) fn all_notices(&self, now: Instant) -> Vec<VersionNotice> {
+        let versions = self.by_service.values().flatten();
+        let recent = versions.filter(|(_, u)| u.counts(now));
+        recent.map(|(version, u)| u.notice(now, *version)).collect()
     }
 
     /// Returns a number that differs once other versions count, or others have targets in the list.
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -20,6 +20,9 @@
 /// Key of the saved map from cached prompts to targets.
 pub(crate) const PROMPTS_KEY: &str = "scaleford/prompts";
 
+/// Key of the record of software versions.
+pub(crate) const VERSIONS_KEY: &str = "scaleford/versions";
+
 /// Prefix of the keys of the log of stream origins.
 const ORIGINS_PREFIX: &str = "scaleford/origins/";
 
@@ -39,6 +42,8 @@
     Router(SocketAddr),
     /// Encoded map from cached prompts to targets.
     Prompts(Vec<u8>),
+    /// Encoded record of software versions.
+    Versions(Vec<u8>),
     /// Encoded segment of the log of stream origins.
     Origins(Vec<u8>),
     /// A snapshot of the configuration.
@@ -65,7 +70,7 @@
 
 /// Returns whether running routers learn what an entry says otherwise, so that only those that start read it.
 pub(crate) fn is_for_restarts(key: &str) -> bool {
-    key == PROMPTS_KEY || key.starts_with(ORIGINS_PREFIX)
+    key == PROMPTS_KEY || key == VERSIONS_KEY || key.starts_with(ORIGINS_PREFIX)
 }
 
 /// Returns the key of the entry by which a request or a part is quarantined.
@@ -109,6 +114,7 @@
             Ok(OwnEntry::Router(address))
         }
         () if key == PROMPTS_KEY => Ok(OwnEntry::Prompts(packed.unpack()?.into_owned())),
+        () if key == VERSIONS_KEY => Ok(OwnEntry::Versions(packed.unpack()?.into_owned())),
         () if key.starts_with(ORIGINS_PREFIX) => {
             Ok(OwnEntry::Origins(packed.unpack()?.into_owned()))
         }
--- a/tests/decisions/stream_origin.rs
+++ b/tests/decisions/stream_origin.rs
@@ -171,7 +171,8 @@
         let is_mixed = |ms| next.discovery.has_mixed_versions(at(ms), service());
         assert!(is_mixed(5_000), "restart {restart}");
         notices = next.discovery.version_notices(at(5_010));
-        assert_eq!(notices.len(), 1);
+        // The version that left, and the listed one beside it.
+        assert_eq!(notices.len(), 2);
     }
     let mut last = started();
     last.discovery.on_version_notices(at(10), &notices);
@@ -280,3 +281,24 @@
     assert_eq!(origins.take_unsaved(at(20), 8, |_| true).len(), 5);
     assert!(origins.take_unsaved(at(30), 8, |_| true).is_empty());
 }
+
+#[test]
+fn one_version_is_known_to_be_the_only_one_by_a_record_or_after_a_minute() {
+    let mut dispatcher = dispatcher(1);
+    assert!(!dispatcher.discovery.knows_versions(at(59_900)));
+    assert!(dispatcher.discovery.knows_versions(at(60_000)));
+    dispatcher.discovery.on_version_record(at(100), &[]);
+    assert!(dispatcher.discovery.knows_versions(at(100)));
+    assert!(!dispatcher.discovery.has_followed_list(at(100)));
+}
+
+/// Guards against ORDER: a router whose list is behind took its only version for the only one in use.
+#[test]
+fn a_router_whose_list_is_behind_learns_of_a_second_version_from_peers() {
+    let (current, mut behind) = (mixed(), dispatcher(0));
+    put(&mut behind, 0, 2, with_version(0, "v1", TargetState::Ready));
+    assert!(!behind.discovery.has_mixed_versions(at(50), service()));
+    let notices = current.discovery.version_notices(at(50));
+    behind.discovery.on_version_notices(at(60), &notices);
+    assert!(behind.discovery.has_mixed_versions(at(60), service()));
+}
