--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -13,7 +13,7 @@
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
     claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks,
     deliveries::Deliveries, dial::Dialer, feed::ResponseCache, flow::FlowControl, metrics::Metrics,
-    tunnel::Tunnels,
+    origin_log::OriginLog, tunnel::Tunnels,
 };
 use crate::{
     clock::Clock,
@@ -84,6 +84,8 @@
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Log of stream origins in the store.
+    pub(super) origin_log: OriginLog,
     /// Wakes the task that tells other routers the origins of streams.
     pub(crate) origins_changed: Notify,
     pub(super) contention: RefCell<ContentionWatch>,
@@ -171,6 +173,7 @@
             claims: ClaimRecorder::new(Rc::clone(&store)),
             crash_checks: CrashChecks::default(),
             stream_origins: RefCell::default(),
+            origin_log: OriginLog::default(),
             origins_changed: Notify::new(),
             contention: RefCell::default(),
             deliveries: Deliveries::default(),
--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -18,7 +18,7 @@
     service_versions::VersionNotice,
     store::{StoreError, own},
     stream_origin::{OriginNotice, StreamKey},
-    units::Instant,
+    units::{Instant, StoreEra},
 };
 
 /// Time after its start for which a router waits for another one before it writes its address to the
@@ -75,6 +75,7 @@
 /// What of the state was saved last, to notice that it changed.
 #[derive(Debug, Clone, Copy)]
 struct SavedMarks {
+    era: StoreEra,
     version_changes: u64,
     latest_origin: Option<StreamKey>,
     at: Instant,
@@ -84,7 +85,7 @@
     /// Whether so much has changed since that the state is to be saved again.
     fn is_outdated(self, now: Self) -> bool {
         let has_waited = now.at.since(self.at) >= ORIGINS_SAVE_INTERVAL;
-        self.version_changes != now.version_changes
+        (self.era, self.version_changes) != (now.era, now.version_changes)
             || (self.latest_origin != now.latest_origin && has_waited)
     }
 }
@@ -131,6 +132,7 @@
         }
         let state = snapshot(&cx);
         let marks = SavedMarks {
+            era: cx.mirror.borrow().revision().era,
             version_changes: cx.dispatcher.borrow().discovery.version_changes(),
             latest_origin: state.origins.first().map(|o| o.stream),
             at: cx.now(),
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -51,6 +51,9 @@
     cx.metrics.store_revision.set(known.number.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_loaded();
     let history = apply_own_entries(cx, &update.items, is_list);
+    if is_list && is_first {
+        origin_log::restore(cx, &history.origins);
+    }
     if is_list {
         cx.stored_config.set(None);
     }
@@ -87,7 +90,8 @@
         }
         on_targets_changed(cx, &changes, update.revision);
     }
-    if is_list && is_first {
+    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(now);
+    if is_list && !knows_versions {
         version_record::restore(cx, history.versions);
     }
     if let Some(saved) = history.saved {
@@ -100,6 +104,8 @@
 pub(super) struct StoredHistory {
     saved: Option<saved_state::SavedState>,
     versions: StoredRecord,
+    /// Segments of the log of stream origins.
+    origins: Vec<Vec<u8>>,
 }
 
 /// Handles a store that was restored from an older copy: lost entries that are known here may be about
@@ -113,6 +119,7 @@
     info!(cx.log, "store era"; "era" => revision.era.0, "before" => known.era.0,
         "revision" => revision.number, "known" => known.number, "from" => %from);
     cx.claims.on_store_reverted();
+    cx.stream_origins.borrow_mut().on_store_reverted(cx.now());
     let settled_at = cx.now() + RETURN_GRACE;
     cx.freshness.borrow_mut().on_store_reverted(settled_at);
     let mut dispatcher = cx.dispatcher.borrow_mut();
@@ -141,8 +148,8 @@
 pub(super) fn apply_own_entries(cx: &Gateway, items: &[StoreItem], is_list: bool) -> StoredHistory {
     let mut changes = Vec::new();
     let mut history = StoredHistory::default();
-    if items.iter().any(|item| own::is_for_restarts(&item.key)) {
-        history.versions = StoredRecord::Missing;
+    if !items.iter().any(|item| own::is_of_former_fleet(&item.key)) {
+        history.versions = StoredRecord::NewFleet;
     }
     let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
     for (item, entry) in own {
@@ -156,7 +163,7 @@
             Ok(OwnEntry::Versions(record)) if is_list => {
                 history.versions = StoredRecord::Found(record);
             }
-            Ok(OwnEntry::Origins(segment)) if is_list => origin_log::restore(cx, &segment),
+            Ok(OwnEntry::Origins(segment)) if is_list => history.origins.push(segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
                 accepted_changes::apply_snapshot(cx, *snapshot);
             }
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -114,8 +114,10 @@
 /// Returns origins to save, latest first.
 pub(super) fn to_save(cx: &Gateway) -> Vec<OriginNotice> {
     let origins = cx.stream_origins.borrow();
-    let of_mixed = origins.to_save(cx.now(), |service| is_mixed(cx, service));
-    of_mixed.take(MAX_SAVED).collect()
+    let discovery = &cx.dispatcher.borrow().discovery;
+    let now = cx.now();
+    let is_sole = |o: StreamOrigin| discovery.sole_version(now, o.service) == Some(o);
+    origins.to_save(now, is_sole).take(MAX_SAVED).collect()
 }
 
 /// Takes at most `limit` origins that this router has not saved.
@@ -169,7 +171,8 @@
     let services = route.split.iter().map(|(service, _)| service.into());
     let services: Vec<ServiceHash> = services.collect();
     let Some(resumes) = facts.resumes.as_deref() else {
-        return match knows_sole_versions(cx, &services) {
+        // Nobody can be asked about it.
+        return match knows_sole_versions(cx, &services) && has_current_list(cx) {
             true => Origin::SoleVersion,
             false => Origin::Unknown,
         };
@@ -227,7 +230,13 @@
 }
 
 fn has_current_list(cx: &Gateway) -> bool {
-    list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
+    let revision = cx.mirror.borrow().revision();
+    let is_behind = cx
+        .peers
+        .borrow()
+        .peer_ahead_of(cx.now(), revision)
+        .is_some();
+    !is_behind && list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
 }
 
 /// Returns the time since the store is known to have held what this router has of it.
--- a/src/edge/version_record.rs
+++ b/src/edge/version_record.rs
@@ -2,7 +2,8 @@
 //! versions may be in progress.
 //!
 //! The list of targets alone can't tell them: a version may have left it before they read it. The record is
-//! written as soon as other versions count, and only by a router that knows them all.
+//! written as soon as other versions count, again after the store was reverted, and only by routers that know
+//! all versions.
 
 use std::{rc::Rc, time::Duration};
 
@@ -14,15 +15,19 @@
 /// Interval at which a change of the versions is noticed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Writes the record when versions change, if this router is the one that writes the fleet's state.
+/// Pause after a write that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Writes the record when versions change, if this router is one of those that write the fleet's state.
 pub(super) async fn write(cx: Rc<Gateway>) {
     let mut written = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if saved_state::writer_rank(&cx) != Some(0) {
+        if saved_state::writer_rank(&cx).is_none() {
             written = None;
             continue;
         }
+        let era = cx.mirror.borrow().revision().era;
         let (changes, record) = {
             let discovery = &cx.dispatcher.borrow().discovery;
             let now = cx.now();
@@ -31,8 +36,12 @@
             }
             (discovery.version_changes(), discovery.version_record(now))
         };
-        if written != Some(changes) && write_record(&cx, &record).await {
-            written = Some(changes);
+        if written == Some((era, changes)) {
+            continue;
+        }
+        match write_record(&cx, &record).await {
+            true => written = Some((era, changes)),
+            false => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
@@ -53,15 +62,12 @@
     written.is_ok()
 }
 
-/// Applies what the store has for routers that start, after this router's first list.
+/// Applies what the store has for routers that start, after this router's first list of the store.
 pub(super) fn restore(cx: &Gateway, stored: StoredRecord) {
     let record = match &stored {
         StoredRecord::Found(bytes) => postcard::from_bytes(bytes),
         StoredRecord::NewFleet => Ok(Vec::new()),
-        StoredRecord::Missing => {
-            warn!(cx.log, "no record of versions");
-            return;
-        }
+        StoredRecord::Missing => return warn!(cx.log, "no record of versions"),
     };
     match record {
         Ok(record) => {
@@ -74,14 +80,14 @@
     }
 }
 
-/// What a router's first list has of the record.
+/// What a list of the store has of the record.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) enum StoredRecord {
     /// The encoded record.
     Found(Vec<u8>),
-    /// Nothing, as no router has saved anything yet.
-    #[default]
+    /// Nothing, as no router has served calls yet.
     NewFleet,
-    /// Nothing, though routers have saved other state.
+    /// Nothing, though routers have served calls.
+    #[default]
     Missing,
 }
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -17,8 +17,9 @@
 };
 
 /// Time after its last target left the list for which a version still counts. A target serves on for some
-/// seconds, and callers take up its streams soon after they break off.
-pub const VERSION_TTL: Duration = Duration::from_mins(1);
+/// seconds, and callers take up its streams soon after they break off, or after the minute for which they are
+/// asked to stay away where their version has left.
+pub const VERSION_TTL: Duration = Duration::from_mins(2);
 
 /// Addition to the age of a version that is passed on, more than its transmission takes. Otherwise a version
 /// that routers pass to one another would never expire.
@@ -101,15 +102,16 @@
         }
     }
 
-    /// Returns the versions to pass on: those that left the list a moment ago, and all that count where there
-    /// are several, as a peer may lack the latest entries of the list.
+    /// Returns the versions to pass on: first those that left the list a moment ago, which peers can't learn
+    /// from it, then all that count where there are several, as a peer may lack the latest entries.
     pub(crate) fn notices(&self, now: Instant) -> Vec<VersionNotice> {
         let versions = self.by_service.values().flatten();
         let recent = versions.filter(|(_, u)| u.counts(now));
         let is_told =
             |v: &StreamOrigin, u: &VersionUse| u.targets == 0 || self.is_mixed(now, v.service);
-        let told = recent.filter(|(v, u)| is_told(v, u));
-        let notices = told.map(|(version, u)| u.notice(now, *version));
+        let mut told: Vec<_> = recent.filter(|(v, u)| is_told(v, u)).collect();
+        told.sort_unstable_by_key(|(_, u)| u.targets > 0);
+        let notices = told.into_iter().map(|(v, u)| u.notice(now, *v));
         notices.take(MAX_NOTICES).collect()
     }
 
--- a/src/stream_origins.rs
+++ b/src/stream_origins.rs
@@ -216,6 +216,16 @@
         notices
     }
 
+    /// Queues the origins again that a store may have lost which was reverted to an older copy.
+    pub fn on_store_reverted(&mut self, now: Instant) {
+        let recent = self.known.iter().filter(|(_, k)| k.age(now) < UNSENT_TTL);
+        let recent: Vec<_> = recent.map(|(stream, k)| (*stream, k.origin)).collect();
+        self.unsaved.clear();
+        for (stream, origin) in recent.into_iter().rev() {
+            self.queue_to_save(stream, origin);
+        }
+    }
+
     /// Queues origins again that could not be saved.
     pub fn on_not_saved(&mut self, notices: &[OriginNotice]) {
         for notice in notices.iter().rev() {
@@ -223,15 +233,16 @@
         }
     }
 
-    /// Returns the origins that may still be needed after a loss of all routers, latest first.
+    /// Returns the origins that may still be needed after a loss of all routers, latest first: all but those of
+    /// which `is_sole` says that their version is the only one that counts.
     pub fn to_save(
         &self,
         now: Instant,
-        is_mixed: impl Fn(ServiceHash) -> bool,
+        is_sole: impl Fn(StreamOrigin) -> bool,
     ) -> impl Iterator<Item = OriginNotice> {
         let current = self.known.iter().filter(move |(_, k)| now < k.expires_at);
-        let of_mixed = current.filter(move |(_, k)| is_mixed(k.origin.service));
-        of_mixed.map(move |(stream, known)| to_notice(now, *stream, known))
+        let needed = current.filter(move |(_, k)| !is_sole(k.origin));
+        needed.map(move |(stream, known)| to_notice(now, *stream, known))
     }
 
     /// Returns the number of routers that may hold replicas, this one included.
