Calls in progress when a stop's time is up are answered, and late ones not sent

Cause: at 0.95 of the grace the process ended with its connections, whatever was in progress. And once calls were refused, attempts that had not begun were still sent to targets, however little time was left: a call that a target had refused, or whose connection opened late.

Why it works: at 0.95 of the grace the lifecycle enters a phase in which calls without an answer are given up: not run if nothing was sent or all targets refused, a target's earlier error if there is one, 502 otherwise. These answers have 0.2 s. Attempts that are in progress count as possibly run. Once calls are refused, a call that may not be repeated is refused before it is sent if its route's goal ends after that. The instant decides, not the timer, which may be late.

Streams whose answer has begun still break off at the end.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -212,7 +212,9 @@
 
 /// Checks that the router accepts calls. One that needs a key is refused while keys can't be trusted.
 fn check_router(cx: &Gateway, needs_key: bool, received: Instant) -> Result<(), Refusal> {
-    if cx.phase() >= Phase::Refusing {
+    // The timer that begins the phase may be late.
+    let is_late = cx.stop_times.get().is_some_and(|t| cx.now() >= t.refuse_at);
+    if is_late || cx.phase() >= Phase::Refusing {
         return Err(Refusal::new(ResultCode::Draining, "stopping"));
     }
     if cx.in_progress.get() > cx.cfg.max_calls {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    fn not_sent(end: AttemptEnd) -> Self {
+    pub(super) fn not_sent(end: AttemptEnd) -> Self {
         Self {
             execution: Execution::NotRun,
             end,
@@ -178,6 +178,9 @@
         if crash_checks::quarantine_time_left(cx, call).is_some() {
             return Err(AttemptFailure::not_sent(AttemptEnd::Quarantined));
         }
+        if is_too_late(cx, call) {
+            return Err(AttemptFailure::not_sent(AttemptEnd::Stopping));
+        }
         let chosen = cx.dispatcher.borrow_mut().choose(now, &call.plan);
         if call.plan.tried.is_empty() {
             contended::record_admission(cx, call, now);
@@ -215,6 +218,7 @@
         };
         match opened {
             Ok(_) if withdrawals::is_withdrawn(cx, &target.id) => guard.end(AttemptEnd::Withdrawn),
+            Ok(_) if is_too_late(cx, call) => guard.end(AttemptEnd::Stopping),
             Ok(conn) => return Ok((guard, conn)),
             Err(ConnectError::AtLimit) => guard.end(AttemptEnd::ConnectionsAtLimit),
             Err(ConnectError::Refused) => {
@@ -230,6 +234,12 @@
     }
 }
 
+/// Returns whether this router stops and has too little time left for the call.
+fn is_too_late(cx: &Gateway, call: &Call) -> bool {
+    let times = cx.stop_times.get();
+    times.is_some_and(|t| !t.may_send(cx.now(), call.route.kind, call.route.goal))
+}
+
 /// Gets a slot for the attempt if its target is brittle; returns whether the call may be sent.
 async fn hold_slot(cx: &Rc<Gateway>, guard: &mut AttemptGuard) -> bool {
     let target = Rc::clone(&guard.ticket.target);
--- a/src/edge/attempt_end.rs
+++ b/src/edge/attempt_end.rs
@@ -21,6 +21,8 @@
     Superseded,
     /// The call's deadline passed before the attempt was sent.
     NoTimeLeft,
+    /// This router stops, and the call can't be expected to end before.
+    Stopping,
     /// No target is left that the call has not tried.
     NoTarget,
     /// All targets had their maximum number of calls in progress.
@@ -105,6 +107,7 @@
             Self::Abandoned => "abandoned",
             Self::Superseded => "superseded",
             Self::NoTimeLeft => "no time left",
+            Self::Stopping => "stopping",
             Self::NoTarget => "no target left",
             Self::AllFull => "all targets full",
             Self::AllCold => "all targets cold",
@@ -160,6 +163,7 @@
             Self::Abandoned
             | Self::Superseded
             | Self::NoTimeLeft
+            | Self::Stopping
             | Self::NoTarget
             | Self::AllFull
             | Self::AllCold
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -66,7 +66,11 @@
         return Ok(res);
     }
     let mut call_guard = CallGuard::new(cx, conn, id.as_deref());
-    let read = read_body::read_request(cx, &head.headers, body_stream).await;
+    let read = tokio::select! {
+        biased;
+        read = read_body::read_request(cx, &head.headers, body_stream) => read,
+        () = cx.until_time_is_up() => Err(BodyError::Stopping),
+    };
     if !matches!(read, Ok((Some(_), _))) {
         conn.on_body_refused();
     }
@@ -83,6 +87,10 @@
             let refusal = Refusal::new(ResultCode::SlowSender, "the body did not arrive in time");
             return Ok(refuse(cx, &call_guard, refusal));
         }
+        Err(BodyError::Stopping) => {
+            let refusal = Refusal::new(ResultCode::Draining, "stopping");
+            return Ok(refuse(cx, &call_guard, refusal));
+        }
         Err(BodyError::NoRoom) => {
             let why = "the maximum number of bytes of request bodies is held";
             let refusal = Refusal::new(ResultCode::RouterFull, why);
@@ -194,28 +202,46 @@
     }
 }
 
-/// Makes attempts until a target answers or no further attempt is allowed. If the last attempt
-/// fails, an error response that a target sent earlier is returned.
+/// Makes attempts until a target answers, no further attempt is allowed or a stop has no time left. If the last
+/// attempt fails, an error response that a target sent earlier is returned.
 pub(crate) async fn run_attempts(cx: &Rc<Gateway>, call: &mut Call) -> CallResult {
     let mut last_answer = None;
+    let ended = tokio::select! {
+        biased;
+        ended = attempt_until_answered(cx, call, &mut last_answer) => ended,
+        () = cx.until_time_is_up() => Err(AttemptFailure::not_sent(AttemptEnd::Stopping)),
+    };
+    match (ended, last_answer) {
+        (Ok(answer), _) | (Err(_), Some(answer)) => CallResult::Answer(answer),
+        (Err(failed), None) => {
+            call.attempts.on_given_up();
+            CallResult::GaveUp(failed)
+        }
+    }
+}
+
+/// Makes attempts until a target answers or no further attempt is allowed. The last error response of a target is
+/// left in `last_answer`.
+async fn attempt_until_answered(
+    cx: &Rc<Gateway>,
+    call: &mut Call,
+    last_answer: &mut Option<CompleteAnswer>,
+) -> Result<CompleteAnswer, AttemptFailure> {
     let mut previous = None;
     loop {
         let failed = match begin(cx, call).await {
             Ok(started_answer) => match read_answer(cx, call, started_answer).await {
                 Ok(answer) if answer.0.status.is_server_error() => {
-                    last_answer = Some(answer);
+                    *last_answer = Some(answer);
                     AttemptFailure::target_error()
                 }
-                Ok(answer) => return CallResult::Answer(answer),
+                Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             },
             Err(failed) => failed,
         };
         if !take_retry(cx, call, failed) {
-            return match last_answer {
-                Some(answer) => CallResult::Answer(answer),
-                None => CallResult::GaveUp(failed.or_previous(previous)),
-            };
+            return Err(failed.or_previous(previous));
         }
         previous = Some(failed);
     }
--- a/src/edge/call_end.rs
+++ b/src/edge/call_end.rs
@@ -268,6 +268,7 @@
     let (code, text) = match failed.end {
         AttemptEnd::AllFull => (ResultCode::Overloaded, "all targets are full"),
         AttemptEnd::Quarantined => (ResultCode::HeldBack, QUARANTINE_TEXT),
+        AttemptEnd::Stopping => (ResultCode::Draining, "stopping"),
         AttemptEnd::VersionGone => (ResultCode::StreamNotContinued, VERSION_GONE_TEXT),
         AttemptEnd::AllCold => (ResultCode::Overloaded, "all targets are cold"),
         AttemptEnd::AllBackedOff => (ResultCode::Overloaded, "all targets back off"),
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -27,7 +27,7 @@
     explain::{Decision, ExplainRing},
     flow::FlowBounds,
     ids::{Incarnation, Revision, ServiceName, TargetId},
-    lifecycle::{Phase, RouterEvent, RouterLifecycle},
+    lifecycle::{Phase, RouterEvent, RouterLifecycle, StopTimes},
     log::LogFlusher,
     membership::peers::Peers,
     relays::Relays,
@@ -118,6 +118,10 @@
     /// Latest instant at which the store is known to have held the contents of the mirror.
     pub(crate) store_confirmed_at: Cell<Option<Instant>>,
     lifecycle: RefCell<RouterLifecycle>,
+    /// Wakes what waits for a phase of the lifecycle.
+    phase_changed: Notify,
+    /// Times of the planned stop, once one was requested.
+    pub(crate) stop_times: Cell<Option<StopTimes>>,
     /// Configuration in force; `None` before the first one arrived.
     serving: RefCell<Option<Rc<ServingConfig>>>,
     /// Version of the operators' configuration that the store was last known to hold.
@@ -186,6 +190,8 @@
             tunnels: Tunnels::default(),
             metrics: Metrics::default(),
             lifecycle: RefCell::default(),
+            phase_changed: Notify::new(),
+            stop_times: Cell::default(),
             in_progress: Cell::new(0),
             recent_calls: Cell::new(0),
             fleet_share: RefCell::default(),
@@ -269,6 +275,18 @@
     /// Advances the router's lifecycle by an event of a planned stop.
     pub(crate) fn on_lifecycle_event(&self, event: RouterEvent) {
         self.lifecycle.borrow_mut().handle(event);
+        self.phase_changed.notify_waiters();
+    }
+
+    /// Waits until a planned stop has no time left for calls in progress.
+    pub(crate) async fn until_time_is_up(&self) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase() >= Phase::Ending {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Records a decision on a call for `explain`.
--- a/src/edge/read_body.rs
+++ b/src/edge/read_body.rs
@@ -25,6 +25,8 @@
     TimedOut,
     /// The request bodies that the router holds have reached their bound.
     NoRoom,
+    /// A planned stop has no time left.
+    Stopping,
 }
 
 impl From<NoRoomForRequest> for BodyError {
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -1,7 +1,8 @@
 //! The planned stop of a router.
 //!
 //! The router reports at once that it is not ready, but continues to serve callers for a while. Then it
-//! refuses new calls, and ends when none are in progress and all answers have arrived.
+//! refuses new calls, and ends when none are in progress and all answers have arrived. Calls that are still in
+//! progress when its time is up are answered as far as that is still possible.
 
 use std::{rc::Rc, time::Duration};
 
@@ -9,14 +10,20 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use super::{GatewayConfig, gateway::Gateway, gossip};
-use crate::{lifecycle::RouterEvent, units::Instant};
-
-/// Fraction of the stop's maximum duration after which remaining calls are cut off.
-const CUT_OFF_FRACTION: f64 = 0.95;
+use crate::{
+    lifecycle::{RouterEvent, StopTimes},
+    units::Instant,
+};
 
 /// Interval at which a stop checks whether calls are still in progress.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time for idle connections to close before the end, and for calls that arrived late to be refused.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// Time for the answers of calls that are given up as the time is up to be sent.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// Time for which a stop waits for the last log lines to be written out.
 const LOG_WRITE_DELAY: Duration = Duration::from_millis(50);
 
@@ -33,7 +40,7 @@
 pub struct StopReport {
     /// Number of calls in progress when the router began to refuse new ones.
     pub in_progress: u64,
-    /// Number of calls that were cut off because the time limit was reached.
+    /// Number of calls that were cut off without an answer because the time limit was reached.
     pub cut_off: u64,
     /// Number of connections of which an answer, or a part of one, had not arrived by then. It includes those
     /// of calls that were cut off.
@@ -58,16 +65,23 @@
     }
     let began = cx.now();
     info!(cx.log, "stop requested"; "in_progress" => cx.in_progress.get());
+    let rules = cx.rules.get();
+    let times = StopTimes::new(began, rules.serve_on, rules.stop_time);
+    cx.stop_times.set(Some(times));
     cx.on_lifecycle_event(RouterEvent::Stop);
-    cx.clock.sleep_until(began + cx.rules.get().serve_on).await;
+    cx.clock.sleep_until(times.refuse_at).await;
     cx.on_lifecycle_event(RouterEvent::BalancerNotified);
     let in_progress = cx.in_progress.get() as u64;
     gossip::send_to_all(cx, udp, &[]);
-    let limit = cx.rules.get().stop_time.mul_f64(CUT_OFF_FRACTION);
-    await_drained(cx, began + limit).await;
-    // Within this time idle connections close, and calls that arrived late are refused.
-    tokio::time::sleep(DRAIN_CHECK_INTERVAL * 10).await;
-    await_drained(cx, began + limit).await;
+    await_drained(cx, times.cut_off_at).await;
+    let closed_at = (cx.now() + CLOSE_TIME).min(times.cut_off_at);
+    cx.clock.sleep_until(closed_at).await;
+    await_drained(cx, times.cut_off_at).await;
+    if is_busy(cx) {
+        info!(cx.log, "time is up"; "in_progress" => cx.in_progress.get());
+        cx.on_lifecycle_event(RouterEvent::TimeIsUp);
+        tokio::time::sleep(LAST_ANSWERS_TIME).await;
+    }
     cx.on_lifecycle_event(RouterEvent::Finished);
     let report = StopReport {
         in_progress,
@@ -86,9 +100,11 @@
 
 /// Waits until no call is in progress and all answers have arrived, but not beyond the instant `until`.
 async fn await_drained(cx: &Gateway, until: Instant) {
-    let is_busy =
-        || cx.in_progress.get() + cx.tunnels.busy() > 0 || !cx.deliveries.is_all_delivered();
-    while cx.now() < until && is_busy() {
+    while cx.now() < until && is_busy(cx) {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
 }
+
+fn is_busy(cx: &Gateway) -> bool {
+    cx.in_progress.get() + cx.tunnels.busy() > 0 || !cx.deliveries.is_all_delivered()
+}
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -33,8 +33,8 @@
 /// Minimum time that a target may be silent, before the first event and between events.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Serves a call whose answer is a stream. If the last attempt fails, an error response that a target sent earlier
-/// is returned.
+/// Serves a call whose answer is a stream. If the last attempt fails or a stop has no time left, an error response that a
+/// target sent earlier is returned.
 pub(super) async fn serve(
     cx: &Rc<Gateway>,
     mut call: Call,
@@ -43,7 +43,15 @@
     let mut last_error = None;
     let mut previous = None;
     loop {
-        let failed = match begin(cx, &mut call).await {
+        let begun = tokio::select! {
+            biased;
+            begun = begin(cx, &mut call) => begun,
+            () = cx.until_time_is_up() => Err(AttemptFailure::not_sent(AttemptEnd::Stopping)),
+        };
+        if matches!(&begun, Err(failed) if failed.end == AttemptEnd::Stopping) {
+            call.attempts.on_given_up();
+        }
+        let failed = match begun {
             Ok(AnswerStart::Stream(head, source, first)) => {
                 return relay(cx, call, call_guard, head, source, first);
             }
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,7 +1,40 @@
-//! Lifecycle of a router: serving, leaving, refusing, gone.
+//! Lifecycle of a router: serving, leaving, refusing, ending, gone.
+
+use std::time::Duration;
 
 use statig::prelude::*;
 
+use crate::{config::serving::CallKind, units::Instant};
+
+/// Fraction of the stop's maximum duration after which remaining calls are answered or cut off.
+const CUT_OFF_FRACTION: f64 = 0.95;
+
+/// Times of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StopTimes {
+    /// Instant from which new calls are refused.
+    pub(crate) refuse_at: Instant,
+    /// Instant at which the remaining calls end.
+    pub(crate) cut_off_at: Instant,
+}
+
+impl StopTimes {
+    /// Computes the times of a stop that was requested at `began`, accepts calls for `serve_on`, and takes at most
+    /// `limit`.
+    pub(crate) fn new(began: Instant, serve_on: Duration, limit: Duration) -> Self {
+        Self {
+            refuse_at: began + serve_on,
+            cut_off_at: began + limit.mul_f64(CUT_OFF_FRACTION),
+        }
+    }
+
+    /// Returns whether a call of a route with this goal may be sent to a target. One that may not be sent twice is
+    /// rather refused while that is true, unless it can be expected to end in time.
+    pub(crate) fn may_send(self, now: Instant, kind: CallKind, goal: Duration) -> bool {
+        now < self.refuse_at || kind.is_repeatable() || now + goal <= self.cut_off_at
+    }
+}
+
 /// An event in the lifecycle of a router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RouterEvent {
@@ -9,7 +42,9 @@
     Stop,
     /// The load balancer has had time to detect the stop.
     BalancerNotified,
-    /// No calls are in progress any more, or the time limit of the stop is reached.
+    /// The time limit of the stop is reached, and calls are still in progress.
+    TimeIsUp,
+    /// No calls are in progress any more, or they have been answered or cut off.
     Finished,
 }
 
@@ -23,6 +58,8 @@
     Leaving,
     /// New calls are rejected, with a result code that says that they did not run.
     Refusing,
+    /// Calls that are still in progress are given up, with answers that say whether they can have run.
+    Ending,
     /// The stop is complete.
     Gone,
 }
@@ -32,7 +69,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Serving => "serving",
-            Self::Leaving | Self::Refusing => "draining",
+            Self::Leaving | Self::Refusing | Self::Ending => "draining",
             Self::Gone => "gone",
         }
     }
@@ -59,6 +96,7 @@
     fn leaving(event: &RouterEvent) -> Outcome<State> {
         match event {
             RouterEvent::BalancerNotified => Transition(State::refusing()),
+            RouterEvent::TimeIsUp => Transition(State::ending()),
             RouterEvent::Finished => Transition(State::gone()),
             RouterEvent::Stop => Handled,
         }
@@ -66,6 +104,15 @@
 
     #[state]
     fn refusing(event: &RouterEvent) -> Outcome<State> {
+        match event {
+            RouterEvent::TimeIsUp => Transition(State::ending()),
+            RouterEvent::Finished => Transition(State::gone()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn ending(event: &RouterEvent) -> Outcome<State> {
         match event {
             RouterEvent::Finished => Transition(State::gone()),
             _ => Handled,
@@ -104,6 +151,7 @@
             State::Serving {} => Phase::Serving,
             State::Leaving {} => Phase::Leaving,
             State::Refusing {} => Phase::Refusing,
+            State::Ending {} => Phase::Ending,
             State::Gone {} => Phase::Gone,
         }
     }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -29,6 +29,8 @@
 pub struct Attempts {
     /// Number of attempts that reached a target.
     sent: u32,
+    /// Number of those that have not ended.
+    in_progress: u32,
     /// Whether any attempt ran or may have run.
     may_have_run: bool,
     /// Whether the caller has received a part of the answer.
@@ -39,11 +41,19 @@
     /// Records that an attempt reached a target.
     pub fn on_sent(&mut self) {
         self.sent += 1;
+        self.in_progress += 1;
     }
 
     /// Records the end of an attempt.
     pub fn on_attempt_end(&mut self, fate: Execution) {
         self.may_have_run |= fate != Execution::NotRun;
+        self.in_progress = self.in_progress.saturating_sub(1);
+    }
+
+    /// Records that the attempts in progress are given up.
+    pub fn on_given_up(&mut self) {
+        self.may_have_run |= self.in_progress > 0;
+        self.in_progress = 0;
     }
 
     /// Records that the caller has received a part of the answer.
