Streams don't go on at a target that refused a connection since its entry was written

What callers saw: streams with events of two versions (ORDER). While the store was down, targets of v1 crashed and started again in place, under their names, as v2; all streams of v1 went on there.

Cause: the version of a target is that of its last entry. Routers had seen the former instance refuse connections, and kept taking what listens there for it. `X-Expect-Instance` and `X-Runner-Id` name the id alone, which both share.

Change: a refused connection (found by a router and its peers, or told by a peer) puts the listed instance in doubt. Streams of its listed version don't go on there, and a stream that begins there has an origin of its own, which no target is listed with. It counts as a version of the service, so that other routers ask for origins. The doubt ends with another entry (another instance), or once the store, available for so long, still holds the entry 2.5 s after the target answered a call, or 10 s after the refusal.

Ways weighed: a broken connection as a sign as well would put all targets in doubt when connections are reset, just as their streams are taken up (LOST). Placing no new streams there: nothing would be learned of the target. Going on only through connections that opened while the list was confirmed: refuses streams in each outage of the store.

Datagrams have a new field at their end (`doubts`).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -358,6 +358,11 @@
         self.versions.on_notices(now, notices);
     }
 
+    /// Records that a stream begins at a target whose version is not the listed one.
+    pub fn on_unlisted_version(&mut self, now: Instant, version: StreamOrigin) {
+        self.versions.on_unlisted(now, version);
+    }
+
     /// Applies the versions that counted when a router recorded them, before this one started. Without a record,
     /// in a new fleet, there were none.
     pub fn on_version_record(&mut self, now: Instant, record: &[VersionNotice]) {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -13,6 +13,7 @@
     },
     brittle::BrittleTargets,
     discovery::{Discovery, TargetRecord},
+    doubtful_instances::DoubtfulInstances,
     edge::Rules,
     health::{Health, HealthStatus, Outcome},
     ids::{ConversationKey, DataHall, ServiceName, TargetId},
@@ -29,6 +30,7 @@
     prompt_cache::PromptCache,
     quarantine::Quarantine,
     retry::RetryBudget,
+    stream_origin::StreamOrigin,
     target_counts::{InProgress, TargetHash},
     target_speed::TargetSpeeds,
     ticket::{CallTiming, SentPrompt},
@@ -80,6 +82,8 @@
     pub load: LoadAccount,
     /// Health of targets, as learned from outcomes of calls.
     pub health: Health,
+    /// Instances of targets that may have ended.
+    pub doubts: DoubtfulInstances,
     /// Network paths from this router to targets.
     pub paths: TargetPaths,
     /// Targets that crash when they have to reject too many calls.
@@ -118,6 +122,7 @@
             discovery: Discovery::default(),
             load: LoadAccount::new(hall.clone()),
             health: Health::default(),
+            doubts: DoubtfulInstances::default(),
             paths: TargetPaths::default(),
             brittle: BrittleTargets::default(),
             withdrawals: Withdrawals::default(),
@@ -236,7 +241,7 @@
     /// Returns the targets that may continue a stream: those of the version that began it. If all of these
     /// are leaving, they are used as long as they surely serve on.
     fn continuing_targets(&self, now: Instant, plan: &CallPlan) -> Vec<Rc<TargetRecord>> {
-        let may_continue = |t: &&Rc<TargetRecord>| plan.progress.may_continue_at(t);
+        let may_continue = |t: &&Rc<TargetRecord>| plan.progress.may_continue_as(self.origin_at(t));
         let serving = self.discovery.serving(&plan.service);
         let accepting = self.withdrawals.accepting(now, serving);
         let ready: Vec<_> = accepting
@@ -257,6 +262,36 @@
             .collect()
     }
 
+    /// Returns the origin of streams that begin at a target now. Where its instance is in doubt, that is a version
+    /// of its own, so that streams of other origins do not go on there, nor these streams elsewhere.
+    pub fn origin_at(&self, target: &TargetRecord) -> StreamOrigin {
+        match self.doubts.since(&target.id) {
+            Some(since) => StreamOrigin::of_doubtful(target, since),
+            None => target.into(),
+        }
+    }
+
+    /// Records that a stream begins at a target; returns its origin.
+    pub fn on_stream_begun(&mut self, now: Instant, target: &TargetRecord) -> StreamOrigin {
+        let origin = self.origin_at(target);
+        if self.doubts.since(&target.id).is_some() {
+            self.discovery.on_unlisted_version(now, origin);
+        }
+        origin
+    }
+
+    /// Records that a target refused a connection.
+    pub fn on_connection_refused(&mut self, now: Instant, target: &TargetId) {
+        self.health.outages.on_refused(now, target.into());
+        self.doubts.on_refused(now, target);
+    }
+
+    /// Records that the store is available again, `ago` before now.
+    pub fn on_store_available(&mut self, now: Instant, ago: Duration) {
+        self.discovery.on_store_available(now, ago);
+        self.doubts.on_store_available(now.before(ago));
+    }
+
     /// Returns all targets of the call's service that accept calls.
     fn all_targets(&self, now: Instant, plan: &CallPlan) -> ScoredTargets {
         if plan.progress.is_begun() {
@@ -354,6 +389,7 @@
     pub fn on_first_event(&mut self, now: Instant, ticket: &mut Ticket) {
         let target = &ticket.target.id;
         self.health.on_activity(now, target);
+        self.doubts.on_answered(now, ticket.sent_at, target);
         self.load.on_end(target, ticket.work);
         ticket.work = InProgress::one(ticket.answer);
         self.load.on_send(target, ticket.work);
@@ -395,6 +431,7 @@
         self.observe_attempt_end(now, ticket, outcome);
         if outcome == Some(Outcome::Good) {
             (self.health.outages).on_answered(ticket.sent_at, target.into());
+            self.doubts.on_answered(now, ticket.sent_at, target);
             self.on_call_time(now, ticket, ticket.timing);
         }
         if let (Some(Outcome::Good), Some(since)) = (outcome, ticket.slot_since) {
@@ -439,6 +476,7 @@
         self.paths.retain(listed);
         self.brittle.on_tick(now);
         self.health.outages.on_tick(now);
+        self.doubts.on_tick(now);
         self.cold.on_tick(now);
         self.admission.on_tick(now);
         self.speeds.on_tick(now, listed);
--- a/src/edge/crash_checks.rs
+++ b/src/edge/crash_checks.rs
@@ -110,9 +110,7 @@
     let now = cx.now();
     cx.dispatcher
         .borrow_mut()
-        .health
-        .outages
-        .on_refused(now, target.into());
+        .on_connection_refused(now, target);
     let calls: Vec<CrashedCall<'_>> = broken_attempts
         .iter()
         .map(|attempt| CrashedCall {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -293,6 +293,7 @@
         brittle: cx.dispatcher.borrow().brittle.notices(now),
         cleared: cx.dispatcher.borrow().quarantine.clear_notices(now),
         versions: cx.dispatcher.borrow().discovery.version_notices(now),
+        doubts: cx.dispatcher.borrow().doubts.notices(now),
     }
 }
 
@@ -349,7 +350,7 @@
     let mut dispatcher = cx.dispatcher.borrow_mut();
     if let Some(ago) = received.store_regained_ms {
         let ago = Duration::from_millis(u64::from(ago));
-        dispatcher.discovery.on_store_available(now, ago);
+        dispatcher.on_store_available(now, ago);
     }
     let admission = &mut dispatcher.admission;
     admission.on_rate_reports(now, &received.vm, &received.hall, received.rates);
@@ -362,6 +363,7 @@
     if brittle > 0 {
         info!(cx.log, "brittle"; "peer" => %received.vm, "targets" => brittle);
     }
+    dispatcher.doubts.on_notices(now, &received.doubts);
     let peer = received.vm.clone();
     let outages = dispatcher.health.outages.on_notices(now, &received.outages);
     if outages > 0 {
--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -115,6 +115,7 @@
         }
         let now = cx.now();
         let removed = cx.dispatcher.borrow_mut().on_tick(now);
+        stream_origins::on_tick(&cx);
         store_updates::apply_settled_content(&cx);
         crash_checks::on_tick(&cx);
         flow::on_tick(&cx);
--- a/src/edge/path_checks.rs
+++ b/src/edge/path_checks.rs
@@ -83,10 +83,7 @@
     let mut dispatcher = cx.dispatcher.borrow_mut();
     let is_new = dispatcher.paths.on_peer_failed(target);
     if e == ConnectError::Refused {
-        dispatcher
-            .health
-            .outages
-            .on_refused(now, (&target.id).into());
+        dispatcher.on_connection_refused(now, &target.id);
     }
     if is_new {
         info!(cx.log, "path"; "target" => %target.id, "verdict" => "target is down", "why" => e.name());
--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -208,7 +208,7 @@
 pub(super) fn on_connection_refused(cx: &Gateway, id: &str, target: &TargetId) {
     let now = cx.now();
     let mut dispatcher = cx.dispatcher.borrow_mut();
-    dispatcher.health.outages.on_refused(now, target.into());
+    dispatcher.on_connection_refused(now, target);
     info!(cx.log, "outage"; "id" => id, "target" => %target, "refused" => true);
 }
 
--- a/src/edge/store_sync.rs
+++ b/src/edge/store_sync.rs
@@ -284,8 +284,9 @@
         }
         if let Some(lost_at) = cx.store_unavailable_since.take() {
             cx.store_regained_at.set(Some(now));
-            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
-            discovery.on_store_available(now, Duration::ZERO);
+            let mut dispatcher = cx.dispatcher.borrow_mut();
+            dispatcher.on_store_available(now, Duration::ZERO);
+            drop(dispatcher);
             let outage_ms = now.since(lost_at).as_millis() as u64;
             info!(cx.log, "dependency regained"; "dependency" => "store", "away_ms" => outage_ms);
         }
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -191,12 +191,10 @@
     let mut event = first;
     let mut heard_at = cx.now();
     call.attempts.on_response_started();
-    if !call.plan.progress.is_begun() {
-        stream_origins::on_begun(cx, &call, &source.guard.ticket.target);
-    }
+    let origin = stream_origins::on_begun(cx, &call, &source.guard.ticket.target);
     loop {
         if let Some(id) = event.id {
-            call.plan.progress.on_event(id, &source.guard.ticket.target);
+            call.plan.progress.on_event(id, origin);
         }
         // A caller that still has events to read needs no comment to keep its connection open.
         match event.is_comment && !tx.is_empty() {
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -65,16 +65,26 @@
     Unknown,
 }
 
-/// Records that the first event of a stream is about to be passed on to its caller.
-pub(super) fn on_begun(cx: &Gateway, call: &Call, target: &TargetRecord) {
-    let Some(id) = call.id.as_deref() else {
-        return;
-    };
-    if !call.route.kind.is_resumable() {
-        return;
+/// Handles the first event of an answer, which is about to be passed on to its caller, and returns the stream's
+/// origin: it begins at `target`, unless the call takes it up.
+pub(super) fn on_begun(cx: &Gateway, call: &Call, target: &TargetRecord) -> StreamOrigin {
+    if let StreamProgress::Begun { origin, .. } = call.plan.progress {
+        return origin;
+    }
+    let origin = (cx.dispatcher.borrow_mut()).on_stream_begun(cx.now(), target);
+    if let Some(id) = call
+        .id
+        .as_deref()
+        .filter(|_| call.route.kind.is_resumable())
+    {
+        record(cx, call, id, origin);
     }
+    origin
+}
+
+/// Records the origin of the stream that a call began.
+fn record(cx: &Gateway, call: &Call, id: &str, origin: StreamOrigin) {
     let account = call.key_owner.as_ref().map(|owner| &owner.account);
-    let origin = StreamOrigin::from(target);
     let mut origins = cx.stream_origins.borrow_mut();
     origins.on_begun(cx.now(), StreamKey::new(account, id), origin);
     if is_mixed(cx, origin.service) {
@@ -239,6 +249,14 @@
     !is_behind && list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
 }
 
+/// Settles doubts about targets whose entries the store still holds.
+pub(super) fn on_tick(cx: &Gateway) {
+    if let Some(age) = list_age(cx) {
+        let doubts = &mut cx.dispatcher.borrow_mut().doubts;
+        doubts.on_list_confirmed(cx.now().before(age));
+    }
+}
+
 /// Returns the time since the store is known to have held what this router has of it.
 fn list_age(cx: &Gateway) -> Option<Duration> {
     cx.freshness.borrow().age(cx.now())
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -146,6 +146,11 @@
         split.map_or(&self.0, |(name, _start)| name)
     }
 
+    /// Returns whether the target reports its start time, so that it may restart under the same name.
+    pub fn has_start_time(&self) -> bool {
+        self.0.contains(START_SEPARATOR)
+    }
+
     /// Returns the target's name as a `TargetName`.
     pub fn to_name(&self) -> TargetName {
         TargetName(self.name().into())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod dialect;
 pub mod discovery;
 pub mod dispatcher;
+pub mod doubtful_instances;
 pub mod edge;
 pub mod error;
 pub mod evacuation;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -5,6 +5,7 @@
 use crate::{
     admission::{account_rates::RateReport, shares::ShareReport},
     brittle::BrittleNotice,
+    doubtful_instances::DoubtNotice,
     ids::{ClientAccountId, DataHall, Incarnation, TargetId, VmId},
     limits::{Demand, Grant},
     outages::OutageNotice,
@@ -152,4 +153,6 @@
     pub cleared: Vec<ClearNotice>,
     /// Software versions that left the list of targets a moment ago; usually empty.
     pub versions: Vec<VersionNotice>,
+    /// Targets that may have restarted under their names; usually empty.
+    pub doubts: Vec<DoubtNotice>,
 }
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -91,6 +91,11 @@
         self.count_until(now, target.into(), now + VERSION_TTL);
     }
 
+    /// Records a version that began a stream and has no target in the list.
+    pub(crate) fn on_unlisted(&mut self, now: Instant, version: StreamOrigin) {
+        self.count_until(now, version, now + VERSION_TTL);
+    }
+
     /// Records versions that left the list according to another router, or to one of an earlier time.
     pub(crate) fn on_notices(&mut self, now: Instant, notices: &[VersionNotice]) {
         for notice in notices {
--- a/src/stream_origin.rs
+++ b/src/stream_origin.rs
@@ -15,6 +15,7 @@
 use crate::{
     ids::{ClientAccountId, IdError, ServiceName, SoftwareVersion},
     target_record::TargetRecord,
+    units::Instant,
 };
 
 /// Hash of a service's name.
@@ -61,6 +62,16 @@
             version: xxh3_64(version.as_str().as_bytes()) as u32,
         }
     }
+
+    /// Returns the origin of streams that begin at a target whose instance is in doubt `since` then: a version
+    /// that no target is listed with.
+    pub fn of_doubtful(target: &TargetRecord, since: Instant) -> Self {
+        let instance = format!("{}?{}", target.id, since.0.as_micros());
+        Self {
+            service: (&target.service).into(),
+            version: xxh3_64(instance.as_bytes()) as u32,
+        }
+    }
 }
 
 impl From<&TargetRecord> for StreamOrigin {
@@ -104,20 +115,20 @@
         self != Self::NotBegun
     }
 
-    /// Returns whether a target may send the next event.
-    pub fn may_continue_at(self, target: &TargetRecord) -> bool {
+    /// Returns whether a target that begins streams of this origin may send the next event.
+    pub fn may_continue_as(self, of_target: StreamOrigin) -> bool {
         match self {
             Self::NotBegun => true,
-            Self::Begun { origin, .. } => origin == target.into(),
+            Self::Begun { origin, .. } => origin == of_target,
         }
     }
 
-    /// Records that an event of `target` is passed on to the caller.
-    pub fn on_event(&mut self, id: u64, target: &TargetRecord) {
+    /// Records that an event is passed on to the caller, of a target that begins streams of this origin.
+    pub fn on_event(&mut self, id: u64, of_target: impl Into<StreamOrigin>) {
         match self {
             Self::NotBegun => {
                 *self = Self::Begun {
-                    origin: target.into(),
+                    origin: of_target.into(),
                     last: id,
                 };
             }
--- a/tests/feeding.rs
+++ b/tests/feeding.rs
@@ -77,6 +77,7 @@
         quarantined: Vec::new(),
         cleared: Vec::new(),
         versions: Vec::new(),
+        doubts: Vec::new(),
         member_digests: Vec::new(),
         exchange: Some(exchange),
         rates: Vec::new(),
--- a/tests/fleet_net/mod.rs
+++ b/tests/fleet_net/mod.rs
@@ -183,6 +183,7 @@
             quarantined: Vec::new(),
             cleared: Vec::new(),
             versions: Vec::new(),
+            doubts: Vec::new(),
             member_digests: Vec::new(),
             exchange: None,
             rates: Vec::new(),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -59,6 +59,7 @@
         quarantined: Vec::new(),
         cleared: Vec::new(),
         versions: Vec::new(),
+        doubts: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
--- a/tests/share_reports.rs
+++ b/tests/share_reports.rs
@@ -79,6 +79,7 @@
         quarantined: Vec::new(),
         cleared: Vec::new(),
         versions: Vec::new(),
+        doubts: Vec::new(),
         member_digests: Vec::new(),
         exchange: None,
         rates: Vec::new(),
