--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -87,6 +87,8 @@
     SlowSender = 2008, 408, No, "slow_sender";
     /// An unrepeatable request has no `Idempotency-Key`.
     MissingIdempotencyKey = 2010, 400, No, "missing_idempotency_key";
+    /// The number of the last event that the caller has can't be read.
+    BadEventId = 2011, 400, No, "bad_event_id";
     /// The account's rate or concurrency limit is reached.
     AccountLimit = 3001, 429, No, "account_limit";
     /// The router's limit of concurrent requests is reached.
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -195,5 +195,5 @@
     for row in table.lines() {
         assert!(docs.contains(row), "docs/RESULT_CODES.md lacks: {row}");
     }
-    assert_snapshot!(table.lines().count(), @"38");
+    assert_snapshot!(table.lines().count(), @"39");
 }
