The soak restarts all routers at once while versions change (--restarts-of-all)

All routers are killed at the same moment over and over, and once after the faults, and start again 0.1 to 0.8 s later, after releases that replace none, one or all targets of a version. Each start of a target has a name of its own. 48 callers take their streams up at any router. OneVersion allows no joined stream here; TakenUp compares the share of streams that go on at routers in touch with that of new ones that begin.

A killed process counts as disrupted from its kill on; a call that it read before is excused as before. The version is taken when the call is accepted.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lost_calls;
 mod power_losses;
 pub mod promises;
+mod restarts;
 #[path = "../../platform/tests/support/serve.rs"]
 mod serve;
 pub mod silences;
@@ -73,6 +74,8 @@
     pub changes: bool,
     /// Whether power is lost; see `power_losses`.
     pub power: bool,
+    /// Whether all routers are restarted at the same moment; see `restarts`.
+    pub restarts: bool,
     /// Whether the faults are only planned work.
     pub planned: bool,
     /// Whether to keep the routers' logs also if all guarantees were kept.
@@ -105,6 +108,9 @@
         .then(|| versions::start(&env, options.seed));
     let long_streams =
         (options.silences || options.changes).then(|| silences::start(&env, options.seed));
+    let restart_callers = options
+        .restarts
+        .then(|| restarts::start(&env, options.seed));
     let silences = async {
         if options.silences {
             silences::inject(&env, options.seed, options.fault_duration).await;
@@ -140,6 +146,11 @@
             power_losses::inject(&env, options.seed, options.fault_duration).await;
         }
     };
+    let restarts = async {
+        if options.restarts {
+            restarts::inject(&env, options.seed, options.fault_duration).await;
+        }
+    };
     let cuts = async {
         if options.cuts {
             cuts::inject(&env, options.seed, options.fault_duration).await;
@@ -161,7 +172,8 @@
         replacements,
         silences,
         changes,
-        power_losses
+        power_losses,
+        restarts
     );
     env.clear_faults().await;
     caller_tasks.until_recovered().await;
@@ -172,6 +184,10 @@
         power_losses::check_after_faults(&env, options.seed).await;
         caller_tasks.until_recovered().await;
     }
+    if options.restarts {
+        restarts::check_after_faults(&env, options.seed).await;
+        caller_tasks.until_recovered().await;
+    }
     if options.surge {
         surge::check_after_faults(&env, options.seed).await;
     }
@@ -183,6 +199,9 @@
     if let Some(stream_callers) = stream_callers {
         stream_callers.stop().await;
     }
+    if let Some(restart_callers) = restart_callers {
+        restart_callers.stop(&env).await;
+    }
     if let Some(long_streams) = long_streams {
         long_streams.stop().await;
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -44,6 +44,8 @@
             optional --changes
             /// Also let all routers and the store lose power at the same moment.
             optional --power
+            /// Also kill all routers at the same moment and start them again, while callers take up streams.
+            optional --restarts-of-all
             /// Inject only planned work instead of the usual faults: stops, reloads, changes.
             optional --planned
             /// Keep the routers' logs also if all guarantees were kept.
@@ -78,6 +80,7 @@
         silences: flags.silences,
         changes: flags.changes,
         power: flags.power,
+        restarts: flags.restarts_of_all,
         planned: flags.planned,
         keep_logs: flags.keep_logs,
         program: flags.program.or(default_program).unwrap_or_default(),
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -63,6 +63,9 @@
     BrittleKept,
     /// Not more than two streams have events of targets of two software versions.
     OneVersion,
+    /// Of the streams that are taken up at routers in touch while targets of their version serve, at least half as
+    /// large a share goes on as of new streams begins.
+    TakenUp,
     /// Calls are served again after the faults.
     Recovery,
 }
@@ -142,6 +145,11 @@
         };
     }
 
+    /// Returns whether a target's entry says that it is leaving.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        self.leaving_since.borrow().contains_key(target)
+    }
+
     /// Records whether all routers can reach the store and none is paused. While that is not so, routers need
     /// not know that a target is leaving.
     pub fn on_stability_change(&self, is_stable: bool) {
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -12,6 +12,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use tokio::time::Instant;
@@ -19,17 +20,39 @@
 use crate::{callers::CALL_DEADLINE, link::Link, promises::CallOutcome};
 
 /// What the run did to one router process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ProcessState {
+    started_at: Instant,
     /// When the process was first asked to stop gracefully.
     stop_requested_at: Cell<Option<Instant>>,
+    /// Whether the run killed the process, which may take calls until it is gone.
+    is_killed: Cell<bool>,
     /// When the run last killed, paused or resumed the process.
     disrupted_at: Cell<Option<Instant>>,
     /// When the process was last told to reload its settings.
     reloaded_at: Cell<Option<Instant>>,
 }
 
+impl Default for ProcessState {
+    fn default() -> Self {
+        Self {
+            started_at: Instant::now(),
+            stop_requested_at: Cell::default(),
+            is_killed: Cell::default(),
+            disrupted_at: Cell::default(),
+            reloaded_at: Cell::default(),
+        }
+    }
+}
+
 impl ProcessState {
+    /// Returns whether the process has run for this time without being killed, paused, resumed or asked to stop.
+    pub fn has_run_for(&self, duration: Duration) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < duration;
+        let is_disturbed = self.disrupted_at.get().is_some_and(is_recent);
+        !is_recent(self.started_at) && !is_disturbed && self.stop_requested_at.get().is_none()
+    }
+
     /// Records that the process is asked to stop gracefully.
     pub fn on_stop_requested(&self) {
         let at = self.stop_requested_at.get().unwrap_or_else(Instant::now);
@@ -41,6 +64,11 @@
         self.disrupted_at.set(Some(Instant::now()));
     }
 
+    /// Records that the process is killed.
+    pub fn on_killed(&self) {
+        self.is_killed.set(true);
+    }
+
     /// Records that the process is told to reload its settings.
     pub fn on_reload(&self) {
         self.reloaded_at.set(Some(Instant::now()));
@@ -56,9 +84,9 @@
         self.reloaded_at.get()
     }
 
-    /// Returns whether the process was killed, paused or resumed at or after `since`.
+    /// Returns whether the process was killed before now, or paused or resumed at or after `since`.
     pub fn was_disrupted(&self, since: Instant) -> bool {
-        self.disrupted_at.get().is_some_and(|at| at >= since)
+        self.is_killed.get() || self.disrupted_at.get().is_some_and(|at| at >= since)
     }
 }
 
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -25,6 +25,7 @@
     crashes,
     link::Link,
     promises::PromiseChecker,
+    restarts,
     serve::{Body, listen, whole},
     silences::{self, Silence},
     slow_readers, versions,
@@ -58,6 +59,8 @@
     pub silence: Silence,
     /// What it announces about itself in responses.
     pub withdrawal: Cell<Withdrawal>,
+    /// Whether the current instance is listed under a name of its own.
+    has_new_name: Cell<bool>,
     /// Number of its restarts, which identifies the current instance.
     pub restarts: Cell<u64>,
     /// When the current instance started.
@@ -108,6 +111,7 @@
             behavior: Cell::default(),
             silence: Silence::default(),
             withdrawal: Cell::default(),
+            has_new_name: Cell::default(),
             restarts: Cell::default(),
             started_at: Cell::new(Instant::now()),
             link: OnceCell::new(),
@@ -132,8 +136,22 @@
         (self.id.clone(), self.restarts.get())
     }
 
-    /// Starts a new instance under the same id.
-    pub fn on_restart(&self) {
+    /// Returns the name under which the current instance is listed.
+    pub fn name(&self) -> String {
+        match self.has_new_name.get() {
+            true => format!("{}-{}", self.id, self.restarts.get()),
+            false => self.id.clone(),
+        }
+    }
+
+    /// Returns the version of the current instance's software.
+    pub fn version(&self) -> String {
+        versions::version(&self.id, self.restarts.get())
+    }
+
+    /// Starts a new instance, under a name of its own or under the same one.
+    pub fn on_restart(&self, has_new_name: bool) {
+        self.has_new_name.set(has_new_name);
         self.restarts.set(self.restarts.get() + 1);
         self.started_at.set(Instant::now());
         self.withdrawal.set(Withdrawal::None);
@@ -173,7 +191,7 @@
             _ => self.behavior.get(),
         };
         let mut res = match () {
-            () if expected != self.id => status_response(421),
+            () if expected != self.name() => status_response(421),
             () if behavior == TargetBehavior::Refusing => status_response(503),
             () => {
                 self.promises.on_run(&self.id, &call, &head.headers, &body);
@@ -215,17 +233,17 @@
     fn events(
         &self,
         headers: &HeaderMap,
-        call: &str,
+        (call, version): (&str, String),
         last: u64,
         reset_flag: Option<Arc<AtomicBool>>,
     ) -> Body {
         let first = first_event(headers);
         let call = call.to_owned();
-        let version = versions::version(&self.id, self.restarts.get());
         let silence = self.silence.clone();
-        let pause = match call.starts_with(silences::ID_PREFIX) {
-            true => silences::EVENT_PAUSE,
-            false => PROCESSING_TIME,
+        let pause = match call.as_str() {
+            call if call.starts_with(silences::ID_PREFIX) => silences::EVENT_PAUSE,
+            call if call.starts_with(restarts::ID_PREFIX) => restarts::EVENT_PAUSE,
+            _ => PROCESSING_TIME,
         };
         let frames = stream::unfold(first, move |n| {
             let (reset_flag, silence) = (reset_flag.clone(), silence.clone());
@@ -256,6 +274,8 @@
         call: &str,
         behavior: TargetBehavior,
     ) -> Response<Body> {
+        // A later instance has no part in what this one has begun.
+        let version = self.version();
         if behavior == TargetBehavior::Pausing {
             tokio::time::sleep(SILENCE).await;
         }
@@ -272,14 +292,14 @@
             }
             TargetBehavior::Truncating => {
                 let flag = self.promises.attempts.failure_flag(call, &self.id);
-                Response::new(self.events(headers, call, LAST_EVENT / 2, Some(flag)))
+                Response::new(self.events(headers, (call, version), LAST_EVENT / 2, Some(flag)))
             }
             _ if is_stream => {
                 if first_event(headers) > LAST_EVENT {
                     // Only the end of the earlier answer was lost, which no router can resume.
                     self.promises.attempts.on_failed_by_target(call, &self.id);
                 }
-                Response::new(self.events(headers, call, LAST_EVENT, None))
+                Response::new(self.events(headers, (call, version), LAST_EVENT, None))
             }
             _ if is_unframed(call) => unframed(self.plain_answer(call)),
             _ if self.slots.is_some() => Response::new(whole(expected_body(call))),
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -28,7 +28,7 @@
     store::{Store, StoreFault},
     surge,
     target::Target,
-    versions, withdrawals,
+    withdrawals,
 };
 
 /// Number of targets. The entry of one of them may say that it is leaving.
@@ -82,7 +82,9 @@
     /// Whether the targets of that service are brittle.
     pub brittle: bool,
     /// Whether targets run several software versions.
-    versions: bool,
+    pub versions: bool,
+    /// Whether each start of a target has a name of its own.
+    has_new_names: bool,
     /// Whether there is a route of long streams.
     long_streams: bool,
     /// Whether routers are only stopped and changed as planned.
@@ -130,6 +132,7 @@
             surge: options.surge,
             brittle: options.brittle,
             versions: options.versions,
+            has_new_names: options.restarts,
             long_streams: options.silences || options.changes,
             planned_only: options.planned,
             variation: Cell::default(),
@@ -176,10 +179,14 @@
         Rc::clone(&self.version)
     }
 
-    /// Restarts a target under the same name, and writes its entry.
+    /// Restarts a target, under the same name if starts have no names of their own, and writes its entry.
     pub fn on_restart(&self, id: &str) {
         if let Some((target, _)) = self.targets.iter().find(|(t, _)| t.id == id) {
-            target.on_restart();
+            let former_name = target.name();
+            target.on_restart(self.has_new_names);
+            if target.name() != former_name {
+                self.store.remove(&format!("servers/{former_name}"));
+            }
         }
         self.write_entry(id, "ready");
     }
@@ -189,13 +196,13 @@
         let found = self.targets.iter().find(|(t, _)| t.id == id);
         let Some((target, link)) = found else { return };
         let version = match self.versions {
-            true => versions::version(id, target.restarts.get()),
+            true => target.version(),
             false => "v1".to_owned(),
         };
         let entry = json!({"service": "desk", "address": link.address.to_string(),
             "zone": "yard", "version": version, "slots": 64, "state": state, "coldLeftMs": 0,
             "callSeq": 0, "born": 1_764_720_000_000 + target.restarts.get()});
-        let key = format!("servers/{id}");
+        let key = format!("servers/{}", target.name());
         self.store.put(&key, entry.to_string().as_bytes());
         self.promises.on_leaving(id, state != "ready");
     }
@@ -336,6 +343,7 @@
     /// Kills the process, if it is running.
     pub fn kill(&self) {
         self.on_disruption();
+        self.process().on_killed();
         self.terminating.set(true);
         self.signal(Signal::KILL);
     }
--- a/soak/tests/lost_calls.rs
+++ b/soak/tests/lost_calls.rs
@@ -131,6 +131,19 @@
     assert!(!is_reported(&promises));
 }
 
+/// A process takes requests until it is gone, some time after it was killed.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_is_sent_to_a_killed_router_is_not_lost_by_it() {
+    let (promises, process) = (PromiseChecker::default(), ProcessState::default());
+    promises.planned.on_config_change();
+    process.on_killed();
+    advance(Duration::from_millis(50)).await;
+    let sent_at = Instant::now();
+    advance(Duration::from_millis(300)).await;
+    promises.check_loss(CALL, &CallOutcome::NoResponse, &process, sent_at, DEADLINE);
+    assert!(!is_reported(&promises));
+}
+
 /// Draws in quick succession would otherwise join to a silence that lasts until deadlines.
 #[tokio::test(start_paused = true)]
 async fn a_silence_is_not_prolonged() {
