version_record: a reverted store proves no new fleet, late writes replace nothing

A store of a later era, except at the first start of all, proves nothing now; streams of unknown origin are refused.

Each write names the revision that it replaces.

--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -15,11 +15,12 @@
     config::serving::ServingConfig,
     discovery::{Changes, ListChange, RETURN_GRACE, TargetChange},
     ids::{DataHall, TargetId, TargetName},
+    membership::readers::FleetStart,
     store::{
         StoreChange, StoreItem, StoreUpdate,
         own::{self, OwnEntry},
     },
-    units::{Instant, StoreRevision},
+    units::{Instant, StoreEra, StoreRevision},
 };
 
 /// Maximum number of targets of one update that are logged individually. Without it, a router that
@@ -92,13 +93,26 @@
     }
     let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(now);
     if is_list && !knows_versions {
-        version_record::restore(cx, history.versions);
+        let record = match history.versions {
+            StoredRecord::Missing if is_new_fleet(cx, update) => StoredRecord::NewFleet,
+            record => record,
+        };
+        version_record::restore(cx, record);
     }
     if let Some(saved) = history.saved {
         saved_state::restore(cx, saved, is_first);
     }
 }
 
+/// Whether no router has served calls yet, according to a list of the store. A store that was reverted may have
+/// lost what shows it.
+fn is_new_fleet(cx: &Gateway, list: &StoreUpdate) -> bool {
+    let is_first_start = cx.cfg.start == FleetStart::First;
+    let is_original = list.revision.era == StoreEra::default();
+    let has_served = |item: &StoreItem| own::is_of_former_fleet(&item.key);
+    (is_first_start || is_original) && !list.items.iter().any(has_served)
+}
+
 /// What routers stored for those that start, to be applied after the list of targets.
 #[derive(Default)]
 pub(super) struct StoredHistory {
@@ -148,9 +162,6 @@
 pub(super) fn apply_own_entries(cx: &Gateway, items: &[StoreItem], is_list: bool) -> StoredHistory {
     let mut changes = Vec::new();
     let mut history = StoredHistory::default();
-    if !items.iter().any(|item| own::is_of_former_fleet(&item.key)) {
-        history.versions = StoredRecord::NewFleet;
-    }
     let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
     for (item, entry) in own {
         match entry {
--- a/src/edge/version_record.rs
+++ b/src/edge/version_record.rs
@@ -10,11 +10,17 @@
 use slog::{info, warn};
 
 use super::{gateway::Gateway, saved_state};
-use crate::{service_versions::VersionNotice, store::own};
+use crate::{
+    service_versions::VersionNotice,
+    store::{StoreError, SwapResult, own},
+};
 
 /// Interval at which a change of the versions is noticed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Status with which the store rejects a write whose condition does not hold.
+const CONFLICT_STATUS: u16 = 412;
+
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -40,26 +46,30 @@
             continue;
         }
         match write_record(&cx, &record).await {
-            true => written = Some((era, changes)),
-            false => tokio::time::sleep(RETRY_PAUSE).await,
+            Ok(()) => {
+                info!(cx.log, "versions recorded"; "versions" => record.len());
+                written = Some((era, changes));
+            }
+            Err(e) => {
+                info!(cx.log, "versions not recorded"; "versions" => record.len(), "why" => %e);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
 }
 
-async fn write_record(cx: &Gateway, record: &[VersionNotice]) -> bool {
-    let written = match postcard::to_stdvec(record) {
-        Ok(bytes) => cx.store.put(own::VERSIONS_KEY, bytes).await,
-        Err(e) => {
-            warn!(cx.log, "cannot encode the record of versions"; "why" => %e);
-            return false;
-        }
-    };
+/// Writes the record in place of the one that the store has now. Without this condition, a write that was not
+/// answered could replace a later one.
+async fn write_record(cx: &Gateway, record: &[VersionNotice]) -> Result<(), StoreError> {
+    let invalid = |e: postcard::Error| StoreError::InvalidResponse(e.to_string());
+    let bytes = postcard::to_stdvec(record).map_err(invalid)?;
     cx.metrics.on_store_call("versions");
-    match &written {
-        Ok(()) => info!(cx.log, "versions recorded"; "versions" => record.len()),
-        Err(e) => info!(cx.log, "versions not recorded"; "versions" => record.len(), "why" => %e),
+    let current = cx.store.get(own::VERSIONS_KEY).await?;
+    let revision = current.map(|current| current.revision);
+    match cx.store.swap(own::VERSIONS_KEY, revision, bytes).await? {
+        SwapResult::Done(_) => Ok(()),
+        SwapResult::Conflict => Err(StoreError::Rejected(CONFLICT_STATUS)),
     }
-    written.is_ok()
 }
 
 /// Applies what the store has for routers that start, after this router's first list of the store.
@@ -87,7 +97,7 @@
     Found(Vec<u8>),
     /// Nothing, as no router has served calls yet.
     NewFleet,
-    /// Nothing, though routers have served calls.
+    /// Nothing, though routers have served calls, or may have before the store was reverted.
     #[default]
     Missing,
 }
