--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -87,14 +87,16 @@
     let account = call.key_owner.as_ref().map(|owner| &owner.account);
     let mut origins = cx.stream_origins.borrow_mut();
     origins.on_begun(cx.now(), StreamKey::new(account, id), origin);
-    if is_mixed(cx, origin.service) {
+    if are_origins_needed(cx, origin.service) {
         cx.origins_changed.notify_one();
     }
 }
 
-fn is_mixed(cx: &Gateway, service: ServiceHash) -> bool {
+/// Whether the origins of a service's streams are told and saved: it has several versions, or may have had.
+fn are_origins_needed(cx: &Gateway, service: ServiceHash) -> bool {
     let discovery = &cx.dispatcher.borrow().discovery;
-    discovery.has_mixed_versions(cx.now(), service)
+    let now = cx.now();
+    discovery.has_mixed_versions(now, service) || !discovery.knows_versions(now)
 }
 
 /// Sends the origins of streams to the routers that hold their keys until the router ends.
@@ -126,14 +128,16 @@
     let origins = cx.stream_origins.borrow();
     let discovery = &cx.dispatcher.borrow().discovery;
     let now = cx.now();
-    let is_sole = |o: StreamOrigin| discovery.sole_version(now, o.service) == Some(o);
+    let knows_versions = discovery.knows_versions(now);
+    let is_sole =
+        |o: StreamOrigin| knows_versions && discovery.sole_version(now, o.service) == Some(o);
     origins.to_save(now, is_sole).take(MAX_SAVED).collect()
 }
 
 /// Takes at most `limit` origins that this router has not saved.
 pub(super) fn take_unsaved(cx: &Gateway, limit: usize) -> Vec<OriginNotice> {
     let mut origins = cx.stream_origins.borrow_mut();
-    origins.take_unsaved(cx.now(), limit, |service| is_mixed(cx, service))
+    origins.take_unsaved(cx.now(), limit, |service| are_origins_needed(cx, service))
 }
 
 /// Returns the routers that may hold origins now.
@@ -145,7 +149,7 @@
 fn send_due(cx: &Gateway, udp: &UdpSocket, limit: usize) {
     let notices = {
         let mut origins = cx.stream_origins.borrow_mut();
-        origins.take_notices(cx.now(), limit, |service| is_mixed(cx, service))
+        origins.take_notices(cx.now(), limit, |service| are_origins_needed(cx, service))
     };
     cx.metrics
         .streams
