--- a/src/edge/listening.rs
+++ b/src/edge/listening.rs
@@ -11,9 +11,9 @@
 use super::{
     StopReport, contended, crash_checks, exchange, flow,
     gateway::{Gateway, GatewayParts},
-    gossip, ingress, operators, path_checks, peer_calls, saved_state, stop,
+    gossip, ingress, operators, origin_log, path_checks, peer_calls, saved_state, stop,
     stop::Signals,
-    store_sync, store_updates, stream_origins, withdrawals,
+    store_sync, store_updates, stream_origins, version_record, withdrawals,
 };
 use crate::{Error, Result, ids::TargetId};
 
@@ -55,6 +55,8 @@
         spawn_local(store_sync::sync_store(Rc::clone(&cx)));
         spawn_local(saved_state::announce_address(Rc::clone(&cx)));
         spawn_local(saved_state::save(Rc::clone(&cx)));
+        spawn_local(origin_log::write(Rc::clone(&cx)));
+        spawn_local(version_record::write(Rc::clone(&cx)));
         spawn_local(crash_checks::write_quarantined(Rc::clone(&cx)));
         spawn_local(gossip::receive(Rc::clone(&cx), Rc::clone(&udp)));
         spawn_local(gossip::send_updates(Rc::clone(&cx), Rc::clone(&udp)));
@@ -113,6 +115,7 @@
         }
         let now = cx.now();
         let removed = cx.dispatcher.borrow_mut().on_tick(now);
+        stream_origins::on_tick(&cx);
         store_updates::apply_settled_content(&cx);
         crash_checks::on_tick(&cx);
         flow::on_tick(&cx);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 mod listening;
 mod metrics;
 mod operators;
+mod origin_log;
 mod overlap;
 mod path_checks;
 mod path_metrics;
@@ -52,6 +53,7 @@
 mod tunnel;
 mod tunnel_conn;
 mod unanswered;
+mod version_record;
 mod view;
 mod withdrawals;
 
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -5,16 +5,22 @@
 
 use slog::{info, warn};
 
-use super::{accepted_changes, crash_checks, gateway::Gateway, saved_state};
+use super::{
+    accepted_changes, crash_checks,
+    gateway::Gateway,
+    origin_log, saved_state,
+    version_record::{self, StoredRecord},
+};
 use crate::{
     config::serving::ServingConfig,
     discovery::{Changes, ListChange, RETURN_GRACE, TargetChange},
     ids::{DataHall, TargetId, TargetName},
+    membership::readers::FleetStart,
     store::{
         StoreChange, StoreItem, StoreUpdate,
         own::{self, OwnEntry},
     },
-    units::{Instant, StoreRevision},
+    units::{Instant, StoreEra, StoreRevision},
 };
 
 /// Maximum number of targets of one update that are logged individually. Without it, a router that
@@ -45,7 +51,10 @@
     cx.metrics.store_era.set(known.era.0.cast_signed());
     cx.metrics.store_revision.set(known.number.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_loaded();
-    let saved = apply_own_entries(cx, &update.items, is_list);
+    let history = apply_own_entries(cx, &update.items, is_list);
+    if is_list && is_first {
+        origin_log::restore(cx, &history.origins);
+    }
     if is_list {
         cx.stored_config.set(None);
     }
@@ -82,11 +91,37 @@
         }
         on_targets_changed(cx, &changes, update.revision);
     }
-    if let Some(saved) = saved {
+    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(now);
+    if is_list && !knows_versions {
+        let record = match history.versions {
+            StoredRecord::Missing if is_new_fleet(cx, update) => StoredRecord::NewFleet,
+            record => record,
+        };
+        version_record::restore(cx, record);
+    }
+    if let Some(saved) = history.saved {
         saved_state::restore(cx, saved, is_first);
     }
 }
 
+/// Whether no router has served calls yet, according to a list of the store. A store that was reverted may have
+/// lost what shows it.
+fn is_new_fleet(cx: &Gateway, list: &StoreUpdate) -> bool {
+    let is_first_start = cx.cfg.start == FleetStart::First;
+    let is_original = list.revision.era == StoreEra::default();
+    let has_served = |item: &StoreItem| own::is_of_former_fleet(&item.key);
+    (is_first_start || is_original) && !list.items.iter().any(has_served)
+}
+
+/// What routers stored for those that start, to be applied after the list of targets.
+#[derive(Default)]
+pub(super) struct StoredHistory {
+    saved: Option<saved_state::SavedState>,
+    versions: StoredRecord,
+    /// Segments of the log of stream origins.
+    origins: Vec<Vec<u8>>,
+}
+
 /// Handles a store that was restored from an older copy: lost entries that are known here may be about
 /// to be written again.
 fn on_store_reverted(
@@ -98,6 +133,7 @@
     info!(cx.log, "store era"; "era" => revision.era.0, "before" => known.era.0,
         "revision" => revision.number, "known" => known.number, "from" => %from);
     cx.claims.on_store_reverted();
+    cx.stream_origins.borrow_mut().on_store_reverted(cx.now());
     let settled_at = cx.now() + RETURN_GRACE;
     cx.freshness.borrow_mut().on_store_reverted(settled_at);
     let mut dispatcher = cx.dispatcher.borrow_mut();
@@ -122,14 +158,10 @@
 }
 
 /// Applies entries that routers wrote. A whole configuration is applied before changes, which build on
-/// it. Returns the saved targets and prompts, which are to be applied after the list of targets.
-pub(super) fn apply_own_entries(
-    cx: &Gateway,
-    items: &[StoreItem],
-    is_list: bool,
-) -> Option<saved_state::SavedState> {
+/// it. Returns what is to be applied after the list of targets.
+pub(super) fn apply_own_entries(cx: &Gateway, items: &[StoreItem], is_list: bool) -> StoredHistory {
     let mut changes = Vec::new();
-    let mut recovered = None;
+    let mut history = StoredHistory::default();
     let own = items.iter().filter_map(|i| own::decode(i).map(|e| (i, e)));
     for (item, entry) in own {
         match entry {
@@ -137,8 +169,12 @@
                 cx.peers.borrow_mut().add_address(cx.now(), address);
             }
             Ok(OwnEntry::Prompts(saved)) if is_list => {
-                recovered = Some(saved_state::decode(cx, &saved));
+                history.saved = Some(saved_state::decode(cx, &saved));
+            }
+            Ok(OwnEntry::Versions(record)) if is_list => {
+                history.versions = StoredRecord::Found(record);
             }
+            Ok(OwnEntry::Origins(segment)) if is_list => history.origins.push(segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
                 accepted_changes::apply_snapshot(cx, *snapshot);
             }
@@ -165,7 +201,7 @@
     for change in changes {
         accepted_changes::apply_change(cx, change);
     }
-    recovered
+    history
 }
 
 fn log_undecodable(cx: &Gateway, item: &StoreItem, why: &str) {
--- /dev/null
+++ b/src/edge/version_record.rs
@@ -0,0 +1,103 @@
+//! The record of software versions in the store, by which routers that start know whether streams of several
+//! versions may be in progress.
+//!
+//! The list of targets alone can't tell them: a version may have left it before they read it. The record is
+//! written as soon as other versions count, again after the store was reverted, and only by routers that know
+//! all versions.
+
+use std::{rc::Rc, time::Duration};
+
+use slog::{info, warn};
+
+use super::{gateway::Gateway, saved_state};
+use crate::{
+    service_versions::VersionNotice,
+    store::{StoreError, SwapResult, own},
+};
+
+/// Interval at which a change of the versions is noticed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Status with which the store rejects a write whose condition does not hold.
+const CONFLICT_STATUS: u16 = 412;
+
+/// Pause after a write that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Writes the record when versions change, if this router is one of those that write the fleet's state.
+pub(super) async fn write(cx: Rc<Gateway>) {
+    let mut written = None;
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if saved_state::writer_rank(&cx).is_none() {
+            written = None;
+            continue;
+        }
+        let era = cx.mirror.borrow().revision().era;
+        let (changes, record) = {
+            let discovery = &cx.dispatcher.borrow().discovery;
+            let now = cx.now();
+            if !discovery.is_loaded() || !discovery.knows_versions(now) {
+                continue;
+            }
+            (discovery.version_changes(), discovery.version_record(now))
+        };
+        if written == Some((era, changes)) {
+            continue;
+        }
+        match write_record(&cx, &record).await {
+            Ok(()) => {
+                info!(cx.log, "versions recorded"; "versions" => record.len());
+                written = Some((era, changes));
+            }
+            Err(e) => {
+                info!(cx.log, "versions not recorded"; "versions" => record.len(), "why" => %e);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes the record in place of the one that the store has now. Without this condition, a write that was not
+/// answered could replace a later one.
+async fn write_record(cx: &Gateway, record: &[VersionNotice]) -> Result<(), StoreError> {
+    let invalid = |e: postcard::Error| StoreError::InvalidResponse(e.to_string());
+    let bytes = postcard::to_stdvec(record).map_err(invalid)?;
+    cx.metrics.on_store_call("versions");
+    let current = cx.store.get(own::VERSIONS_KEY).await?;
+    let revision = current.map(|current| current.revision);
+    match cx.store.swap(own::VERSIONS_KEY, revision, bytes).await? {
+        SwapResult::Done(_) => Ok(()),
+        SwapResult::Conflict => Err(StoreError::Rejected(CONFLICT_STATUS)),
+    }
+}
+
+/// Applies what the store has for routers that start, after this router's first list of the store.
+pub(super) fn restore(cx: &Gateway, stored: StoredRecord) {
+    let record = match &stored {
+        StoredRecord::Found(bytes) => postcard::from_bytes(bytes),
+        StoredRecord::NewFleet => Ok(Vec::new()),
+        StoredRecord::Missing => return warn!(cx.log, "no record of versions"),
+    };
+    match record {
+        Ok(record) => {
+            info!(cx.log, "restored versions"; "versions" => record.len(),
+                "new_fleet" => stored == StoredRecord::NewFleet);
+            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+            discovery.on_version_record(cx.now(), &record);
+        }
+        Err(e) => warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
+    }
+}
+
+/// What a list of the store has of the record.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) enum StoredRecord {
+    /// The encoded record.
+    Found(Vec<u8>),
+    /// Nothing, as no router has served calls yet.
+    NewFleet,
+    /// Nothing, though routers have served calls, or may have before the store was reverted.
+    #[default]
+    Missing,
+}
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -1,8 +1,9 @@
 //! Software versions of the targets of each service, of those in the list and of those that left it a
 //! moment ago.
 //!
-//! The list says nothing of versions that left it. A router that starts learns of them from the saved state
-//! and from its peers, each with the time since it left.
+//! The list says nothing of versions that left it. A router that starts learns of them from a record in the
+//! store and from its peers, each with the time since it left. Until it has learned of them, or has followed
+//! the list for as long as they count, "there is one version" is not known, though the list has only one.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -16,8 +17,9 @@
 };
 
 /// Time after its last target left the list for which a version still counts. A target serves on for some
-/// seconds, and callers take up its streams soon after they break off.
-pub const VERSION_TTL: Duration = Duration::from_mins(1);
+/// seconds, and callers take up its streams soon after they break off, or after the minute for which they are
+/// asked to stay away where their version has left.
+pub const VERSION_TTL: Duration = Duration::from_mins(2);
 
 /// Addition to the age of a version that is passed on, more than its transmission takes. Otherwise a version
 /// that routers pass to one another would never expire.
@@ -26,11 +28,11 @@
 /// Maximum number of versions that are passed on at once, in less than a kilobyte.
 const MAX_NOTICES: usize = 64;
 
-/// A version without targets in the list, as routers tell it to one another.
+/// A version that counts, as routers tell it to one another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionNotice {
     version: StreamOrigin,
-    /// Time since its last target left the list, in milliseconds.
+    /// Time since its last target left the list, in milliseconds; 0 if it has one.
     age_ms: u32,
 }
 
@@ -47,6 +49,17 @@
     fn counts(&self, now: Instant) -> bool {
         self.targets > 0 || now < self.counts_until
     }
+
+    fn notice(&self, now: Instant, version: StreamOrigin) -> VersionNotice {
+        let age = match self.targets {
+            0 => VERSION_TTL.saturating_sub(self.counts_until.since(now)),
+            _ => Duration::ZERO,
+        };
+        VersionNotice {
+            version,
+            age_ms: age.as_millis() as u32,
+        }
+    }
 }
 
 /// Versions that may have begun streams which are still in progress.
@@ -78,6 +91,11 @@
         self.count_until(now, target.into(), now + VERSION_TTL);
     }
 
+    /// Records a version that began a stream and has no target in the list.
+    pub(crate) fn on_unlisted(&mut self, now: Instant, version: StreamOrigin) {
+        self.count_until(now, version, now + VERSION_TTL);
+    }
+
     /// Records versions that left the list according to another router, or to one of an earlier time.
     pub(crate) fn on_notices(&mut self, now: Instant, notices: &[VersionNotice]) {
         for notice in notices {
@@ -89,17 +107,24 @@
         }
     }
 
-    /// Returns the versions that left the list a moment ago, to pass on.
+    /// Returns the versions to pass on: first those that left the list a moment ago, which peers can't learn
+    /// from it, then all that count where there are several, as a peer may lack the latest entries.
     pub(crate) fn notices(&self, now: Instant) -> Vec<VersionNotice> {
         let versions = self.by_service.values().flatten();
-        let left = versions.filter(|(_, u)| u.targets == 0 && u.counts(now));
-        let notice = |(version, u): (&StreamOrigin, &VersionUse)| VersionNotice {
-            version: *version,
-            age_ms: VERSION_TTL
-                .saturating_sub(u.counts_until.since(now))
-                .as_millis() as u32,
-        };
-        left.map(notice).take(MAX_NOTICES).collect()
+        let recent = versions.filter(|(_, u)| u.counts(now));
+        let is_told =
+            |v: &StreamOrigin, u: &VersionUse| u.targets == 0 || self.is_mixed(now, v.service);
+        let mut told: Vec<_> = recent.filter(|(v, u)| is_told(v, u)).collect();
+        told.sort_unstable_by_key(|(_, u)| u.targets > 0);
+        let notices = told.into_iter().map(|(v, u)| u.notice(now, *v));
+        notices.take(MAX_NOTICES).collect()
+    }
+
+    /// Returns all versions that count, to record for routers that start.
+    pub(crate) fn all_notices(&self, now: Instant) -> Vec<VersionNotice> {
+        let versions = self.by_service.values().flatten();
+        let recent = versions.filter(|(_, u)| u.counts(now));
+        recent.map(|(version, u)| u.notice(now, *version)).collect()
     }
 
     /// Returns a number that differs once other versions count, or others have targets in the list.
