--- a/src/edge/origin_log.rs
+++ b/src/edge/origin_log.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// Writes one segment. If that fails, its origins are part of a later one.
+/// Writes one segment. If the store does not take it, its origins are part of a later one.
 async fn write_segment(
     cx: &Gateway,
     writer: usize,
--- a/src/edge/saved_state.rs
+++ b/src/edge/saved_state.rs
@@ -34,8 +34,8 @@
 /// interval costs more, as each write wakes the readers' watches.
 const SAVE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Minimum interval at which the state is saved because streams have begun: the log of their origins holds
-/// twice as many.
+/// Minimum interval at which the state is saved because streams have begun. The log of their origins holds those
+/// of twice this time.
 const ORIGINS_SAVE_INTERVAL: Duration = Duration::from_secs(6);
 
 /// Maximum size of the saved state, in bytes. Encoded in base64, it is well below the largest value
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -199,13 +199,7 @@
         None if is_sure() => Lookup::default(),
         None => ask_holders(cx, stream).await,
     };
-    let origin = match lookup.origin {
-        Some(origin) => Origin::Known(origin),
-        // A router that reaches nobody may lack entries that others have.
-        None if lookup.is_unanswered() && !has_current_list(cx) => Origin::Unknown,
-        None if knows_sole_versions(cx, &services) => Origin::SoleVersion,
-        None => Origin::Unknown,
-    };
+    let origin = conclude(cx, &services, lookup);
     if let Origin::Known(origin) = origin {
         // The caller may lose its connection again, at this router or with it.
         let mut origins = cx.stream_origins.borrow_mut();
@@ -228,6 +222,17 @@
     origin
 }
 
+/// Returns what a lookup shows of the origin of a stream, which one of these services serves.
+fn conclude(cx: &Gateway, services: &[ServiceHash], lookup: Lookup) -> Origin {
+    match lookup.origin {
+        Some(origin) => Origin::Known(origin),
+        // A router that reaches nobody may lack entries that others have.
+        None if lookup.is_unanswered() && !has_current_list(cx) => Origin::Unknown,
+        None if knows_sole_versions(cx, services) => Origin::SoleVersion,
+        None => Origin::Unknown,
+    }
+}
+
 /// Whether each of these services has had one version only, as far as is known here, so that it began all streams
 /// which are in progress.
 fn knows_sole_versions(cx: &Gateway, services: &[ServiceHash]) -> bool {
