Short answers of other routers are read up to 4 KB, not 32 MB

What could be seen: a router that asks others for a stream's origin, a claim's step, an accepted change or a tunnel reads up to 32 MB of each answer, though such an answer takes some bytes. Several streams that are taken up at once ask several holders each, and each of these answers may be as large. Found by reading, not seen at a caller.

Cause: one bound for all requests, that of a whole list.

Change: each kind of request has its own bound. Lists, changes of the store (which may be a whole list) and decisions on a call keep 32 MB, the others have 4 KB. A larger answer is the error that it was before, and its connection is closed.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -64,6 +64,7 @@
 pub use dial::{Dialer, Dialling, TcpDialer};
 pub use gateway::{Gateway, GatewayParts};
 pub use listening::ListeningGateway;
+pub use peer_calls::{PeerConn, PeerRequest};
 pub use stop::{Signals, StopReport};
 
 use crate::{
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -61,7 +61,7 @@
 
 /// A request to another router.
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum PeerRequest {
+pub enum PeerRequest {
     /// `GET /store/ERA.NUMBER/MS`: returns changes after the revision, or nothing after `MS` milliseconds.
     Store(StoreRevision, Duration),
     /// `POST /claim`: records a step of a claim.
@@ -126,6 +126,19 @@
             Self::SlotRejected(id) => format!("/slot-rejected/{id}"),
         }
     }
+
+    /// Returns the maximum size of the response's body, in bytes.
+    fn max_response_bytes(&self) -> usize {
+        match self {
+            // Changes after a revision may be a whole list, too.
+            Self::Store(..) => MAX_LIST_BYTES,
+            Self::Explain(_) => MAX_DECISIONS_BYTES,
+            Self::Claim => MAX_VERDICT_BYTES,
+            Self::Origin(_) => MAX_ORIGIN_BYTES,
+            Self::Tunnel(_) | Self::Slot(_) => MAX_REFUSAL_BYTES,
+            Self::Change | Self::SlotRejected(_) => MAX_ERROR_TEXT_BYTES,
+        }
+    }
 }
 
 impl PeerRequest {
@@ -144,8 +157,23 @@
     }
 }
 
-/// Maximum size of a response, in bytes; a list of ten thousand entries takes some megabytes.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Maximum size of a response with changes of the store, in bytes; a list of ten thousand entries takes some megabytes.
+const MAX_LIST_BYTES: usize = 32 << 20;
+
+/// Maximum size of a response with the decisions on a call, in bytes; a call may have many attempts.
+const MAX_DECISIONS_BYTES: usize = 32 << 20;
+
+/// Maximum size of a claim's verdict, in bytes; it takes four, and the text of an error some hundred.
+const MAX_VERDICT_BYTES: usize = 4 << 10;
+
+/// Maximum size of a stream's origin, in bytes; it takes about fifty, and the text of an error some hundred.
+const MAX_ORIGIN_BYTES: usize = 4 << 10;
+
+/// Maximum size of the reason why there is no tunnel or slot, in bytes; it takes about twenty.
+const MAX_REFUSAL_BYTES: usize = 4 << 10;
+
+/// Maximum size of a response that says nothing but why the request failed, in bytes.
+const MAX_ERROR_TEXT_BYTES: usize = 4 << 10;
 
 /// Maximum size of a change, in bytes: as much as an operator may send.
 const MAX_CHANGE_BYTES: usize = 4 << 20;
@@ -153,7 +181,7 @@
 type Sender = client::conn::http1::SendRequest<Full<Bytes>>;
 
 /// A connection to another router.
-pub(super) struct PeerConn {
+pub struct PeerConn {
     address: SocketAddr,
     task: AbortHandle,
     sender: RefCell<Sender>,
@@ -161,7 +189,7 @@
 
 impl PeerConn {
     /// Connects to the router at `address`.
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, StoreError> {
+    pub async fn open(address: SocketAddr) -> Result<Self, StoreError> {
         let connect = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
         let stream = stream.map_err(no_answer)?.map_err(no_answer)?;
@@ -203,7 +231,8 @@
         Ok((feed::decode(&body)?, proof))
     }
 
-    async fn call(
+    /// Sends a request, and returns the response's body if it comes within `timeout` and is not too large.
+    pub async fn call(
         &self,
         request: PeerRequest,
         body: Bytes,
@@ -219,6 +248,7 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<(Bytes, Option<Proof>), StoreError> {
+        let max_bytes = request.max_response_bytes();
         let req = request.with_body(body)?;
         let sent = self.sender.borrow_mut().send_request(req);
         let response = async {
@@ -228,7 +258,7 @@
                 .headers()
                 .get(PROOF_HEADER)
                 .map(|p| parse_proof(p.as_bytes()));
-            let body = read_whole(res.into_body(), MAX_RESPONSE_BYTES).await;
+            let body = read_whole(res.into_body(), max_bytes).await;
             let body = body.map_err(no_answer)?;
             match status {
                 StatusCode::OK => Ok((body, proof.transpose()?)),
@@ -247,7 +277,8 @@
     target: &TargetId,
 ) -> Result<Result<TunnelConn, TunnelRefusal>, StoreError> {
     let conn = PeerConn::open(peer).await?;
-    let req = PeerRequest::Tunnel(target.clone()).with_body(Bytes::new())?;
+    let request = PeerRequest::Tunnel(target.clone());
+    let req = request.with_body(Bytes::new())?;
     let sent = conn.sender.borrow_mut().send_request(req);
     let res = sent.await.map_err(no_answer)?;
     match res.status() {
@@ -258,7 +289,7 @@
             Ok(Ok(TunnelConn::new(stream, protocol)))
         }
         StatusCode::SERVICE_UNAVAILABLE => {
-            let body = read_whole(res.into_body(), MAX_RESPONSE_BYTES).await;
+            let body = read_whole(res.into_body(), request.max_response_bytes()).await;
             let refusal = serde_json::from_slice(&body.map_err(no_answer)?);
             Ok(Err(refusal.map_err(invalid_response)?))
         }
