mirror: the log of origins is passed on between routers

Six of seven routers were killed. Those that started listed from the one that lived on, whose copy of the log and of the state was that of its own start (839 origins, as 17 s before): mirrors leave out what only routers that start need.

Mirrors pass the log on; its segments are small. A router that starts reads those that follow its first list as well. The saved state, which is large, stays left out.

--- a/src/edge/origin_log.rs
+++ b/src/edge/origin_log.rs
@@ -104,7 +104,7 @@
     }
 }
 
-/// Restores the origins of all segments after a restart.
+/// Restores the origins of segments that were read after a restart.
 pub(super) fn restore(cx: &Gateway, segments: &[Vec<u8>]) {
     let mut decoded: Vec<(SegmentNumber, Vec<OriginNotice>)> = Vec::new();
     for segment in segments {
@@ -116,7 +116,8 @@
     // The latest ones last: the number of origins that are remembered is bounded.
     decoded.sort_unstable_by_key(|(number, _)| *number);
     for (number, origins) in &decoded {
-        cx.origin_log.next.set(number + 1);
+        let next = &cx.origin_log.next;
+        next.set(next.get().max(number + 1));
         stream_origins::on_notices(cx, origins);
     }
 }
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -52,7 +52,9 @@
     cx.metrics.store_revision.set(known.number.cast_signed());
     let is_first = !cx.dispatcher.borrow().discovery.is_loaded();
     let history = apply_own_entries(cx, &update.items, is_list);
-    if is_list && is_first {
+    // The first list may come from a router that lacks the last segments; they follow as changes.
+    let has_followed = cx.dispatcher.borrow().discovery.has_followed_list(now);
+    if is_first || (!is_list && !has_followed) {
         origin_log::restore(cx, &history.origins);
     }
     if is_list {
@@ -174,7 +176,7 @@
             Ok(OwnEntry::Versions(record)) if is_list => {
                 history.versions = StoredRecord::Found(record);
             }
-            Ok(OwnEntry::Origins(segment)) if is_list => history.origins.push(segment),
+            Ok(OwnEntry::Origins(segment)) => history.origins.push(segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
                 accepted_changes::apply_snapshot(cx, *snapshot);
             }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{StoreItem, StoreUpdate, own::is_for_restarts};
+use super::{StoreItem, StoreUpdate, own::PROMPTS_KEY};
 use crate::units::StoreRevision;
 
 /// Number of removed keys that a mirror keeps for peers that lag behind, in addition to the largest number of
@@ -144,8 +144,9 @@
 
     /// Returns the last change of each key since a revision, in order of revisions.
     fn changes_after(&self, after: StoreRevision) -> Vec<StoreItem> {
-        // Only starting routers need the saved state; running ones receive what it says by datagram.
-        let is_newer = |item: &&StoreItem| item.revision > after && !is_for_restarts(&item.key);
+        // Only starting routers need the saved state, which is large; running ones receive what it says by
+        // datagram. The log of origins is passed on, as a router that starts may list from any other.
+        let is_newer = |item: &&StoreItem| item.revision > after && item.key != PROMPTS_KEY;
         let put = self.items.values().filter(is_newer).cloned();
         let removed = self.removed.iter().filter(|(_, at)| **at > after);
         let removed = removed.map(|(key, at)| StoreItem {
--- a/src/store/own.rs
+++ b/src/store/own.rs
@@ -68,14 +68,10 @@
     format!("{ORIGINS_PREFIX}{writer}/{slot}")
 }
 
-/// Returns whether running routers learn what an entry says otherwise, so that only those that start read it.
-pub(crate) fn is_for_restarts(key: &str) -> bool {
-    key == PROMPTS_KEY || key.starts_with(ORIGINS_PREFIX)
-}
-
 /// Returns whether an entry shows that a fleet has served calls.
 pub(crate) fn is_of_former_fleet(key: &str) -> bool {
-    is_for_restarts(key) || key == VERSIONS_KEY || key.starts_with(QUARANTINE_PREFIX)
+    let is_history = key == PROMPTS_KEY || key == VERSIONS_KEY;
+    is_history || key.starts_with(ORIGINS_PREFIX) || key.starts_with(QUARANTINE_PREFIX)
 }
 
 /// Returns the key of the entry by which a request or a part is quarantined.
--- a/tests/decisions/trust.rs
+++ b/tests/decisions/trust.rs
@@ -245,6 +245,19 @@
     assert!(all.items.iter().any(|i| i.key == "scaleford/prompts"));
 }
 
+/// Guards against LOST: routers that started beside one that had lived on got the log of origins as it was at its start.
+#[test]
+fn the_log_of_origins_is_passed_on_as_it_changes() {
+    let mut mirror = StoreMirror::default();
+    let segment = |revision| item("scaleford/origins/0/1", revision, Some("origins"));
+    mirror.on_list(&update(vec![segment(1)], 1));
+    mirror.on_changes(&update(vec![segment(2)], 2));
+    let Some(MirrorReply::Changes(sent)) = mirror.since(StoreRevision::first_era(1)) else {
+        panic!("the changes are known");
+    };
+    assert_eq!(sent.items, [segment(2)]);
+}
+
 /// Entries of thousands of targets expire and are listed again while the store is briefly
 /// unavailable: a router that was up to date is sent only the changes, and each entry once.
 #[test]
