--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -119,7 +119,7 @@
     pub(crate) store_confirmed_at: Cell<Option<Instant>>,
     lifecycle: RefCell<RouterLifecycle>,
     /// Wakes what waits for a phase of the lifecycle.
-    phase_changed: Notify,
+    pub(super) phase_changed: Notify,
     /// Times of the planned stop, once one was requested.
     pub(crate) stop_times: Cell<Option<StopTimes>>,
     /// Configuration in force; `None` before the first one arrived.
@@ -278,17 +278,6 @@
         self.phase_changed.notify_waiters();
     }
 
-    /// Waits until a planned stop has no time left for calls in progress.
-    pub(crate) async fn until_time_is_up(&self) {
-        loop {
-            let changed = self.phase_changed.notified();
-            if self.phase() >= Phase::Ending {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Records a decision on a call for `explain`.
     pub(crate) fn record_decision(&self, call: &str, decision: impl FnOnce() -> Decision) {
         let at_ms = self.wall_epoch_ms + self.now().0.as_millis() as u64;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -36,6 +36,7 @@
 mod path_checks;
 mod path_metrics;
 mod peer_calls;
+mod peer_request;
 mod read_body;
 mod saved_state;
 mod send_queue;
@@ -64,7 +65,8 @@
 pub use dial::{Dialer, Dialling, TcpDialer};
 pub use gateway::{Gateway, GatewayParts};
 pub use listening::ListeningGateway;
-pub use peer_calls::{PeerConn, PeerRequest};
+pub use peer_calls::PeerConn;
+pub use peer_request::PeerRequest;
 pub use stop::{Signals, StopReport};
 
 use crate::{
--- a/src/edge/stop.rs
+++ b/src/edge/stop.rs
@@ -11,7 +11,7 @@
 
 use super::{GatewayConfig, gateway::Gateway, gossip};
 use crate::{
-    lifecycle::{RouterEvent, StopTimes},
+    lifecycle::{Phase, RouterEvent, StopTimes},
     units::Instant,
 };
 
@@ -108,3 +108,16 @@
 fn is_busy(cx: &Gateway) -> bool {
     cx.in_progress.get() + cx.tunnels.busy() > 0 || !cx.deliveries.is_all_delivered()
 }
+
+impl Gateway {
+    /// Waits until a planned stop has no time left for calls in progress.
+    pub(crate) async fn until_time_is_up(&self) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase() >= Phase::Ending {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod changes;
 mod claims;
 mod crash_evidence;
+mod doubtful_instances;
 mod evacuation;
 mod flow;
 mod health;
