list_check: one version is believed only by a list that has all the store had

Cause: the list was relied on by its age (2 s), which was that of the configuration's confirmation, and not at all once any other router had answered: two routers that were cut off together took each other's "I don't know" for the fleet's, and one without peers asked nobody and believed itself. A version can join, begin a stream and lose it within any age.

Now the order decides, not the age: the store's revision is read after the call arrived, and the list is waited for until it has that revision. A target that began the stream had its entry before. Calls share reads; where the store does not answer, a reader is asked; without an answer nobody believes one version. So that streams go on meanwhile, origins are told and saved from 2 s of silence on, as where there are several versions.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -122,6 +122,11 @@
         is_settled
     }
 
+    /// Whether entries may be missing that were lost with the store and are about to be written again.
+    pub fn may_lack_entries(&self, now: Instant) -> bool {
+        self.settles_at.is_some() || self.grace_until.is_some_and(|until| now < until)
+    }
+
     /// Whether a listed entry undoes what was known from an earlier era of the store.
     fn contradicts_known(&self, record: &TargetRecord, at: StoreRevision) -> bool {
         let is_earlier = |known: StoreRevision| known.era < at.era;
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -12,8 +12,8 @@
 use super::{
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
     claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks,
-    deliveries::Deliveries, dial::Dialer, feed::ResponseCache, flow::FlowControl, metrics::Metrics,
-    origin_log::OriginLog, tunnel::Tunnels,
+    deliveries::Deliveries, dial::Dialer, feed::ResponseCache, flow::FlowControl,
+    list_check::RevisionReads, metrics::Metrics, origin_log::OriginLog, tunnel::Tunnels,
 };
 use crate::{
     clock::Clock,
@@ -84,6 +84,8 @@
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Reads of the store's revision for calls that take streams up.
+    pub(super) revision_reads: RevisionReads,
     /// Log of stream origins in the store.
     pub(super) origin_log: OriginLog,
     /// Wakes the task that tells other routers the origins of streams.
@@ -162,6 +164,7 @@
             peers: RefCell::new(peers),
             rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
+            revision_reads: RevisionReads::default(),
             serving: RefCell::default(),
             stored_config: Cell::new(None),
             mirror: RefCell::default(),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -28,6 +28,7 @@
 mod gateway;
 mod gossip;
 mod ingress;
+mod list_check;
 mod listening;
 mod metrics;
 mod operators;
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -25,6 +25,7 @@
     conn::{CONNECT_TIMEOUT, set_socket_options},
     feed::{self, Proof},
     gateway::Gateway,
+    list_check,
     peer_request::PeerRequest,
     slot_lease,
     tunnel::{self, TunnelRefusal},
@@ -273,6 +274,15 @@
     serde_json::from_slice(&response).map_err(invalid_response)
 }
 
+/// Asks another router for the revision of the store; `None` if the store does not answer it either.
+pub(super) async fn fetch_revision(
+    address: SocketAddr,
+) -> Result<Option<StoreRevision>, StoreError> {
+    let conn = PeerConn::open(address).await?;
+    let response = conn.call(PeerRequest::Revision, Bytes::new(), RESPONSE_TIMEOUT);
+    serde_json::from_slice(&response.await?).map_err(invalid_response)
+}
+
 fn no_answer(e: impl std::fmt::Display) -> StoreError {
     StoreError::NoAnswer(e.to_string())
 }
@@ -328,6 +338,12 @@
                 .map(Bytes::from)
                 .map_err(invalid_response)
         }
+        Some(PeerRequest::Revision) => {
+            let revision = list_check::read_revision(cx).await;
+            serde_json::to_vec(&revision)
+                .map(Bytes::from)
+                .map_err(invalid_response)
+        }
         Some(PeerRequest::Tunnel(target)) => return tunnel::serve(cx, req, target).await,
         Some(PeerRequest::Slot(target)) => return slot_lease::serve(cx, &target),
         Some(PeerRequest::SlotRejected(target)) => {
--- a/src/edge/peer_request.rs
+++ b/src/edge/peer_request.rs
@@ -21,6 +21,9 @@
 /// Maximum size of a stream's origin, in bytes; it takes about fifty, and the text of an error some hundred.
 const MAX_ORIGIN_BYTES: usize = 4 << 10;
 
+/// Maximum size of a revision of the store, in bytes; it takes about forty, and the text of an error some hundred.
+const MAX_REVISION_BYTES: usize = 4 << 10;
+
 /// Maximum size of the reason why there is no tunnel or slot, in bytes; it takes about twenty.
 const MAX_REFUSAL_BYTES: usize = 4 << 10;
 
@@ -40,6 +43,8 @@
     Change,
     /// `GET /origin/STREAM`: returns the origin of a stream, if the router knows it.
     Origin(StreamKey),
+    /// `GET /revision`: reads the revision of the store.
+    Revision,
     /// `GET /tunnel/TARGET`: opens a connection to the target and becomes a tunnel to it.
     Tunnel(TargetId),
     /// `GET /slot/TARGET`: holds a slot of a brittle target as long as the connection is open.
@@ -63,6 +68,7 @@
             (&Method::POST, "change", None) => Some(Self::Change),
             (&Method::GET, "explain", Some(id)) => Some(Self::Explain(id.to_owned())),
             (&Method::GET, "origin", Some(key)) => Some(Self::Origin(key.parse().ok()?)),
+            (&Method::GET, "revision", None) => Some(Self::Revision),
             (&Method::GET, "tunnel", Some(id)) => Some(Self::Tunnel(id.parse().ok()?)),
             (&Method::GET, "slot", Some(id)) => Some(Self::Slot(id.parse().ok()?)),
             (&Method::POST, "slot-rejected", Some(id)) => {
@@ -78,6 +84,7 @@
             Self::Store(..)
             | Self::Explain(_)
             | Self::Origin(_)
+            | Self::Revision
             | Self::Tunnel(_)
             | Self::Slot(_) => Method::GET,
         }
@@ -90,6 +97,7 @@
             Self::Change => "/change".to_owned(),
             Self::Explain(id) => format!("/explain/{id}"),
             Self::Origin(stream) => format!("/origin/{stream}"),
+            Self::Revision => "/revision".to_owned(),
             Self::Tunnel(id) => format!("/tunnel/{id}"),
             Self::Slot(id) => format!("/slot/{id}"),
             Self::SlotRejected(id) => format!("/slot-rejected/{id}"),
@@ -104,6 +112,7 @@
             Self::Explain(_) => MAX_DECISIONS_BYTES,
             Self::Claim => MAX_VERDICT_BYTES,
             Self::Origin(_) => MAX_ORIGIN_BYTES,
+            Self::Revision => MAX_REVISION_BYTES,
             Self::Tunnel(_) | Self::Slot(_) => MAX_REFUSAL_BYTES,
             Self::Change | Self::SlotRejected(_) => MAX_ERROR_TEXT_BYTES,
         }
--- a/src/edge/stream_origins.rs
+++ b/src/edge/stream_origins.rs
@@ -11,7 +11,9 @@
 use slog::info;
 use tokio::net::UdpSocket;
 
-use super::{admission::IncomingCall, attempt::Call, gateway::Gateway, gossip, peer_calls};
+use super::{
+    admission::IncomingCall, attempt::Call, gateway::Gateway, gossip, list_check, peer_calls,
+};
 use crate::{
     ResultCode,
     config::serving::Route,
@@ -45,8 +47,8 @@
 /// Maximum time to wait for the answers of other routers about a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Maximum time since the store is known to have held the list for a router to rely on it alone. A healthy router's
-/// is younger; after a suspension it may lack the entries of a version that others use.
+/// Maximum time since the store is known to have held the list for the store to count as available; a healthy
+/// router's list is younger.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 
 /// Error text for a stream whose origin is not known where it matters.
@@ -92,11 +94,14 @@
     }
 }
 
-/// Whether the origins of a service's streams are told and saved: it has several versions, or may have had.
+/// Whether the origins of a service's streams are told and saved: it has several versions, or may have had, or
+/// routers can't make sure that it has not, as the store does not answer.
 fn are_origins_needed(cx: &Gateway, service: ServiceHash) -> bool {
     let discovery = &cx.dispatcher.borrow().discovery;
     let now = cx.now();
-    discovery.has_mixed_versions(now, service) || !discovery.knows_versions(now)
+    discovery.has_mixed_versions(now, service)
+        || !discovery.knows_versions(now)
+        || !has_recent_list(cx)
 }
 
 /// Sends the origins of streams to the routers that hold their keys until the router ends.
@@ -186,20 +191,22 @@
     let services: Vec<ServiceHash> = services.collect();
     let Some(resumes) = facts.resumes.as_deref() else {
         // Nobody can be asked about it.
-        return match knows_sole_versions(cx, &services) && has_current_list(cx) {
+        return match has_sole_versions(cx, &services).await {
             true => Origin::SoleVersion,
             false => Origin::Unknown,
         };
     };
     let stream = StreamKey::new(account.as_ref(), resumes);
     let known = cx.stream_origins.borrow().get(cx.now(), stream);
-    let is_sure = || knows_sole_versions(cx, &services) && is_up_to_date(cx);
-    let lookup = match known {
-        Some(origin) => Lookup::known_here(origin),
-        None if is_sure() => Lookup::default(),
-        None => ask_holders(cx, stream).await,
+    let (lookup, has_sole_versions) = match known {
+        Some(origin) => (Lookup::known_here(origin), false),
+        None => look_up(cx, stream, &services).await,
+    };
+    let origin = match lookup.origin {
+        Some(origin) => Origin::Known(origin),
+        None if has_sole_versions => Origin::SoleVersion,
+        None => Origin::Unknown,
     };
-    let origin = conclude(cx, &services, lookup);
     if let Origin::Known(origin) = origin {
         // The caller may lose its connection again, at this router or with it.
         let mut origins = cx.stream_origins.borrow_mut();
@@ -218,21 +225,30 @@
         "after_event" => facts.last_event_id, "origin" => lookup.origin.map(|o| o.to_string()),
         "known_by" => source, "asked" => lookup.asked, "answered" => lookup.answered,
         "holders" => cx.stream_origins.borrow().holder_count(), "knows_versions" => knows_versions,
+        "revision" => cx.mirror.borrow().revision().number,
         "list_age_ms" => list_age(cx).map(|age| age.as_millis() as u64));
     origin
 }
 
-/// Returns what a lookup shows of the origin of a stream, which one of these services serves.
-fn conclude(cx: &Gateway, services: &[ServiceHash], lookup: Lookup) -> Origin {
-    match lookup.origin {
-        Some(origin) => Origin::Known(origin),
-        // A router that reaches nobody may lack entries that others have.
-        None if lookup.is_unanswered() && !has_current_list(cx) => Origin::Unknown,
-        None if knows_sole_versions(cx, services) => Origin::SoleVersion,
-        None => Origin::Unknown,
+/// Finds the origin of a stream that is not known here, and whether one version began all streams of the services.
+/// Where that is most likely so, other routers are asked only if it can't be made sure.
+async fn look_up(cx: &Gateway, stream: StreamKey, services: &[ServiceHash]) -> (Lookup, bool) {
+    let has_followed = cx.dispatcher.borrow().discovery.has_followed_list(cx.now());
+    match has_followed && has_recent_list(cx) && knows_sole_versions(cx, services) {
+        true if has_sole_versions(cx, services).await => (Lookup::default(), true),
+        true => (ask_holders(cx, stream).await, false),
+        false => tokio::join!(ask_holders(cx, stream), has_sole_versions(cx, services)),
     }
 }
 
+/// Whether each of these services has had one version only, so that it began all streams which are in progress:
+/// those included of which this router had not heard when the call arrived.
+async fn has_sole_versions(cx: &Gateway, services: &[ServiceHash]) -> bool {
+    knows_sole_versions(cx, services)
+        && list_check::is_current(cx).await
+        && knows_sole_versions(cx, services)
+}
+
 /// Whether each of these services has had one version only, as far as is known here, so that it began all streams
 /// which are in progress.
 fn knows_sole_versions(cx: &Gateway, services: &[ServiceHash]) -> bool {
@@ -242,20 +258,9 @@
     discovery.knows_versions(now) && !services.iter().any(is_mixed)
 }
 
-/// Whether this router has followed the list of targets long enough, and until a moment ago, to know of each version.
-fn is_up_to_date(cx: &Gateway) -> bool {
-    let has_followed = cx.dispatcher.borrow().discovery.has_followed_list(cx.now());
-    has_followed && has_current_list(cx)
-}
-
-fn has_current_list(cx: &Gateway) -> bool {
-    let revision = cx.mirror.borrow().revision();
-    let is_behind = cx
-        .peers
-        .borrow()
-        .peer_ahead_of(cx.now(), revision)
-        .is_some();
-    !is_behind && list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
+/// Whether the store answered a moment ago, as far as is known here.
+fn has_recent_list(cx: &Gateway) -> bool {
+    list_age(cx).is_some_and(|age| age < MAX_LIST_AGE)
 }
 
 /// Settles doubts about targets whose entries the store still holds.
@@ -296,11 +301,6 @@
 }
 
 impl Lookup {
-    /// Whether routers were asked, and none of them answered.
-    fn is_unanswered(&self) -> bool {
-        self.asked > 0 && self.answered == 0
-    }
-
     fn known_here(origin: StreamOrigin) -> Self {
         Self {
             origin: Some(origin),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -173,6 +173,8 @@
 pub trait MetaStore {
     /// Returns all entries that the gateway uses, by consistent reads.
     fn list(&self) -> StoreCall<'_, StoreUpdate>;
+    /// Returns the revision of the store, by a consistent read.
+    fn revision(&self) -> StoreCall<'_, StoreRevision>;
     /// Waits at most `wait` for changes after a revision; returns no entries if there are none.
     fn watch(&self, after: StoreRevision, wait: Duration) -> StoreCall<'_, StoreUpdate>;
     /// Decodes an entry that the platform's other components wrote; the error says what is wrong with it.
