version_record: routers that follow the list apply the record, too

Callers got streams with events of two software versions (ORDER): a version joined and left while a router missed changes (cut off, suspended, or its history was gone), so that the list it read next had the other version alone. It had followed the list for two minutes, and therefore passed over the record of versions, which it only read at a start. Class: knowledge without its span; the span here had a hole.

The record is applied whenever another one is read, in a list or in changes. It is written as soon as versions change, long before targets that joined can leave (drainMs, or three heartbeats), and a call that takes a stream up waits for the list of a later moment.

Test: a_version_that_joined_and_left_unseen_counts; before, 0 of 8 streams were refused (8 joined). All 6 tests of out_of_step and 19 of mixed_versions pass.

--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -36,7 +36,7 @@
     spans::Spans,
     store::{MetaStore, StoreMirror},
     stream_origin::StreamOrigins,
-    units::{ConfigVersion, Instant},
+    units::{ConfigVersion, Instant, StoreRevision},
 };
 
 /// Dependencies that a program provides to a gateway.
@@ -84,6 +84,8 @@
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Revision of the record of versions that was applied last.
+    pub(super) version_record_revision: Cell<StoreRevision>,
     /// Reads of the store's revision for calls that take streams up.
     pub(super) revision_reads: RevisionReads,
     /// Log of stream origins in the store.
@@ -164,6 +166,7 @@
             peers: RefCell::new(peers),
             rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
+            version_record_revision: Cell::default(),
             revision_reads: RevisionReads::default(),
             serving: RefCell::default(),
             stored_config: Cell::new(None),
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -89,9 +89,10 @@
         }
         on_targets_changed(cx, &changes, update.revision);
     }
-    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(now);
-    if is_list && !knows_versions {
-        version_record::restore(cx, history.versions.as_deref());
+    match history.versions {
+        Some((record, revision)) => version_record::apply(cx, &record, revision),
+        None if is_list => version_record::on_missing(cx),
+        None => {}
     }
     if let Some(saved) = history.saved {
         saved_state::restore(cx, saved, is_first);
@@ -102,8 +103,8 @@
 #[derive(Default)]
 pub(super) struct StoredHistory {
     saved: Option<saved_state::SavedState>,
-    /// Encoded record of software versions.
-    versions: Option<Vec<u8>>,
+    /// Encoded record of software versions, and the revision that wrote it.
+    versions: Option<(Vec<u8>, StoreRevision)>,
     /// Segments of the log of stream origins.
     origins: Vec<Vec<u8>>,
 }
@@ -157,9 +158,7 @@
             Ok(OwnEntry::Prompts(saved)) if is_list => {
                 history.saved = Some(saved_state::decode(cx, &saved));
             }
-            Ok(OwnEntry::Versions(record)) if is_list => {
-                history.versions = Some(record);
-            }
+            Ok(OwnEntry::Versions(record)) => history.versions = Some((record, item.revision)),
             Ok(OwnEntry::Origins(segment)) => history.origins.push(segment),
             Ok(OwnEntry::Snapshot(snapshot)) if cx.cfg.own_config => {
                 accepted_changes::apply_snapshot(cx, *snapshot);
--- a/src/edge/version_record.rs
+++ b/src/edge/version_record.rs
@@ -14,6 +14,7 @@
     membership::readers::FleetStart,
     service_versions::VersionNotice,
     store::{StoreError, SwapResult, own},
+    units::StoreRevision,
 };
 
 /// Interval at which a change of the versions is noticed.
@@ -73,20 +74,31 @@
     }
 }
 
-/// Applies the record that a list of the store has. Where it has none, there were no versions if the whole fleet
-/// starts for the first time; otherwise they are not known.
-pub(super) fn restore(cx: &Gateway, stored: Option<&[u8]>) {
-    let record = match stored {
-        Some(bytes) => postcard::from_bytes(bytes),
-        None if cx.cfg.start == FleetStart::First => Ok(Vec::new()),
-        None => return warn!(cx.log, "no record of versions"),
-    };
-    match record {
-        Ok(record) => {
-            info!(cx.log, "restored versions"; "versions" => record.len(), "stored" => stored.is_some());
-            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
-            discovery.on_version_record(cx.now(), &record);
-        }
+/// Applies a record that was read from the store, once. A router that follows the list needs it, too: a version may
+/// have joined and left between two lists.
+pub(super) fn apply(cx: &Gateway, record: &[u8], revision: StoreRevision) {
+    if cx.version_record_revision.replace(revision) == revision {
+        return;
+    }
+    match postcard::from_bytes::<Vec<VersionNotice>>(record) {
+        Ok(record) => on_record(cx, &record, true),
         Err(e) => warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
     }
 }
+
+/// Handles a list of the store without a record. There were no versions if the whole fleet starts for the first time;
+/// otherwise they are not known.
+pub(super) fn on_missing(cx: &Gateway) {
+    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(cx.now());
+    match cx.cfg.start {
+        _ if knows_versions => {}
+        FleetStart::First => on_record(cx, &[], false),
+        FleetStart::Later => warn!(cx.log, "no record of versions"),
+    }
+}
+
+fn on_record(cx: &Gateway, record: &[VersionNotice], is_stored: bool) {
+    info!(cx.log, "restored versions"; "versions" => record.len(), "stored" => is_stored);
+    let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+    discovery.on_version_record(cx.now(), record);
+}
