--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -12,8 +12,8 @@
 use super::{
     GatewayConfig, Rules, accepted_changes, accepted_changes::AcceptedChanges, accounts::Accounts,
     claim_recorder::ClaimRecorder, conn::ConnPool, crash_checks::CrashChecks,
-    deliveries::Deliveries, dial::Dialer, feed::ResponseCache, flow::FlowControl, metrics::Metrics,
-    origin_log::OriginLog, tunnel::Tunnels,
+    deliveries::Deliveries, dial::Dialer, feed::ResponseCache, flow::FlowControl,
+    list_check::RevisionReads, metrics::Metrics, origin_log::OriginLog, tunnel::Tunnels,
 };
 use crate::{
     clock::Clock,
@@ -36,7 +36,7 @@
     spans::Spans,
     store::{MetaStore, StoreMirror},
     stream_origin::StreamOrigins,
-    units::{ConfigVersion, Instant},
+    units::{ConfigVersion, Instant, StoreRevision},
 };
 
 /// Dependencies that a program provides to a gateway.
@@ -84,6 +84,10 @@
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Revision of the record of versions that was applied last.
+    pub(super) version_record_revision: Cell<StoreRevision>,
+    /// Reads of the store's revision for calls that take streams up.
+    pub(super) revision_reads: RevisionReads,
     /// Log of stream origins in the store.
     pub(super) origin_log: OriginLog,
     /// Wakes the task that tells other routers the origins of streams.
@@ -119,7 +123,7 @@
     pub(crate) store_confirmed_at: Cell<Option<Instant>>,
     lifecycle: RefCell<RouterLifecycle>,
     /// Wakes what waits for a phase of the lifecycle.
-    phase_changed: Notify,
+    pub(super) phase_changed: Notify,
     /// Times of the planned stop, once one was requested.
     pub(crate) stop_times: Cell<Option<StopTimes>>,
     /// Configuration in force; `None` before the first one arrived.
@@ -162,6 +166,8 @@
             peers: RefCell::new(peers),
             rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
+            version_record_revision: Cell::default(),
+            revision_reads: RevisionReads::default(),
             serving: RefCell::default(),
             stored_config: Cell::new(None),
             mirror: RefCell::default(),
@@ -278,17 +284,6 @@
         self.phase_changed.notify_waiters();
     }
 
-    /// Waits until a planned stop has no time left for calls in progress.
-    pub(crate) async fn until_time_is_up(&self) {
-        loop {
-            let changed = self.phase_changed.notified();
-            if self.phase() >= Phase::Ending {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Records a decision on a call for `explain`.
     pub(crate) fn record_decision(&self, call: &str, decision: impl FnOnce() -> Decision) {
         let at_ms = self.wall_epoch_ms + self.now().0.as_millis() as u64;
--- a/src/edge/version_record.rs
+++ b/src/edge/version_record.rs
@@ -11,8 +11,10 @@
 
 use super::{gateway::Gateway, saved_state};
 use crate::{
+    membership::readers::FleetStart,
     service_versions::VersionNotice,
     store::{StoreError, SwapResult, own},
+    units::StoreRevision,
 };
 
 /// Interval at which a change of the versions is noticed.
@@ -72,32 +74,31 @@
     }
 }
 
-/// Applies what the store has for routers that start, after this router's first list of the store.
-pub(super) fn restore(cx: &Gateway, stored: StoredRecord) {
-    let record = match &stored {
-        StoredRecord::Found(bytes) => postcard::from_bytes(bytes),
-        StoredRecord::NewFleet => Ok(Vec::new()),
-        StoredRecord::Missing => return warn!(cx.log, "no record of versions"),
-    };
-    match record {
-        Ok(record) => {
-            info!(cx.log, "restored versions"; "versions" => record.len(),
-                "new_fleet" => stored == StoredRecord::NewFleet);
-            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
-            discovery.on_version_record(cx.now(), &record);
-        }
+/// Applies a record that was read from the store, once. A router that follows the list needs it, too: a version may
+/// have joined and left between two lists.
+pub(super) fn apply(cx: &Gateway, record: &[u8], revision: StoreRevision) {
+    if cx.version_record_revision.replace(revision) == revision {
+        return;
+    }
+    match postcard::from_bytes::<Vec<VersionNotice>>(record) {
+        Ok(record) => on_record(cx, &record, true),
         Err(e) => warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
     }
 }
 
-/// What a list of the store has of the record.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(super) enum StoredRecord {
-    /// The encoded record.
-    Found(Vec<u8>),
-    /// Nothing, as no router has served calls yet.
-    NewFleet,
-    /// Nothing, though routers have served calls, or may have before the store was reverted.
-    #[default]
-    Missing,
+/// Handles a list of the store without a record. There were no versions if the whole fleet starts for the first time;
+/// otherwise they are not known.
+pub(super) fn on_missing(cx: &Gateway) {
+    let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(cx.now());
+    match cx.cfg.start {
+        _ if knows_versions => {}
+        FleetStart::First => on_record(cx, &[], false),
+        FleetStart::Later => warn!(cx.log, "no record of versions"),
+    }
+}
+
+fn on_record(cx: &Gateway, record: &[VersionNotice], is_stored: bool) {
+    info!(cx.log, "restored versions"; "versions" => record.len(), "stored" => is_stored);
+    let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+    discovery.on_version_record(cx.now(), record);
 }
