--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -25,6 +25,7 @@
 mod targets;
 mod trust;
 mod tunnel_frames;
+mod version_knowledge;
 mod withdrawals;
 
 use std::{net::SocketAddr, time::Duration};
