rerouting: a stream does not go on at another service than the one that began it

Callers who took a stream up at another router got the rest of it from another service (ORDER: pieces of two runs), after the operators had moved its route or while the route is split. Nothing has to fail for it but the caller's connection.

Cause: where each service has one version, nobody is told which one began a stream, and a router that does not know it takes "one version" for enough. Which service that is was decided by the hash of the new attempt's id, or by the route as it is now. Class: knowledge without its span, as for versions: the route's services of the moment stand for those of the time in which the stream began.

A service that shares a route, or got requests that went to another one until a moment ago, now counts as having one more version for two minutes (or as long as the route is split). So origins are told, saved, recorded and asked for by what there is for versions, also at routers that start or have not applied the change; what nobody knows is refused. Changes are found by comparing two configurations.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 pub mod freshness;
 mod log;
 mod model;
+pub(crate) mod rerouting;
 pub mod routes;
 pub mod serving;
 
--- /dev/null
+++ b/src/config/rerouting.rs
@@ -0,0 +1,64 @@
+//! Between which services a configuration, or a change of it, may move the streams of a route.
+//!
+//! A stream goes on at the service that began it, and its caller names only the route.
+
+use std::collections::{BTreeSet, HashMap};
+
+use hyper::Method;
+
+use super::serving::{Route, RoutingKey, ServingConfig};
+use crate::ids::ServiceName;
+
+/// What tells routes of one configuration apart: host, prefix and method.
+type RouteKey<'a> = (&'a str, &'a str, Option<&'a Method>);
+
+/// Returns the services that share a route with others.
+pub(crate) fn split_services(config: &ServingConfig) -> BTreeSet<ServiceName> {
+    let shared = resumable_routes(config).map(services);
+    let shared = shared.filter(|services| services.len() > 1).flatten();
+    shared.cloned().collect()
+}
+
+/// Returns the services that got requests which go to other services, too, since `before` was replaced by `after`.
+pub(crate) fn rerouted_services(
+    before: &ServingConfig,
+    after: &ServingConfig,
+) -> BTreeSet<ServiceName> {
+    let (of_before, of_after) = (services_by_route(before), services_by_route(after));
+    let all = resumable_routes(before).chain(resumable_routes(after));
+    let changed = all.filter(|r| of_before.get(&key(r)) != of_after.get(&key(r)));
+    let mut rerouted = BTreeSet::new();
+    for route in changed {
+        // Requests of a route that is new or gone went, or go, by one with a shorter prefix.
+        let request = RoutingKey {
+            host: route.host.clone(),
+            method: route.method.clone().unwrap_or_default(),
+            path: route.path_prefix.clone(),
+        };
+        let (Some(from), Some(to)) = (before.route(&request), after.route(&request)) else {
+            continue;
+        };
+        let (from, to) = (services(from), services(to));
+        if from != to {
+            rerouted.extend(from.union(&to).map(|s| (*s).clone()));
+        }
+    }
+    rerouted
+}
+
+fn resumable_routes(config: &ServingConfig) -> impl Iterator<Item = &Route> {
+    config.routes().filter(|r| r.kind.is_resumable())
+}
+
+fn services_by_route(config: &ServingConfig) -> HashMap<RouteKey<'_>, BTreeSet<&ServiceName>> {
+    let routes = resumable_routes(config);
+    routes.map(|r| (key(r), services(r))).collect()
+}
+
+fn services(route: &Route) -> BTreeSet<&ServiceName> {
+    route.split.iter().map(|(service, _)| service).collect()
+}
+
+fn key(route: &Route) -> RouteKey<'_> {
+    (&route.host, &route.path_prefix, route.method.as_ref())
+}
--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -265,6 +265,11 @@
         routes.iter().find(|r| r.matches(routing_key))
     }
 
+    /// Iterates over all routes.
+    pub(crate) fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten().map(|route| &**route)
+    }
+
     /// Returns the properties of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -363,6 +363,16 @@
         self.versions.on_notices(now, notices);
     }
 
+    /// Records which services share routes by the configuration, and which shared or exchanged some until now.
+    pub fn on_routes(
+        &mut self,
+        now: Instant,
+        split: HashSet<ServiceHash>,
+        rerouted: impl Iterator<Item = ServiceHash>,
+    ) {
+        self.versions.on_routes(now, split, rerouted);
+    }
+
     /// Records that a stream begins at a target whose version is not the listed one.
     pub fn on_unlisted_version(&mut self, now: Instant, version: StreamOrigin) {
         self.versions.on_unlisted(now, version);
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -19,6 +19,7 @@
     clock::Clock,
     config::{
         freshness::Freshness,
+        rerouting::{rerouted_services, split_services},
         serving::{CallerLimits, ServingConfig},
     },
     contention::ContentionWatch,
@@ -35,7 +36,7 @@
     slot_gate::SlotGates,
     spans::Spans,
     store::{MetaStore, StoreMirror},
-    stream_origin::StreamOrigins,
+    stream_origin::{ServiceHash, StreamOrigins},
     units::{ConfigVersion, Instant, StoreRevision},
 };
 
@@ -320,6 +321,13 @@
             .is_none_or(|before| config.is_newer_than(before));
         if newer {
             self.metrics.config_version.set(version.0.cast_signed());
+            let split = split_services(&config);
+            let split = split.iter().map(ServiceHash::from).collect();
+            let before = serving.as_deref();
+            let rerouted = before.map(|b| rerouted_services(b, &config));
+            let rerouted = rerouted.unwrap_or_default();
+            let discovery = &mut self.dispatcher.borrow_mut().discovery;
+            discovery.on_routes(self.now(), split, rerouted.iter().map(ServiceHash::from));
             *serving = Some(Rc::new(config));
             self.freshness.borrow_mut().on_applied(version);
             self.config_arrived.notify_waiters();
--- a/src/service_versions.rs
+++ b/src/service_versions.rs
@@ -5,7 +5,10 @@
 //! store and from its peers, each with the time since it left. Until it has learned of them, or has followed
 //! the list for as long as they count, "there is one version" is not known, though the list has only one.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -66,6 +69,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServiceVersions {
     by_service: HashMap<ServiceHash, FxHashMap<StreamOrigin, VersionUse>>,
+    /// Services that share a route with others.
+    split: HashSet<ServiceHash>,
     /// Number of changes in which versions count and which of them have targets.
     changes: u64,
 }
@@ -96,6 +101,21 @@
         self.count_until(now, version, now + VERSION_TTL);
     }
 
+    /// Records which services share routes, and which shared or exchanged some until now. A stream of unknown origin
+    /// may be another service's, as if the service had another version.
+    pub(crate) fn on_routes(
+        &mut self,
+        now: Instant,
+        split: HashSet<ServiceHash>,
+        rerouted: impl Iterator<Item = ServiceHash>,
+    ) {
+        for service in rerouted {
+            let origin = StreamOrigin::of_other_service(service);
+            self.count_until(now, origin, now + VERSION_TTL);
+        }
+        self.split = split;
+    }
+
     /// Records versions that left the list according to another router, or to one of an earlier time.
     pub(crate) fn on_notices(&mut self, now: Instant, notices: &[VersionNotice]) {
         for notice in notices {
@@ -144,13 +164,12 @@
     /// several versions or none.
     pub(crate) fn sole(&self, now: Instant, service: ServiceHash) -> Option<StreamOrigin> {
         let mut recent = self.recent(now, service);
-        let first = recent.next()?;
-        recent.next().is_none().then_some(first)
+        recent.next().filter(|_| !self.is_mixed(now, service))
     }
 
     /// Returns whether streams of several versions may be in progress.
     pub(crate) fn is_mixed(&self, now: Instant, service: ServiceHash) -> bool {
-        self.recent(now, service).nth(1).is_some()
+        self.split.contains(&service) || self.recent(now, service).nth(1).is_some()
     }
 
     /// Forgets versions whose time is over.
--- a/src/stream_origin.rs
+++ b/src/stream_origin.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Returns what stands for the streams of other services that a service got the requests of.
+    pub(crate) fn of_other_service(service: ServiceHash) -> Self {
+        Self {
+            service,
+            version: xxh3_64(b"of another service") as u32,
+        }
+    }
+
     /// Returns the origin of streams that begin at a target whose instance is in doubt `since` then: a version
     /// that no target is listed with.
     pub fn of_doubtful(target: &TargetRecord, since: Instant) -> Self {
