list_check: calls share the reads of other routers, too, and wait for feeders

While the store is silent to one router, each call that took a stream up asked a reader by a connection of its own; they share one now. After a mere outage of the store nothing is held back any more: what expired with the store is in the record of versions; only a reverted store may lack that.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -122,9 +122,9 @@
         is_settled
     }
 
-    /// Whether entries may be missing that were lost with the store and are about to be written again.
-    pub fn may_lack_entries(&self, now: Instant) -> bool {
-        self.settles_at.is_some() || self.grace_until.is_some_and(|until| now < until)
+    /// Whether the store was reverted a moment ago, so that entries which it lost are about to be written again.
+    pub fn is_settling(&self) -> bool {
+        self.settles_at.is_some()
     }
 
     /// Whether a listed entry undoes what was known from an earlier era of the store.
--- a/src/edge/peer_calls.rs
+++ b/src/edge/peer_calls.rs
@@ -339,7 +339,7 @@
                 .map_err(invalid_response)
         }
         Some(PeerRequest::Revision) => {
-            let revision = list_check::read_revision(cx).await;
+            let revision = list_check::own_read(cx).await;
             serde_json::to_vec(&revision)
                 .map(Bytes::from)
                 .map_err(invalid_response)
