sent_call: a success that is nothing but a head is cut off

Cause: the end of the connection ends such a body, and it is also how a target ends that crashes after its head. An empty body was believed; on a stream, the end was taken for that of a stream without events.

A success whose body only the connection ends, and of which no byte came (on a stream: no event), has now been cut off: it is repeated where that is allowed, or answered with 502. Answers with a length or chunks may be empty as before.

Test: cut_answers, a head and body cut at every byte, by framing, end, route, path (direct, through a peer), version of the caller, connection new or kept, and after informational heads.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -309,11 +309,12 @@
     let StartedAnswer {
         mut head,
         body,
+        is_cut_if_empty,
         facts,
         conn,
         guard,
     } = started_answer;
-    let reading = read_body::read_answer(body, &call.answer);
+    let reading = read_body::read_answer(body, is_cut_if_empty, &call.answer);
     let read = cx.clock.timeout_at(call.deadline, reading).await;
     let end = match &read {
         Some(Ok(_)) if head.status.is_server_error() => AttemptEnd::TargetError,
--- a/src/edge/read_body.rs
+++ b/src/edge/read_body.rs
@@ -83,14 +83,19 @@
 }
 
 /// Reads the whole body of a target's answer. Fails with the end of the attempt if the answer is not complete.
+/// An empty body is not complete if `is_cut_if_empty` is set.
 pub(super) async fn read_answer(
     body: Incoming,
+    is_cut_if_empty: bool,
     answer: &AnswerAccount,
 ) -> Result<CollectedBody, AttemptEnd> {
     tokio::select! {
         biased;
         () = answer.refused() => Err(AttemptEnd::NoRoomForAnswer),
-        collected = collect_answer(body, answer) => collected,
+        collected = collect_answer(body, answer) => match collected {
+            Ok(collected) if is_cut_if_empty && collected.len() == 0 => Err(AttemptEnd::AnswerTruncated),
+            collected => collected,
+        },
     }
 }
 
--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode, Version, body::Incoming, client::conn::TrySendError,
+    Request, Response, StatusCode, Version,
+    body::{Body, Incoming},
+    client::conn::TrySendError,
+    header,
     http::response,
 };
 use slog::info;
@@ -84,6 +87,9 @@
 pub(crate) struct StartedAnswer {
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
+    /// Whether an empty body is taken for one that was cut off: a target that crashes after the head of a success ends
+    /// the connection, too, which ends a body that has neither a length nor chunks.
+    pub(crate) is_cut_if_empty: bool,
     pub(crate) facts: ResponseInfo,
     pub(crate) conn: Conn,
     pub(crate) guard: AttemptGuard,
@@ -152,7 +158,10 @@
             self.guard.end(failed.end);
             return Err(failed);
         }
+        let has_end = head.headers.contains_key(header::TRANSFER_ENCODING)
+            || body.size_hint().exact().is_some();
         Ok(StartedAnswer {
+            is_cut_if_empty: head.status.is_success() && !has_end,
             head,
             body,
             facts,
--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -121,13 +121,14 @@
     let StartedAnswer {
         mut head,
         body,
+        is_cut_if_empty,
         facts,
         conn,
         guard,
     } = sent.head(Rc::clone(&cx)).await?;
     strip_connection_headers(&mut head.headers);
     if !head.status.is_success() {
-        let reading = read_body::read_answer(body, &account);
+        let reading = read_body::read_answer(body, is_cut_if_empty, &account);
         let read = cx.clock.timeout_at(deadline, reading).await;
         guard.end(match head.status.is_server_error() {
             true => AttemptEnd::TargetError,
@@ -148,6 +149,7 @@
             cx.metrics.on_first_event(cx.now().since(received));
             Ok(AnswerStart::Stream(head, source, event))
         }
+        Next::End if is_cut_if_empty => Err(source.on_broken(AttemptEnd::AnswerTruncated)),
         Next::End => {
             source.on_complete(&cx).await;
             let nothing = account.hold_nothing();
