sent_call: the length of a target's answer is written anew

Callers got no answer (the connection closed) where a target sent both chunks and a Content-Length, in builds with assertions; and `Content-Length: 5, 5` as the target had sent it, which callers may refuse.

Cause: Transfer-Encoding was removed from a plain answer and from errors on streaming routes, but Content-Length was not. Beside chunks it says nothing (RFC 9112, 6.3); the HTTP library takes one that is given for right, and asserts that it is. Without assertions the lie goes out as the frame of another body; that build was not run.

The router has the body, so it writes its length. Answers without a body keep theirs.

Test: an_answer_whose_framing_is_odd_is_whole_or_not_taken_for_a_success (37 framings, 3 versions of callers, routes, paths, a success and an error).

--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -139,6 +139,11 @@
         // The version concerns the target's connection only. An answer to the caller in an earlier one would have
         // no chunks, so that it looked complete where it breaks off.
         head.version = Version::HTTP_11;
+        // The same holds for the length: a body in chunks may come with another one, or a valid one be repeated. An
+        // answer without a body keeps it, as it is that of the answer to a `GET`.
+        if !body.is_end_stream() {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         if !self.conn.is_tunnel() {
             let paths = &mut cx.dispatcher.borrow_mut().paths;
             paths.on_heard(cx.now(), &self.guard.ticket.target);
