sent_call: an answer in an unknown transfer encoding is malformed

Callers got a 200 framed as whole whose body was not the target's (MIXED): with `Transfer-Encoding: gzip`, `gzip, chunked`, `chunked, gzip`, `identity` or others, the bytes of the encoding, or of the chunks, were passed on as the body, until the connection ended.

Cause: the HTTP library ends such a body with the connection, or decodes the chunks only, and the header was removed as one of the connection. The router asks for no encoding (no TE), as it does for none of the content, which is checked.

Only `chunked`, once, is understood now; anything else is a malformed answer after which the call may have run: repeated where that is allowed, or 502.

--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -12,10 +12,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode, Version,
+    HeaderMap, Request, Response, Version,
     body::{Body, Incoming},
     client::conn::TrySendError,
-    header,
+    header::{self, HeaderValue},
     http::response,
 };
 use slog::info;
@@ -159,7 +159,7 @@
             on_brittle_statement(cx, id, target, &facts);
         }
         withdrawals::on_response_head(cx, id, target, head.status, &facts);
-        if let Some(failed) = self.check_head(cx, head.status, &facts) {
+        if let Some(failed) = self.check_head(cx, &head, &facts) {
             self.guard.end(failed.end);
             return Err(failed);
         }
@@ -179,7 +179,7 @@
     fn check_head(
         &self,
         cx: &Rc<Gateway>,
-        status: StatusCode,
+        head: &response::Parts,
         facts: &ResponseInfo,
     ) -> Option<AttemptFailure> {
         let is_other_call = facts.id.is_some() && facts.id != self.id;
@@ -197,9 +197,12 @@
                 }
                 Some(AttemptFailure::not_run(AttemptEnd::Refused))
             }
-            () if !facts.is_authentic(status) => {
+            () if !facts.is_authentic(head.status) => {
                 Some(AttemptFailure::may_have_run(AttemptEnd::UnverifiedAnswer))
             }
+            () if !has_plain_framing(&head.headers) => {
+                Some(AttemptFailure::may_have_run(AttemptEnd::AnswerMalformed))
+            }
             () => None,
         }
     }
@@ -209,6 +212,14 @@
     }
 }
 
+/// Returns whether the body of an answer is framed by chunks or without a transfer encoding. No other one was asked for:
+/// its bytes would not be the target's body.
+fn has_plain_framing(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let is_chunked = |c: &HeaderValue| c.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings.next().is_none_or(is_chunked) && codings.next().is_none()
+}
+
 /// Records what a target states of how many calls it can reject.
 fn on_brittle_statement(cx: &Gateway, id: &str, target: &TargetId, facts: &ResponseInfo) {
     let brittle = &mut cx.dispatcher.borrow_mut().brittle;
