--- a/src/edge/sent_call.rs
+++ b/src/edge/sent_call.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode, Version, body::Incoming, client::conn::TrySendError,
+    HeaderMap, Request, Response, Version,
+    body::{Body, Incoming},
+    client::conn::TrySendError,
+    header::{self, HeaderValue},
     http::response,
 };
 use slog::info;
@@ -84,6 +87,9 @@
 pub(crate) struct StartedAnswer {
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
+    /// Whether an empty body is taken for one that was cut off: a target that crashes after the head of a success ends
+    /// the connection, too, which ends a body that has neither a length nor chunks.
+    pub(crate) is_cut_if_empty: bool,
     pub(crate) facts: ResponseInfo,
     pub(crate) conn: Conn,
     pub(crate) guard: AttemptGuard,
@@ -133,6 +139,11 @@
         // The version concerns the target's connection only. An answer to the caller in an earlier one would have
         // no chunks, so that it looked complete where it breaks off.
         head.version = Version::HTTP_11;
+        // The same holds for the length: a body in chunks may come with another one, or a valid one be repeated. An
+        // answer without a body keeps it, as it is that of the answer to a `GET`.
+        if !body.is_end_stream() {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         if !self.conn.is_tunnel() {
             let paths = &mut cx.dispatcher.borrow_mut().paths;
             paths.on_heard(cx.now(), &self.guard.ticket.target);
@@ -148,11 +159,14 @@
             on_brittle_statement(cx, id, target, &facts);
         }
         withdrawals::on_response_head(cx, id, target, head.status, &facts);
-        if let Some(failed) = self.check_head(cx, head.status, &facts) {
+        if let Some(failed) = self.check_head(cx, &head, &facts) {
             self.guard.end(failed.end);
             return Err(failed);
         }
+        let has_end = head.headers.contains_key(header::TRANSFER_ENCODING)
+            || body.size_hint().exact().is_some();
         Ok(StartedAnswer {
+            is_cut_if_empty: head.status.is_success() && !has_end,
             head,
             body,
             facts,
@@ -165,7 +179,7 @@
     fn check_head(
         &self,
         cx: &Rc<Gateway>,
-        status: StatusCode,
+        head: &response::Parts,
         facts: &ResponseInfo,
     ) -> Option<AttemptFailure> {
         let is_other_call = facts.id.is_some() && facts.id != self.id;
@@ -183,9 +197,12 @@
                 }
                 Some(AttemptFailure::not_run(AttemptEnd::Refused))
             }
-            () if !facts.is_authentic(status) => {
+            () if !facts.is_authentic(head.status) => {
                 Some(AttemptFailure::may_have_run(AttemptEnd::UnverifiedAnswer))
             }
+            () if !has_plain_framing(&head.headers) => {
+                Some(AttemptFailure::may_have_run(AttemptEnd::AnswerMalformed))
+            }
             () => None,
         }
     }
@@ -195,6 +212,14 @@
     }
 }
 
+/// Returns whether the body of an answer is framed by chunks or without a transfer encoding. No other one was asked for:
+/// its bytes would not be the target's body.
+fn has_plain_framing(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let is_chunked = |c: &HeaderValue| c.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings.next().is_none_or(is_chunked) && codings.next().is_none()
+}
+
 /// Records what a target states of how many calls it can reject.
 fn on_brittle_statement(cx: &Gateway, id: &str, target: &TargetId, facts: &ResponseInfo) {
     let brittle = &mut cx.dispatcher.borrow_mut().brittle;
