stream: an answer that ends with its connection before its first event is no stream

Cause: the end of the target's connection stood for the end of a stream without events. A stream has events, and a target that ends closes its connection in the same way.

Now such an answer is one that broke off: another target is asked where the route allows it, and the call gets 502 otherwise. Streams without events that are in chunks or have a length are whole, as before, and so is what follows the first event of an answer without a length.

Test: an_answer_that_ends_with_its_connection_before_the_first_event_is_no_stream. Before, all three cases failed with `status: 200, "content-length": "0", body: [], complete: true`.

--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -3,7 +3,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::{Response, StatusCode, http::response};
+use hyper::{
+    Response, StatusCode,
+    body::Body,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 
 use super::{
     attempt::{AttemptFailure, Call, send},
@@ -125,6 +130,8 @@
         conn,
         guard,
     } = sent.head(Rc::clone(&cx)).await?;
+    let ends_by_close =
+        body.size_hint().exact().is_none() && !head.headers.contains_key(TRANSFER_ENCODING);
     strip_connection_headers(&mut head.headers);
     if !head.status.is_success() {
         let reading = read_body::read_answer(body, &account);
@@ -138,7 +145,7 @@
             _ => Err(AttemptFailure::target_error()),
         };
     }
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    head.headers.remove(CONTENT_LENGTH);
     let mut source = Box::new(EventSource::new(body, account.clone(), conn, guard, facts));
     // Comments do not begin the answer: until its first event, another target may still take the call.
     let first = source.next_after(&cx, last, deadline, Comments::Drop);
@@ -148,6 +155,8 @@
             cx.metrics.on_first_event(cx.now().since(received));
             Ok(AnswerStart::Stream(head, source, event))
         }
+        // A target that ended after its head closes its connection in the same way.
+        Next::End if ends_by_close => Err(source.on_broken(AttemptEnd::AnswerTruncated)),
         Next::End => {
             source.on_complete(&cx).await;
             let nothing = account.hold_nothing();
