deliveries: a killed router completes no stream of a caller of HTTP/1.0

Callers of HTTP/1.0 got an orderly end in the middle of a stream when the router was killed, or when a planned stop ended before the stream did (ORDER: an end that looks complete).

Cause: an answer of unknown length ends with the connection for them, and the system ends the connections of a process that is gone in order. The reset for answers that break off was set by the process at the break, so only as long as it ran.

Now the connection is set to be reset on close when such an answer begins, and set back when its last part has been taken.

Test: a_stream_of_a_killed_router_does_not_look_complete_to_a_caller_of_http_1_0. Before: an orderly end (`Ok` value: 0) in place of a reset. A whole stream still ends in order (a_whole_stream_ends_in_order_for_a_caller_of_http_1_0).

--- a/src/edge/deliveries.rs
+++ b/src/edge/deliveries.rs
@@ -168,6 +168,9 @@
     /// Follows the answer to the latest request.
     pub(super) fn follow(self: &Rc<Self>, answer: Response<AnswerBody>) -> Response<FollowedBody> {
         self.set_state(ConnState::Answering);
+        if self.ends_by_close.get() && answer.body().size_hint().exact().is_none() {
+            self.set_reset_on_close(true);
+        }
         answer.map(|body| FollowedBody {
             body,
             conn: Rc::clone(self),
@@ -178,9 +181,15 @@
     /// not read.
     pub(super) fn reset(&self) {
         self.delivery.borrow_mut().on_closed();
+        self.set_reset_on_close(true);
+    }
+
+    /// Sets whether the operating system resets the connection when it is closed, also if the process is killed.
+    fn set_reset_on_close(&self, reset: bool) {
         let socket = self.socket.borrow();
-        // Without the option, the system discards the bytes after `UNACKED_TIMEOUT`.
-        let _ = socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+        // Without the option, the system ends the connection in order, and discards the bytes that are not read after
+        // `UNACKED_TIMEOUT`.
+        let _ = socket2::SockRef::from(&*socket).set_linger(reset.then_some(Duration::ZERO));
     }
 
     /// Reads and drops the rest of a refused request, up to a bound. A close with unread bytes resets the
@@ -367,8 +376,14 @@
     ) -> Poll<Option<Result<Frame<OfferedBytes>, StreamAborted>>> {
         let body = self.get_mut();
         let polled = Pin::new(&mut body.body).poll_frame(cx);
-        if let Poll::Ready(Some(Err(StreamAborted))) = polled {
-            body.conn.is_cut_short.set(body.conn.ends_by_close.get());
+        match &polled {
+            Poll::Ready(Some(Err(StreamAborted))) => {
+                body.conn.is_cut_short.set(body.conn.ends_by_close.get());
+            }
+            Poll::Ready(None) if body.conn.ends_by_close.get() => {
+                body.conn.set_reset_on_close(false);
+            }
+            _ => {}
         }
         polled
     }
