--- a/src/edge/stream.rs
+++ b/src/edge/stream.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::{Response, StatusCode, http::response};
+use hyper::{Response, StatusCode, header::CONTENT_LENGTH, http::response};
 
 use super::{
     attempt::{AttemptFailure, Call, send},
@@ -139,7 +139,7 @@
             _ => Err(AttemptFailure::target_error()),
         };
     }
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    head.headers.remove(CONTENT_LENGTH);
     let mut source = Box::new(EventSource::new(body, account.clone(), conn, guard, facts));
     // Comments do not begin the answer: until its first event, another target may still take the call.
     let first = source.next_after(&cx, last, deadline, Comments::Drop);
