version_record: the record says for which store and which routes it holds

Callers got streams of two versions, or of two services (ORDER), at routers that all started after the store had been set back to a copy from before another version joined, or after a route had been moved while no router ran. Cause: the record of versions was believed to be complete whenever it was there. Class: knowledge without its span.

The record has the era of the store in which it was written, and a hash of the services of the streams' routes, and is written again when either changes. A router that reads one of another era or of other routes takes over its versions, and does not take them for all that there were.

--- a/src/config/rerouting.rs
+++ b/src/config/rerouting.rs
@@ -5,6 +5,8 @@
 use std::collections::{BTreeSet, HashMap};
 
 use hyper::Method;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::serving::{Route, RoutingKey, ServingConfig};
 use crate::ids::ServiceName;
@@ -12,6 +14,22 @@
 /// What tells routes of one configuration apart: host, prefix and method.
 type RouteKey<'a> = (&'a str, &'a str, Option<&'a Method>);
 
+/// Which services the routes have whose streams may be taken up, as a hash.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RoutesHash(u64);
+
+impl RoutesHash {
+    /// Returns the hash of a configuration's routes, whatever their order.
+    pub(crate) fn of(config: &ServingConfig) -> Self {
+        let hashes = resumable_routes(config).map(|r| {
+            let method = r.method.as_ref().map(Method::as_str);
+            let route = (&r.host, &r.path_prefix, method, services(r));
+            xxh3_64(format!("{route:?}").as_bytes())
+        });
+        Self(hashes.fold(0, u64::wrapping_add))
+    }
+}
+
 /// Returns the services that share a route with others.
 pub(crate) fn split_services(config: &ServingConfig) -> BTreeSet<ServiceName> {
     let shared = resumable_routes(config).map(services);
--- a/src/edge/gateway.rs
+++ b/src/edge/gateway.rs
@@ -19,7 +19,7 @@
     clock::Clock,
     config::{
         freshness::Freshness,
-        rerouting::{rerouted_services, split_services},
+        rerouting::{RoutesHash, rerouted_services, split_services},
         serving::{CallerLimits, ServingConfig},
     },
     contention::ContentionWatch,
@@ -85,6 +85,8 @@
     pub(crate) claims: ClaimRecorder,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Which services the routes of the configuration in force have.
+    routes_hash: Cell<RoutesHash>,
     /// Revision of the record of versions that was applied last.
     pub(super) version_record_revision: Cell<StoreRevision>,
     /// Reads of the store's revision for calls that take streams up.
@@ -167,6 +169,7 @@
             peers: RefCell::new(peers),
             rules: Cell::new(cfg.rules),
             freshness: RefCell::default(),
+            routes_hash: Cell::default(),
             version_record_revision: Cell::default(),
             revision_reads: RevisionReads::default(),
             serving: RefCell::default(),
@@ -321,6 +324,7 @@
             .is_none_or(|before| config.is_newer_than(before));
         if newer {
             self.metrics.config_version.set(version.0.cast_signed());
+            self.routes_hash.set(RoutesHash::of(&config));
             let split = split_services(&config);
             let split = split.iter().map(ServiceHash::from).collect();
             let before = serving.as_deref();
@@ -335,6 +339,11 @@
         newer
     }
 
+    /// Returns which services the routes of the configuration in force have.
+    pub(super) fn routes_hash(&self) -> RoutesHash {
+        self.routes_hash.get()
+    }
+
     /// Returns whether the configuration is fresh enough to accept its keys for a call read at `at`.
     pub(crate) fn may_use_keys(&self, at: Instant) -> bool {
         let freshness = self.freshness.borrow();
--- a/src/edge/version_record.rs
+++ b/src/edge/version_record.rs
@@ -7,14 +7,16 @@
 
 use std::{rc::Rc, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::{gateway::Gateway, saved_state};
 use crate::{
+    config::rerouting::RoutesHash,
     membership::readers::FleetStart,
     service_versions::VersionNotice,
     store::{StoreError, SwapResult, own},
-    units::StoreRevision,
+    units::{StoreEra, StoreRevision},
 };
 
 /// Interval at which a change of the versions is noticed.
@@ -26,6 +28,16 @@
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// What the store has for routers that start. They rely on it only if nothing can have changed unseen since.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct VersionRecord {
+    /// Era of the store in which it was written: a store that was reverted has an older one.
+    era: StoreEra,
+    /// Which services the streams' routes have: they may change while no router runs.
+    routes: RoutesHash,
+    versions: Vec<VersionNotice>,
+}
+
 /// Writes the record when versions change, if this router is one of those that write the fleet's state.
 pub(super) async fn write(cx: Rc<Gateway>) {
     let mut written = None;
@@ -35,25 +47,30 @@
             written = None;
             continue;
         }
-        let era = cx.mirror.borrow().revision().era;
         let (changes, record) = {
             let discovery = &cx.dispatcher.borrow().discovery;
             let now = cx.now();
             if !discovery.is_loaded() || !discovery.knows_versions(now) {
                 continue;
             }
-            (discovery.version_changes(), discovery.version_record(now))
+            let record = VersionRecord {
+                era: cx.mirror.borrow().revision().era,
+                routes: cx.routes_hash(),
+                versions: discovery.version_record(now),
+            };
+            (discovery.version_changes(), record)
         };
-        if written == Some((era, changes)) {
+        let state = (record.era, record.routes, changes);
+        if written == Some(state) {
             continue;
         }
         match write_record(&cx, &record).await {
             Ok(()) => {
-                info!(cx.log, "versions recorded"; "versions" => record.len());
-                written = Some((era, changes));
+                info!(cx.log, "versions recorded"; "versions" => record.versions.len());
+                written = Some(state);
             }
             Err(e) => {
-                info!(cx.log, "versions not recorded"; "versions" => record.len(), "why" => %e);
+                info!(cx.log, "versions not recorded"; "versions" => record.versions.len(), "why" => %e);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -62,7 +79,7 @@
 
 /// Writes the record in place of the one that the store has now. Without this condition, a write that was not
 /// answered could replace a later one.
-async fn write_record(cx: &Gateway, record: &[VersionNotice]) -> Result<(), StoreError> {
+async fn write_record(cx: &Gateway, record: &VersionRecord) -> Result<(), StoreError> {
     let invalid = |e: postcard::Error| StoreError::InvalidResponse(e.to_string());
     let bytes = postcard::to_stdvec(record).map_err(invalid)?;
     cx.metrics.on_store_call("versions");
@@ -80,9 +97,17 @@
     if cx.version_record_revision.replace(revision) == revision {
         return;
     }
-    match postcard::from_bytes::<Vec<VersionNotice>>(record) {
-        Ok(record) => on_record(cx, &record, true),
-        Err(e) => warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
+    let record: VersionRecord = match postcard::from_bytes(record) {
+        Ok(record) => record,
+        Err(e) => return warn!(cx.log, "cannot decode the record of versions"; "why" => %e),
+    };
+    let is_complete = record.era == revision.era && record.routes == cx.routes_hash();
+    info!(cx.log, "restored versions"; "versions" => record.versions.len(), "stored" => true,
+        "complete" => is_complete);
+    let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+    match is_complete {
+        true => discovery.on_version_record(cx.now(), &record.versions),
+        false => discovery.on_version_notices(cx.now(), &record.versions),
     }
 }
 
@@ -92,13 +117,11 @@
     let knows_versions = cx.dispatcher.borrow().discovery.knows_versions(cx.now());
     match cx.cfg.start {
         _ if knows_versions => {}
-        FleetStart::First => on_record(cx, &[], false),
+        FleetStart::First => {
+            info!(cx.log, "restored versions"; "versions" => 0, "stored" => false);
+            let discovery = &mut cx.dispatcher.borrow_mut().discovery;
+            discovery.on_version_record(cx.now(), &[]);
+        }
         FleetStart::Later => warn!(cx.log, "no record of versions"),
     }
 }
-
-fn on_record(cx: &Gateway, record: &[VersionNotice], is_stored: bool) {
-    info!(cx.log, "restored versions"; "versions" => record.len(), "stored" => is_stored);
-    let discovery = &mut cx.dispatcher.borrow_mut().discovery;
-    discovery.on_version_record(cx.now(), record);
-}
