list_check: a slow store is waited for as long as by any other call

Callers whose streams were taken up elsewhere were refused (LOST) for as long as the store took 250 to 500 ms: reads of its revision gave up after 250 ms, while watches succeeded, so that the store counted as available and nobody told origins.

A read now has the 600 ms that other calls have; a router that knows that the store does not answer it asks another one at once.

Test: streams_of_the_only_version_go_on_while_the_store_is_slow; at 300 and 450 ms 0 of 8 went on before, now all, as at 200 ms.

--- a/src/edge/list_check.rs
+++ b/src/edge/list_check.rs
@@ -14,11 +14,11 @@
     units::{Instant, StoreRevision},
 };
 
-/// Maximum time for one read of the store's revision. A store that is under load takes some 200 ms.
-const READ_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum time for one read of the store's revision: what any other call to the store may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Maximum time for another router to read it.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Maximum time until the copy has a revision that the store had. Changes are read together every 300 ms, and passed
 /// on by two routers in a large fleet.
@@ -69,7 +69,11 @@
 /// it lacks.
 pub(super) async fn is_current(cx: &Gateway) -> bool {
     let read = async {
-        match own_read(cx).await {
+        let own = match cx.store_unavailable_since.get() {
+            None => own_read(cx).await,
+            Some(_) => None,
+        };
+        match own {
             Some(revision) => Some(revision),
             None => ask_reader(cx).await,
         }
