list_check: readers are asked in fleets with feeders, too, and waits have one bound

Routers behind a feeder do not hear which readers the store answered, so that one that the store did not answer asked nobody. Calls that waited for one another's reads could wait for some 3 s before a refusal; 2 s bound all of it. Routes of operators' own configurations that name methods are compared by each method named.

--- a/src/config/rerouting.rs
+++ b/src/config/rerouting.rs
@@ -2,7 +2,7 @@
 //!
 //! A stream goes on at the service that began it, and its caller names only the route.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use hyper::Method;
 use serde::{Deserialize, Serialize};
@@ -45,12 +45,13 @@
     let (of_before, of_after) = (services_by_route(before), services_by_route(after));
     let all = resumable_routes(before).chain(resumable_routes(after));
     let changed = all.filter(|r| of_before.get(&key(r)) != of_after.get(&key(r)));
+    let methods = methods(before, after);
     let mut rerouted = BTreeSet::new();
-    for route in changed {
+    for (route, method) in changed.flat_map(|r| methods.iter().map(move |m| (r, *m))) {
         // Requests of a route that is new or gone went, or go, by one with a shorter prefix.
         let request = RoutingKey {
             host: route.host.clone(),
-            method: route.method.clone().unwrap_or_default(),
+            method: method.clone(),
             path: route.path_prefix.clone(),
         };
         let (Some(from), Some(to)) = (before.route(&request), after.route(&request)) else {
@@ -64,6 +65,13 @@
     rerouted
 }
 
+/// Returns the methods that routes name, and those of requests that are usual where they name none.
+fn methods<'a>(before: &'a ServingConfig, after: &'a ServingConfig) -> HashSet<&'a Method> {
+    let routes = before.routes().chain(after.routes());
+    let named = routes.filter_map(|r| r.method.as_ref());
+    named.chain([&Method::GET, &Method::POST]).collect()
+}
+
 fn resumable_routes(config: &ServingConfig) -> impl Iterator<Item = &Route> {
     config.routes().filter(|r| r.kind.is_resumable())
 }
--- a/src/edge/list_check.rs
+++ b/src/edge/list_check.rs
@@ -20,6 +20,9 @@
 /// Maximum time for another router to read it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum time for all of it, if calls wait for one another's reads.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Maximum time until the copy has a revision that the store had. Changes are read together every 300 ms, and passed
 /// on by two routers in a large fleet.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -68,6 +71,11 @@
 /// Returns whether the copy of the store has each change that was made before this call, and waits for changes that
 /// it lacks.
 pub(super) async fn is_current(cx: &Gateway) -> bool {
+    let checked = tokio::time::timeout(CHECK_TIMEOUT, check(cx)).await;
+    checked.unwrap_or(false)
+}
+
+async fn check(cx: &Gateway) -> bool {
     let read = async {
         let own = match cx.store_unavailable_since.get() {
             None => own_read(cx).await,
@@ -100,7 +108,7 @@
 
 /// Asks a router that the store answered a moment ago.
 async fn ask_reader(cx: &Gateway) -> Option<StoreRevision> {
-    let reader = cx.peers.borrow().choose_reader(cx.now())?;
+    let reader = cx.peers.borrow().any_reader(cx.now())?;
     let answer = tokio::time::timeout(PEER_TIMEOUT, peer_calls::fetch_revision(reader)).await;
     answer.ok()?.ok().flatten()
 }
--- a/src/membership/readers.rs
+++ b/src/membership/readers.rs
@@ -216,6 +216,17 @@
         self.by_vm.get(chosen).map(|p| p.address)
     }
 
+    /// Returns a peer that reads the store, also where routers learn of changes from feeders and do not hear which
+    /// readers it answered.
+    pub fn any_reader(&self, now: Instant) -> Option<SocketAddr> {
+        let designated = || {
+            let mut readers = self.designated_readers(now).into_iter();
+            readers.find_map(|vm| self.by_vm.get(vm))
+        };
+        self.choose_reader(now)
+            .or_else(|| designated().map(|p| p.address))
+    }
+
     /// Returns the acting readers, each with the time since its last answer from the store, in
     /// milliseconds.
     pub fn readers(&self, now: Instant) -> Vec<(VmId, u32)> {
