ingress: callers that the system times out count as given up

Callers saw: nothing else than before, a reset connection. Operators saw a caller that read nothing as one that left (`caller_gone`, 4006), and not in `callers_given_up_total`.

Cause: the system closes a connection on which nothing was acknowledged for 6 s (TCP_USER_TIMEOUT). The flow control gives such callers up after 5 s of its own ticks, each of which counts for half a second at most, and only while bytes wait in the router. Beside load, or where all bytes lie in the system's buffer, the system comes first, and the end of the connection was taken for the caller's.

Fix: a connection that ends with ETIMEDOUT gives up the caller of the answer in progress on it, with the reason `not_reading`. Without an answer in progress nothing changes.

--- a/src/edge/flow.rs
+++ b/src/edge/flow.rs
@@ -30,6 +30,8 @@
 #[derive(Default)]
 pub(crate) struct CallerConn {
     close: Notify,
+    /// The latest answer on the connection.
+    answer: Cell<Option<AnswerId>>,
     has_caller_left: Cell<bool>,
     has_unread_body: Cell<bool>,
 }
@@ -148,6 +150,7 @@
         is_stream: bool,
     ) -> Self {
         let id = cx.flow.flow.borrow_mut().open(account, is_stream);
+        conn.answer.set(Some(id));
         let state = Rc::new(AnswerState {
             cx: Rc::clone(cx),
             id,
@@ -416,6 +419,17 @@
     cx.metrics.on_held(answers, requests);
 }
 
+/// Handles a caller's connection that the operating system closed because nothing was acknowledged. Returns whether an
+/// answer was in progress on it, whose caller counts as given up.
+pub(super) fn on_timed_out(cx: &Gateway, conn: &CallerConn) -> bool {
+    let given_up = conn
+        .answer
+        .get()
+        .and_then(|id| cx.flow.flow.borrow_mut().on_timed_out(id));
+    give_up(cx, given_up.as_slice());
+    given_up.is_some()
+}
+
 /// Closes the connections of callers, which also ends their runs at targets.
 fn give_up(cx: &Gateway, callers: &[GivenUp]) {
     for caller in callers {
--- a/src/edge/ingress.rs
+++ b/src/edge/ingress.rs
@@ -1,6 +1,6 @@
 //! Serves connections of callers, readiness checks of the load balancer, and scrapers of metrics.
 
-use std::{cell::Cell, convert::Infallible, pin::Pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, error::Error, io, pin::Pin, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
@@ -14,7 +14,7 @@
     call,
     conn::set_socket_options,
     deliveries::{ConnState, FollowedConn},
-    flow::CallerConn,
+    flow::{self, CallerConn},
     gateway::Gateway,
     task,
 };
@@ -124,8 +124,12 @@
     };
     let ended = ended.await;
     let is_malformed = matches!(&ended, Some(Err(e)) if e.is_parse());
-    let is_given_up = ended.is_none();
-    if ended.is_some_and(|ended| is_left_by_caller(&ended)) {
+    let is_given_up = match &ended {
+        None => true,
+        Some(ended) if is_timed_out(ended) => flow::on_timed_out(&cx, &caller),
+        Some(_) => false,
+    };
+    if !is_given_up && ended.as_ref().is_some_and(is_left_by_caller) {
         caller.on_caller_left();
     }
     // The call on the connection ends with it, if there is one, and with it the attempt at its target.
@@ -147,6 +151,13 @@
         .is_err_and(|e| !e.is_user() && !e.is_timeout())
 }
 
+/// Returns whether the operating system closed a connection because its caller acknowledged nothing.
+fn is_timed_out(ended: &hyper::Result<()>) -> bool {
+    let source = ended.as_ref().err().and_then(Error::source);
+    let error = source.and_then(|e| e.downcast_ref::<io::Error>());
+    error.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Bounds what the operating system holds for a caller that does not read. Without the bound, it takes up
 /// to several megabytes, which no account shows.
 fn bound_unsent_bytes(stream: &TcpStream) {
--- a/src/flow/bounds.rs
+++ b/src/flow/bounds.rs
@@ -48,7 +48,8 @@
     AccountBound,
     /// All answers reached the bound of the router.
     RouterBound,
-    /// It read nothing for [`STALL_LIMIT`](super::STALL_LIMIT) while bytes were offered to it.
+    /// It read nothing for [`STALL_LIMIT`](super::STALL_LIMIT) while bytes were offered to it, or the operating
+    /// system closed its connection because nothing was acknowledged.
     NotReading,
 }
 
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -14,8 +14,7 @@
 use crate::{ids::ClientAccountId, units::Instant};
 
 /// Time without progress after which a caller is given up. It is longer than common interruptions of a
-/// network path, and shorter than the 6 s after which the operating system closes such a connection
-/// without a reason that could be reported.
+/// network path, and shorter than the 6 s after which the operating system closes such a connection.
 pub const STALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// Time without progress from which a caller counts as not reading when a shared bound is reached. A caller
@@ -326,6 +325,19 @@
         self.request_bytes = self.request_bytes.saturating_sub(n);
     }
 
+    /// Gives up the caller of an answer whose connection the operating system closed because nothing was
+    /// acknowledged. Returns `None` if the answer is over or its caller was given up before.
+    pub fn on_timed_out(&mut self, id: AnswerId) -> Option<GivenUp> {
+        self.answers
+            .get(&id)
+            .filter(|a| a.stage != Stage::GivenUp)?;
+        Some(GivenUp {
+            // Without a connection, its call can't be refused.
+            has_begun: true,
+            ..self.give_up(id, GiveUpReason::NotReading)
+        })
+    }
+
     /// Measures the time without progress, and gives up the callers that have read nothing for
     /// [`STALL_LIMIT`].
     pub fn on_tick(&mut self, now: Instant) -> Vec<GivenUp> {
