config: one that can't be decoded does not confirm the one before it

Callers saw: after a new configuration with a name that can't be decoded, such as that of an account with spaces, keys that it took away went on working, at all routers and without a bound.

Cause: a configuration that can't be decoded was only logged. The version that the store holds, which confirmations are compared with, stayed that of the configuration before it, so that each answer of the store confirmed that one.

Fix: the store's decoder reports such a configuration, and the version that the store holds counts as unknown then, which confirms nothing: routers refuse calls with keys after the bound, until a usable one is written. As one account should not have that effect, an account with an invalid name is left out, with a log line and a count, and the rest is applied. Routes and services are not left out, as calls of theirs would match other routes or exceed limits.

--- a/src/config/serving.rs
+++ b/src/config/serving.rs
@@ -199,6 +199,8 @@
     pub limits: CallerLimits,
     /// Whether requests need keys, except on public routes.
     pub requires_keys: bool,
+    /// Descriptions of entries that were left out because they are invalid.
+    pub left_out: Vec<String>,
     hosts: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     shortest_goals: HashMap<ServiceName, Duration>,
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -255,7 +255,7 @@
         let unusable = self.entries_unusable.clone();
         r.register(
             "entries_unusable",
-            "Entries of targets that name none to use",
+            "Entries of targets that name none to use, and entries of the configuration that can't be decoded",
             unusable,
         );
         r.register(
--- a/src/edge/store_updates.rs
+++ b/src/edge/store_updates.rs
@@ -61,6 +61,7 @@
         let at = item.revision;
         match cx.store.decode(item) {
             Ok(StoreChange::Config(config)) => apply_config(cx, *config, from),
+            Ok(StoreChange::ConfigUnusable { why }) => on_config_unusable(cx, &why, at),
             Ok(StoreChange::Target(record)) if is_list => list.push((record, at)),
             Ok(StoreChange::Target(record)) => changes.push((ListChange::Put(record), at)),
             Ok(StoreChange::TargetRemoved(name)) => changes.push((ListChange::Removed(name), at)),
@@ -196,6 +197,10 @@
 fn apply_config(cx: &Gateway, config: ServingConfig, from: SocketAddr) {
     let (revision, version, routes) = (config.revision, config.version, config.route_count());
     cx.stored_config.set(Some(version));
+    for why in &config.left_out {
+        cx.metrics.entries_unusable.inc();
+        warn!(cx.log, "config entry left out"; "why" => why, "version" => version.0, "revision" => revision.number);
+    }
     let before = cx.serving();
     // Each write has its own number, so a write with a known version and number was made before the store
     // was reverted.
@@ -212,6 +217,14 @@
         "revision_before" => revision_before);
 }
 
+/// Handles a configuration that can't be decoded: the store no longer confirms the one before it, from which it may have
+/// taken keys away.
+fn on_config_unusable(cx: &Gateway, why: &str, at: StoreRevision) {
+    cx.stored_config.set(None);
+    cx.metrics.entries_unusable.inc();
+    warn!(cx.log, "config unusable"; "why" => why, "revision" => at.number);
+}
+
 fn on_changes(
     cx: &Gateway,
     now: Instant,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -115,6 +115,11 @@
 pub enum StoreChange {
     /// The operators' configuration was written.
     Config(Box<ServingConfig>),
+    /// The operators' configuration was written, and can't be decoded.
+    ConfigUnusable {
+        /// Description of what is wrong with it.
+        why: String,
+    },
     /// A target wrote its entry.
     Target(TargetRecord),
     /// A target's entry was removed.
