load_account: add up calls without overflow

Callers got no answer while a target reported a load such as 4294967295,4294967295,8: each call added its figures, which panicked where overflow is checked. Elsewhere the sum wrapped around, so that the target counted as idle.

Evidence: a_header_of_a_target_leaves_no_call_unanswered failed for x-runner-load in all three cases: "attempt to add with overflow" at load_account.rs, and callers saw IncompleteMessage. Fix: sums of calls and of tokens saturate. The same sums add counts of other routers.

--- a/src/load_account.rs
+++ b/src/load_account.rs
@@ -218,7 +218,8 @@
     pub(crate) fn calls_at(&self, is_selected: impl Fn(&TargetHash) -> bool) -> u32 {
         let counted = self.own.iter().chain(&self.others);
         let selected = counted.filter(|(target, _)| is_selected(target));
-        selected.map(|(_, work)| work.calls).sum()
+        let calls = selected.map(|(_, work)| work.calls);
+        calls.fold(0, u32::saturating_add)
     }
 
     /// Returns the calls at a target: the larger of the counts and the target's own recent report.
@@ -234,7 +235,9 @@
         let counted = self.total(target).calls;
         let report = self.reports.get(target);
         let report = report.filter(|(at, _)| now.since(*at) < REPORT_TTL);
-        let all = report.map_or(counted, |(_, t)| counted.max(t.running + t.waiting));
+        let all = report.map_or(counted, |(_, t)| {
+            counted.max(t.running.saturating_add(t.waiting))
+        });
         CallCounts {
             own,
             others: all.saturating_sub(own),
@@ -248,7 +251,7 @@
         let hash = target.into();
         let tokens = |counts: &Counts| counts.get(&hash).map_or(0, |w| w.tokens.0);
         let left = survival.of(tokens(&self.others) as f64);
-        Tokens(tokens(&self.own) + left.round() as u64)
+        Tokens(tokens(&self.own)) + Tokens(left.round() as u64)
     }
 
     /// Returns the mean age of the counts of other routers; zero if they have no calls.
--- a/src/target_counts.rs
+++ b/src/target_counts.rs
@@ -44,10 +44,11 @@
         let pack = |(target, work): (TargetHash, InProgress)| {
             let step = target.0 - before;
             before = target.0;
+            let blocks = work.tokens.0.div_ceil(TOKENS_PER_BLOCK);
             PackedCount {
                 hash_delta: step,
                 calls: work.calls,
-                blocks: work.tokens.0.div_ceil(TOKENS_PER_BLOCK) as u32,
+                blocks: blocks.try_into().unwrap_or(u32::MAX),
             }
         };
         sorted.into_iter().map(pack).collect()
@@ -84,7 +85,8 @@
 
     /// Returns the number of calls at all targets.
     pub fn calls(&self) -> u32 {
-        self.0.iter().map(|(_, work)| work.calls).sum()
+        let calls = self.0.iter().map(|(_, work)| work.calls);
+        calls.fold(0, u32::saturating_add)
     }
 }
 
@@ -105,7 +107,7 @@
     }
 
     pub(crate) fn add(&mut self, other: Self) {
-        self.calls += other.calls;
+        self.calls = self.calls.saturating_add(other.calls);
         self.tokens += other.tokens;
     }
 
@@ -129,6 +131,6 @@
 impl CallCounts {
     /// Returns the calls of all routers.
     pub fn all(self) -> u32 {
-        self.own + self.others
+        self.own.saturating_add(self.others)
     }
 }
