membership: add up calls of other routers without overflow

Numbers of calls in datagrams were added with plain sums: a router that received such numbers panicked where overflow is checked, and elsewhere used a share of the retry budget from a sum that had wrapped around.

Fix: these sums saturate.

--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -96,7 +96,7 @@
     /// the last seconds.
     pub fn hub_digests(&mut self, now: Instant, own_calls: u32) -> HubDigests {
         let near = self.by_vm.values().filter(|p| p.hall == self.hall);
-        let calls = near.map(|p| p.calls).sum::<u32>() + own_calls;
+        let calls = near.map(|p| p.calls).fold(own_calls, u32::saturating_add);
         let own = KnownDigest {
             at: now,
             digest: self.hall_digest(&self.hall),
@@ -176,14 +176,17 @@
                 .is_some_and(|r| self.is_fresh(now, r))
         };
         let reported = self.digests.values().filter(|r| self.is_fresh(now, r));
-        let reported: u32 = reported.map(|r| r.calls).sum();
+        let reported = reported.map(|r| r.calls).fold(0, u32::saturating_add);
         let own_reported = if has_fresh_digest(&self.hall) {
             own_calls
         } else {
             0
         };
         let unreported = self.live_peers(now).filter(|p| !has_fresh_digest(&p.hall));
-        reported.saturating_sub(own_reported) + unreported.map(|p| p.calls).sum::<u32>()
+        let reported = reported.saturating_sub(own_reported);
+        unreported
+            .map(|p| p.calls)
+            .fold(reported, u32::saturating_add)
     }
 
     /// Reports monitored routers as down once they have been silent for too long.
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -297,7 +297,7 @@
     pub fn call_share(&self, now: Instant, own_calls: u32) -> f64 {
         let others = self.others_calls(now, own_calls);
         let even = 1.0 / self.live_count(now) as f64;
-        match own_calls + others {
+        match own_calls.saturating_add(others) {
             0 => even,
             // Half by calls and half evenly: a router that had few calls so far may need retries
             // now.
