limits: add up grants of other routers without overflow

An owner of an account's limits adds the grants that others report to hold. Two reports of the largest rate overflowed: the sum panicked where overflow is checked, and elsewhere wrapped around, so that more than the limit was granted.

Evidence: grants_that_others_report_to_hold_are_added_up_without_overflow failed with "attempt to add with overflow". Fix: the sums saturate, and nothing is granted beyond them.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -242,8 +242,11 @@
             .iter()
             .map(|(vm, (_, d))| (vm, u64::from(d.in_flight)));
         let others = self.granted.iter().filter(|(vm, _)| *vm != from);
-        let granted = others.fold((0, 0), |(rate, concurrency), (_, (_, g))| {
-            (rate + g.rate_milli, concurrency + u64::from(g.concurrency))
+        let granted = others.fold((0_u64, 0_u64), |(rate, concurrency), (_, (_, g))| {
+            (
+                rate.saturating_add(g.rate_milli),
+                concurrency.saturating_add(u64::from(g.concurrency)),
+            )
         });
         let fraction = 1.0 - FLOOR_FRACTION;
         let rate = (f64::from(limits.requests_per_s) * 1000.0 * fraction) as u64;
