divided: add up slots of targets without overflow

Callers got no answer while two entries of a service stated slots: each call added them, which panicked where overflow is checked. Elsewhere the sum wrapped around, and a large pool counted as small.

Evidence: entries_with_the_largest_numbers_are_used failed with "attempt to add with overflow", and callers saw IncompleteMessage. Fix: the sum saturates.

odd_entries.rs plays a thousand odd entries beside ten sound ones, odd ones in place of one in use, and odd ones that another router passes on.

--- a/src/dispatcher/divided.rs
+++ b/src/dispatcher/divided.rs
@@ -167,10 +167,11 @@
 }
 
 fn pool_facts<'a>(plan: &'a CallPlan, scored: &ScoredTargets) -> PoolFacts<'a> {
+    let slots = scored.targets.iter().map(|t| t.slots);
     PoolFacts {
         service: &plan.service,
         has_engines: plan.engine.is_some(),
-        slots: scored.targets.iter().map(|t| t.slots).sum(),
+        slots: slots.fold(0, u32::saturating_add),
         goal: plan.goal,
     }
 }
