slot_time: ignore a saved time of more than an hour

Callers got no answer from a router that had started beside a saved state with the longest time: each call converted the mean from seconds, which panics beyond 2^64 seconds, also in release builds.

Evidence: the_largest_numbers_among_routers_own_entries_stop_no_router_that_starts, case prompts, failed with the panic of Duration::from_secs_f64, and callers saw IncompleteMessage.

--- a/src/admission/slot_time.rs
+++ b/src/admission/slot_time.rs
@@ -6,6 +6,9 @@
 /// one router's share of a service's calls reaches in a second.
 const EWMA_WEIGHT: f64 = 0.02;
 
+/// Maximum mean that is taken from a saved state; guards against invalid figures.
+const MAX_RESTORED_MEAN: Duration = Duration::from_hours(1);
+
 /// Exponential moving average over the calls of one service, of all kinds in the order of their
 /// arrival.
 #[derive(Debug, Default)]
@@ -21,9 +24,11 @@
         self.mean_s = Some(mean + (slot_time - mean) * EWMA_WEIGHT);
     }
 
-    /// Restores the mean from before a restart, unless calls have been observed since.
+    /// Restores the mean from before a restart, unless calls have been observed since or it is no plausible one.
     pub(super) fn on_restored_slot_time(&mut self, slot_time: Duration) {
-        self.mean_s.get_or_insert(slot_time.as_secs_f64());
+        if slot_time <= MAX_RESTORED_MEAN {
+            self.mean_s.get_or_insert(slot_time.as_secs_f64());
+        }
     }
 
     /// Returns the mean; `None` before the first call.
