origin_log: number segments without overflow

A segment of the log with the largest number made the router that read it panic where overflow is checked, in the task that follows the store: it followed no change any more.

Evidence: the_largest_numbers_among_routers_own_entries_stop_no_router_that_starts, case origins, panicked with "attempt to add with overflow" at origin_log.rs. Fix: numbers wrap around.

--- a/src/edge/origin_log.rs
+++ b/src/edge/origin_log.rs
@@ -59,7 +59,7 @@
             continue;
         }
         let number = cx.origin_log.next.get();
-        cx.origin_log.next.set(number + 1);
+        cx.origin_log.next.set(number.wrapping_add(1));
         let (cx, write) = (Rc::clone(&cx), Rc::clone(&writes));
         spawn_local(async move {
             write_segment(&cx, writer, number, &origins).await;
@@ -117,7 +117,7 @@
     decoded.sort_unstable_by_key(|(number, _)| *number);
     for (number, origins) in &decoded {
         let next = &cx.origin_log.next;
-        next.set(next.get().max(number + 1));
+        next.set(next.get().max(number.wrapping_add(1)));
         stream_origins::on_notices(cx, origins);
     }
 }
