claims: a claim with the latest time does not expire

The time of a claim's record was added to without a check: the largest time wrapped around, so that the record counted as expired and was removed, and its call could run again. Where overflow is checked, the shard's claims could not be read.

Fix: the sums saturate.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -211,7 +211,7 @@
     /// same request.
     pub fn recover(&mut self, before: &Self, now_s: u64) {
         let is_lost = |(key, known): &(&ClaimKey, &KeyState)| match self.key_states.get(*key) {
-            _ if known.at_s + MAX_COPY_AGE_S < now_s => false,
+            _ if known.at_s.saturating_add(MAX_COPY_AGE_S) < now_s => false,
             None => true,
             Some(now) => now.request == known.request && now.kind == ClaimKind::Claim,
         };
@@ -228,7 +228,7 @@
 
     /// Whether a chunk is sealed and all of its records are past their retention time.
     pub fn is_expired(chunk: &Chunk, now_s: u64) -> bool {
-        let is_past_retention = |r: &Record| r.at_s + RETENTION_S < now_s;
+        let is_past_retention = |r: &Record| r.at_s.saturating_add(RETENTION_S) < now_s;
         chunk.sealed && chunk.records.iter().all(is_past_retention)
     }
 
